--- /dev/null
+++ b/fireflyshed-bench/src/main/java/io/fireflyshed/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Measurements, each against a baseline of the same run. */
+package io.fireflyshed.bench;
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/assignment/package-info.java
@@ -0,0 +1,2 @@
+/** Assignment of instances to replicas. */
+package io.fireflyshed.coordination.assignment;
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/attempt/AttemptException.java
@@ -0,0 +1,36 @@
+package io.fireflyshed.coordination.attempt;
+
+import io.fireflyshed.state.error.ServingException;
+import java.util.Objects;
+
+/** Signals that an attempt ended without a complete answer and tells what is known of it. */
+public class AttemptException extends ServingException {
+
+  private static final long serialVersionUID = 1L;
+
+  private final Outcome outcome;
+
+  /**
+   * Creates an exception.
+   *
+   * @param step the step that failed, not null
+   * @param peer the target, not null
+   * @param outcome what is known of the attempt, not null
+   * @param message what went wrong, not null
+   * @param cause the cause, or null
+   */
+  public AttemptException(
+      String step, String peer, Outcome outcome, String message, Throwable cause) {
+    super(step, peer, message, cause);
+    this.outcome = Objects.requireNonNull(outcome, "outcome");
+  }
+
+  /**
+   * Gets what is known of the attempt.
+   *
+   * @return the outcome, never null
+   */
+  public Outcome getOutcome() {
+    return outcome;
+  }
+}
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/gate/package-info.java
@@ -0,0 +1,2 @@
+/** The gate that lets only whole replicas serve. */
+package io.fireflyshed.coordination.gate;
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Choice of the replica or target that runs a request. */
+package io.fireflyshed.coordination.routing;
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/protocol/completion/package-info.java
@@ -0,0 +1,2 @@
+/** The completion protocol between callers, entries and engines. */
+package io.fireflyshed.protocol.completion;
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/protocol/engine/ModelEngine.java
@@ -0,0 +1,46 @@
+package io.fireflyshed.protocol.engine;
+
+import io.fireflyshed.state.instance.InstanceRecord;
+import io.fireflyshed.state.replica.MemberHealth;
+import java.util.concurrent.CompletableFuture;
+import reactor.core.publisher.Flux;
+
+/** Talks to model engines. Implementations are thread safe. */
+public interface ModelEngine {
+
+  /**
+   * Asks an engine for its health.
+   *
+   * @param instance the instance, not null
+   * @return a future of the answer; it fails if none comes in time
+   */
+  CompletableFuture<MemberHealth> probe(InstanceRecord instance);
+
+  /**
+   * Asks an engine for its load.
+   *
+   * @param instance the instance, not null
+   * @return a future of the report; it fails if none comes in time
+   */
+  CompletableFuture<LoadReport> readLoad(InstanceRecord instance);
+
+  /**
+   * Sends an order to an engine.
+   *
+   * @param instance the instance, not null
+   * @param order the order, not null
+   * @return a future that completes when the engine has accepted the order; it fails with a {@link
+   *     io.fireflyshed.coordination.attempt.AttemptException}
+   */
+  CompletableFuture<Void> order(InstanceRecord instance, EngineOrder order);
+
+  /**
+   * Runs one attempt of a completion.
+   *
+   * @param request the attempt, not null
+   * @return the events in the order of their offsets, ended by the end event; cancelling the
+   *     subscription cancels the attempt. It fails with a {@link
+   *     io.fireflyshed.coordination.attempt.AttemptException}
+   */
+  Flux<StreamEvent> stream(EngineRequest request);
+}
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/protocol/engine/package-info.java
@@ -0,0 +1,2 @@
+/** The control messages of model engines. */
+package io.fireflyshed.protocol.engine;
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/protocol/json/package-info.java
@@ -0,0 +1,2 @@
+/** Shared JSON mapping. */
+package io.fireflyshed.protocol.json;
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/protocol/package-info.java
@@ -0,0 +1,2 @@
+/** Protocol: messages and their codecs. */
+package io.fireflyshed.protocol;
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/protocol/problem/package-info.java
@@ -0,0 +1,2 @@
+/** Problem details that callers receive in place of an answer. */
+package io.fireflyshed.protocol.problem;
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/state/error/ServingException.java
@@ -0,0 +1,60 @@
+package io.fireflyshed.state.error;
+
+import java.util.Objects;
+
+/**
+ * Signals that a step of the system failed against a peer.
+ *
+ * <p>The step and the peer are part of the message, so that a log line or a problem response tells
+ * where the error arose.
+ */
+public class ServingException extends RuntimeException {
+
+  private static final long serialVersionUID = 1L;
+
+  private final String step;
+  private final String peer;
+
+  /**
+   * Creates an exception.
+   *
+   * @param step the step that failed, such as {@code read-table}, not null
+   * @param peer the address or name of the peer, not null
+   * @param message what went wrong, not null
+   */
+  public ServingException(String step, String peer, String message) {
+    this(step, peer, message, null);
+  }
+
+  /**
+   * Creates an exception with a cause.
+   *
+   * @param step the step that failed, such as {@code read-table}, not null
+   * @param peer the address or name of the peer, not null
+   * @param message what went wrong, not null
+   * @param cause the cause, or null
+   */
+  public ServingException(String step, String peer, String message, Throwable cause) {
+    super(step + " at " + peer + ": " + message, cause);
+    this.step = Objects.requireNonNull(step, "step");
+    this.peer = Objects.requireNonNull(peer, "peer");
+  }
+
+  /**
+   * Gets the step that failed.
+   *
+   * @return the step, never null
+   */
+  public String getStep() {
+    return step;
+  }
+
+  /**
+   * Gets the peer at which the step failed.
+   *
+   * @return the peer, never null
+   */
+  public String getPeer() {
+    return peer;
+  }
+}
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/state/error/package-info.java
@@ -0,0 +1,2 @@
+/** Errors that carry the step and the peer at which they arose. */
+package io.fireflyshed.state.error;
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/state/instance/AvailabilityZone.java
@@ -0,0 +1,26 @@
+package io.fireflyshed.state.instance;
+
+import io.fireflyshed.state.IdentifierUtils;
+
+/**
+ * Names an availability zone.
+ *
+ * @param value the text of the identifier, 1 to 128 letters, digits, dots, dashes or underscores
+ */
+public record AvailabilityZone(String value) implements Comparable<AvailabilityZone> {
+
+  /** Checks the text of the identifier. */
+  public AvailabilityZone {
+    IdentifierUtils.requireIdentifier("availability zone", value);
+  }
+
+  @Override
+  public int compareTo(AvailabilityZone other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/state/instance/FabricDomain.java
@@ -0,0 +1,26 @@
+package io.fireflyshed.state.instance;
+
+import io.fireflyshed.state.IdentifierUtils;
+
+/**
+ * Names a group of instances that share a fast interconnect.
+ *
+ * @param value the text of the identifier, 1 to 128 letters, digits, dots, dashes or underscores
+ */
+public record FabricDomain(String value) implements Comparable<FabricDomain> {
+
+  /** Checks the text of the identifier. */
+  public FabricDomain {
+    IdentifierUtils.requireIdentifier("fabric domain", value);
+  }
+
+  @Override
+  public int compareTo(FabricDomain other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/state/object/package-info.java
@@ -0,0 +1,2 @@
+/** The object store of the platform. */
+package io.fireflyshed.state.object;
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/state/peer/package-info.java
@@ -0,0 +1,2 @@
+/** What entry processes tell each other. */
+package io.fireflyshed.state.peer;
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/state/replica/package-info.java
@@ -0,0 +1,2 @@
+/** Model services, replicas and their evidence of health. */
+package io.fireflyshed.state.replica;
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/state/table/package-info.java
@@ -0,0 +1,2 @@
+/** The transactional table service of the platform. */
+package io.fireflyshed.state.table;
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/control/ControlSettings.java
@@ -0,0 +1,41 @@
+package io.fireflyshed.transport.control;
+
+import io.fireflyshed.state.instance.AvailabilityZone;
+import io.fireflyshed.state.replica.ModelServiceSpec;
+import java.time.Duration;
+import java.util.List;
+import java.util.Objects;
+
+/**
+ * Holds the settings of the control thread.
+ *
+ * @param zone the availability zone of this process, not null
+ * @param services the wanted model services, copied, not null
+ * @param probeInterval the time between two probes of an instance, positive, not null
+ * @param evidenceMaxAge the age at which evidence of health becomes invalid, positive, not null
+ * @param refreshInterval the time between two reads of the instance list and of the assignments,
+ *     positive, not null
+ */
+public record ControlSettings(
+    AvailabilityZone zone,
+    List<ModelServiceSpec> services,
+    Duration probeInterval,
+    Duration evidenceMaxAge,
+    Duration refreshInterval) {
+
+  /** Checks the parts and copies the list. */
+  public ControlSettings {
+    Objects.requireNonNull(zone, "zone");
+    services = List.copyOf(services);
+    requirePositive("probeInterval", probeInterval);
+    requirePositive("evidenceMaxAge", evidenceMaxAge);
+    requirePositive("refreshInterval", refreshInterval);
+  }
+
+  private static void requirePositive(String name, Duration value) {
+    Objects.requireNonNull(value, name);
+    if (value.isZero() || value.isNegative()) {
+      throw new IllegalArgumentException(name + " must be positive: " + value);
+    }
+  }
+}
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/control/package-info.java
@@ -0,0 +1,2 @@
+/** The control thread: probes, gate, assignments and the published serving view. */
+package io.fireflyshed.transport.control;
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/desk/package-info.java
@@ -0,0 +1,2 @@
+/** The HTTP client of plain services. */
+package io.fireflyshed.transport.desk;
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/engine/HttpModelEngine.java
@@ -0,0 +1,204 @@
+package io.fireflyshed.transport.engine;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.fireflyshed.coordination.attempt.AttemptException;
+import io.fireflyshed.coordination.attempt.Outcome;
+import io.fireflyshed.protocol.completion.SseDecoder;
+import io.fireflyshed.protocol.engine.EngineHeaders;
+import io.fireflyshed.protocol.engine.EngineOrder;
+import io.fireflyshed.protocol.engine.EngineRequest;
+import io.fireflyshed.protocol.engine.LoadReport;
+import io.fireflyshed.protocol.engine.ModelEngine;
+import io.fireflyshed.protocol.engine.StreamEvent;
+import io.fireflyshed.protocol.json.JsonUtils;
+import io.fireflyshed.state.error.NoEffectException;
+import io.fireflyshed.state.error.ServingException;
+import io.fireflyshed.state.instance.BootId;
+import io.fireflyshed.state.instance.InstanceId;
+import io.fireflyshed.state.instance.InstanceRecord;
+import io.fireflyshed.state.replica.MemberHealth;
+import io.fireflyshed.state.replica.ReplicaId;
+import io.fireflyshed.transport.http.HttpCall;
+import io.fireflyshed.transport.http.HttpCaller;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.ByteBufFlux;
+import reactor.netty.http.client.HttpClient;
+import reactor.netty.http.client.HttpClientResponse;
+
+/** Talks to model engines over HTTP. Thread safe. */
+public final class HttpModelEngine implements ModelEngine {
+
+  private static final String STEP_STREAM = "stream";
+
+  private final HttpCaller caller;
+  private final Duration controlTimeout;
+
+  /**
+   * Creates a client.
+   *
+   * @param caller sends the requests, not null
+   * @param controlTimeout the longest wait for a control message, not null
+   */
+  public HttpModelEngine(HttpCaller caller, Duration controlTimeout) {
+    this.caller = caller;
+    this.controlTimeout = controlTimeout;
+  }
+
+  @Override
+  public CompletableFuture<MemberHealth> probe(InstanceRecord instance) {
+    return get("probe", instance, "/control/health").thenApply(HttpModelEngine::toHealth);
+  }
+
+  @Override
+  public CompletableFuture<LoadReport> readLoad(InstanceRecord instance) {
+    return get("read-load", instance, "/control/load")
+        .thenApply(
+            node ->
+                new LoadReport(
+                    node.path("running").asInt(),
+                    node.path("queued").asInt(),
+                    node.path("cachedTokens").asLong(),
+                    node.path("ageMillis").asLong()));
+  }
+
+  @Override
+  public CompletableFuture<Void> order(InstanceRecord instance, EngineOrder order) {
+    ObjectNode node = JsonUtils.getMapper().createObjectNode();
+    node.put("fence", order.fence());
+    node.put("replica", order.replica().map(ReplicaId::value).orElse(""));
+    node.put("generation", order.generation());
+    node.put("model", order.model());
+    node.put("adapter", order.adapter());
+    node.put("deadlineMillis", order.deadlineMillis());
+    order.members().forEach(m -> node.withArray("members").add(m.value()));
+    HttpCall call =
+        new HttpCall(
+            "order",
+            instance.address(),
+            HttpMethod.POST,
+            "/control/orders",
+            Map.of(),
+            JsonUtils.toText(node),
+            controlTimeout);
+    return caller
+        .send(call)
+        .handle(
+            (reply, error) -> {
+              if (error != null) {
+                throw toAttemptError("order", instance.getAddressText(), error);
+              }
+              if (!reply.isSuccess()) {
+                throw refused("order", instance.getAddressText(), reply.status(), reply.headers());
+              }
+              return null;
+            });
+  }
+
+  @Override
+  public Flux<StreamEvent> stream(EngineRequest request) {
+    return Flux.defer(
+        () -> {
+          String peer = request.replica().getHead().getAddressText();
+          AtomicBoolean isHandedOver = new AtomicBoolean();
+          return newClient(request)
+              .doOnRequest((r, connection) -> isHandedOver.set(true))
+              .post()
+              .uri("http://" + peer + request.kind().getPath())
+              .send(
+                  Mono.just(
+                      Unpooled.wrappedBuffer(request.body().getBytes(StandardCharsets.UTF_8))))
+              .response((response, body) -> decode(request, peer, response, body))
+              .onErrorMap(e -> toStreamError(peer, isHandedOver.get(), e));
+        });
+  }
+
+  private HttpClient newClient(EngineRequest request) {
+    return caller
+        .getClient()
+        .headers(
+            h -> {
+              h.set("content-type", "application/json");
+              h.set(EngineHeaders.ATTEMPT, request.attempt());
+              h.set(EngineHeaders.REQUEST, request.requestId());
+              h.set(EngineHeaders.REPLICA, request.replica().id().value());
+              h.set(EngineHeaders.GENERATION, request.replica().generation());
+              h.set(EngineHeaders.OFFSET, request.offset());
+              request.headers().forEach(h::set);
+            });
+  }
+
+  private static Flux<StreamEvent> decode(
+      EngineRequest request, String peer, HttpClientResponse response, ByteBufFlux body) {
+    int status = response.status().code();
+    if (status != 200) {
+      return body.then()
+          .thenMany(Flux.error(refused(STEP_STREAM, peer, status, response.responseHeaders())));
+    }
+    SseDecoder decoder = new SseDecoder();
+    EngineStreamDecoder events = new EngineStreamDecoder(peer, request.offset());
+    return body.asByteArray()
+        .concatMapIterable(decoder::decode)
+        .map(events::toEvent)
+        .concatWith(Flux.defer(events::checkEnd))
+        .takeUntil(StreamEvent::isEnd);
+  }
+
+  private CompletableFuture<JsonNode> get(String step, InstanceRecord instance, String path) {
+    HttpCall call =
+        new HttpCall(step, instance.address(), HttpMethod.GET, path, Map.of(), "", controlTimeout);
+    return caller
+        .send(call)
+        .thenApply(
+            reply -> {
+              if (!reply.isSuccess()) {
+                throw new ServingException(
+                    step, instance.getAddressText(), "status " + reply.status());
+              }
+              return JsonUtils.parse(reply.body());
+            });
+  }
+
+  private static MemberHealth toHealth(JsonNode node) {
+    String replica = node.path("replica").asText("");
+    return new MemberHealth(
+        new InstanceId(node.path("instance").asText()),
+        new BootId(node.path("bootId").asText()),
+        replica.isEmpty() ? Optional.empty() : Optional.of(new ReplicaId(replica)),
+        node.path("generation").asLong(),
+        node.path("ready").asBoolean(),
+        node.path("leaving").asBoolean());
+  }
+
+  private static AttemptException refused(
+      String step, String peer, int status, HttpHeaders headers) {
+    Outcome outcome = Outcome.ofLabel(headers.get(EngineHeaders.OUTCOME));
+    return new AttemptException(step, peer, outcome, "the target answered " + status, null);
+  }
+
+  private static AttemptException toAttemptError(String step, String peer, Throwable error) {
+    Throwable cause =
+        error.getCause() != null && !(error instanceof ServingException) ? error.getCause() : error;
+    Outcome outcome = cause instanceof NoEffectException ? Outcome.NOT_RUN : Outcome.UNKNOWN;
+    return new AttemptException(step, peer, outcome, String.valueOf(cause.getMessage()), cause);
+  }
+
+  private static Throwable toStreamError(String peer, boolean isHandedOver, Throwable error) {
+    if (error instanceof AttemptException) {
+      return error;
+    }
+    Outcome outcome = isHandedOver ? Outcome.UNKNOWN : Outcome.NOT_RUN;
+    return new AttemptException(
+        STEP_STREAM, peer, outcome, String.valueOf(error.getMessage()), error);
+  }
+}
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/engine/package-info.java
@@ -0,0 +1,2 @@
+/** The HTTP client of model engines. */
+package io.fireflyshed.transport.engine;
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/entry/CompletionHandler.java
@@ -0,0 +1,210 @@
+package io.fireflyshed.transport.entry;
+
+import io.fireflyshed.protocol.completion.AnswerBuilder;
+import io.fireflyshed.protocol.completion.CompletionKind;
+import io.fireflyshed.protocol.completion.CompletionRequest;
+import io.fireflyshed.protocol.completion.SseEvent;
+import io.fireflyshed.protocol.engine.StreamEvent;
+import io.fireflyshed.protocol.problem.Problem;
+import io.fireflyshed.protocol.problem.ProblemException;
+import io.fireflyshed.state.replica.ServingView;
+import io.fireflyshed.transport.http.BodyReader;
+import io.fireflyshed.transport.trace.RequestTracer;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.opentelemetry.api.trace.Span;
+import io.opentelemetry.api.trace.SpanKind;
+import io.opentelemetry.context.Context;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
+import org.reactivestreams.Publisher;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+/** Answers completion requests of callers. Thread safe. */
+public final class CompletionHandler {
+
+  private static final String DONE_EVENT = "data: " + SseEvent.DONE + "\n\n";
+
+  /** A parsed request and the account that sent it. */
+  private record Call(String account, CompletionRequest request) {}
+
+  /** A permit and the number of tokens generated under it. */
+  private record Admitted(Admission.Permit permit, AtomicLong tokens) {
+
+    void release() {
+      permit.release(tokens.get());
+    }
+  }
+
+  private final EntrySettings settings;
+  private final AccountDirectory accounts;
+  private final Supplier<ServingView> views;
+  private final Admission admission;
+  private final CompletionRunner runner;
+  private final RequestTracer tracer;
+
+  /**
+   * Creates a handler.
+   *
+   * @param settings the limits for requests, not null
+   * @param accounts finds client accounts, not null
+   * @param views gets the published view, not null
+   * @param admission lets requests in, not null
+   * @param runner runs completions, not null
+   * @param tracer makes spans, not null
+   */
+  public CompletionHandler(
+      EntrySettings settings,
+      AccountDirectory accounts,
+      Supplier<ServingView> views,
+      Admission admission,
+      CompletionRunner runner,
+      RequestTracer tracer) {
+    this.settings = settings;
+    this.accounts = accounts;
+    this.views = views;
+    this.admission = admission;
+    this.runner = runner;
+    this.tracer = tracer;
+  }
+
+  /**
+   * Answers one request.
+   *
+   * @param kind the form of the request, not null
+   * @param request the request, not null
+   * @param response the response, not null
+   * @return completes when the answer is sent, never null
+   */
+  public Publisher<Void> handle(
+      CompletionKind kind, HttpServerRequest request, HttpServerResponse response) {
+    Context parent = tracer.extract(request.requestHeaders());
+    Span span = tracer.start("entry", SpanKind.SERVER, parent);
+    String requestId = "req-" + UUID.randomUUID();
+    return Mono.fromSupplier(() -> authenticate(request, span))
+        .flatMap(account -> read(kind, request, account))
+        .flatMap(call -> Mono.from(answer(call, requestId, parent.with(span), response)))
+        .onErrorResume(e -> Mono.from(ProblemWriter.write(response, ProblemWriter.toProblem(e))))
+        .doFinally(signal -> span.end());
+  }
+
+  private Mono<Call> read(CompletionKind kind, HttpServerRequest request, String account) {
+    return BodyReader.read(request, settings.maxBodyBytes(), settings.bodyTimeout())
+        .map(bytes -> new Call(account, parse(kind, bytes)));
+  }
+
+  private String authenticate(HttpServerRequest request, Span span) {
+    String account =
+        accounts
+            .findAccount(request.requestHeaders())
+            .orElseThrow(
+                () ->
+                    new ProblemException(
+                        Problem.ofRefusal(401, "unknown-key", "a known bearer key is required")));
+    span.setAttribute("fireflyshed.account", account);
+    return account;
+  }
+
+  private CompletionRequest parse(CompletionKind kind, byte[] bytes) {
+    CompletionRequest call;
+    try {
+      call = CompletionRequest.parse(kind, bytes);
+    } catch (IllegalArgumentException e) {
+      throw new ProblemException(Problem.ofRefusal(400, "malformed-request", e.getMessage()));
+    }
+    if (!views.get().services().containsKey(call.model())) {
+      throw new ProblemException(
+          Problem.ofRefusal(404, "unknown-model", "no model service is named " + call.model()));
+    }
+    return call;
+  }
+
+  private Publisher<Void> answer(
+      Call call, String requestId, Context context, HttpServerResponse response) {
+    response.header("x-request-id", requestId);
+    Flux<StreamEvent> events =
+        Flux.usingWhen(
+            admit(call, context),
+            admitted ->
+                runner
+                    .run(call.request(), requestId, context)
+                    .doOnNext(e -> admitted.tokens().incrementAndGet()),
+            admitted -> Mono.fromRunnable(admitted::release));
+    return call.request().isStream()
+        ? answerStream(events, response)
+        : answerWhole(call.request(), requestId, events, response);
+  }
+
+  private Mono<Admitted> admit(Call call, Context context) {
+    CompletionRequest request = call.request();
+    AdmissionRequest ask =
+        new AdmissionRequest(
+            call.account(),
+            request.model(),
+            request.body().path("priority").asInt(0),
+            request.maxTokens(),
+            Optional.empty());
+    return Mono.defer(
+        () -> {
+          Span span = tracer.start("queue", SpanKind.INTERNAL, context);
+          return admission
+              .admit(ask)
+              .map(permit -> new Admitted(permit, new AtomicLong()))
+              .doFinally(signal -> span.end());
+        });
+  }
+
+  private static Publisher<Void> answerWhole(
+      CompletionRequest call,
+      String requestId,
+      Flux<StreamEvent> events,
+      HttpServerResponse response) {
+    return events
+        .filter(e -> !e.isEnd())
+        .reduceWith(
+            () -> new AnswerBuilder(call.kind(), requestId, call.model()),
+            (answer, e) -> answer.append(e.data()))
+        .flatMap(
+            answer ->
+                response
+                    .header(HttpHeaderNames.CONTENT_TYPE, "application/json")
+                    .sendString(Mono.just(answer.toJson()))
+                    .then());
+  }
+
+  private static Publisher<Void> answerStream(
+      Flux<StreamEvent> events, HttpServerResponse response) {
+    return events
+        .switchOnFirst(
+            (first, all) -> {
+              if (first.hasError()) {
+                return Flux.error(first.getThrowable());
+              }
+              response.header(HttpHeaderNames.CONTENT_TYPE, SseEvent.MEDIA_TYPE);
+              response.header(HttpHeaderNames.CACHE_CONTROL, "no-cache");
+              Flux<ByteBuf> frames =
+                  all.map(CompletionHandler::toFrame)
+                      .onErrorResume(e -> Flux.just(toErrorFrame(e)));
+              return Flux.from(response.send(frames, frame -> true));
+            })
+        .then();
+  }
+
+  private static ByteBuf toFrame(StreamEvent event) {
+    String text =
+        event.isEnd() ? DONE_EVENT : "id: " + event.offset() + "\ndata: " + event.data() + "\n\n";
+    return Unpooled.wrappedBuffer(text.getBytes(StandardCharsets.UTF_8));
+  }
+
+  private static ByteBuf toErrorFrame(Throwable error) {
+    String text = "event: error\ndata: " + ProblemWriter.toProblem(error).toJson() + "\n\n";
+    return Unpooled.wrappedBuffer(text.getBytes(StandardCharsets.UTF_8));
+  }
+}
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/entry/EntryServer.java
@@ -0,0 +1,155 @@
+package io.fireflyshed.transport.entry;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.fireflyshed.protocol.completion.CompletionKind;
+import io.fireflyshed.protocol.json.JsonUtils;
+import io.fireflyshed.state.replica.ServingView;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BiFunction;
+import java.util.function.Supplier;
+import org.reactivestreams.Publisher;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+import reactor.netty.http.server.HttpServerRoutes;
+
+/** Serves callers over HTTP. Thread safe. */
+public final class EntryServer {
+
+  private static final Logger LOG = LoggerFactory.getLogger(EntryServer.class);
+  private static final int MAX_HEADER_BYTES = 16 * 1024;
+  private static final int MAX_INITIAL_LINE_BYTES = 4 * 1024;
+  private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(60);
+  private static final Duration DRAIN_POLL = Duration.ofMillis(20);
+
+  private final EntrySettings settings;
+  private final Supplier<ServingView> views;
+  private final CompletionHandler completions;
+  private final OrderHandler orders;
+  private final PrometheusMeterRegistry metrics;
+  private final AtomicInteger inFlight;
+  private volatile boolean isDraining;
+  private DisposableServer server;
+
+  /**
+   * Creates a server that does not listen yet.
+   *
+   * @param settings the settings, not null
+   * @param views gets the published view, not null
+   * @param completions answers completions, not null
+   * @param orders answers orders and lookups, not null
+   * @param metrics the metrics to publish, not null
+   */
+  public EntryServer(
+      EntrySettings settings,
+      Supplier<ServingView> views,
+      CompletionHandler completions,
+      OrderHandler orders,
+      PrometheusMeterRegistry metrics) {
+    this.settings = settings;
+    this.views = views;
+    this.completions = completions;
+    this.orders = orders;
+    this.metrics = metrics;
+    this.inFlight = metrics.gauge("fireflyshed.requests.in.flight", new AtomicInteger());
+  }
+
+  /**
+   * Starts to listen.
+   *
+   * @return the bound address, never null
+   */
+  public InetSocketAddress start() {
+    server =
+        HttpServer.create()
+            .bindAddress(settings::listen)
+            .idleTimeout(IDLE_TIMEOUT)
+            .httpRequestDecoder(
+                spec ->
+                    spec.maxHeaderSize(MAX_HEADER_BYTES)
+                        .maxInitialLineLength(MAX_INITIAL_LINE_BYTES))
+            .route(this::addRoutes)
+            .bindNow();
+    return (InetSocketAddress) server.address();
+  }
+
+  /**
+   * Shuts down without cutting requests off.
+   *
+   * <p>The server answers not ready first, waits until the balancer has noticed, waits for requests
+   * in flight up to the drain timeout, and closes.
+   *
+   * @return a future of the number of requests that were still in flight at the end
+   */
+  public CompletableFuture<Integer> shutdown() {
+    isDraining = true;
+    LOG.info("entry: draining, {} requests in flight", inFlight.get());
+    return Mono.delay(settings.drainDelay())
+        .then(Flux.interval(Duration.ZERO, DRAIN_POLL).takeUntil(t -> inFlight.get() == 0).then())
+        .timeout(settings.drainDelay().plus(settings.drainTimeout()), Mono.empty())
+        .then(Mono.fromSupplier(inFlight::get))
+        .doOnNext(
+            left -> {
+              server.disposeNow(Duration.ofSeconds(1));
+              LOG.info("entry: closed with {} requests in flight", left);
+            })
+        .toFuture();
+  }
+
+  private void addRoutes(HttpServerRoutes routes) {
+    for (CompletionKind kind : CompletionKind.values()) {
+      routes.post(kind.getPath(), counted((q, r) -> completions.handle(kind, q, r)));
+    }
+    routes.get("/v1/models", this::listModels);
+    routes.post("/v1/services/{service}/orders", counted(orders::handleOrder));
+    routes.get("/v1/services/{service}/lookups/{key}", counted(orders::handleLookup));
+    routes.get("/livez", (q, r) -> r.sendString(Mono.just("ok\n")));
+    routes.get("/readyz", this::answerReady);
+    routes.get(
+        "/metrics",
+        (q, r) ->
+            r.header(HttpHeaderNames.CONTENT_TYPE, "text/plain; version=0.0.4")
+                .sendString(Mono.fromSupplier(metrics::scrape)));
+  }
+
+  private BiFunction<HttpServerRequest, HttpServerResponse, Publisher<Void>> counted(
+      BiFunction<HttpServerRequest, HttpServerResponse, Publisher<Void>> handler) {
+    return (request, response) ->
+        Mono.defer(
+            () -> {
+              inFlight.incrementAndGet();
+              return Mono.from(handler.apply(request, response))
+                  .doFinally(signal -> inFlight.decrementAndGet());
+            });
+  }
+
+  private Publisher<Void> answerReady(HttpServerRequest request, HttpServerResponse response) {
+    boolean isReady = !isDraining && !views.get().services().isEmpty();
+    return response.status(isReady ? 200 : 503).sendString(Mono.just(isReady ? "ok\n" : "no\n"));
+  }
+
+  private Publisher<Void> listModels(HttpServerRequest request, HttpServerResponse response) {
+    ObjectNode list = JsonUtils.getMapper().createObjectNode();
+    list.put("object", "list");
+    ArrayNode data = list.putArray("data");
+    views
+        .get()
+        .services()
+        .keySet()
+        .forEach(s -> data.addObject().put("id", s.value()).put("object", "model"));
+    return response
+        .header(HttpHeaderNames.CONTENT_TYPE, "application/json")
+        .sendString(Mono.just(JsonUtils.toText(list)));
+  }
+}
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/entry/ProblemWriter.java
@@ -0,0 +1,48 @@
+package io.fireflyshed.transport.entry;
+
+import io.fireflyshed.coordination.attempt.Outcome;
+import io.fireflyshed.protocol.problem.Problem;
+import io.fireflyshed.protocol.problem.ProblemException;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import java.util.OptionalInt;
+import org.reactivestreams.Publisher;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.server.HttpServerResponse;
+
+/** Answers requests with problems. */
+final class ProblemWriter {
+
+  private static final Logger LOG = LoggerFactory.getLogger(ProblemWriter.class);
+
+  private ProblemWriter() {}
+
+  /** Gets the problem that an error means to the caller. */
+  static Problem toProblem(Throwable error) {
+    if (error instanceof ProblemException e) {
+      return e.getProblem();
+    }
+    LOG.error("entry: unexpected error", error);
+    return new Problem(
+        500,
+        "internal",
+        "unexpected error",
+        "serve",
+        "entry",
+        Outcome.UNKNOWN,
+        false,
+        OptionalInt.empty());
+  }
+
+  /** Sends a problem as the whole response. */
+  static Publisher<Void> write(HttpServerResponse response, Problem problem) {
+    problem
+        .retryAfterSeconds()
+        .ifPresent(s -> response.header(HttpHeaderNames.RETRY_AFTER, String.valueOf(s)));
+    return response
+        .status(problem.status())
+        .header(HttpHeaderNames.CONTENT_TYPE, Problem.MEDIA_TYPE)
+        .sendString(Mono.just(problem.toJson()));
+  }
+}
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/entry/UnlimitedAdmission.java
@@ -0,0 +1,14 @@
+package io.fireflyshed.transport.entry;
+
+import java.util.Objects;
+import reactor.core.publisher.Mono;
+
+/** Lets every request in at once. Thread safe. */
+public final class UnlimitedAdmission implements Admission {
+
+  @Override
+  public Mono<Permit> admit(AdmissionRequest request) {
+    Objects.requireNonNull(request, "request");
+    return Mono.just(tokens -> {});
+  }
+}
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/HttpCaller.java
@@ -0,0 +1,100 @@
+package io.fireflyshed.transport.http;
+
+import io.fireflyshed.state.error.EffectUnknownException;
+import io.fireflyshed.state.error.NoEffectException;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelOption;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.client.HttpClient;
+import reactor.netty.resources.ConnectionProvider;
+
+/**
+ * Sends HTTP requests and tells errors before the hand-over from errors after it. Thread safe.
+ *
+ * <p>A request is never sent twice: the automatic retry of the HTTP library is off.
+ */
+public final class HttpCaller implements AutoCloseable {
+
+  private static final int MAX_CONNECTIONS_PER_PEER = 1024;
+  private static final int MAX_PENDING_PER_PEER = 8192;
+  private static final Duration MAX_IDLE = Duration.ofSeconds(20);
+  private static final Duration ACQUIRE_TIMEOUT = Duration.ofSeconds(5);
+  private static final int CONNECT_TIMEOUT_MILLIS = 1000;
+
+  private final ConnectionProvider connections;
+  private final HttpClient client;
+
+  /**
+   * Creates a caller with a connection pool of its own.
+   *
+   * @param name the name of the pool, not null
+   */
+  public HttpCaller(String name) {
+    connections =
+        ConnectionProvider.builder(name)
+            .maxConnections(MAX_CONNECTIONS_PER_PEER)
+            .pendingAcquireMaxCount(MAX_PENDING_PER_PEER)
+            .pendingAcquireTimeout(ACQUIRE_TIMEOUT)
+            .maxIdleTime(MAX_IDLE)
+            .build();
+    client =
+        HttpClient.create(connections)
+            .disableRetry(true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS);
+  }
+
+  /**
+   * Gets the underlying client, for streamed responses.
+   *
+   * @return the client, never null
+   */
+  public HttpClient getClient() {
+    return client;
+  }
+
+  /**
+   * Sends a request and reads the whole response.
+   *
+   * @param call the request, not null
+   * @return a future of the response with any status; it fails with {@link NoEffectException} if
+   *     the request was not handed over and with {@link EffectUnknownException} otherwise
+   */
+  public CompletableFuture<HttpReply> send(HttpCall call) {
+    AtomicBoolean isHandedOver = new AtomicBoolean();
+    return client
+        .headers(h -> call.headers().forEach(h::set))
+        .doOnRequest((request, connection) -> isHandedOver.set(true))
+        .request(call.method())
+        .uri(call.getUrl())
+        .send(
+            Mono.fromSupplier(
+                () -> Unpooled.wrappedBuffer(call.body().getBytes(StandardCharsets.UTF_8))))
+        .responseSingle(
+            (response, body) ->
+                body.asByteArray()
+                    .defaultIfEmpty(new byte[0])
+                    .map(
+                        b ->
+                            new HttpReply(response.status().code(), response.responseHeaders(), b)))
+        .timeout(call.timeout())
+        .onErrorMap(e -> toError(call, isHandedOver.get(), e))
+        .toFuture();
+  }
+
+  private static RuntimeException toError(HttpCall call, boolean isHandedOver, Throwable cause) {
+    if (isHandedOver) {
+      return new EffectUnknownException(call.step(), call.getPeerText(), cause);
+    }
+    return new NoEffectException(
+        call.step(), call.getPeerText(), "the peer can't be reached", cause);
+  }
+
+  @Override
+  public void close() {
+    connections.dispose();
+  }
+}
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/package-info.java
@@ -0,0 +1,2 @@
+/** Transport: servers, clients and the threads that carry traffic. */
+package io.fireflyshed.transport;
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/trace/package-info.java
@@ -0,0 +1,2 @@
+/** Spans for each hop of a request. */
+package io.fireflyshed.transport.trace;
--- /dev/null
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/command/ServeSettings.java
@@ -0,0 +1,180 @@
+package io.fireflyshed.daemon.command;
+
+import io.fireflyshed.daemon.entry.EntryDaemonSettings;
+import io.fireflyshed.daemon.settings.Setting;
+import io.fireflyshed.daemon.settings.SettingArity;
+import io.fireflyshed.daemon.settings.SettingParsers;
+import io.fireflyshed.daemon.settings.SettingValues;
+import io.fireflyshed.state.instance.AvailabilityZone;
+import io.fireflyshed.state.replica.ModelServiceSpec;
+import io.fireflyshed.state.replica.ServiceName;
+import io.fireflyshed.transport.control.ControlSettings;
+import io.fireflyshed.transport.entry.EntrySettings;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** The settings of an entry process. */
+final class ServeSettings {
+
+  static final Setting<InetSocketAddress> LISTEN =
+      Setting.of(
+          "listen",
+          SettingParsers.ADDRESS,
+          "127.0.0.1:8080",
+          "address for callers",
+          SettingParsers::parseAddress);
+
+  static final Setting<InetSocketAddress> PLATFORM =
+      Setting.of(
+          "platform",
+          SettingParsers.ADDRESS,
+          "127.0.0.1:8700",
+          "address of the table service, object store and instance list",
+          SettingParsers::parseAddress);
+
+  static final Setting<AvailabilityZone> ZONE =
+      Setting.of(
+          "zone",
+          "a name of letters, digits, dots, dashes or underscores",
+          "zone-a",
+          "availability zone of this process",
+          AvailabilityZone::new);
+
+  static final Setting<ModelServiceSpec> MODEL_SERVICE =
+      new Setting<>(
+          "model-service",
+          "NAME:MODEL:INSTANCES_PER_REPLICA:REPLICAS_PER_ZONE",
+          "cards:cards-1:3:2",
+          "a model service; may be given several times",
+          false,
+          SettingArity.MANY,
+          ServeSettings::parseService);
+
+  static final Setting<Map.Entry<String, String>> ACCOUNT =
+      new Setting<>(
+          "account",
+          "NAME:KEY",
+          null,
+          "a client account and its bearer key; may be given several times",
+          true,
+          SettingArity.MANY,
+          ServeSettings::parseAccount);
+
+  static final Setting<Duration> PROBE_INTERVAL =
+      newDuration("probe-interval", "500ms", "time between two probes of an instance");
+
+  static final Setting<Duration> EVIDENCE_MAX_AGE =
+      newDuration("evidence-max-age", "2s", "age at which evidence of health becomes invalid");
+
+  static final Setting<Duration> REFRESH_INTERVAL =
+      newDuration("refresh-interval", "1s", "time between two reads of the platform");
+
+  static final Setting<Duration> BODY_TIMEOUT =
+      newDuration("body-timeout", "10s", "longest wait for a request body");
+
+  static final Setting<Duration> DRAIN_DELAY =
+      newDuration("drain-delay", "5s", "time between not ready and the end of accepting");
+
+  static final Setting<Duration> DRAIN_TIMEOUT =
+      newDuration("drain-timeout", "1m", "longest wait for requests in flight at shutdown");
+
+  static final Setting<Integer> MAX_BODY_BYTES =
+      Setting.of(
+          "max-body-bytes",
+          "1 to 67108864",
+          "4194304",
+          "largest accepted request body",
+          SettingParsers.newIntegerParser(1, 64 << 20));
+
+  static final Setting<LogFormat> LOG_FORMAT =
+      Setting.of(
+          "log-format",
+          "text or json",
+          "text",
+          "form of the log lines",
+          SettingParsers.newEnumParser(LogFormat.class));
+
+  static final Setting<String> OTLP_ENDPOINT =
+      Setting.of(
+          "otlp-endpoint",
+          "a URL, or empty for no export",
+          "",
+          "where to export traces",
+          ServeSettings::parseUrl);
+
+  static final List<Setting<?>> ALL =
+      List.of(
+          LISTEN,
+          PLATFORM,
+          ZONE,
+          MODEL_SERVICE,
+          ACCOUNT,
+          PROBE_INTERVAL,
+          EVIDENCE_MAX_AGE,
+          REFRESH_INTERVAL,
+          BODY_TIMEOUT,
+          DRAIN_DELAY,
+          DRAIN_TIMEOUT,
+          MAX_BODY_BYTES,
+          LOG_FORMAT,
+          OTLP_ENDPOINT);
+
+  private ServeSettings() {}
+
+  /** Builds the typed settings of an entry process. */
+  static EntryDaemonSettings toDaemonSettings(SettingValues values) {
+    ControlSettings control =
+        new ControlSettings(
+            values.get(ZONE),
+            values.getAll(MODEL_SERVICE),
+            values.get(PROBE_INTERVAL),
+            values.get(EVIDENCE_MAX_AGE),
+            values.get(REFRESH_INTERVAL));
+    EntrySettings entry =
+        new EntrySettings(
+            values.get(LISTEN),
+            values.get(MAX_BODY_BYTES),
+            values.get(BODY_TIMEOUT),
+            values.get(DRAIN_DELAY),
+            values.get(DRAIN_TIMEOUT));
+    Map<String, String> accounts = new HashMap<>();
+    values.getAll(ACCOUNT).forEach(a -> accounts.put(a.getKey(), a.getValue()));
+    return new EntryDaemonSettings(
+        control, entry, values.get(PLATFORM), accounts, values.get(OTLP_ENDPOINT));
+  }
+
+  private static Setting<Duration> newDuration(String name, String text, String description) {
+    return Setting.of(
+        name, SettingParsers.DURATION, text, description, SettingParsers::parsePositiveDuration);
+  }
+
+  private static ModelServiceSpec parseService(String text) {
+    String[] parts = text.split(":", -1);
+    if (parts.length != 4 || parts[1].isEmpty()) {
+      throw new IllegalArgumentException("not four parts");
+    }
+    return new ModelServiceSpec(
+        new ServiceName(parts[0]),
+        parts[1],
+        Integer.parseInt(parts[2]),
+        Integer.parseInt(parts[3]));
+  }
+
+  private static Map.Entry<String, String> parseAccount(String text) {
+    int colon = text.indexOf(':');
+    if (colon < 1 || colon == text.length() - 1) {
+      throw new IllegalArgumentException("no key");
+    }
+    return Map.entry(text.substring(0, colon), text.substring(colon + 1));
+  }
+
+  private static String parseUrl(String text) {
+    if (!text.isEmpty() && !text.startsWith("http://") && !text.startsWith("https://")) {
+      throw new IllegalArgumentException("not a URL");
+    }
+    return text;
+  }
+}
--- /dev/null
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/command/StandInsCommand.java
@@ -0,0 +1,86 @@
+package io.fireflyshed.daemon.command;
+
+import ch.qos.logback.classic.Level;
+import io.fireflyshed.daemon.settings.Setting;
+import io.fireflyshed.daemon.settings.SettingArity;
+import io.fireflyshed.daemon.settings.SettingParsers;
+import io.fireflyshed.daemon.settings.SettingValues;
+import io.fireflyshed.standins.StandInSite;
+import io.fireflyshed.standins.engine.EngineSettings;
+import io.fireflyshed.state.instance.AvailabilityZone;
+import io.fireflyshed.state.replica.ServiceName;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.util.List;
+
+/** Runs the stand-ins of a site until it is told to stop. */
+public final class StandInsCommand implements Command {
+
+  static final Setting<Integer> PORT =
+      Setting.of(
+          "port",
+          "0 to 65535",
+          "8700",
+          "port of the platform on 127.0.0.1",
+          SettingParsers.newIntegerParser(0, 65_535));
+
+  static final Setting<AvailabilityZone> ZONES =
+      new Setting<>(
+          "zone",
+          "a name of letters, digits, dots, dashes or underscores",
+          "zone-a,zone-b,zone-c",
+          "an availability zone; may be given several times",
+          false,
+          SettingArity.MANY,
+          AvailabilityZone::new);
+
+  static final Setting<Integer> DOMAINS =
+      Setting.of(
+          "domains",
+          "1 to 64",
+          "2",
+          "fabric domains in each zone",
+          SettingParsers.newIntegerParser(1, 64));
+
+  static final Setting<Integer> INSTANCES =
+      Setting.of(
+          "instances",
+          "1 to 64",
+          "4",
+          "engine instances in each fabric domain",
+          SettingParsers.newIntegerParser(1, 64));
+
+  static final Setting<ServiceName> DESK =
+      Setting.of("desk", "a name", "desk", "name of the plain service", ServiceName::new);
+
+  @Override
+  public String getName() {
+    return "standins";
+  }
+
+  @Override
+  public String getSummary() {
+    return "Runs stand-ins for the platform, the engines and the desk.";
+  }
+
+  @Override
+  public List<Setting<?>> getSettings() {
+    return List.of(PORT, ZONES, DOMAINS, INSTANCES, DESK);
+  }
+
+  @Override
+  public int run(SettingValues values, PrintStream out) throws InterruptedException {
+    Logging.configure(LogFormat.TEXT, Level.INFO);
+    StandInSite site = new StandInSite("127.0.0.1", EngineSettings.ofDefaults());
+    InetSocketAddress platform =
+        site.start(
+            values.get(PORT),
+            values.getAll(ZONES),
+            values.get(DOMAINS),
+            values.get(INSTANCES),
+            values.get(DESK));
+    out.println("platform listening on 127.0.0.1:" + platform.getPort());
+    ShutdownUtils.awaitStop(site::close);
+    return EXIT_OK;
+  }
+}
--- /dev/null
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/command/package-info.java
@@ -0,0 +1,2 @@
+/** The commands of the command line. */
+package io.fireflyshed.daemon.command;
--- /dev/null
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/entry/EntryDaemon.java
@@ -0,0 +1,122 @@
+package io.fireflyshed.daemon.entry;
+
+import io.fireflyshed.coordination.routing.LeastInFlightRouter;
+import io.fireflyshed.protocol.desk.PlainService;
+import io.fireflyshed.protocol.engine.ModelEngine;
+import io.fireflyshed.state.clock.MonotonicClock;
+import io.fireflyshed.state.replica.ServingView;
+import io.fireflyshed.state.table.TableService;
+import io.fireflyshed.transport.control.AssignmentStore;
+import io.fireflyshed.transport.control.ControlLoop;
+import io.fireflyshed.transport.desk.HttpPlainService;
+import io.fireflyshed.transport.engine.HttpModelEngine;
+import io.fireflyshed.transport.entry.AccountDirectory;
+import io.fireflyshed.transport.entry.ClaimingOrderPlacer;
+import io.fireflyshed.transport.entry.CompletionHandler;
+import io.fireflyshed.transport.entry.CompletionRunner;
+import io.fireflyshed.transport.entry.EntryServer;
+import io.fireflyshed.transport.entry.FixedAccountDirectory;
+import io.fireflyshed.transport.entry.OrderHandler;
+import io.fireflyshed.transport.entry.UnlimitedAdmission;
+import io.fireflyshed.transport.http.HttpCaller;
+import io.fireflyshed.transport.platform.HttpInstanceList;
+import io.fireflyshed.transport.platform.HttpTableService;
+import io.fireflyshed.transport.trace.RequestTracer;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import io.opentelemetry.sdk.OpenTelemetrySdk;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+
+/** Wires the parts of one entry process together. */
+public final class EntryDaemon implements AutoCloseable {
+
+  private static final Duration PLATFORM_TIMEOUT = Duration.ofSeconds(3);
+  private static final Duration CONTROL_TIMEOUT = Duration.ofSeconds(1);
+  private static final Duration DESK_TIMEOUT = Duration.ofSeconds(10);
+
+  private final HttpCaller controlCaller = new HttpCaller("control");
+  private final HttpCaller trafficCaller = new HttpCaller("traffic");
+  private final OpenTelemetrySdk telemetry;
+  private final ControlLoop control;
+  private final EntryServer server;
+
+  /**
+   * Creates a process that is not started.
+   *
+   * @param settings the settings, not null
+   */
+  public EntryDaemon(EntryDaemonSettings settings) {
+    MonotonicClock clock = MonotonicClock.system();
+    telemetry = TelemetryFactory.newTelemetry(settings.otlpEndpoint());
+    TableService table = new HttpTableService(controlCaller, settings.platform(), PLATFORM_TIMEOUT);
+    control =
+        new ControlLoop(
+            settings.control(),
+            new HttpModelEngine(controlCaller, CONTROL_TIMEOUT),
+            new HttpInstanceList(controlCaller, settings.platform(), PLATFORM_TIMEOUT),
+            new AssignmentStore(table),
+            clock);
+    server = newServer(settings, table, clock);
+  }
+
+  /**
+   * Starts the process.
+   *
+   * @return the bound address for callers, never null
+   */
+  public InetSocketAddress start() {
+    control.start();
+    return server.start();
+  }
+
+  /**
+   * Gets the view that the control thread published last.
+   *
+   * @return a source of views, never null
+   */
+  public Supplier<ServingView> getViews() {
+    return control;
+  }
+
+  /**
+   * Shuts down without cutting requests off.
+   *
+   * @return a future of the number of requests that were still in flight at the end
+   */
+  public CompletableFuture<Integer> shutdown() {
+    return server.shutdown();
+  }
+
+  @Override
+  public void close() {
+    control.close();
+    controlCaller.close();
+    trafficCaller.close();
+    telemetry.close();
+  }
+
+  private EntryServer newServer(
+      EntryDaemonSettings settings, TableService table, MonotonicClock clock) {
+    ModelEngine engine = new HttpModelEngine(trafficCaller, CONTROL_TIMEOUT);
+    PlainService plainService = new HttpPlainService(trafficCaller, DESK_TIMEOUT);
+    RequestTracer tracer = new RequestTracer(telemetry);
+    AccountDirectory accounts = new FixedAccountDirectory(settings.accounts());
+    CompletionRunner runner =
+        new CompletionRunner(control, new LeastInFlightRouter(), engine, tracer, clock);
+    CompletionHandler completions =
+        new CompletionHandler(
+            settings.entry(), accounts, control, new UnlimitedAdmission(), runner, tracer);
+    OrderHandler orders =
+        new OrderHandler(
+            settings.entry(),
+            accounts,
+            control,
+            plainService,
+            new ClaimingOrderPlacer(table, plainService));
+    PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    return new EntryServer(settings.entry(), control, completions, orders, metrics);
+  }
+}
--- /dev/null
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/entry/EntryDaemonSettings.java
@@ -0,0 +1,33 @@
+package io.fireflyshed.daemon.entry;
+
+import io.fireflyshed.transport.control.ControlSettings;
+import io.fireflyshed.transport.entry.EntrySettings;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.Objects;
+
+/**
+ * Holds the settings of an entry process.
+ *
+ * @param control the settings of the control thread, not null
+ * @param entry the settings of the server for callers, not null
+ * @param platform the address of the platform, not null
+ * @param accounts the bearer key of each client account, copied, not null
+ * @param otlpEndpoint where to export traces, empty for nowhere, not null
+ */
+public record EntryDaemonSettings(
+    ControlSettings control,
+    EntrySettings entry,
+    InetSocketAddress platform,
+    Map<String, String> accounts,
+    String otlpEndpoint) {
+
+  /** Checks the parts and copies the map. */
+  public EntryDaemonSettings {
+    Objects.requireNonNull(control, "control");
+    Objects.requireNonNull(entry, "entry");
+    Objects.requireNonNull(platform, "platform");
+    accounts = Map.copyOf(accounts);
+    Objects.requireNonNull(otlpEndpoint, "otlpEndpoint");
+  }
+}
--- /dev/null
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/entry/package-info.java
@@ -0,0 +1,2 @@
+/** The wiring of an entry process. */
+package io.fireflyshed.daemon.entry;
--- /dev/null
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Settings from flags and environment variables. */
+package io.fireflyshed.daemon.settings;
--- /dev/null
+++ b/fireflyshed-standins/src/main/java/io/fireflyshed/standins/engine/EngineHttpServer.java
@@ -0,0 +1,161 @@
+package io.fireflyshed.standins.engine;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.fireflyshed.protocol.completion.CompletionKind;
+import io.fireflyshed.protocol.completion.CompletionRequest;
+import io.fireflyshed.protocol.completion.SseEvent;
+import io.fireflyshed.protocol.engine.EngineHeaders;
+import io.fireflyshed.protocol.json.JsonUtils;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.function.BiFunction;
+import org.reactivestreams.Publisher;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+import reactor.netty.http.server.HttpServerRoutes;
+
+/** Serves one stand-in engine over HTTP. */
+final class EngineHttpServer {
+
+  private static final String NOT_RUN = "not-run";
+
+  private final EngineStandIn engine;
+  private final EngineFleet fleet;
+  private DisposableServer server;
+
+  EngineHttpServer(EngineStandIn engine, EngineFleet fleet) {
+    this.engine = engine;
+    this.fleet = fleet;
+  }
+
+  InetSocketAddress start(InetSocketAddress listen) {
+    server = HttpServer.create().bindAddress(() -> listen).route(this::addRoutes).bindNow();
+    return (InetSocketAddress) server.address();
+  }
+
+  void close() {
+    server.disposeNow();
+  }
+
+  private void addRoutes(HttpServerRoutes routes) {
+    for (CompletionKind kind : CompletionKind.values()) {
+      routes.post(kind.getPath(), guarded((q, r) -> complete(kind, q, r)));
+    }
+    routes.get("/control/health", guarded((q, r) -> sendJson(r, engine.getHealth())));
+    routes.get("/control/load", guarded((q, r) -> sendJson(r, engine.getLoad())));
+    routes.get(
+        "/control/cache-events/{after}",
+        guarded((q, r) -> sendJson(r, engine.getCacheEvents(Long.parseLong(q.param("after"))))));
+    routes.post("/control/orders", guarded(this::takeOrder));
+    routes.post(
+        "/control/cancel/{attempt}",
+        guarded(
+            (q, r) -> {
+              engine.cancel(q.param("attempt"));
+              return r.status(204).send();
+            }));
+    routes.post("/faults/{name}", this::changeFault);
+  }
+
+  /** Wraps a handler so that a dead engine closes the connection and a paused one is silent. */
+  private BiFunction<HttpServerRequest, HttpServerResponse, Publisher<Void>> guarded(
+      BiFunction<HttpServerRequest, HttpServerResponse, Publisher<Void>> handler) {
+    return (request, response) ->
+        switch (engine.getFault()) {
+          case DEAD -> {
+            response.withConnection(c -> c.dispose());
+            yield Mono.never();
+          }
+          case PAUSED -> Mono.never();
+          case NONE -> handler.apply(request, response);
+        };
+  }
+
+  private Publisher<Void> changeFault(HttpServerRequest request, HttpServerResponse response) {
+    String name = String.valueOf(request.param("name"));
+    switch (name) {
+      case "leave" -> engine.leave();
+      case "restart" -> engine.restart();
+      default -> {
+        try {
+          engine.setFault(EngineFault.valueOf(name.toUpperCase(Locale.ROOT)));
+        } catch (IllegalArgumentException e) {
+          return response.status(404).send();
+        }
+      }
+    }
+    return response.status(204).send();
+  }
+
+  private Publisher<Void> takeOrder(HttpServerRequest request, HttpServerResponse response) {
+    return request
+        .receive()
+        .aggregate()
+        .asString()
+        .flatMap(
+            body -> {
+              boolean isAccepted = engine.order(JsonUtils.parse(body));
+              return isAccepted ? response.status(202).send().then() : refuse(response, 409);
+            });
+  }
+
+  private Publisher<Void> complete(
+      CompletionKind kind, HttpServerRequest request, HttpServerResponse response) {
+    HttpHeaders headers = request.requestHeaders();
+    return request
+        .receive()
+        .aggregate()
+        .asByteArray()
+        .flatMap(
+            bytes -> {
+              CompletionRequest call = CompletionRequest.parse(kind, bytes);
+              return fleet.isWhole(engine) && !engine.getMembers().isEmpty()
+                  ? stream(call, headers, response)
+                  : refuse(response, 503);
+            });
+  }
+
+  private Mono<Void> stream(
+      CompletionRequest call, HttpHeaders headers, HttpServerResponse response) {
+    String attempt = headers.get(EngineHeaders.ATTEMPT, "");
+    String replica = headers.get(EngineHeaders.REPLICA, "");
+    long generation = Long.parseLong(headers.get(EngineHeaders.GENERATION, "0"));
+    long offset = Long.parseLong(headers.get(EngineHeaders.OFFSET, "0"));
+    if (!engine.isRunning(replica, generation)) {
+      return refuse(response, 409);
+    }
+    Flux<String> frames =
+        Flux.create(
+            sink -> {
+              sink.onCancel(() -> engine.cancel(attempt));
+              String requestId = headers.get(EngineHeaders.REQUEST, attempt);
+              EngineRun run = new EngineRun(attempt, requestId, call, offset, sink);
+              if (!engine.submit(run, replica, generation)) {
+                run.abort();
+              }
+            });
+    return response
+        .header(HttpHeaderNames.CONTENT_TYPE, SseEvent.MEDIA_TYPE)
+        .send(
+            frames.map(f -> Unpooled.wrappedBuffer(f.getBytes(StandardCharsets.UTF_8))), f -> true)
+        .then();
+  }
+
+  private static Mono<Void> refuse(HttpServerResponse response, int status) {
+    return response.status(status).header(EngineHeaders.OUTCOME, NOT_RUN).send().then();
+  }
+
+  private static Publisher<Void> sendJson(HttpServerResponse response, ObjectNode node) {
+    return response
+        .header(HttpHeaderNames.CONTENT_TYPE, "application/json")
+        .sendString(Mono.just(JsonUtils.toText(node)));
+  }
+}
--- /dev/null
+++ b/fireflyshed-standins/src/main/java/io/fireflyshed/standins/engine/EngineRun.java
@@ -0,0 +1,110 @@
+package io.fireflyshed.standins.engine;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.fireflyshed.protocol.completion.CompletionKind;
+import io.fireflyshed.protocol.completion.CompletionRequest;
+import io.fireflyshed.protocol.completion.SseEvent;
+import io.fireflyshed.protocol.json.JsonUtils;
+import java.nio.charset.StandardCharsets;
+import org.apache.commons.codec.digest.MurmurHash3;
+import reactor.core.publisher.FluxSink;
+
+/** Generates the answer of one request token by token. Not thread safe; belongs to its engine. */
+final class EngineRun {
+
+  private static final String[] WORDS = {
+    "amber", "ash", "base", "blend", "bright", "card", "cool", "copper", "deep", "fine", "gold",
+    "mix", "note", "rest", "rinse", "shade", "tone", "warm"
+  };
+
+  private final String attempt;
+  private final String requestId;
+  private final CompletionRequest request;
+  private final int priority;
+  private final FluxSink<String> sink;
+  private long nextOffset;
+  private int prefillTokens;
+
+  EngineRun(
+      String attempt,
+      String requestId,
+      CompletionRequest request,
+      long offset,
+      FluxSink<String> sink) {
+    this.attempt = attempt;
+    this.requestId = requestId;
+    this.request = request;
+    this.priority = request.body().path("priority").asInt(0);
+    this.nextOffset = offset;
+    this.sink = sink;
+  }
+
+  String getAttempt() {
+    return attempt;
+  }
+
+  String getPrompt() {
+    return request.prompt();
+  }
+
+  int getPriority() {
+    return priority;
+  }
+
+  boolean isCancelled() {
+    return sink.isCancelled();
+  }
+
+  void setPrefillTokens(int tokens) {
+    prefillTokens = tokens;
+  }
+
+  /** Gets the text of a token, which depends on the prompt and the offset only. */
+  static String getToken(String prompt, long offset) {
+    int hash = MurmurHash3.hash32x86((prompt + offset).getBytes(StandardCharsets.UTF_8));
+    return " " + WORDS[Math.floorMod(hash, WORDS.length)];
+  }
+
+  /** Does one step and tells whether the answer is complete. */
+  boolean step(int prefillTokensPerStep) {
+    if (prefillTokens > 0) {
+      prefillTokens -= prefillTokensPerStep;
+      return false;
+    }
+    if (sink.requestedFromDownstream() == 0) {
+      return false;
+    }
+    if (nextOffset >= request.maxTokens()) {
+      sink.next("data: " + SseEvent.DONE + "\n\n");
+      sink.complete();
+      return true;
+    }
+    sink.next("id: " + nextOffset + "\ndata: " + newChunk() + "\n\n");
+    nextOffset++;
+    return false;
+  }
+
+  /** Breaks the stream off, as a crash does. */
+  void abort() {
+    sink.error(new IllegalStateException("the engine stopped"));
+  }
+
+  private String newChunk() {
+    boolean isLast = nextOffset + 1 == request.maxTokens();
+    String token = getToken(request.prompt(), nextOffset);
+    ObjectNode chunk = JsonUtils.getMapper().createObjectNode();
+    boolean isChat = request.kind() == CompletionKind.CHAT;
+    chunk.put("id", requestId);
+    chunk.put("object", isChat ? "chat.completion.chunk" : "text_completion");
+    chunk.put("model", request.model().value());
+    ObjectNode choice = chunk.putArray("choices").addObject();
+    choice.put("index", 0);
+    if (isChat) {
+      choice.putObject("delta").put("content", token);
+    } else {
+      choice.put("text", token);
+    }
+    choice.put("finish_reason", isLast ? "length" : null);
+    return JsonUtils.toText(chunk);
+  }
+}
--- /dev/null
+++ b/fireflyshed-standins/src/main/java/io/fireflyshed/standins/engine/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in for model engines. */
+package io.fireflyshed.standins.engine;
