--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/entry/EntryServer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/entry/EntryServer.java
@@ -99,10 +99,11 @@
         .then(Flux.interval(Duration.ZERO, DRAIN_POLL).takeUntil(t -> inFlight.get() == 0).then())
         .timeout(settings.drainDelay().plus(settings.drainTimeout()), Mono.empty())
         .then(Mono.fromSupplier(inFlight::get))
-        .doOnNext(
+        .flatMap(
             left -> {
-              server.disposeNow(Duration.ofSeconds(1));
-              LOG.info("entry: closed with {} requests in flight", left);
+              LOG.info("entry: closing with {} requests in flight", left);
+              server.dispose();
+              return server.onDispose().thenReturn(left);
             })
         .toFuture();
   }
--- a/fireflyshed-standins/src/main/java/io/fireflyshed/standins/engine/EngineRun.java
+++ b/fireflyshed-standins/src/main/java/io/fireflyshed/standins/engine/EngineRun.java
@@ -51,6 +51,10 @@
     return priority;
   }
 
+  long getOffset() {
+    return nextOffset;
+  }
+
   boolean isCancelled() {
     return sink.isCancelled();
   }
--- a/fireflyshed-standins/src/main/java/io/fireflyshed/standins/engine/EngineStandIn.java
+++ b/fireflyshed-standins/src/main/java/io/fireflyshed/standins/engine/EngineStandIn.java
@@ -36,6 +36,7 @@
   private boolean isLeaving;
   private List<InstanceId> members = List.of();
   private long cancelled;
+  private long generatedTokens;
 
   EngineStandIn(
       InstanceId instance,
@@ -76,6 +77,15 @@
     return queued.size() + running.size();
   }
 
+  /**
+   * Gets the number of tokens that were handed to the network.
+   *
+   * @return the count, 0 or more
+   */
+  public synchronized long getGeneratedTokens() {
+    return generatedTokens;
+  }
+
   /**
    * Sets the fault to act out from now on.
    *
@@ -225,8 +235,18 @@
         run.setPrefillTokens(promptTokens - cache.use(run.getPrompt()));
         running.add(run);
       }
-      running.removeIf(r -> r.isCancelled() || r.step(settings.prefillTokensPerStep()));
+      running.removeIf(this::stepRun);
+    }
+  }
+
+  private boolean stepRun(EngineRun run) {
+    if (run.isCancelled()) {
+      return true;
     }
+    long before = run.getOffset();
+    boolean isComplete = run.step(settings.prefillTokensPerStep());
+    generatedTokens += run.getOffset() - before;
+    return isComplete;
   }
 
   private void abortAll() {
