Address share notices to one peer and let grants be answered

Cause: a share can move between entries without a store only if the giver knows what the taker may still use; a broadcast of demand alone does not tell that. Change: ShareDemand names its receiver, the grant it has seen and what it holds; ShareGrant answers it. PeerBus.send addresses one peer and falls back to publish.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/state/peer/PeerBus.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/state/peer/PeerBus.java
@@ -1,5 +1,6 @@
 package io.fireflyshed.state.peer;
 
+import java.util.Objects;
 import java.util.Set;
 import java.util.function.Consumer;
 
@@ -27,6 +28,17 @@
    */
   void publish(PeerNotice notice);
 
+  /**
+   * Sends a notice to one peer. It may be lost, and other peers may see it.
+   *
+   * @param receiver the peer, not null
+   * @param notice the notice, not null
+   */
+  default void send(PeerId receiver, PeerNotice notice) {
+    Objects.requireNonNull(receiver, "receiver");
+    publish(notice);
+  }
+
   /**
    * Registers a receiver of the notices of peers. It must return quickly.
    *
--- a/fireflyshed-core/src/main/java/io/fireflyshed/state/peer/PeerNotice.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/state/peer/PeerNotice.java
@@ -25,14 +25,38 @@
   record InstanceLeaving(InstanceId instance, Optional<BootId> boot) implements PeerNotice {}
 
   /**
-   * Tells how much of a client account's limit a process needs.
+   * Asks a process for a part of its share of a limit, and tells what is in use of earlier grants.
    *
-   * @param sender the process
-   * @param account the client account
-   * @param demandPerSecond the demand in units of the limit for each second
-   * @param sequence a number that rises with each report of the sender
+   * @param sender the process that asks
+   * @param receiver the process that is asked; others ignore the notice
+   * @param key the limit
+   * @param sequence a number that rises with each notice of the sender to this receiver
+   * @param wanted how much the sender could use, in units of the limit
+   * @param grantNumber the highest grant of the receiver that the sender has seen, 0 if none
+   * @param held how much of earlier grants of the receiver is in use, in units of the limit
+   */
+  record ShareDemand(
+      PeerId sender,
+      PeerId receiver,
+      ShareKey key,
+      long sequence,
+      double wanted,
+      long grantNumber,
+      double held)
+      implements PeerNotice {}
+
+  /**
+   * Lends a part of a share; it replaces all grants of the sender with lower numbers.
+   *
+   * @param sender the process that lends
+   * @param receiver the process that may use the amount; others ignore the notice
+   * @param key the limit
+   * @param number a number that rises with each grant of the sender to this receiver
+   * @param amount the amount in units of the limit
+   * @param demandSequence the sequence of the notice that is answered
    */
-  record ShareDemand(PeerId sender, String account, double demandPerSecond, long sequence)
+  record ShareGrant(
+      PeerId sender, PeerId receiver, ShareKey key, long number, double amount, long demandSequence)
       implements PeerNotice {}
 
   /**
