Plan repairs as a ski-rental choice and measure them against a bound

Cause: replicas were formed once and never repaired. Change: pure RepairPlanner (wait or replace, regroup, load order, spares) and bench repair with a naive baseline and a hindsight bound.

--- /dev/null
+++ b/fireflyshed-bench/src/main/resources/META-INF/services/io.fireflyshed.daemon.command.Command
@@ -0,0 +1,1 @@
+io.fireflyshed.bench.repair.RepairCommand
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/repair/InstanceEntry.java
@@ -0,0 +1,61 @@
+package io.fireflyshed.coordination.repair;
+
+import io.fireflyshed.state.instance.InstanceId;
+
+/** Holds what the planner knows of one instance. Not thread safe. */
+final class InstanceEntry {
+
+  final InstanceId id;
+  final DomainEntry domain;
+  ReplicaEntry replica;
+  int position;
+  boolean isUp = true;
+  boolean isGone;
+  boolean isLoaded;
+  boolean isLoading;
+  long outSinceNanos;
+
+  /** The due time of the timer that was set last for this instance. */
+  long timerNanos;
+
+  private double recentLosses;
+  private long lastLossNanos;
+  private long unstableUntilNanos;
+  private boolean isUnstable;
+
+  InstanceEntry(InstanceId id, DomainEntry domain) {
+    this.id = id;
+    this.domain = domain;
+  }
+
+  /** Marks the instance as lost and as unstable if it was lost too often of late. */
+  void markLost(long nowNanos, RepairSettings settings) {
+    double stableNanos = settings.stableTime().toNanos();
+    double fade = Math.exp((lastLossNanos - nowNanos) / stableNanos);
+    recentLosses = recentLosses * fade + 1;
+    lastLossNanos = nowNanos;
+    isUp = false;
+    outSinceNanos = nowNanos;
+    isUnstable = isUnstable(nowNanos) || recentLosses > settings.unstableLosses() - 1;
+    unstableUntilNanos = Long.MAX_VALUE;
+  }
+
+  /** Marks the instance as up; an unstable one becomes stable if it stays up. */
+  void markUp(long nowNanos, RepairSettings settings) {
+    isUp = true;
+    isGone = false;
+    unstableUntilNanos = nowNanos + settings.stableTime().toNanos();
+  }
+
+  boolean isUnstable(long nowNanos) {
+    if (isUnstable && isUp && nowNanos - unstableUntilNanos >= 0) {
+      isUnstable = false;
+      recentLosses = 0;
+    }
+    return isUnstable;
+  }
+
+  long getUnstableUntilNanos() {
+    return unstableUntilNanos;
+  }
+}
