Budget the waits for an instance that comes and goes

Cause: an instance that paused four times in ten minutes was replaced at its next pause, at the price of a load.

--- a/fireflyshed-bench/src/main/java/io/fireflyshed/bench/repair/HindsightBound.java
+++ b/fireflyshed-bench/src/main/java/io/fireflyshed/bench/repair/HindsightBound.java
@@ -51,6 +51,7 @@
 
   private final ZoneShape shape;
   private final long loadNanos;
+  private final long releaseNanos;
   private final int loadSlots;
   private final RepairWeights weights;
 
@@ -58,11 +59,12 @@
    * Creates a bound.
    *
    * @param shape the zone; its number of spares is ignored, not null
-   * @param settings the load time, the slots of the weight store and the weights, not null
+   * @param settings the times, the slots of the weight store and the weights, not null
    */
   public HindsightBound(ZoneShape shape, RepairSettings settings) {
     this.shape = shape;
     this.loadNanos = settings.loadTime().toNanos();
+    this.releaseNanos = settings.releaseTime().toNanos();
     this.loadSlots = settings.loadSlots();
     this.weights = settings.weights();
   }
@@ -134,7 +136,8 @@
     for (Outage outage : outages) {
       if (seen.add(outage.instance())) {
         long length = outage.endNanos() - outage.startNanos();
-        long span = outage.isBlank() ? loadNanos : Math.min(length, loadNanos);
+        long replaced = releaseNanos + loadNanos;
+        long span = Math.min(replaced, outage.isBlank() ? length + loadNanos : length);
         edges.add(new Edge(outage.startNanos(), 0, 1));
         edges.add(new Edge(outage.startNanos() + span, 0, -1));
         spans.add(Math.min(span, endNanos - outage.startNanos()));
--- a/fireflyshed-bench/src/main/java/io/fireflyshed/bench/repair/PlanningTimes.java
+++ b/fireflyshed-bench/src/main/java/io/fireflyshed/bench/repair/PlanningTimes.java
@@ -10,7 +10,9 @@
 import io.fireflyshed.state.instance.InstanceId;
 import io.fireflyshed.state.replica.ReplicaId;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.HdrHistogram.Histogram;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -55,9 +57,8 @@
     double baseTime = 0;
     double baseBytes = 0;
     for (int replicas = SMALLEST; replicas <= largest; replicas *= GROWTH) {
-      long before = getUsedBytes();
+      double bytes = getBytesPerReplica(replicas, largest / replicas, seed);
       PlanningTimes run = new PlanningTimes(replicas, seed);
-      double bytes = (getUsedBytes() - before) / (double) replicas;
       run.play(WARM_UP_LOSSES);
       run.times.reset();
       run.play(LOSSES);
@@ -107,6 +108,15 @@
     }
   }
 
+  private static double getBytesPerReplica(int replicas, int copies, int seed) {
+    long before = getUsedBytes();
+    List<RepairPlanner> planners = new ArrayList<>();
+    for (int i = 0; i < copies; i++) {
+      planners.add(new PlanningTimes(replicas, seed).planner);
+    }
+    return (getUsedBytes() - before) / (double) replicas / planners.size();
+  }
+
   private static long getUsedBytes() {
     System.gc();
     Runtime runtime = Runtime.getRuntime();
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/repair/InstanceEntry.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/repair/InstanceEntry.java
@@ -19,6 +19,7 @@
   long timerNanos;
 
   private double recentLosses;
+  private double recentOutNanos;
   private long lastLossNanos;
   private long unstableUntilNanos;
   private boolean isUnstable;
@@ -30,9 +31,9 @@
 
   /** Marks the instance as lost and as unstable if it was lost too often of late. */
   void markLost(long nowNanos, RepairSettings settings) {
-    double stableNanos = settings.stableTime().toNanos();
-    double fade = Math.exp((lastLossNanos - nowNanos) / stableNanos);
+    double fade = Math.exp((lastLossNanos - nowNanos) / (double) settings.stableTime().toNanos());
     recentLosses = recentLosses * fade + 1;
+    recentOutNanos *= fade;
     lastLossNanos = nowNanos;
     isUp = false;
     outSinceNanos = nowNanos;
@@ -44,6 +45,7 @@
   void markUp(long nowNanos, RepairSettings settings) {
     isUp = true;
     isGone = false;
+    recentOutNanos += nowNanos - outSinceNanos;
     unstableUntilNanos = nowNanos + settings.stableTime().toNanos();
   }
 
@@ -55,6 +57,11 @@
     return isUnstable;
   }
 
+  /** Gets for how long the instance was out of late, without the outage that still goes on. */
+  double getRecentOutNanos() {
+    return recentOutNanos;
+  }
+
   long getUnstableUntilNanos() {
     return unstableUntilNanos;
   }
