--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/repair/RepairPlanner.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/repair/RepairPlanner.java
@@ -18,9 +18,9 @@
  * Plans the forming and the repair of replicas, one event at a time.
  *
  * <p>A lost member is waited for as long as {@link OutageHistory} says and then replaced by a free
- * instance of its fabric domain. The waits for an instance that comes and goes add up to no more
- * than the price of replacing it, and it is taken as a replacement only after it stayed up for a
- * while. If the domain has none, the replica that lacks least takes members of the one that lacks
+ * instance of its fabric domain. The recent waits for an instance that comes and goes add up to no
+ * more than the price of replacing it, and it is taken as a replacement only after it stayed up for
+ * a while. If the domain has none, the replica that lacks least takes members of the one that lacks
  * most. Loads start in the order of {@link LoadQueue}. An event costs time in proportion to the
  * broken replicas of its fabric domain, not to all replicas.
  *
--- /dev/null
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/repair/SpareUtilsTest.java
@@ -0,0 +1,61 @@
+package io.fireflyshed.coordination.repair;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import org.testng.annotations.Test;
+
+/** Tests {@link SpareUtils}. */
+public class SpareUtilsTest {
+
+  private static final int SIZE = 4;
+  private static final int ACCELERATORS = 2;
+
+  private static int getSpares(RepairWeights weights, double meanOut) {
+    return SpareUtils.getSpares(weights, meanOut, SIZE, ACCELERATORS);
+  }
+
+  @Test
+  public void holdsNoSpareWhereNothingFails() {
+    assertEquals(getSpares(RepairWeights.ofHarwood(), 0), 0);
+  }
+
+  @Test
+  public void holdsMoreWhereDowntimeWeighsMore() {
+    assertEquals(getSpares(RepairWeights.ofHarwood(), 0.04), 1);
+    assertEquals(getSpares(RepairWeights.ofViitekulma(), 0.04), 0);
+  }
+
+  @Test
+  public void growsWithTheFailureRate() {
+    int last = 0;
+    for (double meanOut = 0; meanOut < 8; meanOut += 0.25) {
+      int spares = getSpares(RepairWeights.ofHarwood(), meanOut);
+      assertTrue(spares >= last, "at " + meanOut);
+      last = spares;
+    }
+    assertTrue(last > 8);
+  }
+
+  @Test
+  public void raisesTheWeightBeforeAndDuringAPeakOnly() {
+    List<DemandPeak> peaks = List.of(new DemandPeak(100, 200, 50));
+    RepairWeights weights = RepairWeights.ofViitekulma();
+    RepairWeights raised = new RepairWeights(200, 1);
+    assertEquals(SpareUtils.getPeakWeights(weights, peaks, 0, 99), weights);
+    assertEquals(SpareUtils.getPeakWeights(weights, peaks, 0, 100), raised);
+    assertEquals(SpareUtils.getPeakWeights(weights, peaks, 199, 10), raised);
+    assertEquals(SpareUtils.getPeakWeights(weights, peaks, 200, 10), weights);
+    assertEquals(getSpares(raised, 0.04), 1);
+  }
+
+  @Test
+  public void refusesSizesThatMakeNoSense() {
+    assertThrows(
+        IllegalArgumentException.class,
+        () -> SpareUtils.getSpares(RepairWeights.ofHarwood(), -1, SIZE, ACCELERATORS));
+    assertThrows(IllegalArgumentException.class, () -> new RepairWeights(0, 1));
+  }
+}
