Relay whole chunks of events and measure the relay

Change: the decoder works on bytes and checks offsets; all events of one network read go on as one chunk with one flush. The problem of a slow body is made only when it is needed. `bench relay` compares a direct call, a bare pass-through and the entry in one run. Programs log warnings only by default.

--- /dev/null
+++ b/fireflyshed-bench/src/main/java/io/fireflyshed/bench/relay/RelayBench.java
@@ -0,0 +1,171 @@
+package io.fireflyshed.bench.relay;
+
+import io.fireflyshed.bench.Figures;
+import io.fireflyshed.daemon.command.Command;
+import io.fireflyshed.daemon.settings.Setting;
+import io.fireflyshed.daemon.settings.SettingParsers;
+import io.fireflyshed.daemon.settings.SettingValues;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import reactor.netty.resources.ConnectionProvider;
+
+/** Measures an entry beside a bare pass-through and a direct call, in the same run. */
+public final class RelayBench implements Command {
+
+  private static final Setting<Duration> TIME =
+      Setting.of(
+          "time",
+          SettingParsers.DURATION,
+          "5s",
+          "length of each part of the run",
+          SettingParsers::parsePositiveDuration);
+
+  private static final Setting<Integer> TOKENS =
+      Setting.of(
+          "tokens",
+          "1 to 4096",
+          "64",
+          "tokens in each answer",
+          SettingParsers.newIntegerParser(1, 4096));
+
+  private static final Setting<Integer> CONCURRENCY =
+      Setting.of(
+          "concurrency",
+          "1 to 512",
+          "64",
+          "requests in flight in the throughput part",
+          SettingParsers.newIntegerParser(1, 512));
+
+  private static final int ROUNDS = 3;
+  private static final Duration TOKEN_INTERVAL = Duration.ofMillis(5);
+  private static final int SESSIONS_CONCURRENCY = 512;
+
+  @Override
+  public String getName() {
+    return "bench relay";
+  }
+
+  @Override
+  public String getSummary() {
+    return "Measures what an entry adds to a stream.";
+  }
+
+  @Override
+  public List<Setting<?>> getSettings() {
+    return List.of(TIME, TOKENS, CONCURRENCY);
+  }
+
+  @Override
+  public int run(SettingValues values, PrintStream out) {
+    Figures figures = new Figures(out);
+    int tokens = values.get(TOKENS);
+    try (Site fast = new Site(tokens, Duration.ZERO);
+        Site paced = new Site(tokens, TOKEN_INTERVAL)) {
+      Part throughput = new Part("full-speed", fast, values.get(CONCURRENCY), values.get(TIME));
+      Part sessions = new Part("paced", paced, SESSIONS_CONCURRENCY, values.get(TIME));
+      boolean isValid = throughput.measure(figures) & sessions.measure(figures);
+      isValid &= measureLatency(fast, throughput.getBareRate() / 2, values.get(TIME), figures);
+      return isValid ? EXIT_OK : EXIT_FAILED;
+    }
+  }
+
+  private static boolean measureLatency(Site site, double rate, Duration time, Figures figures) {
+    LoadResult direct = site.newRun(site.engine).runOpen(rate, time);
+    LoadResult bare = site.newRun(site.bare).runOpen(rate, time);
+    LoadResult entry = site.newRun(site.entry).runOpen(rate, time);
+    for (double percentile : new double[] {50, 99}) {
+      String name = "added-latency-p" + (int) percentile;
+      double base = toMillis(direct, percentile);
+      figures.print(
+          name, toMillis(entry, percentile) - base, "ms", toMillis(bare, percentile) - base);
+    }
+    return direct.failures() + bare.failures() + entry.failures() == 0;
+  }
+
+  private static double toMillis(LoadResult result, double percentile) {
+    return result.latency().getValueAtPercentile(percentile) / 1000.0;
+  }
+
+  /** Compares the throughput and the processor time of the three ways. */
+  private static final class Part {
+
+    private final String name;
+    private final Site site;
+    private final int concurrency;
+    private final Duration time;
+    private double bareRate;
+
+    Part(String name, Site site, int concurrency, Duration time) {
+      this.name = name;
+      this.site = site;
+      this.concurrency = concurrency;
+      this.time = time;
+    }
+
+    double getBareRate() {
+      return bareRate;
+    }
+
+    boolean measure(Figures figures) {
+      LoadResult direct = null;
+      LoadResult bare = null;
+      LoadResult entry = null;
+      for (int round = 0; round < ROUNDS; round++) {
+        direct = site.newRun(site.engine).runClosed(concurrency, time);
+        bare = site.newRun(site.bare).runClosed(concurrency, time);
+        entry = site.newRun(site.entry).runClosed(concurrency, time);
+      }
+      bareRate = bare.getRequestsPerSecond();
+      double entryRate = entry.getRequestsPerSecond();
+      figures.print(name + "-requests", entryRate, "1/s", bareRate);
+      figures.print(name + "-tokens", entryRate * site.tokens, "1/s", bareRate * site.tokens);
+      figures.print(name + "-direct-requests", direct.getRequestsPerSecond(), "1/s", bareRate);
+      double base = toMicrosPerToken(direct);
+      figures.print(
+          name + "-added-cpu",
+          toMicrosPerToken(entry) - base,
+          "us/token",
+          toMicrosPerToken(bare) - base);
+      return direct.failures() + bare.failures() + entry.failures() == 0 && entry.requests() > 0;
+    }
+
+    private double toMicrosPerToken(LoadResult result) {
+      return result.cpuSeconds() * 1e6 / result.requests() / site.tokens;
+    }
+  }
+
+  /** Holds an engine and the two ways to it. */
+  private static final class Site implements AutoCloseable {
+
+    private final ConnectionProvider connections = ConnectionProvider.create("load", 4096);
+    private final FixedEngine fixedEngine;
+    private final PassThrough passThrough = new PassThrough();
+    private final FixedEntry fixedEntry = new FixedEntry();
+    private final InetSocketAddress engine;
+    private final InetSocketAddress bare;
+    private final InetSocketAddress entry;
+    private final int tokens;
+
+    Site(int tokens, Duration interval) {
+      this.tokens = tokens;
+      fixedEngine = new FixedEngine(tokens, interval);
+      engine = fixedEngine.start();
+      bare = passThrough.start(engine);
+      entry = fixedEntry.start(engine);
+    }
+
+    LoadRun newRun(InetSocketAddress address) {
+      return new LoadRun(connections, address, fixedEngine.getBytes());
+    }
+
+    @Override
+    public void close() {
+      fixedEntry.close();
+      passThrough.close();
+      fixedEngine.close();
+      connections.dispose();
+    }
+  }
+}
--- /dev/null
+++ b/fireflyshed-bench/src/main/resources/META-INF/services/io.fireflyshed.daemon.command.Command
@@ -0,0 +1,1 @@
+io.fireflyshed.bench.relay.RelayBench
--- a/fireflyshed-core/src/main/java/io/fireflyshed/protocol/completion/AnswerBuilder.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/protocol/completion/AnswerBuilder.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.fireflyshed.protocol.json.JsonUtils;
 import io.fireflyshed.state.replica.ServiceName;
+import java.nio.ByteBuffer;
 import java.util.Objects;
 
 /** Joins the events of a stream to one answer. Not thread safe. */
@@ -30,20 +31,30 @@
   }
 
   /**
-   * Appends the text of an event.
+   * Appends the texts of whole events.
    *
-   * @param data the JSON text of the event, not null
+   * @param frames server-sent events whose data are JSON texts or the end event, not null
    * @return this builder
-   * @throws IllegalArgumentException if the text is not JSON
+   * @throws IllegalArgumentException if a text is not JSON
    */
-  public AnswerBuilder append(String data) {
+  public AnswerBuilder append(ByteBuffer frames) {
+    byte[] bytes = new byte[frames.remaining()];
+    frames.duplicate().get(bytes);
+    for (SseEvent event : new SseDecoder().decode(bytes)) {
+      if (!event.isDone()) {
+        append(event.getText());
+      }
+    }
+    return this;
+  }
+
+  private void append(String data) {
     JsonNode choice = JsonUtils.parse(data).path("choices").path(0);
     JsonNode part =
         kind == CompletionKind.CHAT ? choice.path("delta").path("content") : choice.path("text");
     text.append(part.asText(""));
     finishReason = choice.path("finish_reason").asText(finishReason);
     tokens++;
-    return this;
   }
 
   /**
--- a/fireflyshed-core/src/main/java/io/fireflyshed/protocol/completion/SseDecoder.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/protocol/completion/SseDecoder.java
@@ -1,8 +1,10 @@
 package io.fireflyshed.protocol.completion;
 
 import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 
 /**
@@ -16,9 +18,14 @@
   /** The longest line that is accepted, in bytes. */
   public static final int MAX_LINE_BYTES = 1 << 20;
 
+  private static final byte[] DATA = "data".getBytes(StandardCharsets.US_ASCII);
+  private static final byte[] ID = "id".getBytes(StandardCharsets.US_ASCII);
+  private static final byte[] EVENT = "event".getBytes(StandardCharsets.US_ASCII);
+  private static final int MAX_ID_DIGITS = 18;
+
   private final ByteArrayOutputStream line = new ByteArrayOutputStream(256);
-  private final StringBuilder data = new StringBuilder();
-  private String id = "";
+  private final ByteArrayOutputStream data = new ByteArrayOutputStream(256);
+  private long id = SseEvent.NO_ID;
   private String name = "";
   private boolean hasData;
   private boolean isAfterReturn;
@@ -39,65 +46,87 @@
         start = i + 1;
         isAfterReturn = false;
       } else if (b == '\n' || b == '\r') {
-        append(bytes, start, i);
-        endLine(events);
+        endLine(bytes, start, i, events);
         isAfterReturn = b == '\r';
         start = i + 1;
       } else {
         isAfterReturn = false;
       }
     }
-    append(bytes, start, bytes.length);
+    keep(bytes, start, bytes.length);
     return events;
   }
 
-  private void append(byte[] bytes, int from, int to) {
+  private void keep(byte[] bytes, int from, int to) {
     if (line.size() + to - from > MAX_LINE_BYTES) {
       throw new IllegalArgumentException("a line of the event stream is too long");
     }
     line.write(bytes, from, to - from);
   }
 
-  private void endLine(List<SseEvent> events) {
-    String text = line.toString(StandardCharsets.UTF_8);
-    line.reset();
-    if (text.isEmpty()) {
-      if (hasData) {
-        events.add(new SseEvent(id, name, data.toString()));
-      }
-      clear();
+  private void endLine(byte[] bytes, int from, int to, List<SseEvent> events) {
+    if (line.size() == 0) {
+      takeLine(bytes, from, to, events);
       return;
     }
-    int colon = text.indexOf(':');
-    if (colon == 0) {
+    keep(bytes, from, to);
+    byte[] whole = line.toByteArray();
+    line.reset();
+    takeLine(whole, 0, whole.length, events);
+  }
+
+  private void takeLine(byte[] bytes, int from, int to, List<SseEvent> events) {
+    if (from == to) {
+      endEvent(events);
       return;
     }
-    String field = colon < 0 ? text : text.substring(0, colon);
-    String value = colon < 0 ? "" : text.substring(colon + 1);
-    takeField(field, value.startsWith(" ") ? value.substring(1) : value);
+    int colon = from;
+    while (colon < to && bytes[colon] != ':') {
+      colon++;
+    }
+    int value = Math.min(to, colon + 1);
+    if (value < to && bytes[value] == ' ') {
+      value++;
+    }
+    if (Arrays.equals(bytes, from, colon, DATA, 0, DATA.length)) {
+      takeData(bytes, value, to);
+    } else if (Arrays.equals(bytes, from, colon, ID, 0, ID.length)) {
+      id = parseId(bytes, value, to);
+    } else if (Arrays.equals(bytes, from, colon, EVENT, 0, EVENT.length)) {
+      name = new String(bytes, value, to - value, StandardCharsets.UTF_8);
+    }
   }
 
-  private void takeField(String field, String value) {
-    switch (field) {
-      case "data" -> {
-        if (hasData) {
-          data.append('\n');
-        }
-        data.append(value);
-        hasData = true;
-      }
-      case "id" -> id = value;
-      case "event" -> name = value;
-      default -> {
-        // Other fields have no meaning here.
-      }
+  private void takeData(byte[] bytes, int from, int to) {
+    if (hasData) {
+      data.write('\n');
     }
+    data.write(bytes, from, to - from);
+    hasData = true;
   }
 
-  private void clear() {
-    data.setLength(0);
+  private void endEvent(List<SseEvent> events) {
+    if (hasData) {
+      events.add(new SseEvent(id, name, ByteBuffer.wrap(data.toByteArray())));
+    }
+    data.reset();
     hasData = false;
-    id = "";
+    id = SseEvent.NO_ID;
     name = "";
   }
+
+  private static long parseId(byte[] bytes, int from, int to) {
+    if (from == to || to - from > MAX_ID_DIGITS) {
+      return SseEvent.NO_ID;
+    }
+    long number = 0;
+    for (int i = from; i < to; i++) {
+      int digit = bytes[i] - '0';
+      if (digit < 0 || digit > 9) {
+        return SseEvent.NO_ID;
+      }
+      number = 10 * number + digit;
+    }
+    return number;
+  }
 }
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/protocol/completion/SseEncoder.java
@@ -0,0 +1,58 @@
+package io.fireflyshed.protocol.completion;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+
+/** Encodes server-sent events. Not thread safe. */
+public final class SseEncoder {
+
+  private static final byte[] ID = "id: ".getBytes(StandardCharsets.US_ASCII);
+  private static final byte[] EVENT = "event: ".getBytes(StandardCharsets.US_ASCII);
+  private static final byte[] DATA = "data: ".getBytes(StandardCharsets.US_ASCII);
+
+  private final ByteArrayOutputStream frames = new ByteArrayOutputStream(512);
+
+  /**
+   * Appends an event.
+   *
+   * @param event the event, not null
+   * @return this encoder
+   */
+  public SseEncoder append(SseEvent event) {
+    if (event.id() != SseEvent.NO_ID) {
+      frames.writeBytes(ID);
+      frames.writeBytes(Long.toString(event.id()).getBytes(StandardCharsets.US_ASCII));
+      frames.write('\n');
+    }
+    if (!event.name().isEmpty()) {
+      frames.writeBytes(EVENT);
+      frames.writeBytes(event.name().getBytes(StandardCharsets.UTF_8));
+      frames.write('\n');
+    }
+    appendData(event.data());
+    frames.write('\n');
+    return this;
+  }
+
+  /**
+   * Gets the appended events.
+   *
+   * @return the bytes, never null
+   */
+  public ByteBuffer toBytes() {
+    return ByteBuffer.wrap(frames.toByteArray());
+  }
+
+  private void appendData(ByteBuffer data) {
+    frames.writeBytes(DATA);
+    for (int i = data.position(); i < data.limit(); i++) {
+      byte b = data.get(i);
+      frames.write(b);
+      if (b == '\n') {
+        frames.writeBytes(DATA);
+      }
+    }
+    frames.write('\n');
+  }
+}
--- a/fireflyshed-core/src/main/java/io/fireflyshed/protocol/engine/ModelEngine.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/protocol/engine/ModelEngine.java
@@ -38,9 +38,9 @@
    * Runs one attempt of a completion.
    *
    * @param request the attempt, not null
-   * @return the events in the order of their offsets, ended by the end event; cancelling the
-   *     subscription cancels the attempt. It fails with a {@link
+   * @return the events in the order of their offsets; the last chunk has the end event; cancelling
+   *     the subscription cancels the attempt. It fails with a {@link
    *     io.fireflyshed.coordination.attempt.AttemptException}
    */
-  Flux<StreamEvent> stream(EngineRequest request);
+  Flux<StreamChunk> stream(EngineRequest request);
 }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/engine/EngineStreamDecoder.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/engine/EngineStreamDecoder.java
@@ -2,9 +2,12 @@
 
 import io.fireflyshed.coordination.attempt.AttemptException;
 import io.fireflyshed.coordination.attempt.Outcome;
+import io.fireflyshed.protocol.completion.SseDecoder;
+import io.fireflyshed.protocol.completion.SseEncoder;
 import io.fireflyshed.protocol.completion.SseEvent;
-import io.fireflyshed.protocol.engine.StreamEvent;
+import io.fireflyshed.protocol.engine.StreamChunk;
 import reactor.core.publisher.Flux;
+import reactor.core.publisher.SynchronousSink;
 
 /**
  * Checks that the events of one attempt come in the order of their offsets and end explicitly.
@@ -16,6 +19,7 @@
   private static final String STEP = "stream";
   private static final String ERROR_EVENT = "error";
 
+  private final SseDecoder decoder = new SseDecoder();
   private final String peer;
   private long nextOffset;
   private boolean isEnded;
@@ -25,26 +29,43 @@
     this.nextOffset = offset;
   }
 
-  /** Converts an event and checks its offset. */
-  StreamEvent toEvent(SseEvent event) {
-    if (event.isDone()) {
-      isEnded = true;
-      return StreamEvent.ofEnd(nextOffset);
+  /** Converts bytes to a chunk; the events before a wrong one are passed on before the error. */
+  void decode(byte[] bytes, SynchronousSink<StreamChunk> sink) {
+    SseEncoder frames = new SseEncoder();
+    long first = nextOffset;
+    String error = null;
+    for (SseEvent event : decoder.decode(bytes)) {
+      error = isEnded ? null : check(event);
+      if (error != null || isEnded) {
+        break;
+      }
+      frames.append(event);
+      isEnded = event.isDone();
+      nextOffset += isEnded ? 0 : 1;
     }
-    if (ERROR_EVENT.equals(event.name())) {
-      throw newError("the engine ended the stream with an error: " + event.data());
+    if (nextOffset > first || isEnded) {
+      sink.next(new StreamChunk(first, (int) (nextOffset - first), frames.toBytes(), isEnded));
     }
-    if (!String.valueOf(nextOffset).equals(event.id())) {
-      throw newError("expected offset " + nextOffset + " but got " + event.id());
+    if (error != null) {
+      sink.error(newError(error));
     }
-    return new StreamEvent(nextOffset++, event.data(), false);
   }
 
   /** Fails if the body ended without the end event. */
-  Flux<StreamEvent> checkEnd() {
+  Flux<StreamChunk> checkEnd() {
     return isEnded ? Flux.empty() : Flux.error(newError("the stream ended without its end event"));
   }
 
+  private String check(SseEvent event) {
+    if (ERROR_EVENT.equals(event.name())) {
+      return "the engine ended the stream with an error: " + event.getText();
+    }
+    if (!event.isDone() && event.id() != nextOffset) {
+      return "expected offset " + nextOffset + " but got " + event.id();
+    }
+    return null;
+  }
+
   private AttemptException newError(String message) {
     return new AttemptException(STEP, peer, Outcome.UNKNOWN, message, null);
   }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/engine/HttpModelEngine.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/engine/HttpModelEngine.java
@@ -4,13 +4,12 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.fireflyshed.coordination.attempt.AttemptException;
 import io.fireflyshed.coordination.attempt.Outcome;
-import io.fireflyshed.protocol.completion.SseDecoder;
 import io.fireflyshed.protocol.engine.EngineHeaders;
 import io.fireflyshed.protocol.engine.EngineOrder;
 import io.fireflyshed.protocol.engine.EngineRequest;
 import io.fireflyshed.protocol.engine.LoadReport;
 import io.fireflyshed.protocol.engine.ModelEngine;
-import io.fireflyshed.protocol.engine.StreamEvent;
+import io.fireflyshed.protocol.engine.StreamChunk;
 import io.fireflyshed.protocol.json.JsonUtils;
 import io.fireflyshed.state.error.NoEffectException;
 import io.fireflyshed.state.error.ServingException;
@@ -106,7 +105,7 @@
   }
 
   @Override
-  public Flux<StreamEvent> stream(EngineRequest request) {
+  public Flux<StreamChunk> stream(EngineRequest request) {
     return Flux.defer(
         () -> {
           String peer = request.replica().getHead().getAddressText();
@@ -138,20 +137,18 @@
             });
   }
 
-  private static Flux<StreamEvent> decode(
+  private static Flux<StreamChunk> decode(
       EngineRequest request, String peer, HttpClientResponse response, ByteBufFlux body) {
     int status = response.status().code();
     if (status != 200) {
       return body.then()
           .thenMany(Flux.error(refused(STEP_STREAM, peer, status, response.responseHeaders())));
     }
-    SseDecoder decoder = new SseDecoder();
-    EngineStreamDecoder events = new EngineStreamDecoder(peer, request.offset());
+    EngineStreamDecoder decoder = new EngineStreamDecoder(peer, request.offset());
     return body.asByteArray()
-        .concatMapIterable(decoder::decode)
-        .map(events::toEvent)
-        .concatWith(Flux.defer(events::checkEnd))
-        .takeUntil(StreamEvent::isEnd);
+        .handle(decoder::decode)
+        .concatWith(Flux.defer(decoder::checkEnd))
+        .takeUntil(StreamChunk::isEnd);
   }
 
   private CompletableFuture<JsonNode> get(String step, InstanceRecord instance, String path) {
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/entry/CompletionHandler.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/entry/CompletionHandler.java
@@ -3,8 +3,9 @@
 import io.fireflyshed.protocol.completion.AnswerBuilder;
 import io.fireflyshed.protocol.completion.CompletionKind;
 import io.fireflyshed.protocol.completion.CompletionRequest;
+import io.fireflyshed.protocol.completion.SseEncoder;
 import io.fireflyshed.protocol.completion.SseEvent;
-import io.fireflyshed.protocol.engine.StreamEvent;
+import io.fireflyshed.protocol.engine.StreamChunk;
 import io.fireflyshed.protocol.problem.Problem;
 import io.fireflyshed.protocol.problem.ProblemException;
 import io.fireflyshed.state.replica.ServingView;
@@ -16,6 +17,7 @@
 import io.opentelemetry.api.trace.Span;
 import io.opentelemetry.api.trace.SpanKind;
 import io.opentelemetry.context.Context;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.UUID;
@@ -30,7 +32,7 @@
 /** Answers completion requests of callers. Thread safe. */
 public final class CompletionHandler {
 
-  private static final String DONE_EVENT = "data: " + SseEvent.DONE + "\n\n";
+  private static final String ERROR_EVENT = "error";
 
   /** A parsed request and the account that sent it. */
   private record Call(String account, CompletionRequest request) {}
@@ -129,13 +131,13 @@
   private Publisher<Void> answer(
       Call call, String requestId, Context context, HttpServerResponse response) {
     response.header("x-request-id", requestId);
-    Flux<StreamEvent> events =
+    Flux<StreamChunk> events =
         Flux.usingWhen(
             admit(call, context),
             admitted ->
                 runner
                     .run(call.request(), requestId, context)
-                    .doOnNext(e -> admitted.tokens().incrementAndGet()),
+                    .doOnNext(chunk -> admitted.tokens().addAndGet(chunk.tokens())),
             admitted -> Mono.fromRunnable(admitted::release));
     return call.request().isStream()
         ? answerStream(events, response)
@@ -164,13 +166,12 @@
   private static Publisher<Void> answerWhole(
       CompletionRequest call,
       String requestId,
-      Flux<StreamEvent> events,
+      Flux<StreamChunk> events,
       HttpServerResponse response) {
     return events
-        .filter(e -> !e.isEnd())
         .reduceWith(
             () -> new AnswerBuilder(call.kind(), requestId, call.model()),
-            (answer, e) -> answer.append(e.data()))
+            (answer, chunk) -> answer.append(chunk.frames()))
         .flatMap(
             answer ->
                 response
@@ -180,7 +181,7 @@
   }
 
   private static Publisher<Void> answerStream(
-      Flux<StreamEvent> events, HttpServerResponse response) {
+      Flux<StreamChunk> events, HttpServerResponse response) {
     return events
         .switchOnFirst(
             (first, all) -> {
@@ -190,21 +191,17 @@
               response.header(HttpHeaderNames.CONTENT_TYPE, SseEvent.MEDIA_TYPE);
               response.header(HttpHeaderNames.CACHE_CONTROL, "no-cache");
               Flux<ByteBuf> frames =
-                  all.map(CompletionHandler::toFrame)
+                  all.map(chunk -> Unpooled.wrappedBuffer(chunk.frames()))
                       .onErrorResume(e -> Flux.just(toErrorFrame(e)));
               return Flux.from(response.send(frames, frame -> true));
             })
         .then();
   }
 
-  private static ByteBuf toFrame(StreamEvent event) {
-    String text =
-        event.isEnd() ? DONE_EVENT : "id: " + event.offset() + "\ndata: " + event.data() + "\n\n";
-    return Unpooled.wrappedBuffer(text.getBytes(StandardCharsets.UTF_8));
-  }
-
   private static ByteBuf toErrorFrame(Throwable error) {
-    String text = "event: error\ndata: " + ProblemWriter.toProblem(error).toJson() + "\n\n";
-    return Unpooled.wrappedBuffer(text.getBytes(StandardCharsets.UTF_8));
+    String problem = ProblemWriter.toProblem(error).toJson();
+    ByteBuffer data = ByteBuffer.wrap(problem.getBytes(StandardCharsets.UTF_8));
+    SseEvent event = new SseEvent(SseEvent.NO_ID, ERROR_EVENT, data);
+    return Unpooled.wrappedBuffer(new SseEncoder().append(event).toBytes());
   }
 }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/entry/CompletionRunner.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/entry/CompletionRunner.java
@@ -6,7 +6,7 @@
 import io.fireflyshed.protocol.completion.CompletionRequest;
 import io.fireflyshed.protocol.engine.EngineRequest;
 import io.fireflyshed.protocol.engine.ModelEngine;
-import io.fireflyshed.protocol.engine.StreamEvent;
+import io.fireflyshed.protocol.engine.StreamChunk;
 import io.fireflyshed.protocol.json.JsonUtils;
 import io.fireflyshed.protocol.problem.Problem;
 import io.fireflyshed.protocol.problem.ProblemException;
@@ -78,7 +78,7 @@
    * @return the events of the answer, ended by the end event; it fails with a {@link
    *     ProblemException}
    */
-  public Flux<StreamEvent> run(CompletionRequest request, String requestId, Context context) {
+  public Flux<StreamChunk> run(CompletionRequest request, String requestId, Context context) {
     return Flux.defer(() -> new Run(request, requestId, context).next(null));
   }
 
@@ -100,7 +100,7 @@
       this.body = JsonUtils.toText(request.body().deepCopy().put("stream", true));
     }
 
-    Flux<StreamEvent> next(AttemptException last) {
+    Flux<StreamChunk> next(AttemptException last) {
       RouteRequest route = new RouteRequest(request.model(), request.prompt(), excluded);
       Optional<OpenReplica> choice = router.choose(views.get(), route, clock.nanoTime());
       if (attempts == MAX_ATTEMPTS || choice.isEmpty()) {
@@ -113,12 +113,12 @@
           .onErrorResume(AttemptException.class, e -> onBroken(replica, e));
     }
 
-    private Flux<StreamEvent> onBroken(Assignment replica, AttemptException error) {
+    private Flux<StreamChunk> onBroken(Assignment replica, AttemptException error) {
       LOG.info("entry: attempt on {} broke: {}", replica.id(), error.getMessage());
       return next(error);
     }
 
-    private Flux<StreamEvent> attempt(Assignment replica, RouteRequest route) {
+    private Flux<StreamChunk> attempt(Assignment replica, RouteRequest route) {
       String attemptId = requestId + "-" + attempts;
       Span span = tracer.start("attempt", SpanKind.CLIENT, context);
       span.setAttribute("fireflyshed.attempt", attemptId);
@@ -134,7 +134,7 @@
               tracer.inject(context.with(span)));
       router.onStart(replica.id(), route);
       return engine.stream(call)
-          .doOnNext(e -> delivered += e.isEnd() ? 0 : 1)
+          .doOnNext(chunk -> delivered = chunk.getNextOffset())
           .doOnError(e -> span.setStatus(StatusCode.ERROR, String.valueOf(e.getMessage())))
           .doFinally(
               signal -> {
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/BodyReader.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/BodyReader.java
@@ -31,7 +31,7 @@
         .asByteArray()
         .reduceWith(ByteArrayOutputStream::new, (all, part) -> append(all, part, maxBytes))
         .map(ByteArrayOutputStream::toByteArray)
-        .timeout(timeout, Mono.error(newTooSlow(timeout)));
+        .timeout(timeout, Mono.error(() -> newTooSlow(timeout)));
   }
 
   private static long parse(String declared) {
--- a/fireflyshed-core/src/test/java/io/fireflyshed/protocol/completion/SseDecoderTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/protocol/completion/SseDecoderTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -16,9 +17,28 @@
 
   private static final List<SseEvent> EVENTS =
       List.of(
-          new SseEvent("1", "", "a\nb"),
-          new SseEvent("", "error", "c"),
-          new SseEvent("", "", "[DONE]"));
+          newEvent(1, "", "a\nb"),
+          newEvent(SseEvent.NO_ID, "error", "c"),
+          newEvent(SseEvent.NO_ID, "", "[DONE]"));
+
+  private static SseEvent newEvent(long id, String name, String data) {
+    return new SseEvent(id, name, ByteBuffer.wrap(data.getBytes(StandardCharsets.UTF_8)));
+  }
+
+  @Test
+  public void encoderGivesBackWhatWasDecoded() {
+    SseEncoder encoder = new SseEncoder();
+    EVENTS.forEach(encoder::append);
+    assertEquals(new SseDecoder().decode(encoder.toBytes().array()), EVENTS);
+  }
+
+  @Test
+  public void idThatIsNoNumberIsNone() {
+    for (String id : List.of("x", "-1", "", "1234567890123456789")) {
+      byte[] bytes = ("id: " + id + "\ndata: a\n\n").getBytes(StandardCharsets.UTF_8);
+      assertEquals(new SseDecoder().decode(bytes).get(0).id(), SseEvent.NO_ID, id);
+    }
+  }
 
   @Test
   public void decodesTheSameEventsHoweverTheBytesAreCut() {
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/Main.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/Main.java
@@ -1,6 +1,9 @@
 package io.fireflyshed.daemon;
 
+import ch.qos.logback.classic.Level;
 import io.fireflyshed.daemon.command.Command;
+import io.fireflyshed.daemon.command.LogFormat;
+import io.fireflyshed.daemon.command.Logging;
 import io.fireflyshed.daemon.settings.Setting;
 import io.fireflyshed.daemon.settings.SettingException;
 import io.fireflyshed.daemon.settings.SettingValues;
@@ -36,6 +39,7 @@
    * @param arguments the arguments, not null
    */
   public static void main(String[] arguments) {
+    Logging.configure(LogFormat.TEXT, Level.WARN);
     List<Command> commands =
         ServiceLoader.load(Command.class).stream().map(ServiceLoader.Provider::get).toList();
     int code =
