Claim one-time orders in groups and record their results as facts on attempts

Cause: each order cost a claim and a result transaction of its own, a lost commit answer was told as "not run" though its claim stayed for ever, a proven "not run" of the target never freed the claim, and an order was sent to the first target only.

Change: OrderLedger holds the decisions (claims in groups, a conflict of one order does not fail the others, a lost answer is settled by reading back the attempt's own id, results are facts on attempts recorded once a batch); ClaimingOrderPlacer runs it on a thread of its own.

--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/order/StoredClaim.java
@@ -0,0 +1,20 @@
+package io.fireflyshed.coordination.order;
+
+import java.util.Objects;
+
+/**
+ * Holds a claim as it was read from the table service.
+ *
+ * @param claim the claim, not null
+ * @param version the version of its row, positive
+ */
+public record StoredClaim(OrderClaim claim, long version) {
+
+  /** Checks the parts of the record. */
+  public StoredClaim {
+    Objects.requireNonNull(claim, "claim");
+    if (version < 1) {
+      throw new IllegalArgumentException("version must be positive: " + version);
+    }
+  }
+}
--- /dev/null
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/order/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of decisions on one-time orders. */
+package io.fireflyshed.coordination.order;
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/entry/EntryDaemon.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/entry/EntryDaemon.java
@@ -1,5 +1,6 @@
 package io.fireflyshed.daemon.entry;
 
+import io.fireflyshed.coordination.order.OrderSettings;
 import io.fireflyshed.coordination.routing.LeastInFlightRouter;
 import io.fireflyshed.protocol.desk.PlainService;
 import io.fireflyshed.protocol.engine.ModelEngine;
@@ -27,6 +28,7 @@
 import io.opentelemetry.sdk.OpenTelemetrySdk;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
 
@@ -41,6 +43,7 @@
   private final HttpCaller trafficCaller = new HttpCaller("traffic");
   private final OpenTelemetrySdk telemetry;
   private final ControlLoop control;
+  private final ClaimingOrderPlacer orderPlacer;
   private final EntryServer server;
 
   /**
@@ -59,7 +62,9 @@
             new HttpInstanceList(controlCaller, settings.platform(), PLATFORM_TIMEOUT),
             new AssignmentStore(table),
             clock);
-    server = newServer(settings, table, clock);
+    PlainService plainService = new HttpPlainService(trafficCaller, DESK_TIMEOUT);
+    orderPlacer = newOrderPlacer(table, plainService, clock);
+    server = newServer(settings, plainService, clock);
   }
 
   /**
@@ -92,16 +97,22 @@
 
   @Override
   public void close() {
+    orderPlacer.close();
     control.close();
     controlCaller.close();
     trafficCaller.close();
     telemetry.close();
   }
 
+  private static ClaimingOrderPlacer newOrderPlacer(
+      TableService table, PlainService plainService, MonotonicClock clock) {
+    return new ClaimingOrderPlacer(
+        OrderSettings.ofDefaults(), "e" + UUID.randomUUID(), table, plainService, clock);
+  }
+
   private EntryServer newServer(
-      EntryDaemonSettings settings, TableService table, MonotonicClock clock) {
+      EntryDaemonSettings settings, PlainService plainService, MonotonicClock clock) {
     ModelEngine engine = new HttpModelEngine(trafficCaller, CONTROL_TIMEOUT);
-    PlainService plainService = new HttpPlainService(trafficCaller, DESK_TIMEOUT);
     RequestTracer tracer = new RequestTracer(telemetry);
     AccountDirectory accounts = new FixedAccountDirectory(settings.accounts());
     CompletionRunner runner =
@@ -110,12 +121,7 @@
         new CompletionHandler(
             settings.entry(), accounts, control, new UnlimitedAdmission(), runner, tracer);
     OrderHandler orders =
-        new OrderHandler(
-            settings.entry(),
-            accounts,
-            control,
-            plainService,
-            new ClaimingOrderPlacer(table, plainService));
+        new OrderHandler(settings.entry(), accounts, control, plainService, orderPlacer);
     PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     return new EntryServer(settings.entry(), control, completions, orders, metrics);
   }
