--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/protocol/configuration/package-info.java
@@ -0,0 +1,2 @@
+/** The form of the configuration: merge rules, schema, checks and codecs. */
+package io.fireflyshed.protocol.configuration;
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/state/configuration/package-info.java
@@ -0,0 +1,2 @@
+/** The chain of accepted configurations. */
+package io.fireflyshed.state.configuration;
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/configuration/package-info.java
@@ -0,0 +1,2 @@
+/** Applies, follows and serves the configuration. */
+package io.fireflyshed.transport.configuration;
