--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/limits/ShareLedger.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/limits/ShareLedger.java
@@ -117,6 +117,23 @@
     return getOwn(nowNanos) + getBorrowed(nowNanos);
   }
 
+  /**
+   * Gets how much this process may expect to use soon.
+   *
+   * <p>Before peers were asked this is the whole limit; after that it is what they lent, and for a
+   * new process at least its base share.
+   *
+   * @param nowNanos the reading of the clock
+   * @return the amount in units of the limit, 0 or more
+   */
+  public double getExpected(long nowNanos) {
+    double usable = getUsable(nowNanos);
+    if (demand <= usable) {
+      return limit;
+    }
+    return isSettled(nowNanos) ? usable : Math.max(usable, limit / terms.maxProcesses());
+  }
+
   /**
    * Gets the demands to send to peers, at regular intervals well below the lease.
    *
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/limits/TokenBucket.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/limits/TokenBucket.java
@@ -67,9 +67,10 @@
    * Gets how long it takes until a number of tokens have come in.
    *
    * @param tokens the number of tokens, positive
+   * @param perSecond the expected rate, 0 or more
    * @return the time in seconds, infinite if the rate is zero
    */
-  public double getSecondsUntil(double tokens) {
-    return level >= tokens ? 0 : (tokens - level) / rate;
+  public double getSecondsUntil(double tokens, double perSecond) {
+    return level >= tokens ? 0 : (tokens - level) / perSecond;
   }
 }
