--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/command/ServeSettings.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/command/ServeSettings.java
@@ -100,7 +100,7 @@
   static final Setting<String> OTLP_ENDPOINT =
       Setting.of(
           "otlp-endpoint",
-          "a URL, or empty for no export",
+          "the URL of an OTLP/HTTP collector without a path, or empty for no export",
           "",
           "where to export traces",
           ServeSettings::parseUrl);
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/entry/EntryDaemon.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/entry/EntryDaemon.java
@@ -52,8 +52,13 @@
    * @param settings the settings, not null
    */
   public EntryDaemon(EntryDaemonSettings settings) {
+    this(settings, TelemetryFactory.newTelemetry(settings.otlpEndpoint()));
+  }
+
+  /** Creates a process that is not started and sends its spans to given telemetry. */
+  EntryDaemon(EntryDaemonSettings settings, OpenTelemetrySdk telemetry) {
+    this.telemetry = telemetry;
     MonotonicClock clock = MonotonicClock.system();
-    telemetry = TelemetryFactory.newTelemetry(settings.otlpEndpoint());
     TableService table = new HttpTableService(controlCaller, settings.platform(), PLATFORM_TIMEOUT);
     control =
         new ControlLoop(
--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/entry/EntryFixture.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/entry/EntryFixture.java
@@ -8,6 +8,7 @@
 import io.fireflyshed.state.replica.ServiceName;
 import io.fireflyshed.transport.control.ControlSettings;
 import io.fireflyshed.transport.entry.EntrySettings;
+import io.opentelemetry.sdk.OpenTelemetrySdk;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.URI;
@@ -39,13 +40,14 @@
   private final InetSocketAddress address;
 
   EntryFixture(Duration stepTime) throws InterruptedException {
-    this(stepTime, "");
+    this(stepTime, TelemetryFactory.newTelemetry(""));
   }
 
-  EntryFixture(Duration stepTime, String otlpEndpoint) throws InterruptedException {
+  EntryFixture(Duration stepTime, OpenTelemetrySdk telemetry) throws InterruptedException {
     EngineSettings engines =
         new EngineSettings(Duration.ofMillis(20), stepTime, 64, 256, 512, true);
     site = new StandInSite("127.0.0.1", engines);
+    site.getEngines().setTelemetry(telemetry);
     InetSocketAddress platform = site.start(0, List.of(ZONE), 2, 2, new ServiceName("desk"));
     ControlSettings control =
         new ControlSettings(
@@ -63,7 +65,7 @@
             LIMIT);
     daemon =
         new EntryDaemon(
-            new EntryDaemonSettings(control, entry, platform, Map.of("test", KEY), otlpEndpoint));
+            new EntryDaemonSettings(control, entry, platform, Map.of("test", KEY), ""), telemetry);
     address = daemon.start();
     await(() -> daemon.getViews().get().getOpen(new ServiceName("cards")).size() == 2);
   }
--- a/fireflyshed-standins/src/main/java/io/fireflyshed/standins/engine/EngineFleet.java
+++ b/fireflyshed-standins/src/main/java/io/fireflyshed/standins/engine/EngineFleet.java
@@ -1,6 +1,8 @@
 package io.fireflyshed.standins.engine;
 
 import io.fireflyshed.state.instance.InstanceId;
+import io.fireflyshed.transport.trace.RequestTracer;
+import io.opentelemetry.api.OpenTelemetry;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
@@ -16,6 +18,7 @@
   private final Map<InstanceId, EngineStandIn> engines = new ConcurrentSkipListMap<>();
   private final List<EngineHttpServer> servers = new ArrayList<>();
   private final EngineSettings settings;
+  private RequestTracer tracer = new RequestTracer(OpenTelemetry.noop());
   private final ScheduledExecutorService timer =
       Executors.newSingleThreadScheduledExecutor(r -> new Thread(r, "engines"));
 
@@ -39,13 +42,22 @@
    */
   public synchronized InetSocketAddress start(InstanceId instance, String host) {
     EngineStandIn engine = new EngineStandIn(instance, settings, this, timer);
-    EngineHttpServer server = new EngineHttpServer(engine, this);
+    EngineHttpServer server = new EngineHttpServer(engine, this, tracer);
     InetSocketAddress address = server.start(new InetSocketAddress(host, 0));
     engines.put(instance, engine);
     servers.add(server);
     return address;
   }
 
+  /**
+   * Sets where the spans of engines that start from now on go.
+   *
+   * @param telemetry makes and exports spans, not null
+   */
+  public synchronized void setTelemetry(OpenTelemetry telemetry) {
+    tracer = new RequestTracer(telemetry);
+  }
+
   /**
    * Gets an engine.
    *
--- a/fireflyshed-standins/src/main/java/io/fireflyshed/standins/engine/EngineHttpServer.java
+++ b/fireflyshed-standins/src/main/java/io/fireflyshed/standins/engine/EngineHttpServer.java
@@ -6,9 +6,13 @@
 import io.fireflyshed.protocol.completion.SseEvent;
 import io.fireflyshed.protocol.engine.EngineHeaders;
 import io.fireflyshed.protocol.json.JsonUtils;
+import io.fireflyshed.transport.trace.RequestTracer;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.opentelemetry.api.trace.Span;
+import io.opentelemetry.api.trace.SpanKind;
+import io.opentelemetry.context.Context;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
@@ -29,11 +33,13 @@
 
   private final EngineStandIn engine;
   private final EngineFleet fleet;
+  private final RequestTracer tracer;
   private DisposableServer server;
 
-  EngineHttpServer(EngineStandIn engine, EngineFleet fleet) {
+  EngineHttpServer(EngineStandIn engine, EngineFleet fleet, RequestTracer tracer) {
     this.engine = engine;
     this.fleet = fleet;
+    this.tracer = tracer;
   }
 
   InetSocketAddress start(InetSocketAddress listen) {
@@ -47,7 +53,7 @@
 
   private void addRoutes(HttpServerRoutes routes) {
     for (CompletionKind kind : CompletionKind.values()) {
-      routes.post(kind.getPath(), guarded((q, r) -> complete(kind, q, r)));
+      routes.post(kind.getPath(), guarded((q, r) -> traced(kind, q, r)));
     }
     routes.get("/control/health", guarded((q, r) -> sendJson(r, engine.getHealth())));
     routes.get("/control/load", guarded((q, r) -> sendJson(r, engine.getLoad())));
@@ -107,6 +113,15 @@
             });
   }
 
+  private Publisher<Void> traced(
+      CompletionKind kind, HttpServerRequest request, HttpServerResponse response) {
+    Context parent = tracer.extract(request.requestHeaders());
+    return Mono.using(
+        () -> tracer.start("target", SpanKind.SERVER, parent),
+        span -> Mono.from(complete(kind, request, response)),
+        Span::end);
+  }
+
   private Publisher<Void> complete(
       CompletionKind kind, HttpServerRequest request, HttpServerResponse response) {
     HttpHeaders headers = request.requestHeaders();
