--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/configuration/ConfigurationAgent.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/configuration/ConfigurationAgent.java
@@ -182,7 +182,7 @@
     body = text;
     try {
       receiver.accept(record, text);
-    } catch (RuntimeException e) {
+    } catch (IllegalArgumentException e) {
       LOG.error("configuration: version {} can't be used", record.version(), e);
     }
     LOG.info("configuration: version {} by {} in force", record.version(), record.author());
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/control/ControlLoop.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/control/ControlLoop.java
@@ -54,6 +54,8 @@
   private List<InstanceRecord> instances = List.of();
   private List<Assignment> assignments = List.of();
   private boolean isRefreshing;
+  private volatile List<ModelServiceSpec> services;
+  private volatile Set<InstanceId> drained = Set.of();
   private volatile ServingView view = ServingView.ofNothing();
 
   /**
@@ -72,6 +74,7 @@
       AssignmentStore store,
       MonotonicClock clock) {
     this.settings = settings;
+    this.services = settings.services();
     this.engine = engine;
     this.instanceList = instanceList;
     this.store = store;
@@ -86,6 +89,25 @@
     repeat(this::probeAll, settings.probeInterval().toMillis());
   }
 
+  /**
+   * Replaces the wanted model services; replicas of services that are gone stop serving.
+   *
+   * @param services the model services, copied, not null
+   */
+  public void setServices(List<ModelServiceSpec> services) {
+    this.services = List.copyOf(services);
+  }
+
+  /**
+   * Replaces the instances that an operator drains. Their replicas get no new work, and no replica
+   * is formed of them.
+   *
+   * @param instances the instances, copied, not null
+   */
+  public void setDrained(Set<InstanceId> instances) {
+    drained = Set.copyOf(instances);
+  }
+
   /**
    * Gets the view that was published last.
    *
@@ -146,7 +168,7 @@
 
   private void formMissing() {
     List<Assignment> plan =
-        former.plan(settings.zone(), settings.services(), instances, assignments);
+        former.plan(settings.zone(), services, getUsableInstances(), assignments);
     for (Assignment assignment : plan) {
       store
           .create(assignment)
@@ -161,6 +183,15 @@
     }
   }
 
+  private List<InstanceRecord> getUsableInstances() {
+    Set<InstanceId> excluded = drained;
+    return instances.stream().filter(i -> !excluded.contains(i.id())).toList();
+  }
+
+  private boolean isDrained(Assignment assignment) {
+    return assignment.members().stream().anyMatch(m -> drained.contains(m.id()));
+  }
+
   private void probeAll() {
     for (Assignment assignment : assignments) {
       assignment.members().forEach(m -> probe(assignment, m));
@@ -216,7 +247,7 @@
 
   private EngineOrder newOrder(Assignment assignment) {
     String model =
-        settings.services().stream()
+        services.stream()
             .filter(s -> s.name().equals(assignment.service()))
             .map(ModelServiceSpec::model)
             .findFirst()
@@ -235,20 +266,23 @@
     long now = clock.nanoTime();
     Map<ServiceName, List<OpenReplica>> open = new HashMap<>();
     for (Assignment assignment : assignments) {
+      if (isDrained(assignment)) {
+        continue;
+      }
       gate.getOpen(assignment, now)
           .ifPresent(
               r -> open.computeIfAbsent(assignment.service(), s -> new ArrayList<>()).add(r));
     }
-    Map<ServiceName, ModelServiceSpec> services = new HashMap<>();
-    settings.services().forEach(s -> services.put(s.name(), s));
+    Map<ServiceName, ModelServiceSpec> specs = new HashMap<>();
+    services.forEach(s -> specs.put(s.name(), s));
     Map<ServiceName, List<InstanceRecord>> targets = new HashMap<>();
-    for (InstanceRecord instance : instances) {
+    for (InstanceRecord instance : getUsableInstances()) {
       if (!instance.leaving()) {
         instance
             .plainService()
             .ifPresent(s -> targets.computeIfAbsent(s, t -> new ArrayList<>()).add(instance));
       }
     }
-    view = new ServingView(services, open, targets);
+    view = new ServingView(specs, open, targets);
   }
 }
--- /dev/null
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/command/ConfigShowCommand.java
@@ -0,0 +1,68 @@
+package io.fireflyshed.daemon.command;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
+import io.fireflyshed.daemon.settings.Setting;
+import io.fireflyshed.daemon.settings.SettingValues;
+import io.fireflyshed.protocol.configuration.ConfigurationDocument;
+import io.fireflyshed.protocol.json.JsonUtils;
+import io.fireflyshed.state.configuration.ConfigurationRecord;
+import java.io.PrintStream;
+import java.util.List;
+import java.util.Optional;
+
+/** Shows an accepted configuration. */
+public final class ConfigShowCommand extends ConfigCommand {
+
+  private static final Setting<String> OF_SITE =
+      Setting.of("of-site", "a site, or empty for all", "", "the site to merge for", s -> s);
+
+  @Override
+  public String getName() {
+    return "config show";
+  }
+
+  @Override
+  public String getSummary() {
+    return "Shows an accepted configuration.";
+  }
+
+  @Override
+  public List<Setting<?>> getSettings() {
+    return List.of(ConfigSettings.VERSION, OF_SITE, ServeSettings.PLATFORM, ConfigSettings.JSON);
+  }
+
+  @Override
+  int runConfig(SettingValues values, PrintStream out) {
+    try (Platform platform = new Platform(values.get(ServeSettings.PLATFORM))) {
+      Optional<ConfigurationRecord> record =
+          platform.readRecord(values.get(ConfigSettings.VERSION));
+      if (record.isEmpty()) {
+        out.println("no such version");
+        return EXIT_FAILED;
+      }
+      String text = platform.getStore().readBody(record.get()).join();
+      String site = values.get(OF_SITE);
+      JsonNode tree =
+          site.isEmpty()
+              ? JsonUtils.parse(text)
+              : ConfigurationDocument.fromText(text).resolve(site);
+      if (values.get(ConfigSettings.JSON)) {
+        out.println(JsonUtils.toText(toJson(record.get()).set("configuration", tree)));
+        return EXIT_OK;
+      }
+      out.println("# " + toLine(record.get()));
+      out.print(toYaml(tree));
+      return EXIT_OK;
+    }
+  }
+
+  private static String toYaml(JsonNode tree) {
+    try {
+      return new YAMLMapper().writeValueAsString(tree);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("a tree can't be written", e);
+    }
+  }
+}
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/command/ServeSettings.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/command/ServeSettings.java
@@ -5,6 +5,7 @@
 import io.fireflyshed.daemon.settings.SettingArity;
 import io.fireflyshed.daemon.settings.SettingParsers;
 import io.fireflyshed.daemon.settings.SettingValues;
+import io.fireflyshed.state.IdentifierUtils;
 import io.fireflyshed.state.instance.AvailabilityZone;
 import io.fireflyshed.state.replica.ModelServiceSpec;
 import io.fireflyshed.state.replica.ServiceName;
@@ -43,12 +44,20 @@
           "availability zone of this process",
           AvailabilityZone::new);
 
+  static final Setting<String> SITE =
+      Setting.of(
+          "site",
+          "a name of letters, digits, dots, dashes or underscores",
+          "site",
+          "site of this process, which selects the overlay of the configuration",
+          text -> IdentifierUtils.requireIdentifier("site", text));
+
   static final Setting<ModelServiceSpec> MODEL_SERVICE =
       new Setting<>(
           "model-service",
           "NAME:MODEL:INSTANCES_PER_REPLICA:REPLICAS_PER_ZONE",
           "cards:cards-1:3:2",
-          "a model service; may be given several times",
+          "a model service while no configuration was ever applied; may be given several times",
           false,
           SettingArity.MANY,
           ServeSettings::parseService);
@@ -110,6 +119,7 @@
           LISTEN,
           PLATFORM,
           ZONE,
+          SITE,
           MODEL_SERVICE,
           ACCOUNT,
           PROBE_INTERVAL,
@@ -143,7 +153,12 @@
     Map<String, String> accounts = new HashMap<>();
     values.getAll(ACCOUNT).forEach(a -> accounts.put(a.getKey(), a.getValue()));
     return new EntryDaemonSettings(
-        control, entry, values.get(PLATFORM), accounts, values.get(OTLP_ENDPOINT));
+        control,
+        entry,
+        values.get(PLATFORM),
+        accounts,
+        values.get(SITE),
+        values.get(OTLP_ENDPOINT));
   }
 
   private static Setting<Duration> newDuration(String name, String text, String description) {
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/entry/EntryDaemon.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/entry/EntryDaemon.java
@@ -5,8 +5,12 @@
 import io.fireflyshed.protocol.desk.PlainService;
 import io.fireflyshed.protocol.engine.ModelEngine;
 import io.fireflyshed.state.clock.MonotonicClock;
+import io.fireflyshed.state.peer.PeerId;
+import io.fireflyshed.state.replica.ModelServiceSpec;
 import io.fireflyshed.state.replica.ServingView;
 import io.fireflyshed.state.table.TableService;
+import io.fireflyshed.transport.configuration.ConfigurationStore;
+import io.fireflyshed.transport.configuration.LoneConfigurationPeers;
 import io.fireflyshed.transport.control.AssignmentStore;
 import io.fireflyshed.transport.control.ControlLoop;
 import io.fireflyshed.transport.desk.HttpPlainService;
@@ -21,6 +25,7 @@
 import io.fireflyshed.transport.entry.UnlimitedAdmission;
 import io.fireflyshed.transport.http.HttpCaller;
 import io.fireflyshed.transport.platform.HttpInstanceList;
+import io.fireflyshed.transport.platform.HttpObjectStore;
 import io.fireflyshed.transport.platform.HttpTableService;
 import io.fireflyshed.transport.trace.RequestTracer;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
@@ -28,6 +33,7 @@
 import io.opentelemetry.sdk.OpenTelemetrySdk;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.List;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
@@ -44,7 +50,9 @@
   private final OpenTelemetrySdk telemetry;
   private final ControlLoop control;
   private final ClaimingOrderPlacer orderPlacer;
+  private final ConfigurationModule configuration;
   private final EntryServer server;
+  private final List<ModelServiceSpec> flagServices;
 
   /**
    * Creates a process that is not started.
@@ -53,6 +61,7 @@
    */
   public EntryDaemon(EntryDaemonSettings settings) {
     MonotonicClock clock = MonotonicClock.system();
+    flagServices = settings.control().services();
     telemetry = TelemetryFactory.newTelemetry(settings.otlpEndpoint());
     TableService table = new HttpTableService(controlCaller, settings.platform(), PLATFORM_TIMEOUT);
     control =
@@ -62,6 +71,7 @@
             new HttpInstanceList(controlCaller, settings.platform(), PLATFORM_TIMEOUT),
             new AssignmentStore(table),
             clock);
+    configuration = newConfiguration(settings, table, clock);
     PlainService plainService = new HttpPlainService(trafficCaller, DESK_TIMEOUT);
     orderPlacer = newOrderPlacer(table, plainService, clock);
     server = newServer(settings, plainService, clock);
@@ -73,6 +83,7 @@
    * @return the bound address for callers, never null
    */
   public InetSocketAddress start() {
+    configuration.start(control, flagServices);
     control.start();
     return server.start();
   }
@@ -97,6 +108,7 @@
 
   @Override
   public void close() {
+    configuration.close();
     orderPlacer.close();
     control.close();
     controlCaller.close();
@@ -104,6 +116,18 @@
     telemetry.close();
   }
 
+  private ConfigurationModule newConfiguration(
+      EntryDaemonSettings settings, TableService table, MonotonicClock clock) {
+    HttpObjectStore objects =
+        new HttpObjectStore(controlCaller, settings.platform(), PLATFORM_TIMEOUT);
+    return new ConfigurationModule(
+        settings.site(),
+        new PeerId("e" + UUID.randomUUID()),
+        new ConfigurationStore(table, objects),
+        new LoneConfigurationPeers(),
+        clock);
+  }
+
   private static ClaimingOrderPlacer newOrderPlacer(
       TableService table, PlainService plainService, MonotonicClock clock) {
     return new ClaimingOrderPlacer(
@@ -114,14 +138,20 @@
       EntryDaemonSettings settings, PlainService plainService, MonotonicClock clock) {
     ModelEngine engine = new HttpModelEngine(trafficCaller, CONTROL_TIMEOUT);
     RequestTracer tracer = new RequestTracer(telemetry);
-    AccountDirectory accounts = new FixedAccountDirectory(settings.accounts());
+    AccountDirectory accounts =
+        configuration.newAccounts(new FixedAccountDirectory(settings.accounts()));
     CompletionRunner runner =
         new CompletionRunner(control, new LeastInFlightRouter(), engine, tracer, clock);
     CompletionHandler completions =
         new CompletionHandler(
             settings.entry(), accounts, control, new UnlimitedAdmission(), runner, tracer);
     OrderHandler orders =
-        new OrderHandler(settings.entry(), accounts, control, plainService, orderPlacer);
+        new OrderHandler(
+            settings.entry(),
+            accounts,
+            control,
+            plainService,
+            configuration.newOrderPlacer(orderPlacer));
     PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     return new EntryServer(settings.entry(), control, completions, orders, metrics);
   }
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/entry/EntryDaemonSettings.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/entry/EntryDaemonSettings.java
@@ -13,6 +13,7 @@
  * @param entry the settings of the server for callers, not null
  * @param platform the address of the platform, not null
  * @param accounts the bearer key of each client account, copied, not null
+ * @param site the name of the site, which selects the overlay of the configuration, not null
  * @param otlpEndpoint where to export traces, empty for nowhere, not null
  */
 public record EntryDaemonSettings(
@@ -20,6 +21,7 @@
     EntrySettings entry,
     InetSocketAddress platform,
     Map<String, String> accounts,
+    String site,
     String otlpEndpoint) {
 
   /** Checks the parts and copies the map. */
@@ -28,6 +30,7 @@
     Objects.requireNonNull(entry, "entry");
     Objects.requireNonNull(platform, "platform");
     accounts = Map.copyOf(accounts);
+    Objects.requireNonNull(site, "site");
     Objects.requireNonNull(otlpEndpoint, "otlpEndpoint");
   }
 }
--- a/fireflyshed-daemon/src/main/resources/META-INF/services/io.fireflyshed.daemon.command.Command
+++ b/fireflyshed-daemon/src/main/resources/META-INF/services/io.fireflyshed.daemon.command.Command
@@ -1,3 +1,9 @@
+io.fireflyshed.daemon.command.ConfigApplyCommand
+io.fireflyshed.daemon.command.ConfigCheckCommand
+io.fireflyshed.daemon.command.ConfigDiffCommand
+io.fireflyshed.daemon.command.ConfigHistoryCommand
+io.fireflyshed.daemon.command.ConfigKeyCommand
+io.fireflyshed.daemon.command.ConfigShowCommand
 io.fireflyshed.daemon.command.QuickstartCommand
 io.fireflyshed.daemon.command.ServeCommand
 io.fireflyshed.daemon.command.SettingsCommand
--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/entry/EntryFixture.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/entry/EntryFixture.java
@@ -63,7 +63,8 @@
             LIMIT);
     daemon =
         new EntryDaemon(
-            new EntryDaemonSettings(control, entry, platform, Map.of("test", KEY), otlpEndpoint));
+            new EntryDaemonSettings(
+                control, entry, platform, Map.of("test", KEY), "site", otlpEndpoint));
     address = daemon.start();
     await(() -> daemon.getViews().get().getOpen(new ServiceName("cards")).size() == 2);
   }
