Test that a running entry follows the configuration

Cause: the wiring of accounts, services and drains had no test of its own. Change: tests on loopback that an accepted version replaces accounts and drains and reopens a replica.

--- /dev/null
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/entry/EntryConfigurationTest.java
@@ -0,0 +1,108 @@
+package io.fireflyshed.daemon.entry;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.fireflyshed.coordination.configuration.CommitOutcome;
+import io.fireflyshed.protocol.configuration.ConfigurationDocument;
+import io.fireflyshed.protocol.json.JsonUtils;
+import io.fireflyshed.state.replica.ServiceName;
+import io.fireflyshed.transport.configuration.ConfigurationCommitter;
+import io.fireflyshed.transport.configuration.ConfigurationEditor;
+import io.fireflyshed.transport.configuration.ConfigurationStore;
+import io.fireflyshed.transport.entry.ConfiguredAccountDirectory;
+import io.fireflyshed.transport.http.HttpCaller;
+import io.fireflyshed.transport.platform.HttpObjectStore;
+import io.fireflyshed.transport.platform.HttpTableService;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.time.Duration;
+import java.util.TreeMap;
+import org.testng.annotations.Test;
+
+/** Tests that a running entry follows the configuration. */
+public class EntryConfigurationTest {
+
+  private static final Duration TIMEOUT = Duration.ofSeconds(3);
+  private static final String SALT = "0123456789abcdef";
+  private static final String ACCOUNT_KEY = "salon.secret";
+  private static final ServiceName CARDS = new ServiceName("cards");
+
+  private static void apply(EntryFixture fixture, String drains) {
+    String hash = ConfiguredAccountDirectory.toHash(SALT, ACCOUNT_KEY);
+    String base =
+        "{\"services\":{\"cards\":{\"model\":\"cards-1\",\"engine\":\"e\","
+            + "\"replica\":{\"instances\":2,\"count\":2}}},\"fencing\":{\"e\":\"enforced\"},"
+            + "\"accounts\":{\"salon\":{\"keys\":[{\"salt\":\""
+            + SALT
+            + "\",\"hash\":\""
+            + hash
+            + "\"}]}},\"drains\":{\"instances\":{"
+            + drains
+            + "}}}";
+    ConfigurationDocument document =
+        new ConfigurationDocument(JsonUtils.parse(base), new TreeMap<>());
+    HttpCaller caller = new HttpCaller("test");
+    ConfigurationStore store =
+        new ConfigurationStore(
+            new HttpTableService(caller, fixture.getPlatformAddress(), TIMEOUT),
+            new HttpObjectStore(caller, fixture.getPlatformAddress(), TIMEOUT));
+    CommitOutcome outcome =
+        new ConfigurationEditor(store, new ConfigurationCommitter(store, Runnable::run))
+            .edit("ann", "test", old -> document)
+            .join();
+    caller.close();
+    assertTrue(outcome instanceof CommitOutcome.Accepted, outcome.toString());
+  }
+
+  private static int countOpen(EntryFixture fixture) {
+    return fixture.getDaemon().getViews().get().getOpen(CARDS).size();
+  }
+
+  private static int complete(EntryFixture fixture, String key) throws Exception {
+    return fixture
+        .getClient()
+        .send(
+            fixture
+                .newRequest("/v1/completions")
+                .setHeader("authorization", "Bearer " + key)
+                .build(),
+            BodyHandlers.discarding())
+        .statusCode();
+  }
+
+  /** Tests of an accepted version. */
+  public static class InForce {
+
+    @Test
+    public void replacesTheAccountsOfTheSettings() throws Exception {
+      try (EntryFixture fixture = new EntryFixture(Duration.ofMillis(1))) {
+        assertEquals(complete(fixture, EntryFixture.KEY), 200);
+        apply(fixture, "");
+        EntryFixture.await(() -> isKnown(fixture, ACCOUNT_KEY));
+        assertEquals(complete(fixture, EntryFixture.KEY), 401);
+        assertEquals(complete(fixture, "salon.wrong"), 401);
+      }
+    }
+
+    @Test
+    public void drainsAndReopensAReplica() throws Exception {
+      try (EntryFixture fixture = new EntryFixture(Duration.ofMillis(1))) {
+        String member =
+            fixture.getDaemon().getViews().get().getOpen(CARDS).get(0).assignment().getHead().id()
+                + "";
+        apply(fixture, "\"" + member + "\":\"fan\"");
+        EntryFixture.await(() -> countOpen(fixture) == 1);
+        apply(fixture, "");
+        EntryFixture.await(() -> countOpen(fixture) == 2);
+      }
+    }
+  }
+
+  private static boolean isKnown(EntryFixture fixture, String key) {
+    try {
+      return complete(fixture, key) == 200;
+    } catch (Exception e) {
+      throw new AssertionError("the entry does not answer", e);
+    }
+  }
+}
--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/entry/EntryFixture.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/entry/EntryFixture.java
@@ -37,6 +37,7 @@
   private final StandInSite site;
   private final EntryDaemon daemon;
   private final InetSocketAddress address;
+  private final InetSocketAddress platform;
 
   EntryFixture(Duration stepTime) throws InterruptedException {
     this(stepTime, "");
@@ -46,7 +47,7 @@
     EngineSettings engines =
         new EngineSettings(Duration.ofMillis(20), stepTime, 64, 256, 512, true);
     site = new StandInSite("127.0.0.1", engines);
-    InetSocketAddress platform = site.start(0, List.of(ZONE), 2, 2, new ServiceName("desk"));
+    platform = site.start(0, List.of(ZONE), 2, 2, new ServiceName("desk"));
     ControlSettings control =
         new ControlSettings(
             ZONE,
@@ -100,6 +101,10 @@
     return address;
   }
 
+  InetSocketAddress getPlatformAddress() {
+    return platform;
+  }
+
   HttpClient getClient() {
     return client;
   }
