--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/entry/EntryConfigurationTest.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/entry/EntryConfigurationTest.java
@@ -65,6 +65,7 @@
             fixture
                 .newRequest("/v1/completions")
                 .setHeader("authorization", "Bearer " + key)
+                .POST(BodyPublishers.ofString(EntryFixture.newBody(1, false)))
                 .build(),
             BodyHandlers.discarding())
         .statusCode();
