--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/entry/EntryConfigurationTest.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/entry/EntryConfigurationTest.java
@@ -14,6 +14,7 @@
 import io.fireflyshed.transport.http.HttpCaller;
 import io.fireflyshed.transport.platform.HttpObjectStore;
 import io.fireflyshed.transport.platform.HttpTableService;
+import java.net.http.HttpRequest.BodyPublishers;
 import java.net.http.HttpResponse.BodyHandlers;
 import java.time.Duration;
 import java.util.TreeMap;
