--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/entry/EntryFixture.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/entry/EntryFixture.java
@@ -38,6 +38,7 @@
   private final StandInSite site;
   private final EntryDaemon daemon;
   private final InetSocketAddress address;
+  private final InetSocketAddress platform;
 
   EntryFixture(Duration stepTime) throws InterruptedException {
     this(stepTime, TelemetryFactory.newTelemetry(""));
@@ -48,7 +49,7 @@
         new EngineSettings(Duration.ofMillis(20), stepTime, 64, 256, 512, true);
     site = new StandInSite("127.0.0.1", engines);
     site.getEngines().setTelemetry(telemetry);
-    InetSocketAddress platform = site.start(0, List.of(ZONE), 2, 2, new ServiceName("desk"));
+    platform = site.start(0, List.of(ZONE), 2, 2, new ServiceName("desk"));
     ControlSettings control =
         new ControlSettings(
             ZONE,
@@ -65,7 +66,8 @@
             LIMIT);
     daemon =
         new EntryDaemon(
-            new EntryDaemonSettings(control, entry, platform, Map.of("test", KEY), ""), telemetry);
+            new EntryDaemonSettings(control, entry, platform, Map.of("test", KEY), "site", ""),
+            telemetry);
     address = daemon.start();
     await(() -> daemon.getViews().get().getOpen(new ServiceName("cards")).size() == 2);
   }
@@ -101,6 +103,10 @@
     return address;
   }
 
+  InetSocketAddress getPlatformAddress() {
+    return platform;
+  }
+
   HttpClient getClient() {
     return client;
   }
