--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/attempt/Outcome.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/attempt/Outcome.java
@@ -24,6 +24,20 @@
     return label;
   }
 
+  /**
+   * Joins what is known of two attempts of one request.
+   *
+   * @param other the outcome of the other attempt, not null
+   * @return {@link #NOT_RUN} only if neither attempt ran, {@link #RAN} if one certainly ran, never
+   *     null
+   */
+  public Outcome join(Outcome other) {
+    if (this == RAN || other == RAN) {
+      return RAN;
+    }
+    return this == UNKNOWN || other == UNKNOWN ? UNKNOWN : NOT_RUN;
+  }
+
   /**
    * Gets the outcome of a label.
    *
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/retry/RetryPolicy.java
@@ -0,0 +1,82 @@
+package io.fireflyshed.coordination.retry;
+
+import io.fireflyshed.coordination.attempt.Outcome;
+import io.fireflyshed.coordination.retry.RetryDecision.StopReason;
+import java.time.Duration;
+import java.util.Objects;
+import org.apache.commons.rng.UniformRandomProvider;
+
+/**
+ * Decides whether a failed attempt is followed by another one. Thread safe.
+ *
+ * <p>Only work that may be computed twice is tried again after an attempt that may have run. The
+ * wait before a retry is drawn evenly from zero to a bound that doubles with each attempt ("full
+ * jitter" of M. Brooker, "Exponential Backoff and Jitter", 2015).
+ *
+ * <pre>{@code
+ * RetryPolicy policy =
+ *     new RetryPolicy(RetrySettings.ofDefaults(), new RetryBudget(0.2, 100, 10), random);
+ * RetryDecision next = policy.decide(Outcome.UNKNOWN, false, 1, Duration.ofSeconds(5));
+ * // Stop(NOT_REPEATABLE)
+ * }</pre>
+ */
+public final class RetryPolicy {
+
+  private static final int MAX_DOUBLINGS = 20;
+
+  private final RetrySettings settings;
+  private final RetryBudget budget;
+  private final UniformRandomProvider random;
+
+  /**
+   * Creates a policy.
+   *
+   * @param settings the limits, not null
+   * @param budget the budget of all requests of this process, not null
+   * @param random draws the waits; used by this policy only, not null
+   */
+  public RetryPolicy(RetrySettings settings, RetryBudget budget, UniformRandomProvider random) {
+    this.settings = Objects.requireNonNull(settings, "settings");
+    this.budget = Objects.requireNonNull(budget, "budget");
+    this.random = Objects.requireNonNull(random, "random");
+  }
+
+  /** Takes in that a request, not a retry, starts. */
+  public void onRequest() {
+    budget.onRequest();
+  }
+
+  /**
+   * Decides what follows a failed attempt and takes the price of a retry from the budget.
+   *
+   * @param outcome what is known of the attempt, not null
+   * @param isIdempotent whether the request may run more than once
+   * @param attempts the number of attempts so far, positive
+   * @param left the time until the deadline of the request, not null
+   * @return the decision, never null
+   */
+  public RetryDecision decide(
+      Outcome outcome, boolean isIdempotent, int attempts, Duration left) {
+    Objects.requireNonNull(outcome, "outcome");
+    if (outcome != Outcome.NOT_RUN && !isIdempotent) {
+      return new RetryDecision.Stop(StopReason.NOT_REPEATABLE);
+    }
+    if (attempts >= settings.maxAttempts()) {
+      return new RetryDecision.Stop(StopReason.TOO_MANY_ATTEMPTS);
+    }
+    Duration delay = newDelay(attempts);
+    if (delay.compareTo(left) >= 0) {
+      return new RetryDecision.Stop(StopReason.NO_TIME);
+    }
+    return budget.tryRetry()
+        ? new RetryDecision.Retry(delay)
+        : new RetryDecision.Stop(StopReason.NO_BUDGET);
+  }
+
+  private synchronized Duration newDelay(int attempts) {
+    int doublings = Math.min(attempts - 1, MAX_DOUBLINGS);
+    long bound =
+        Math.min(settings.maxDelay().toNanos(), settings.baseDelay().toNanos() << doublings);
+    return Duration.ofNanos(bound == 0 ? 0 : random.nextLong(bound + 1));
+  }
+}
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/desk/HttpPlainService.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/desk/HttpPlainService.java
@@ -21,6 +21,8 @@
 /** Talks to plain services over HTTP. Thread safe. */
 public final class HttpPlainService implements PlainService {
 
+  private static final int TOO_MANY_REQUESTS = 429;
+
   private final HttpCaller caller;
   private final Duration timeout;
 
@@ -62,7 +64,7 @@
       throw new AttemptException(
           call.step(), call.getPeerText(), outcome, String.valueOf(cause.getMessage()), cause);
     }
-    if (reply.status() >= 500) {
+    if (reply.status() >= 500 || reply.status() == TOO_MANY_REQUESTS) {
       Outcome outcome = Outcome.ofLabel(reply.headers().get(EngineHeaders.OUTCOME));
       throw new AttemptException(
           call.step(), call.getPeerText(), outcome, "the target answered " + reply.status(), null);
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/engine/HttpModelEngine.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/engine/HttpModelEngine.java
@@ -19,6 +19,7 @@
 import io.fireflyshed.state.instance.InstanceRecord;
 import io.fireflyshed.state.replica.MemberHealth;
 import io.fireflyshed.state.replica.ReplicaId;
+import io.fireflyshed.transport.http.HandOver;
 import io.fireflyshed.transport.http.HttpCall;
 import io.fireflyshed.transport.http.HttpCaller;
 import io.netty.buffer.Unpooled;
@@ -29,7 +30,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.atomic.AtomicBoolean;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.netty.ByteBufFlux;
@@ -110,16 +110,16 @@
     return Flux.defer(
         () -> {
           String peer = request.replica().getHead().getAddressText();
-          AtomicBoolean isHandedOver = new AtomicBoolean();
+          HandOver handOver = new HandOver();
           return newClient(request)
-              .doOnRequest((r, connection) -> isHandedOver.set(true))
+              .doOnRequest((r, connection) -> handOver.begin())
               .post()
               .uri("http://" + peer + request.kind().getPath())
               .send(
                   Mono.just(
                       Unpooled.wrappedBuffer(request.body().getBytes(StandardCharsets.UTF_8))))
               .response((response, body) -> decode(request, peer, response, body))
-              .onErrorMap(e -> toStreamError(peer, isHandedOver.get(), e));
+              .onErrorMap(e -> toStreamError(peer, handOver.isGivenUp(), e));
         });
   }
 
@@ -193,11 +193,11 @@
     return new AttemptException(step, peer, outcome, String.valueOf(cause.getMessage()), cause);
   }
 
-  private static Throwable toStreamError(String peer, boolean isHandedOver, Throwable error) {
+  private static Throwable toStreamError(String peer, boolean isGivenUp, Throwable error) {
     if (error instanceof AttemptException) {
       return error;
     }
-    Outcome outcome = isHandedOver ? Outcome.UNKNOWN : Outcome.NOT_RUN;
+    Outcome outcome = isGivenUp ? Outcome.NOT_RUN : Outcome.UNKNOWN;
     return new AttemptException(
         STEP_STREAM, peer, outcome, String.valueOf(error.getMessage()), error);
   }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/HttpCaller.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/HttpCaller.java
@@ -4,12 +4,15 @@
 import io.fireflyshed.state.error.NoEffectException;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelOption;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.atomic.AtomicBoolean;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.client.HttpClient;
+import reactor.netty.http.client.HttpClientResponse;
 import reactor.netty.resources.ConnectionProvider;
 
 /**
@@ -23,6 +26,7 @@
   private static final int MAX_PENDING_PER_PEER = 8192;
   private static final Duration MAX_IDLE = Duration.ofSeconds(20);
   private static final Duration ACQUIRE_TIMEOUT = Duration.ofSeconds(5);
+  private static final int NO_CONTENT = 204;
   private static final int CONNECT_TIMEOUT_MILLIS = 1000;
 
   private final ConnectionProvider connections;
@@ -64,10 +68,10 @@
    *     the request was not handed over and with {@link EffectUnknownException} otherwise
    */
   public CompletableFuture<HttpReply> send(HttpCall call) {
-    AtomicBoolean isHandedOver = new AtomicBoolean();
+    HandOver handOver = new HandOver();
     return client
         .headers(h -> call.headers().forEach(h::set))
-        .doOnRequest((request, connection) -> isHandedOver.set(true))
+        .doOnRequest((request, connection) -> handOver.begin())
         .request(call.method())
         .uri(call.getUrl())
         .send(
@@ -75,22 +79,32 @@
                 () -> Unpooled.wrappedBuffer(call.body().getBytes(StandardCharsets.UTF_8))))
         .responseSingle(
             (response, body) ->
-                body.asByteArray()
-                    .defaultIfEmpty(new byte[0])
-                    .map(
-                        b ->
-                            new HttpReply(response.status().code(), response.responseHeaders(), b)))
+                isDelimited(response)
+                    ? body.asByteArray().defaultIfEmpty(new byte[0]).map(b -> toReply(response, b))
+                    : Mono.error(new IOException("the end of the response is not marked")))
         .timeout(call.timeout())
-        .onErrorMap(e -> toError(call, isHandedOver.get(), e))
+        .onErrorMap(e -> toError(call, handOver.isGivenUp(), e))
         .toFuture();
   }
 
-  private static RuntimeException toError(HttpCall call, boolean isHandedOver, Throwable cause) {
-    if (isHandedOver) {
-      return new EffectUnknownException(call.step(), call.getPeerText(), cause);
+  /** Tests whether a cut connection can be told from the end of the body. */
+  private static boolean isDelimited(HttpClientResponse response) {
+    HttpHeaders headers = response.responseHeaders();
+    return headers.contains(HttpHeaderNames.CONTENT_LENGTH)
+        || headers.contains(HttpHeaderNames.TRANSFER_ENCODING)
+        || response.status().code() == NO_CONTENT;
+  }
+
+  private static HttpReply toReply(HttpClientResponse response, byte[] body) {
+    return new HttpReply(response.status().code(), response.responseHeaders(), body);
+  }
+
+  private static RuntimeException toError(HttpCall call, boolean isGivenUp, Throwable cause) {
+    if (isGivenUp) {
+      return new NoEffectException(
+          call.step(), call.getPeerText(), "the peer can't be reached", cause);
     }
-    return new NoEffectException(
-        call.step(), call.getPeerText(), "the peer can't be reached", cause);
+    return new EffectUnknownException(call.step(), call.getPeerText(), cause);
   }
 
   @Override
--- /dev/null
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/http/HttpCallerTest.java
@@ -0,0 +1,139 @@
+package io.fireflyshed.transport.http;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import io.fireflyshed.state.error.EffectUnknownException;
+import io.fireflyshed.state.error.NoEffectException;
+import io.netty.handler.codec.http.HttpMethod;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.Test;
+
+/** Tests {@link HttpCaller} and {@link HandOver}. */
+public class HttpCallerTest {
+
+  private static final int WAIT_SECONDS = 30;
+
+  private final HttpCaller caller = new HttpCaller("test");
+
+  /** Closes the pool. */
+  @AfterClass
+  public void close() {
+    caller.close();
+  }
+
+  /** Answers one connection with the given text, then closes it; counts the bytes it got. */
+  private static CompletableFuture<Integer> serveOnce(ServerSocket server, String answer) {
+    CompletableFuture<Integer> received = new CompletableFuture<>();
+    Thread thread =
+        new Thread(
+            () -> {
+              try (Socket socket = server.accept()) {
+                int count = socket.getInputStream().read(new byte[4096]);
+                socket.getOutputStream().write(answer.getBytes(StandardCharsets.US_ASCII));
+                received.complete(count);
+              } catch (IOException e) {
+                received.completeExceptionally(e);
+              }
+            });
+    thread.setDaemon(true);
+    thread.start();
+    return received;
+  }
+
+  private Throwable sendAndFail(int port) {
+    HttpCall call =
+        new HttpCall(
+            "order",
+            new InetSocketAddress("127.0.0.1", port),
+            HttpMethod.POST,
+            "/orders",
+            Map.of(),
+            "body",
+            Duration.ofSeconds(WAIT_SECONDS));
+    return expectThrows(
+            ExecutionException.class, () -> caller.send(call).get(WAIT_SECONDS, TimeUnit.SECONDS))
+        .getCause();
+  }
+
+  private static ServerSocket newServer() throws IOException {
+    return new ServerSocket(0, 8, InetAddress.getByName("127.0.0.1"));
+  }
+
+  @Test
+  public void refusedConnectionHasNoEffect() throws IOException {
+    int port;
+    try (ServerSocket server = newServer()) {
+      port = server.getLocalPort();
+    }
+    assertTrue(sendAndFail(port) instanceof NoEffectException);
+  }
+
+  @Test
+  public void connectionClosedWithoutAnswerIsUnknown() throws IOException {
+    try (ServerSocket server = newServer()) {
+      serveOnce(server, "");
+      assertTrue(sendAndFail(server.getLocalPort()) instanceof EffectUnknownException);
+    }
+  }
+
+  @Test
+  public void truncatedBodyIsUnknown() throws IOException {
+    try (ServerSocket server = newServer()) {
+      serveOnce(server, "HTTP/1.1 200 OK\r\ncontent-length: 20\r\n\r\nhalf");
+      assertTrue(sendAndFail(server.getLocalPort()) instanceof EffectUnknownException);
+    }
+  }
+
+  @Test
+  public void bodyWithoutMarkedEndIsUnknown() throws IOException {
+    try (ServerSocket server = newServer()) {
+      serveOnce(server, "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nhalf");
+      assertTrue(sendAndFail(server.getLocalPort()) instanceof EffectUnknownException);
+    }
+  }
+
+  @Test
+  public void requestGivenUpBeforeItsFirstByteIsNeverWritten() throws Exception {
+    try (ServerSocket server = newServer();
+        HttpCaller other = new HttpCaller("other")) {
+      CompletableFuture<Integer> received = serveOnce(server, "");
+      HandOver handOver = new HandOver();
+      assertTrue(handOver.isGivenUp());
+      CompletableFuture<?> answer =
+          other
+              .getClient()
+              .doOnRequest((request, connection) -> handOver.begin())
+              .get()
+              .uri("http://127.0.0.1:" + server.getLocalPort() + "/")
+              .response()
+              .toFuture();
+      assertThrows(ExecutionException.class, () -> answer.get(WAIT_SECONDS, TimeUnit.SECONDS));
+      other.close();
+      assertEquals((int) received.get(WAIT_SECONDS, TimeUnit.SECONDS), -1);
+    }
+  }
+
+  @Test
+  public void requestThatWasSentCannotBeGivenUp() {
+    HandOver handOver = new HandOver();
+    handOver.begin(); // just before the first byte
+    boolean isNotSent = handOver.isGivenUp(); // false: it may have arrived
+    assertFalse(isNotSent);
+    assertThrows(IllegalStateException.class, handOver::begin);
+  }
+}
--- /dev/null
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/http/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the HTTP client. */
+package io.fireflyshed.transport.http;
