Retry within a budget, break stalled attempts and check the whole answer

Cause: retries had no budget or back-off; a paused replica held its streams for ever; after one attempt that may have run and one that did not, the caller was told "not run"; a repeated event broke the attempt.

Change: RetryPolicy decides on further attempts (outcome, deadline, budget, jittered back-off); StreamAssembler joins the chunks of successive attempts; StallWatch breaks an attempt that sends nothing while its caller waits; the outcomes of all attempts are joined before the caller is told.

--- a/fireflyshed-bench/src/main/java/io/fireflyshed/bench/relay/FixedEntry.java
+++ b/fireflyshed-bench/src/main/java/io/fireflyshed/bench/relay/FixedEntry.java
@@ -1,5 +1,6 @@
 package io.fireflyshed.bench.relay;
 
+import io.fireflyshed.coordination.retry.RetryPolicy;
 import io.fireflyshed.coordination.routing.LeastInFlightRouter;
 import io.fireflyshed.protocol.completion.CompletionKind;
 import io.fireflyshed.protocol.engine.ModelEngine;
@@ -20,6 +21,7 @@
 import io.fireflyshed.transport.entry.CompletionRunner;
 import io.fireflyshed.transport.entry.EntrySettings;
 import io.fireflyshed.transport.entry.FixedAccountDirectory;
+import io.fireflyshed.transport.entry.StreamSettings;
 import io.fireflyshed.transport.entry.UnlimitedAdmission;
 import io.fireflyshed.transport.http.HttpCaller;
 import io.fireflyshed.transport.trace.RequestTracer;
@@ -29,6 +31,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.apache.commons.rng.simple.RandomSource;
 import reactor.netty.DisposableServer;
 import reactor.netty.http.server.HttpServer;
 
@@ -56,7 +59,14 @@
             Duration.ofSeconds(1));
     ModelEngine client = new HttpModelEngine(caller, Duration.ofSeconds(1));
     CompletionRunner runner =
-        new CompletionRunner(() -> view, new LeastInFlightRouter(), client, tracer, clock);
+        new CompletionRunner(
+            () -> view,
+            new LeastInFlightRouter(),
+            client,
+            tracer,
+            clock,
+            StreamSettings.ofDefaults(),
+            RetryPolicy.ofDefaults(RandomSource.XO_RO_SHI_RO_128_PP.create()));
     AccountDirectory accounts = new FixedAccountDirectory(Map.of("bench", KEY));
     CompletionHandler handler =
         new CompletionHandler(
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/retry/RetryPolicy.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/retry/RetryPolicy.java
@@ -22,6 +22,9 @@
  */
 public final class RetryPolicy {
 
+  private static final double BUDGET_RATIO = 0.2;
+  private static final double BUDGET_MAX_BALANCE = 500;
+  private static final double BUDGET_INITIAL_BALANCE = 100;
   private static final int MAX_DOUBLINGS = 20;
 
   private final RetrySettings settings;
@@ -41,6 +44,17 @@
     this.random = Objects.requireNonNull(random, "random");
   }
 
+  /**
+   * Creates the policy of an entry with a budget of its own.
+   *
+   * @param random draws the waits; used by this policy only, not null
+   * @return the policy, never null
+   */
+  public static RetryPolicy ofDefaults(UniformRandomProvider random) {
+    RetryBudget budget = new RetryBudget(BUDGET_RATIO, BUDGET_MAX_BALANCE, BUDGET_INITIAL_BALANCE);
+    return new RetryPolicy(RetrySettings.ofDefaults(), budget, random);
+  }
+
   /** Takes in that a request, not a retry, starts. */
   public void onRequest() {
     budget.onRequest();
@@ -55,8 +69,7 @@
    * @param left the time until the deadline of the request, not null
    * @return the decision, never null
    */
-  public RetryDecision decide(
-      Outcome outcome, boolean isIdempotent, int attempts, Duration left) {
+  public RetryDecision decide(Outcome outcome, boolean isIdempotent, int attempts, Duration left) {
     Objects.requireNonNull(outcome, "outcome");
     if (outcome != Outcome.NOT_RUN && !isIdempotent) {
       return new RetryDecision.Stop(StopReason.NOT_REPEATABLE);
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/stream/StreamAssembler.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/stream/StreamAssembler.java
@@ -16,10 +16,10 @@
  * <pre>{@code
  * StreamAssembler<String> answer = new StreamAssembler<>(16);
  * answer.begin("attempt-1");
- * answer.accept("attempt-1", 0, "a"); // [a]
+ * answer.accept("attempt-1", 0, 1, "a"); // [a]
  * answer.begin("attempt-2"); // resumes at offset 1
- * answer.accept("attempt-1", 1, "late"); // []
- * answer.accept("attempt-2", 1, "b"); // [b]
+ * answer.accept("attempt-1", 1, 1, "late"); // []
+ * answer.accept("attempt-2", 1, 1, "b"); // [b]
  * answer.end("attempt-2", 2); // COMPLETE
  * }</pre>
  *
@@ -38,7 +38,11 @@
   }
 
   private final int maxEarly;
-  private final Map<Long, T> early = new TreeMap<>();
+
+  /** An event and the number of offsets that it covers. */
+  private record Early<T>(int length, T event) {}
+
+  private final Map<Long, Early<T>> early = new TreeMap<>();
   private String attempt = "";
   private long delivered;
   private boolean isComplete;
@@ -72,20 +76,29 @@
    *
    * @param from the id of the attempt that it belongs to, not null
    * @param offset the position of the event in the answer, from 0
+   * @param length the number of offsets that the event covers, 0 or more
    * @param event the event, not null
    * @return the events to deliver now, in order, never null
-   * @throws IllegalStateException if too many events wait for a gap to be filled
+   * @throws IllegalStateException if the event overlaps the delivered ones in part, or if too many
+   *     events wait for a gap to be filled
    */
-  public List<T> accept(String from, long offset, T event) {
+  public List<T> accept(String from, long offset, int length, T event) {
     Objects.requireNonNull(event, "event");
-    if (isComplete || !attempt.equals(from) || offset < delivered) {
+    if (isComplete || !attempt.equals(from)) {
+      return List.of();
+    }
+    if (offset < delivered) {
+      if (offset + length > delivered) {
+        throw new IllegalStateException("an event overlaps offset " + delivered);
+      }
       return List.of();
     }
-    early.putIfAbsent(offset, event);
+    early.putIfAbsent(offset, new Early<>(length, event));
     List<T> ready = new ArrayList<>();
     while (early.containsKey(delivered)) {
-      ready.add(early.remove(delivered));
-      delivered++;
+      Early<T> next = early.remove(delivered);
+      ready.add(next.event());
+      delivered += next.length();
     }
     if (early.size() > maxEarly) {
       throw new IllegalStateException("no event with offset " + delivered + " came");
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/engine/EngineStreamDecoder.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/engine/EngineStreamDecoder.java
@@ -21,11 +21,13 @@
 
   private final SseDecoder decoder = new SseDecoder();
   private final String peer;
+  private final long startOffset;
   private long nextOffset;
   private boolean isEnded;
 
   EngineStreamDecoder(String peer, long offset) {
     this.peer = peer;
+    this.startOffset = offset;
     this.nextOffset = offset;
   }
 
@@ -39,6 +41,9 @@
       if (error != null || isEnded) {
         break;
       }
+      if (isRepeated(event)) {
+        continue;
+      }
       frames.append(event);
       isEnded = event.isDone();
       nextOffset += isEnded ? 0 : 1;
@@ -60,13 +65,19 @@
     if (ERROR_EVENT.equals(event.name())) {
       return "the engine ended the stream with an error: " + event.getText();
     }
-    if (!event.isDone() && event.id() != nextOffset) {
+    if (!event.isDone() && event.id() != nextOffset && !isRepeated(event)) {
       return "expected offset " + nextOffset + " but got " + event.id();
     }
     return null;
   }
 
+  /** Tests whether this attempt sent the event before. */
+  private boolean isRepeated(SseEvent event) {
+    return !event.isDone() && event.id() >= startOffset && event.id() < nextOffset;
+  }
+
   private AttemptException newError(String message) {
-    return new AttemptException(STEP, peer, Outcome.UNKNOWN, message, null);
+    Outcome outcome = nextOffset > startOffset ? Outcome.RAN : Outcome.UNKNOWN;
+    return new AttemptException(STEP, peer, outcome, message, null);
   }
 }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/entry/CompletionRunner.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/entry/CompletionRunner.java
@@ -1,8 +1,12 @@
 package io.fireflyshed.transport.entry;
 
 import io.fireflyshed.coordination.attempt.AttemptException;
+import io.fireflyshed.coordination.attempt.Outcome;
+import io.fireflyshed.coordination.retry.RetryDecision;
+import io.fireflyshed.coordination.retry.RetryPolicy;
 import io.fireflyshed.coordination.routing.ReplicaRouter;
 import io.fireflyshed.coordination.routing.RouteRequest;
+import io.fireflyshed.coordination.stream.StreamAssembler;
 import io.fireflyshed.protocol.completion.CompletionRequest;
 import io.fireflyshed.protocol.engine.EngineRequest;
 import io.fireflyshed.protocol.engine.ModelEngine;
@@ -20,7 +24,10 @@
 import io.opentelemetry.api.trace.SpanKind;
 import io.opentelemetry.api.trace.StatusCode;
 import io.opentelemetry.context.Context;
+import java.nio.ByteBuffer;
+import java.time.Duration;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
@@ -28,6 +35,8 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.SynchronousSink;
 
 /**
  * Runs a completion on whole replicas until the answer is complete or the attempts are used up.
@@ -38,7 +47,8 @@
 public final class CompletionRunner {
 
   private static final Logger LOG = LoggerFactory.getLogger(CompletionRunner.class);
-  private static final int MAX_ATTEMPTS = 3;
+  private static final int MAX_EARLY_CHUNKS = 16;
+  private static final String STEP = "stream";
   private static final int RETRY_AFTER_SECONDS = 1;
 
   private final Supplier<ServingView> views;
@@ -46,6 +56,8 @@
   private final ModelEngine engine;
   private final RequestTracer tracer;
   private final MonotonicClock clock;
+  private final StreamSettings settings;
+  private final RetryPolicy retries;
 
   /**
    * Creates a runner.
@@ -55,18 +67,24 @@
    * @param engine talks to engines, not null
    * @param tracer makes spans, not null
    * @param clock the clock of this process, not null
+   * @param settings the time limits, not null
+   * @param retries decides on further attempts, not null
    */
   public CompletionRunner(
       Supplier<ServingView> views,
       ReplicaRouter router,
       ModelEngine engine,
       RequestTracer tracer,
-      MonotonicClock clock) {
+      MonotonicClock clock,
+      StreamSettings settings,
+      RetryPolicy retries) {
     this.views = views;
     this.router = router;
     this.engine = engine;
     this.tracer = tracer;
     this.clock = clock;
+    this.settings = settings;
+    this.retries = retries;
   }
 
   /**
@@ -79,7 +97,17 @@
    *     ProblemException}
    */
   public Flux<StreamChunk> run(CompletionRequest request, String requestId, Context context) {
-    return Flux.defer(() -> new Run(request, requestId, context).next(null));
+    return Flux.defer(() -> new Run(request, requestId, context).start());
+  }
+
+  private static StreamChunk join(List<StreamChunk> chunks) {
+    int bytes = chunks.stream().mapToInt(c -> c.frames().remaining()).sum();
+    ByteBuffer frames = ByteBuffer.allocate(bytes);
+    chunks.forEach(c -> frames.put(c.frames().duplicate()));
+    StreamChunk first = chunks.get(0);
+    StreamChunk last = chunks.get(chunks.size() - 1);
+    int tokens = (int) (last.getNextOffset() - first.offset());
+    return new StreamChunk(first.offset(), tokens, frames.flip(), last.isEnd());
   }
 
   /** Holds the progress of one request; its methods run one after another. */
@@ -90,20 +118,28 @@
     private final Context context;
     private final String body;
     private final Set<ReplicaId> excluded = new HashSet<>();
+    private final StreamAssembler<StreamChunk> answer = new StreamAssembler<>(MAX_EARLY_CHUNKS);
+    private final long deadlineNanos;
+    private Outcome outcome = Outcome.NOT_RUN;
     private int attempts;
-    private long delivered;
 
     Run(CompletionRequest request, String requestId, Context context) {
       this.request = request;
       this.requestId = requestId;
       this.context = context;
       this.body = JsonUtils.toText(request.body().deepCopy().put("stream", true));
+      this.deadlineNanos = clock.nanoTime() + settings.timeout().toNanos();
+    }
+
+    Flux<StreamChunk> start() {
+      retries.onRequest();
+      return next(null);
     }
 
-    Flux<StreamChunk> next(AttemptException last) {
+    private Flux<StreamChunk> next(AttemptException last) {
       RouteRequest route = new RouteRequest(request.model(), request.prompt(), excluded);
       Optional<OpenReplica> choice = router.choose(views.get(), route, clock.nanoTime());
-      if (attempts == MAX_ATTEMPTS || choice.isEmpty()) {
+      if (choice.isEmpty()) {
         return Flux.error(newProblem(last));
       }
       attempts++;
@@ -115,7 +151,13 @@
 
     private Flux<StreamChunk> onBroken(Assignment replica, AttemptException error) {
       LOG.info("entry: attempt on {} broke: {}", replica.id(), error.getMessage());
-      return next(error);
+      outcome = outcome.join(error.getOutcome());
+      Duration left = Duration.ofNanos(deadlineNanos - clock.nanoTime());
+      RetryDecision decision = retries.decide(error.getOutcome(), true, attempts, left);
+      if (decision instanceof RetryDecision.Retry retry) {
+        return Mono.delay(retry.delay()).thenMany(Flux.defer(() -> next(error)));
+      }
+      return Flux.error(newProblem(error));
     }
 
     private Flux<StreamChunk> attempt(Assignment replica, RouteRequest route) {
@@ -130,11 +172,16 @@
               replica,
               request.kind(),
               body,
-              delivered,
+              answer.begin(attemptId),
               tracer.inject(context.with(span)));
+      String peer = replica.getHead().getAddressText();
+      StallWatch stalls = new StallWatch(settings, clock, () -> isOpen(replica), peer);
       router.onStart(replica.id(), route);
-      return engine.stream(call)
-          .doOnNext(chunk -> delivered = chunk.getNextOffset())
+      return stalls
+          .watch(engine.stream(call))
+          .<StreamChunk>handle((chunk, sink) -> assemble(attemptId, peer, chunk, sink))
+          .takeUntil(chunk -> answer.isComplete())
+          .concatWith(Flux.defer(() -> checkEnd(peer)))
           .doOnError(e -> span.setStatus(StatusCode.ERROR, String.valueOf(e.getMessage())))
           .doFinally(
               signal -> {
@@ -143,6 +190,39 @@
               });
     }
 
+    private void assemble(
+        String attemptId, String peer, StreamChunk chunk, SynchronousSink<StreamChunk> sink) {
+      List<StreamChunk> ready;
+      try {
+        ready = answer.accept(attemptId, chunk.offset(), chunk.tokens(), chunk);
+      } catch (IllegalStateException e) {
+        sink.error(new AttemptException(STEP, peer, Outcome.RAN, e.getMessage(), e));
+        return;
+      }
+      if (ready.isEmpty()) {
+        return;
+      }
+      StreamChunk last = ready.get(ready.size() - 1);
+      if (last.isEnd()) {
+        answer.end(attemptId, last.getNextOffset());
+      }
+      sink.next(ready.size() == 1 ? last : join(ready));
+    }
+
+    /** Fails if an attempt ended before the answer was complete. */
+    private Flux<StreamChunk> checkEnd(String peer) {
+      return answer.isComplete()
+          ? Flux.empty()
+          : Flux.error(
+              new AttemptException(STEP, peer, Outcome.RAN, "the answer is not complete", null));
+    }
+
+    private boolean isOpen(Assignment replica) {
+      return views.get().getOpen(replica.service()).stream()
+          .map(OpenReplica::assignment)
+          .anyMatch(a -> a.id().equals(replica.id()) && a.generation() == replica.generation());
+    }
+
     private ProblemException newProblem(AttemptException last) {
       if (last == null) {
         return new ProblemException(
@@ -159,7 +239,7 @@
               last.getMessage(),
               last.getStep(),
               last.getPeer(),
-              last.getOutcome(),
+              outcome,
               true,
               OptionalInt.of(RETRY_AFTER_SECONDS)));
     }
--- /dev/null
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/retry/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of decisions on retries. */
+package io.fireflyshed.coordination.retry;
--- /dev/null
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/stream/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the order and completeness of answers. */
+package io.fireflyshed.coordination.stream;
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/entry/EntryDaemon.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/entry/EntryDaemon.java
@@ -1,6 +1,7 @@
 package io.fireflyshed.daemon.entry;
 
 import io.fireflyshed.coordination.order.OrderSettings;
+import io.fireflyshed.coordination.retry.RetryPolicy;
 import io.fireflyshed.coordination.routing.LeastInFlightRouter;
 import io.fireflyshed.protocol.desk.PlainService;
 import io.fireflyshed.protocol.engine.ModelEngine;
@@ -18,6 +19,7 @@
 import io.fireflyshed.transport.entry.EntryServer;
 import io.fireflyshed.transport.entry.FixedAccountDirectory;
 import io.fireflyshed.transport.entry.OrderHandler;
+import io.fireflyshed.transport.entry.StreamSettings;
 import io.fireflyshed.transport.entry.UnlimitedAdmission;
 import io.fireflyshed.transport.http.HttpCaller;
 import io.fireflyshed.transport.platform.HttpInstanceList;
@@ -31,6 +33,7 @@
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
+import org.apache.commons.rng.simple.RandomSource;
 
 /** Wires the parts of one entry process together. */
 public final class EntryDaemon implements AutoCloseable {
@@ -116,7 +119,14 @@
     RequestTracer tracer = new RequestTracer(telemetry);
     AccountDirectory accounts = new FixedAccountDirectory(settings.accounts());
     CompletionRunner runner =
-        new CompletionRunner(control, new LeastInFlightRouter(), engine, tracer, clock);
+        new CompletionRunner(
+            control,
+            new LeastInFlightRouter(),
+            engine,
+            tracer,
+            clock,
+            StreamSettings.ofDefaults(),
+            RetryPolicy.ofDefaults(RandomSource.XO_RO_SHI_RO_128_PP.create()));
     CompletionHandler completions =
         new CompletionHandler(
             settings.entry(), accounts, control, new UnlimitedAdmission(), runner, tracer);
