Refuse requests that crash replicas and end shutdowns explicitly

Cause: a request that crashed its replica was tried on the next ones and by each repeat of its caller; what was in flight at the deadline of a shutdown was cut without a word; the result of an order could be lost with its entry.

Change: PoisonList suspects what ran in a crash, isolates suspects and refuses the single suspect of a second crash; PoisonGuard shares it between entries. ShutdownSignal turns what is left at the deadline into an error event or a problem; the daemon waits until results of orders are recorded.

--- a/fireflyshed-bench/src/main/java/io/fireflyshed/bench/relay/FixedEntry.java
+++ b/fireflyshed-bench/src/main/java/io/fireflyshed/bench/relay/FixedEntry.java
@@ -1,5 +1,7 @@
 package io.fireflyshed.bench.relay;
 
+import io.fireflyshed.coordination.poison.PoisonList;
+import io.fireflyshed.coordination.poison.PoisonSettings;
 import io.fireflyshed.coordination.retry.RetryPolicy;
 import io.fireflyshed.coordination.routing.LeastInFlightRouter;
 import io.fireflyshed.protocol.completion.CompletionKind;
@@ -9,6 +11,8 @@
 import io.fireflyshed.state.instance.FabricDomain;
 import io.fireflyshed.state.instance.InstanceId;
 import io.fireflyshed.state.instance.InstanceRecord;
+import io.fireflyshed.state.peer.LonePeerBus;
+import io.fireflyshed.state.peer.PeerId;
 import io.fireflyshed.state.replica.Assignment;
 import io.fireflyshed.state.replica.ModelServiceSpec;
 import io.fireflyshed.state.replica.OpenReplica;
@@ -21,6 +25,7 @@
 import io.fireflyshed.transport.entry.CompletionRunner;
 import io.fireflyshed.transport.entry.EntrySettings;
 import io.fireflyshed.transport.entry.FixedAccountDirectory;
+import io.fireflyshed.transport.entry.PoisonGuard;
 import io.fireflyshed.transport.entry.StreamSettings;
 import io.fireflyshed.transport.entry.UnlimitedAdmission;
 import io.fireflyshed.transport.http.HttpCaller;
@@ -66,7 +71,11 @@
             tracer,
             clock,
             StreamSettings.ofDefaults(),
-            RetryPolicy.ofDefaults(RandomSource.XO_RO_SHI_RO_128_PP.create()));
+            RetryPolicy.ofDefaults(RandomSource.XO_RO_SHI_RO_128_PP.create()),
+            new PoisonGuard(
+                new PoisonList(PoisonSettings.ofDefaults()),
+                new LonePeerBus(new PeerId("bench")),
+                clock));
     AccountDirectory accounts = new FixedAccountDirectory(Map.of("bench", KEY));
     CompletionHandler handler =
         new CompletionHandler(
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/attempt/TargetLostException.java
@@ -0,0 +1,21 @@
+package io.fireflyshed.coordination.attempt;
+
+/** Signals that a target that was running an attempt went away without a word. */
+public class TargetLostException extends AttemptException {
+
+  private static final long serialVersionUID = 1L;
+
+  /**
+   * Creates an exception.
+   *
+   * @param step the step that failed, not null
+   * @param peer the target, not null
+   * @param outcome what is known of the attempt, not null
+   * @param message what went wrong, not null
+   * @param cause the cause, or null
+   */
+  public TargetLostException(
+      String step, String peer, Outcome outcome, String message, Throwable cause) {
+    super(step, peer, outcome, message, cause);
+  }
+}
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/poison/RendezvousHash.java
@@ -0,0 +1,16 @@
+package io.fireflyshed.coordination.poison;
+
+import io.fireflyshed.state.replica.ReplicaId;
+import java.nio.charset.StandardCharsets;
+import org.apache.commons.codec.digest.MurmurHash3;
+
+/** Scores replicas for a fingerprint. */
+final class RendezvousHash {
+
+  private RendezvousHash() {}
+
+  static long score(String fingerprint, ReplicaId replica) {
+    byte[] bytes = (fingerprint + "/" + replica).getBytes(StandardCharsets.UTF_8);
+    return MurmurHash3.hash128x64(bytes)[0];
+  }
+}
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/engine/EngineStreamDecoder.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/engine/EngineStreamDecoder.java
@@ -2,6 +2,7 @@
 
 import io.fireflyshed.coordination.attempt.AttemptException;
 import io.fireflyshed.coordination.attempt.Outcome;
+import io.fireflyshed.coordination.attempt.TargetLostException;
 import io.fireflyshed.protocol.completion.SseDecoder;
 import io.fireflyshed.protocol.completion.SseEncoder;
 import io.fireflyshed.protocol.completion.SseEvent;
@@ -58,7 +59,7 @@
 
   /** Fails if the body ended without the end event. */
   Flux<StreamChunk> checkEnd() {
-    return isEnded ? Flux.empty() : Flux.error(newError("the stream ended without its end event"));
+    return isEnded ? Flux.empty() : Flux.error(newLost("the stream ended without its end event"));
   }
 
   private String check(SseEvent event) {
@@ -76,6 +77,10 @@
     return !event.isDone() && event.id() >= startOffset && event.id() < nextOffset;
   }
 
+  private TargetLostException newLost(String message) {
+    return new TargetLostException(STEP, peer, newError(message).getOutcome(), message, null);
+  }
+
   private AttemptException newError(String message) {
     Outcome outcome = nextOffset > startOffset ? Outcome.RAN : Outcome.UNKNOWN;
     return new AttemptException(STEP, peer, outcome, message, null);
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/engine/HttpModelEngine.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/engine/HttpModelEngine.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.fireflyshed.coordination.attempt.AttemptException;
 import io.fireflyshed.coordination.attempt.Outcome;
+import io.fireflyshed.coordination.attempt.TargetLostException;
 import io.fireflyshed.protocol.engine.EngineHeaders;
 import io.fireflyshed.protocol.engine.EngineOrder;
 import io.fireflyshed.protocol.engine.EngineRequest;
@@ -194,8 +195,9 @@
     if (error instanceof AttemptException) {
       return error;
     }
-    Outcome outcome = isGivenUp ? Outcome.NOT_RUN : Outcome.UNKNOWN;
-    return new AttemptException(
-        STEP_STREAM, peer, outcome, String.valueOf(error.getMessage()), error);
+    String message = String.valueOf(error.getMessage());
+    return isGivenUp
+        ? new AttemptException(STEP_STREAM, peer, Outcome.NOT_RUN, message, error)
+        : new TargetLostException(STEP_STREAM, peer, Outcome.UNKNOWN, message, error);
   }
 }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/entry/ClaimingOrderPlacer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/entry/ClaimingOrderPlacer.java
@@ -16,6 +16,7 @@
 import io.fireflyshed.state.table.CommitResult;
 import io.fireflyshed.state.table.RowKey;
 import io.fireflyshed.state.table.TableService;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -42,6 +43,7 @@
 
   private static final Logger LOG = LoggerFactory.getLogger(ClaimingOrderPlacer.class);
   private static final long TICKS_PER_INTERVAL = 4;
+  private static final Duration DRAIN_POLL = Duration.ofMillis(20);
   private static final int DIGEST_LENGTH = 32;
 
   /** An order of a caller and its future answer. */
@@ -104,6 +106,29 @@
     return CompletableFuture.supplyAsync(ledger::getOpen, thread);
   }
 
+  /**
+   * Waits until every order is answered and every result is recorded.
+   *
+   * @param timeout the longest wait, not null
+   * @return a future of the number of orders that were still open at the end
+   */
+  public CompletableFuture<Integer> drain(Duration timeout) {
+    long deadline = clock.nanoTime() + timeout.toNanos();
+    CompletableFuture<Integer> drained = new CompletableFuture<>();
+    thread.execute(() -> checkDrained(deadline, drained));
+    return drained;
+  }
+
+  private void checkDrained(long deadlineNanos, CompletableFuture<Integer> drained) {
+    if (ledger.getOpen() == 0 || clock.nanoTime() - deadlineNanos >= 0) {
+      int open = ledger.getOpen();
+      drained.completeAsync(() -> open);
+    } else {
+      Runnable again = () -> checkDrained(deadlineNanos, drained);
+      thread.schedule(again, DRAIN_POLL.toNanos(), TimeUnit.NANOSECONDS);
+    }
+  }
+
   /** Stops the thread. Orders that are still open are answered as unknown. */
   @Override
   public void close() {
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/entry/CompletionHandler.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/entry/CompletionHandler.java
@@ -1,5 +1,6 @@
 package io.fireflyshed.transport.entry;
 
+import io.fireflyshed.coordination.attempt.Outcome;
 import io.fireflyshed.protocol.completion.AnswerBuilder;
 import io.fireflyshed.protocol.completion.CompletionKind;
 import io.fireflyshed.protocol.completion.CompletionRequest;
@@ -20,6 +21,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.UUID;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
@@ -33,6 +35,7 @@
 public final class CompletionHandler {
 
   private static final String ERROR_EVENT = "error";
+  private static final int RETRY_AFTER_SECONDS = 1;
 
   /** A parsed request and the account that sent it. */
   private record Call(String account, CompletionRequest request) {}
@@ -87,12 +90,21 @@
    */
   public Publisher<Void> handle(
       CompletionKind kind, HttpServerRequest request, HttpServerResponse response) {
+    return handle(kind, request, response, new ShutdownSignal());
+  }
+
+  /** Answers one request; the signal ends it at the deadline of a shutdown. */
+  Publisher<Void> handle(
+      CompletionKind kind,
+      HttpServerRequest request,
+      HttpServerResponse response,
+      ShutdownSignal shutdown) {
     Context parent = tracer.extract(request.requestHeaders());
     Span span = tracer.start("entry", SpanKind.SERVER, parent);
     String requestId = "req-" + UUID.randomUUID();
     return Mono.fromSupplier(() -> authenticate(request, span))
         .flatMap(account -> read(kind, request, account))
-        .flatMap(call -> Mono.from(answer(call, requestId, parent.with(span), response)))
+        .flatMap(call -> Mono.from(answer(call, requestId, parent.with(span), response, shutdown)))
         .onErrorResume(e -> Mono.from(ProblemWriter.write(response, ProblemWriter.toProblem(e))))
         .doFinally(signal -> span.end());
   }
@@ -129,7 +141,11 @@
   }
 
   private Publisher<Void> answer(
-      Call call, String requestId, Context context, HttpServerResponse response) {
+      Call call,
+      String requestId,
+      Context context,
+      HttpServerResponse response,
+      ShutdownSignal shutdown) {
     response.header("x-request-id", requestId);
     Flux<StreamChunk> events =
         Flux.usingWhen(
@@ -139,9 +155,10 @@
                     .run(call.request(), requestId, context)
                     .doOnNext(chunk -> admitted.tokens().addAndGet(chunk.tokens())),
             admitted -> Mono.fromRunnable(admitted::release));
+    Flux<StreamChunk> limited = shutdown.limit(events, CompletionHandler::newShutdown);
     return call.request().isStream()
-        ? answerStream(events, response)
-        : answerWhole(call.request(), requestId, events, response);
+        ? answerStream(limited, response)
+        : answerWhole(call.request(), requestId, limited, response);
   }
 
   private Mono<Admitted> admit(Call call, Context context) {
@@ -198,6 +215,19 @@
         .then();
   }
 
+  private static ProblemException newShutdown() {
+    return new ProblemException(
+        new Problem(
+            503,
+            "shutting-down",
+            "the entry shut down before the answer was complete",
+            "serve",
+            "entry",
+            Outcome.UNKNOWN,
+            true,
+            OptionalInt.of(RETRY_AFTER_SECONDS)));
+  }
+
   private static ByteBuf toErrorFrame(Throwable error) {
     String problem = ProblemWriter.toProblem(error).toJson();
     ByteBuffer data = ByteBuffer.wrap(problem.getBytes(StandardCharsets.UTF_8));
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/entry/CompletionRunner.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/entry/CompletionRunner.java
@@ -2,6 +2,7 @@
 
 import io.fireflyshed.coordination.attempt.AttemptException;
 import io.fireflyshed.coordination.attempt.Outcome;
+import io.fireflyshed.coordination.attempt.TargetLostException;
 import io.fireflyshed.coordination.retry.RetryDecision;
 import io.fireflyshed.coordination.retry.RetryPolicy;
 import io.fireflyshed.coordination.routing.ReplicaRouter;
@@ -28,7 +29,6 @@
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
 import java.util.function.Supplier;
@@ -58,6 +58,7 @@
   private final MonotonicClock clock;
   private final StreamSettings settings;
   private final RetryPolicy retries;
+  private final PoisonGuard poison;
 
   /**
    * Creates a runner.
@@ -69,6 +70,7 @@
    * @param clock the clock of this process, not null
    * @param settings the time limits, not null
    * @param retries decides on further attempts, not null
+   * @param poison refuses requests that crash replicas, not null
    */
   public CompletionRunner(
       Supplier<ServingView> views,
@@ -77,7 +79,8 @@
       RequestTracer tracer,
       MonotonicClock clock,
       StreamSettings settings,
-      RetryPolicy retries) {
+      RetryPolicy retries,
+      PoisonGuard poison) {
     this.views = views;
     this.router = router;
     this.engine = engine;
@@ -85,6 +88,7 @@
     this.clock = clock;
     this.settings = settings;
     this.retries = retries;
+    this.poison = poison;
   }
 
   /**
@@ -137,21 +141,53 @@
     }
 
     private Flux<StreamChunk> next(AttemptException last) {
-      RouteRequest route = new RouteRequest(request.model(), request.prompt(), excluded);
-      Optional<OpenReplica> choice = router.choose(views.get(), route, clock.nanoTime());
-      if (choice.isEmpty()) {
-        return Flux.error(newProblem(last));
-      }
+      return switch (poison.getVerdict(request)) {
+        case REFUSED -> Flux.error(newRefused());
+        case SUSPECTED -> nextIsolated(last);
+        case CLEAR -> nextRouted(last);
+      };
+    }
+
+    private Flux<StreamChunk> nextRouted(AttemptException last) {
+      RouteRequest route = newRoute();
+      return router
+          .choose(views.get(), route, clock.nanoTime())
+          .map(r -> run(r.assignment(), route))
+          .orElseGet(() -> Flux.error(newProblem(last)));
+    }
+
+    /** Runs a suspect on a replica that runs no other suspect of this process. */
+    private Flux<StreamChunk> nextIsolated(AttemptException last) {
+      List<Assignment> open =
+          views.get().getOpen(request.model()).stream()
+              .filter(r -> r.isOpen(clock.nanoTime()))
+              .map(OpenReplica::assignment)
+              .filter(a -> !excluded.contains(a.id()))
+              .toList();
+      return poison
+          .isolate(request, open)
+          .map(a -> run(a, newRoute()).doFinally(signal -> poison.release(request, a)))
+          .orElseGet(() -> Flux.error(newProblem(last)));
+    }
+
+    private RouteRequest newRoute() {
+      return new RouteRequest(request.model(), request.prompt(), excluded);
+    }
+
+    private Flux<StreamChunk> run(Assignment replica, RouteRequest route) {
       attempts++;
-      Assignment replica = choice.get().assignment();
       excluded.add(replica.id());
       return attempt(replica, route)
+          .doOnComplete(() -> poison.onCompleted(request))
           .onErrorResume(AttemptException.class, e -> onBroken(replica, e));
     }
 
     private Flux<StreamChunk> onBroken(Assignment replica, AttemptException error) {
       LOG.info("entry: attempt on {} broke: {}", replica.id(), error.getMessage());
       outcome = outcome.join(error.getOutcome());
+      if (error instanceof TargetLostException) {
+        poison.onLost(request, replica);
+      }
       Duration left = Duration.ofNanos(deadlineNanos - clock.nanoTime());
       RetryDecision decision = retries.decide(error.getOutcome(), true, attempts, left);
       if (decision instanceof RetryDecision.Retry retry) {
@@ -223,6 +259,19 @@
           .anyMatch(a -> a.id().equals(replica.id()) && a.generation() == replica.generation());
     }
 
+    private ProblemException newRefused() {
+      return new ProblemException(
+          new Problem(
+              422,
+              "poison-request",
+              "the request was running when replicas crashed; it is refused for a while",
+              "accept",
+              "entry",
+              outcome,
+              false,
+              OptionalInt.empty()));
+    }
+
     private ProblemException newProblem(AttemptException last) {
       if (last == null) {
         return new ProblemException(
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/entry/EntryServer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/entry/EntryServer.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.fireflyshed.protocol.completion.CompletionKind;
 import io.fireflyshed.protocol.json.JsonUtils;
+import io.fireflyshed.protocol.problem.Problem;
 import io.fireflyshed.state.replica.ServingView;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -18,6 +19,7 @@
 import org.slf4j.LoggerFactory;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Schedulers;
 import reactor.netty.DisposableServer;
 import reactor.netty.http.server.HttpServer;
 import reactor.netty.http.server.HttpServerRequest;
@@ -30,7 +32,9 @@
   private static final Logger LOG = LoggerFactory.getLogger(EntryServer.class);
   private static final int MAX_HEADER_BYTES = 16 * 1024;
   private static final int MAX_INITIAL_LINE_BYTES = 4 * 1024;
+  private static final int RETRY_AFTER_SECONDS = 1;
   private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(60);
+  private static final Duration FLUSH_TIMEOUT = Duration.ofSeconds(1);
   private static final Duration DRAIN_POLL = Duration.ofMillis(20);
 
   private final EntrySettings settings;
@@ -39,6 +43,7 @@
   private final OrderHandler orders;
   private final PrometheusMeterRegistry metrics;
   private final AtomicInteger inFlight;
+  private final ShutdownSignal shutdown = new ShutdownSignal();
   private volatile boolean isDraining;
   private DisposableServer server;
 
@@ -96,24 +101,36 @@
     isDraining = true;
     LOG.info("entry: draining, {} requests in flight", inFlight.get());
     return Mono.delay(settings.drainDelay())
-        .then(Flux.interval(Duration.ZERO, DRAIN_POLL).takeUntil(t -> inFlight.get() == 0).then())
-        .timeout(settings.drainDelay().plus(settings.drainTimeout()), Mono.empty())
+        .then(awaitIdle().timeout(settings.drainTimeout(), Mono.empty()))
         .then(Mono.fromSupplier(inFlight::get))
-        .flatMap(
-            left -> {
-              LOG.info("entry: closing with {} requests in flight", left);
-              server.dispose();
-              return server.onDispose().thenReturn(left);
-            })
+        .flatMap(left -> end(left).thenReturn(left))
         .toFuture();
   }
 
+  /** Ends what is still in flight explicitly and closes. */
+  private Mono<Void> end(int left) {
+    shutdown.fire();
+    return awaitIdle()
+        .timeout(FLUSH_TIMEOUT, Mono.empty())
+        .then(Mono.<Void>fromRunnable(() -> close(left)).subscribeOn(Schedulers.boundedElastic()));
+  }
+
+  private void close(int left) {
+    server.disposeNow(FLUSH_TIMEOUT);
+    LOG.info("entry: closed, {} requests ended before their answer", left);
+  }
+
+  private Mono<Void> awaitIdle() {
+    return Flux.interval(Duration.ZERO, DRAIN_POLL).takeUntil(t -> inFlight.get() == 0).then();
+  }
+
   private void addRoutes(HttpServerRoutes routes) {
     for (CompletionKind kind : CompletionKind.values()) {
-      routes.post(kind.getPath(), counted((q, r) -> completions.handle(kind, q, r)));
+      routes.post(kind.getPath(), counted((q, r) -> completions.handle(kind, q, r, shutdown)));
     }
     routes.get("/v1/models", this::listModels);
-    routes.post("/v1/services/{service}/orders", counted(orders::handleOrder));
+    routes.post(
+        "/v1/services/{service}/orders", counted((q, r) -> orders.handleOrder(q, r, shutdown)));
     routes.get("/v1/services/{service}/lookups/{key}", counted(orders::handleLookup));
     routes.get("/livez", (q, r) -> r.sendString(Mono.just("ok\n")));
     routes.get("/readyz", this::answerReady);
@@ -129,12 +146,20 @@
     return (request, response) ->
         Mono.defer(
             () -> {
+              if (shutdown.isFired()) {
+                return Mono.from(ProblemWriter.write(response, newClosing()));
+              }
+              response.keepAlive(!isDraining);
               inFlight.incrementAndGet();
               return Mono.from(handler.apply(request, response))
                   .doFinally(signal -> inFlight.decrementAndGet());
             });
   }
 
+  private static Problem newClosing() {
+    return Problem.ofLater(503, "shutting-down", "the entry is shutting down", RETRY_AFTER_SECONDS);
+  }
+
   private Publisher<Void> answerReady(HttpServerRequest request, HttpServerResponse response) {
     boolean isReady = !isDraining && !views.get().services().isEmpty();
     return response.status(isReady ? 200 : 503).sendString(Mono.just(isReady ? "ok\n" : "no\n"));
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/entry/OrderHandler.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/entry/OrderHandler.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.CompletionException;
 import java.util.function.Supplier;
 import org.reactivestreams.Publisher;
+import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
@@ -62,9 +63,11 @@
    *
    * @param request the request, not null
    * @param response the response, not null
+   * @param shutdown ends what is in flight at the deadline of a shutdown, not null
    * @return completes when the answer is sent, never null
    */
-  public Publisher<Void> handleOrder(HttpServerRequest request, HttpServerResponse response) {
+  Publisher<Void> handleOrder(
+      HttpServerRequest request, HttpServerResponse response, ShutdownSignal shutdown) {
     return answer(
         response,
         () -> {
@@ -77,7 +80,11 @@
               .map(bytes -> new String(bytes, StandardCharsets.UTF_8))
               .flatMap(
                   body ->
-                      toMono(placer.place(new OrderRequest(account, service, key, body, targets))));
+                      shutdown
+                          .limit(
+                              place(new OrderRequest(account, service, key, body, targets)),
+                              () -> OrderProblems.newUnknown(false))
+                          .next());
         });
   }
 
@@ -99,6 +106,11 @@
         });
   }
 
+  /** Places an order; a caller that goes away does not stop it. */
+  private Flux<DeskReply> place(OrderRequest order) {
+    return Flux.defer(() -> Mono.fromFuture(placer.place(order), true));
+  }
+
   private CompletableFuture<DeskReply> lookup(List<InstanceRecord> targets, int index, String key) {
     return plainService
         .lookup(targets.get(index), key)
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/entry/StallWatch.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/entry/StallWatch.java
@@ -2,6 +2,7 @@
 
 import io.fireflyshed.coordination.attempt.AttemptException;
 import io.fireflyshed.coordination.attempt.Outcome;
+import io.fireflyshed.coordination.attempt.TargetLostException;
 import io.fireflyshed.protocol.engine.StreamChunk;
 import io.fireflyshed.state.clock.MonotonicClock;
 import java.time.Duration;
@@ -16,6 +17,7 @@
  */
 final class StallWatch {
 
+  private static final String STEP = "stream";
   private static final Duration CHECK_INTERVAL = Duration.ofMillis(250);
 
   private final StreamSettings settings;
@@ -66,6 +68,9 @@
 
   private synchronized AttemptException newError() {
     Outcome outcome = isStarted ? Outcome.RAN : Outcome.UNKNOWN;
-    return new AttemptException("stream", peer, outcome, "the replica sends nothing", null);
+    String message = "the replica sends nothing";
+    return isOpen.getAsBoolean()
+        ? new AttemptException(STEP, peer, outcome, message, null)
+        : new TargetLostException(STEP, peer, outcome, message, null);
   }
 }
--- /dev/null
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/poison/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of decisions on requests that crash replicas. */
+package io.fireflyshed.coordination.poison;
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/entry/CompletionSchedule.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/entry/CompletionSchedule.java
@@ -2,6 +2,9 @@
 
 import io.fireflyshed.coordination.attempt.AttemptException;
 import io.fireflyshed.coordination.attempt.Outcome;
+import io.fireflyshed.coordination.attempt.TargetLostException;
+import io.fireflyshed.coordination.poison.PoisonList;
+import io.fireflyshed.coordination.poison.PoisonSettings;
 import io.fireflyshed.coordination.retry.RetryPolicy;
 import io.fireflyshed.coordination.routing.LeastInFlightRouter;
 import io.fireflyshed.protocol.completion.CompletionKind;
@@ -16,6 +19,8 @@
 import io.fireflyshed.state.instance.FabricDomain;
 import io.fireflyshed.state.instance.InstanceId;
 import io.fireflyshed.state.instance.InstanceRecord;
+import io.fireflyshed.state.peer.LonePeerBus;
+import io.fireflyshed.state.peer.PeerId;
 import io.fireflyshed.state.replica.Assignment;
 import io.fireflyshed.state.replica.MemberHealth;
 import io.fireflyshed.state.replica.OpenReplica;
@@ -101,7 +106,11 @@
               new RequestTracer(OpenTelemetry.noop()),
               () -> time.now(TimeUnit.NANOSECONDS),
               StreamSettings.ofDefaults(),
-              RetryPolicy.ofDefaults(RandomSource.XO_RO_SHI_RO_128_PP.create(random.nextLong())));
+              RetryPolicy.ofDefaults(RandomSource.XO_RO_SHI_RO_128_PP.create(random.nextLong())),
+              new PoisonGuard(
+                  new PoisonList(PoisonSettings.ofDefaults()),
+                  new LonePeerBus(new PeerId("p")),
+                  () -> time.now(TimeUnit.NANOSECONDS)));
       for (int i = 0; i < REQUESTS; i++) {
         start(runner, "req" + i);
       }
@@ -287,10 +296,15 @@
       return switch (random.nextInt(3)) {
         case 0 -> Flux.empty();
         case 1 -> Flux.never();
-        default -> Flux.error(newError(cut > 0 ? Outcome.RAN : Outcome.UNKNOWN));
+        default -> Flux.error(newLost(cut > 0 ? Outcome.RAN : Outcome.UNKNOWN));
       };
     }
 
+    private AttemptException newLost(Outcome outcome) {
+      Outcome told = newError(outcome).getOutcome();
+      return new TargetLostException("stream", "engine", told, "lost", null);
+    }
+
     private AttemptException newError(Outcome outcome) {
       Outcome told = defect == Defect.UNKNOWN_TOLD_AS_NOT_RUN ? Outcome.NOT_RUN : outcome;
       return new AttemptException("stream", "engine", told, "broken", null);
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/entry/EntryDaemon.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/entry/EntryDaemon.java
@@ -1,11 +1,14 @@
 package io.fireflyshed.daemon.entry;
 
 import io.fireflyshed.coordination.order.OrderSettings;
+import io.fireflyshed.coordination.poison.PoisonList;
+import io.fireflyshed.coordination.poison.PoisonSettings;
 import io.fireflyshed.coordination.retry.RetryPolicy;
 import io.fireflyshed.coordination.routing.LeastInFlightRouter;
 import io.fireflyshed.protocol.desk.PlainService;
 import io.fireflyshed.protocol.engine.ModelEngine;
 import io.fireflyshed.state.clock.MonotonicClock;
+import io.fireflyshed.state.peer.LonePeerBus;
 import io.fireflyshed.state.peer.PeerId;
 import io.fireflyshed.state.replica.ModelServiceSpec;
 import io.fireflyshed.state.replica.ServingView;
@@ -23,6 +26,7 @@
 import io.fireflyshed.transport.entry.EntryServer;
 import io.fireflyshed.transport.entry.FixedAccountDirectory;
 import io.fireflyshed.transport.entry.OrderHandler;
+import io.fireflyshed.transport.entry.PoisonGuard;
 import io.fireflyshed.transport.entry.StreamSettings;
 import io.fireflyshed.transport.entry.UnlimitedAdmission;
 import io.fireflyshed.transport.http.HttpCaller;
@@ -46,6 +50,7 @@
 
   private static final Duration PLATFORM_TIMEOUT = Duration.ofSeconds(3);
   private static final Duration CONTROL_TIMEOUT = Duration.ofSeconds(1);
+  private static final Duration RECORD_TIMEOUT = Duration.ofSeconds(5);
   private static final Duration DESK_TIMEOUT = Duration.ofSeconds(10);
 
   private final HttpCaller controlCaller = new HttpCaller("control");
@@ -111,7 +116,9 @@
    * @return a future of the number of requests that were still in flight at the end
    */
   public CompletableFuture<Integer> shutdown() {
-    return server.shutdown();
+    return server
+        .shutdown()
+        .thenCompose(left -> orderPlacer.drain(RECORD_TIMEOUT).thenApply(open -> left));
   }
 
   @Override
@@ -156,7 +163,11 @@
             tracer,
             clock,
             StreamSettings.ofDefaults(),
-            RetryPolicy.ofDefaults(RandomSource.XO_RO_SHI_RO_128_PP.create()));
+            RetryPolicy.ofDefaults(RandomSource.XO_RO_SHI_RO_128_PP.create()),
+            new PoisonGuard(
+                new PoisonList(PoisonSettings.ofDefaults()),
+                new LonePeerBus(new PeerId("e" + UUID.randomUUID())),
+                clock));
     CompletionHandler completions =
         new CompletionHandler(
             settings.entry(), accounts, control, new UnlimitedAdmission(), runner, tracer);
--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/entry/EntryDaemonTest.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/entry/EntryDaemonTest.java
@@ -282,5 +282,27 @@
         assertEquals(left.get(), Integer.valueOf(0));
       }
     }
+
+    @Test
+    public void tellsWhatIsLeftAtTheDeadline() throws Exception {
+      Duration deadline = Duration.ofMillis(100);
+      try (EntryFixture fixture =
+          new EntryFixture(Duration.ofMillis(2), TelemetryFactory.newTelemetry(""), deadline)) {
+        HttpRequest request =
+            fixture
+                .newRequest(COMPLETIONS)
+                .POST(BodyPublishers.ofString(EntryFixture.newBody(100_000, true)))
+                .build();
+        CompletableFuture<HttpResponse<String>> stream =
+            fixture.getClient().sendAsync(request, BodyHandlers.ofString());
+        EntryFixture.await(() -> fixture.getGeneratedTokens() > 0);
+        assertEquals(fixture.getDaemon().shutdown().get(), Integer.valueOf(1));
+        String body = stream.get().body();
+        assertTrue(body.contains("event: error\n"), body.substring(body.length() - 500));
+        assertTrue(body.contains("urn:fireflyshed:problem:shutting-down"));
+        assertFalse(body.contains("[DONE]"));
+        EntryFixture.await(() -> fixture.getActive() == 0);
+      }
+    }
   }
 }
--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/entry/EntryFixture.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/entry/EntryFixture.java
@@ -45,6 +45,11 @@
   }
 
   EntryFixture(Duration stepTime, OpenTelemetrySdk telemetry) throws InterruptedException {
+    this(stepTime, telemetry, LIMIT);
+  }
+
+  EntryFixture(Duration stepTime, OpenTelemetrySdk telemetry, Duration drainTimeout)
+      throws InterruptedException {
     EngineSettings engines =
         new EngineSettings(Duration.ofMillis(20), stepTime, 64, 256, 512, true);
     site = new StandInSite("127.0.0.1", engines);
@@ -63,7 +68,7 @@
             MAX_BODY_BYTES,
             BODY_TIMEOUT,
             Duration.ofMillis(50),
-            LIMIT);
+            drainTimeout);
     daemon =
         new EntryDaemon(
             new EntryDaemonSettings(control, entry, platform, Map.of("test", KEY), "site", ""),
