Measure how the costs of each role grow with size

Cause: docs/CAPACITY.md needs slopes of the code itself.

Change: `bench capacity` measures gate, assignments, routes, probes and open streams at three sizes each and fits a line.

--- a/fireflyshed-bench/src/main/java/io/fireflyshed/bench/relay/LoadRun.java
+++ b/fireflyshed-bench/src/main/java/io/fireflyshed/bench/relay/LoadRun.java
@@ -1,14 +1,19 @@
 package io.fireflyshed.bench.relay;
 
 import com.sun.management.OperatingSystemMXBean;
+import io.fireflyshed.bench.BenchUtils;
 import io.netty.buffer.Unpooled;
 import java.lang.management.ManagementFactory;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import org.HdrHistogram.ConcurrentHistogram;
 import org.HdrHistogram.Histogram;
+import reactor.core.Disposable;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.client.HttpClient;
@@ -61,6 +66,39 @@
             .then());
   }
 
+  /** Opens streams, waits for the first bytes of each and gets the heap that they hold. */
+  double measureOpenStreams(int count) {
+    long before = BenchUtils.getUsedHeap();
+    CountDownLatch opened = new CountDownLatch(count);
+    Disposable streams =
+        Flux.range(0, count)
+            .flatMap(i -> open().doOnNext(b -> opened.countDown()).then(Mono.never()), count)
+            .subscribe();
+    try {
+      if (!opened.await(1, TimeUnit.MINUTES)) {
+        throw new IllegalStateException("not all streams opened");
+      }
+      return BenchUtils.getUsedHeap() - before;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IllegalStateException("interrupted", e);
+    } finally {
+      streams.dispose();
+    }
+  }
+
+  /** Opens a stream and tells its first bytes; it stays open until it is cancelled. */
+  private Flux<Long> open() {
+    AtomicBoolean isFirst = new AtomicBoolean(true);
+    return client
+        .post()
+        .uri(url)
+        .send(
+            Mono.fromSupplier(() -> Unpooled.wrappedBuffer(BODY.getBytes(StandardCharsets.UTF_8))))
+        .response((response, body) -> body.map(b -> (long) b.readableBytes()))
+        .filter(b -> isFirst.getAndSet(false));
+  }
+
   private LoadResult measure(Mono<Void> work) {
     OperatingSystemMXBean system =
         (OperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean();
--- a/fireflyshed-bench/src/main/java/io/fireflyshed/bench/relay/RelayBench.java
+++ b/fireflyshed-bench/src/main/java/io/fireflyshed/bench/relay/RelayBench.java
@@ -6,10 +6,8 @@
 import io.fireflyshed.daemon.settings.SettingParsers;
 import io.fireflyshed.daemon.settings.SettingValues;
 import java.io.PrintStream;
-import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
-import reactor.netty.resources.ConnectionProvider;
 
 /** Measures an entry beside a bare pass-through and a direct call, in the same run. */
 public final class RelayBench implements Command {
@@ -61,8 +59,8 @@
   public int run(SettingValues values, PrintStream out) {
     Figures figures = new Figures(out);
     int tokens = values.get(TOKENS);
-    try (Site fast = new Site(tokens, Duration.ZERO);
-        Site paced = new Site(tokens, TOKEN_INTERVAL)) {
+    try (RelaySite fast = new RelaySite(tokens, Duration.ZERO);
+        RelaySite paced = new RelaySite(tokens, TOKEN_INTERVAL)) {
       Part throughput = new Part("full-speed", fast, values.get(CONCURRENCY), values.get(TIME));
       Part sessions = new Part("paced", paced, SESSIONS_CONCURRENCY, values.get(TIME));
       boolean isValid = throughput.measure(figures) & sessions.measure(figures);
@@ -71,10 +69,11 @@
     }
   }
 
-  private static boolean measureLatency(Site site, double rate, Duration time, Figures figures) {
-    LoadResult direct = site.newRun(site.engine).runOpen(rate, time);
-    LoadResult bare = site.newRun(site.bare).runOpen(rate, time);
-    LoadResult entry = site.newRun(site.entry).runOpen(rate, time);
+  private static boolean measureLatency(
+      RelaySite site, double rate, Duration time, Figures figures) {
+    LoadResult direct = site.newRun(site.getEngine()).runOpen(rate, time);
+    LoadResult bare = site.newRun(site.getBare()).runOpen(rate, time);
+    LoadResult entry = site.newRun(site.getEntry()).runOpen(rate, time);
     for (double percentile : new double[] {50, 99}) {
       String name = "added-latency-p" + (int) percentile;
       double base = toMillis(direct, percentile);
@@ -92,12 +91,12 @@
   private static final class Part {
 
     private final String name;
-    private final Site site;
+    private final RelaySite site;
     private final int concurrency;
     private final Duration time;
     private double bareRate;
 
-    Part(String name, Site site, int concurrency, Duration time) {
+    Part(String name, RelaySite site, int concurrency, Duration time) {
       this.name = name;
       this.site = site;
       this.concurrency = concurrency;
@@ -113,14 +112,15 @@
       LoadResult bare = null;
       LoadResult entry = null;
       for (int round = 0; round < ROUNDS; round++) {
-        direct = site.newRun(site.engine).runClosed(concurrency, time);
-        bare = site.newRun(site.bare).runClosed(concurrency, time);
-        entry = site.newRun(site.entry).runClosed(concurrency, time);
+        direct = site.newRun(site.getEngine()).runClosed(concurrency, time);
+        bare = site.newRun(site.getBare()).runClosed(concurrency, time);
+        entry = site.newRun(site.getEntry()).runClosed(concurrency, time);
       }
       bareRate = bare.getRequestsPerSecond();
       double entryRate = entry.getRequestsPerSecond();
       figures.print(name + "-requests", entryRate, "1/s", bareRate);
-      figures.print(name + "-tokens", entryRate * site.tokens, "1/s", bareRate * site.tokens);
+      figures.print(
+          name + "-tokens", entryRate * site.getTokens(), "1/s", bareRate * site.getTokens());
       figures.print(name + "-direct-requests", direct.getRequestsPerSecond(), "1/s", bareRate);
       double base = toMicrosPerToken(direct);
       figures.print(
@@ -132,40 +132,7 @@
     }
 
     private double toMicrosPerToken(LoadResult result) {
-      return result.cpuSeconds() * 1e6 / result.requests() / site.tokens;
-    }
-  }
-
-  /** Holds an engine and the two ways to it. */
-  private static final class Site implements AutoCloseable {
-
-    private final ConnectionProvider connections = ConnectionProvider.create("load", 4096);
-    private final FixedEngine fixedEngine;
-    private final PassThrough passThrough = new PassThrough();
-    private final FixedEntry fixedEntry = new FixedEntry();
-    private final InetSocketAddress engine;
-    private final InetSocketAddress bare;
-    private final InetSocketAddress entry;
-    private final int tokens;
-
-    Site(int tokens, Duration interval) {
-      this.tokens = tokens;
-      fixedEngine = new FixedEngine(tokens, interval);
-      engine = fixedEngine.start();
-      bare = passThrough.start(engine);
-      entry = fixedEntry.start(engine);
-    }
-
-    LoadRun newRun(InetSocketAddress address) {
-      return new LoadRun(connections, address, fixedEngine.getBytes());
-    }
-
-    @Override
-    public void close() {
-      fixedEntry.close();
-      passThrough.close();
-      fixedEngine.close();
-      connections.dispose();
+      return result.cpuSeconds() * 1e6 / result.requests() / site.getTokens();
     }
   }
 }
--- a/fireflyshed-bench/src/main/resources/META-INF/services/io.fireflyshed.daemon.command.Command
+++ b/fireflyshed-bench/src/main/resources/META-INF/services/io.fireflyshed.daemon.command.Command
@@ -1,1 +1,2 @@
 io.fireflyshed.bench.relay.RelayBench
+io.fireflyshed.bench.capacity.CapacityBench
