--- a/fireflyshed-bench/src/main/resources/META-INF/services/io.fireflyshed.daemon.command.Command
+++ b/fireflyshed-bench/src/main/resources/META-INF/services/io.fireflyshed.daemon.command.Command
@@ -1,2 +1,3 @@
 io.fireflyshed.bench.repair.RepairCommand
 io.fireflyshed.bench.relay.RelayBench
+io.fireflyshed.bench.capacity.CapacityBench
