Let the planner know whether members keep their weights

Cause: a coordinator that dissolves a replica unloads all its members, so those that stay load again.

--- a/fireflyshed-bench/src/main/java/io/fireflyshed/bench/repair/RepairCommand.java
+++ b/fireflyshed-bench/src/main/java/io/fireflyshed/bench/repair/RepairCommand.java
@@ -57,6 +57,9 @@
           "pauses a day for each 40,000 instances in the runs with pauses",
           SettingParsers.newIntegerParser(0, 4_000));
 
+  private static final Setting<Boolean> KEEP_WEIGHTS =
+      Setting.ofFlag("keep-weights", "members keep their weights while another one is replaced");
+
   private static final Setting<Integer> PLANNED_REPLICAS =
       Setting.of(
           "planned-replicas",
@@ -77,7 +80,7 @@
 
   @Override
   public List<Setting<?>> getSettings() {
-    return List.of(SEED, DAYS, ZONES, PAUSES, PLANNED_REPLICAS);
+    return List.of(SEED, DAYS, ZONES, PAUSES, KEEP_WEIGHTS, PLANNED_REPLICAS);
   }
 
   @Override
@@ -85,12 +88,15 @@
     Figures figures = new Figures(out);
     int days = values.get(DAYS);
     int seed = values.get(SEED);
+    boolean keeps = values.get(KEEP_WEIGHTS);
     try {
       for (int pauses : new int[] {0, values.get(PAUSES)}) {
         String suffix = "-pauses-" + pauses;
-        measure("today" + suffix, new Fleet(3, 1, 22, days, seed, pauses), figures);
+        measure("today" + suffix, new Fleet(3, 1, 22, days, seed, pauses, keeps), figures);
         measure(
-            "large" + suffix, new Fleet(values.get(ZONES), 2, 139, days, seed, pauses), figures);
+            "large" + suffix,
+            new Fleet(values.get(ZONES), 2, 139, days, seed, pauses, keeps),
+            figures);
       }
       PlanningTimes.measure(values.get(PLANNED_REPLICAS), seed, figures);
     } catch (IllegalStateException e) {
@@ -106,7 +112,7 @@
   }
 
   private static void measure(String name, Fleet fleet, RepairWeights weights, Figures figures) {
-    RepairSettings settings = RepairSettings.of(weights);
+    RepairSettings settings = newSettings(weights, fleet.isWeightKept());
     ZoneShape bare =
         new ZoneShape(
             fleet.domains(), fleet.replicasPerDomain(), INSTANCES_PER_REPLICA, ACCELERATORS, 0);
@@ -131,6 +137,18 @@
     figures.print(name + "-spares-per-domain", held.spares(), "instances");
   }
 
+  private static RepairSettings newSettings(RepairWeights weights, boolean isWeightKept) {
+    RepairSettings base = RepairSettings.of(weights);
+    return new RepairSettings(
+        weights,
+        base.loadTime(),
+        base.loadSlots(),
+        base.releaseTime(),
+        isWeightKept,
+        base.unstableLosses(),
+        base.stableTime());
+  }
+
   private static void print(
       String name,
       RepairMeasures planned,
@@ -152,5 +170,11 @@
   }
 
   private record Fleet(
-      int zones, int domains, int replicasPerDomain, int days, int seed, int pauses) {}
+      int zones,
+      int domains,
+      int replicasPerDomain,
+      int days,
+      int seed,
+      int pauses,
+      boolean isWeightKept) {}
 }
--- a/fireflyshed-bench/src/main/java/io/fireflyshed/bench/repair/ZoneSimulation.java
+++ b/fireflyshed-bench/src/main/java/io/fireflyshed/bench/repair/ZoneSimulation.java
@@ -184,9 +184,17 @@
   private void dissolve(int replica) {
     versions[replica]++;
     isConfirmed[replica] = false;
+    if (!settings.isWeightKept() && members[replica] != null) {
+      Arrays.stream(members[replica]).filter(m -> m != NONE).forEach(this::unload);
+    }
     updateWhole(replica);
   }
 
+  private void unload(int instance) {
+    isLoaded[instance] = false;
+    store.cancel(instance);
+  }
+
   private void setMembers(RepairAction.SetMembers action) {
     int replica = replicaIndexes.get(action.replica());
     dissolve(replica);
@@ -223,8 +231,7 @@
       }
     }
     replicaOf[instance] = replica;
-    isLoaded[instance] = false;
-    store.cancel(instance);
+    unload(instance);
   }
 
   private void remove(int instance, int replica, int position) {
@@ -232,8 +239,7 @@
     if (replicaOf[instance] == replica) {
       replicaOf[instance] = NONE;
     }
-    isLoaded[instance] = false;
-    store.cancel(instance);
+    unload(instance);
   }
 
   private void startLoad(RepairAction.StartLoad load) {
--- a/fireflyshed-bench/src/test/java/io/fireflyshed/bench/repair/ZoneSimulationTest.java
+++ b/fireflyshed-bench/src/test/java/io/fireflyshed/bench/repair/ZoneSimulationTest.java
@@ -32,7 +32,13 @@
 
   private static RepairSettings newSettings(int slots) {
     return new RepairSettings(
-        WEIGHTS, Duration.ofSeconds(120), slots, Duration.ofSeconds(5), 4, Duration.ofMinutes(10));
+        WEIGHTS,
+        Duration.ofSeconds(120),
+        slots,
+        Duration.ofSeconds(5),
+        true,
+        4,
+        Duration.ofMinutes(10));
   }
 
   private static RepairPolicy newPlanner(RepairSettings settings) {
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/repair/RepairAction.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/repair/RepairAction.java
@@ -9,8 +9,8 @@
 public sealed interface RepairAction {
 
   /**
-   * Gives a replica its members, in place of those that it had. Members that stay keep their place
-   * and their weights. The caller confirms with {@link RepairEvent.ReplicaFormed}.
+   * Gives a replica its members, in place of those that it had. Members that stay keep their place.
+   * The caller confirms with {@link RepairEvent.ReplicaFormed}.
    *
    * @param replica the replica, not null
    * @param members the members in their order, the head first, all of one fabric domain, copied,
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/repair/RepairPlanner.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/repair/RepairPlanner.java
@@ -339,8 +339,7 @@
         assign(replica, i, donor);
       }
     }
-    replica.isPending = true;
-    update(replica);
+    setPending(replica);
     actions.add(new RepairAction.SetMembers(replica.id, replica.getMemberIds()));
   }
 
@@ -351,8 +350,20 @@
       actions.add(dissolve);
     }
     release(source, donor.position);
-    source.isPending = true;
-    update(source);
+    setPending(source);
+  }
+
+  private void setPending(ReplicaEntry replica) {
+    replica.isPending = true;
+    if (!settings.isWeightKept()) {
+      replica.getUpMembers().forEach(this::unload);
+    }
+    update(replica);
+  }
+
+  private void unload(InstanceEntry instance) {
+    loads.end(instance);
+    instance.isLoaded = false;
   }
 
   /** Places a waiting replica, or one that its own domain can't repair, in a domain with room. */
@@ -407,10 +418,9 @@
     if (member == null) {
       return;
     }
-    loads.end(member);
+    unload(member);
     replica.members[position] = null;
     member.replica = null;
-    member.isLoaded = false;
     if (member.isUp) {
       member.domain.free.add(member);
     }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/repair/RepairSettings.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/repair/RepairSettings.java
@@ -12,6 +12,8 @@
  * @param loadSlots how many members the weight store serves at full rate at once, 1 or more
  * @param releaseTime how long it takes until a member that was taken away may be used again, not
  *     negative, not null
+ * @param isWeightKept whether a member that stays in its place keeps its weights while another
+ *     member is replaced; false if all members are unloaded and load again
  * @param unstableLosses how many recent losses make an instance unstable, 2 or more
  * @param stableTime how long an unstable instance must stay up to be used again; recent losses are
  *     forgotten at this pace too; positive, not null
@@ -21,6 +23,7 @@
     Duration loadTime,
     int loadSlots,
     Duration releaseTime,
+    boolean isWeightKept,
     int unstableLosses,
     Duration stableTime) {
 
@@ -56,6 +59,7 @@
         Duration.ofSeconds(120),
         DEFAULT_LOAD_SLOTS,
         Duration.ofSeconds(5),
+        false,
         DEFAULT_UNSTABLE_LOSSES,
         Duration.ofMinutes(10));
   }
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/repair/RepairPlannerTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/repair/RepairPlannerTest.java
@@ -42,6 +42,7 @@
                   LOAD_TIME,
                   slots,
                   Duration.ofSeconds(10),
+                  true,
                   3,
                   stableTime));
     }
