--- a/fireflyshed-bench/src/main/java/io/fireflyshed/bench/repair/RepairCommand.java
+++ b/fireflyshed-bench/src/main/java/io/fireflyshed/bench/repair/RepairCommand.java
@@ -99,6 +99,7 @@
             figures);
       }
       PlanningTimes.measure(values.get(PLANNED_REPLICAS), seed, figures);
+      ZonePlanningTimes.measure(values.get(PLANNED_REPLICAS), seed, figures);
     } catch (IllegalStateException e) {
       out.println("invalid run: " + e.getMessage());
       return EXIT_FAILED;
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/repair/RepairEvent.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/repair/RepairEvent.java
@@ -78,6 +78,20 @@
     }
   }
 
+  /**
+   * Tells that a member that is up lacks the weights of its replica.
+   *
+   * @param instance the instance, not null
+   * @param nowNanos the reading of the clock
+   */
+  record MemberUnloaded(InstanceId instance, long nowNanos) implements RepairEvent {
+
+    /** Checks the parts of the record. */
+    public MemberUnloaded {
+      Objects.requireNonNull(instance, "instance");
+    }
+  }
+
   /**
    * Tells that a replica is wanted. It is formed when a domain has enough free instances.
    *
@@ -114,9 +128,10 @@
    * Tells of the members that a replica has by its stored assignment.
    *
    * <p>It confirms a {@link RepairAction.SetMembers}, or restores a replica that an earlier
-   * coordinator formed.
+   * coordinator formed. A replica that was not wanted before is wanted from then on, and nothing is
+   * repaired until the next event of its domain.
    *
-   * @param replica the replica, wanted before, not null
+   * @param replica the replica, not null
    * @param members the members in their order, all added before, copied, not null
    * @param nowNanos the reading of the clock
    */
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/repair/RepairPlanner.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/repair/RepairPlanner.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.TreeSet;
@@ -48,7 +49,7 @@
 
   private final RepairSettings settings;
   private final double priceSeconds;
-  private final OutageHistory history = new OutageHistory();
+  private final OutageHistory history;
   private final LoadQueue loads;
   private final Map<InstanceId, InstanceEntry> instances = new HashMap<>();
   private final Map<ReplicaId, ReplicaEntry> replicas = new HashMap<>();
@@ -63,6 +64,17 @@
    * @param settings the settings, not null
    */
   public RepairPlanner(RepairSettings settings) {
+    this(settings, new OutageHistory());
+  }
+
+  /**
+   * Creates a planner that knows only of past outages.
+   *
+   * @param settings the settings, not null
+   * @param history what was learned of outages; the planner adds to it, not null
+   */
+  public RepairPlanner(RepairSettings settings, OutageHistory history) {
+    this.history = Objects.requireNonNull(history, "history");
     this.settings = Objects.requireNonNull(settings, "settings");
     this.loads = new LoadQueue(settings.loadSlots());
     long price = settings.releaseTime().plus(settings.loadTime()).toNanos();
@@ -86,6 +98,8 @@
       onReturned(returned, actions);
     } else if (event instanceof RepairEvent.LoadFinished finished) {
       onLoaded(finished);
+    } else if (event instanceof RepairEvent.MemberUnloaded unloaded) {
+      onUnloaded(unloaded);
     } else if (event instanceof RepairEvent.ReplicaWanted wanted) {
       onWanted(wanted, actions);
     } else if (event instanceof RepairEvent.ReplicaUnwanted unwanted) {
@@ -131,6 +145,41 @@
     return entry == null || !entry.isFull() ? List.of() : entry.getMemberIds();
   }
 
+  /**
+   * Gets the replica that an instance belongs to by the plan.
+   *
+   * @param instance the instance, not null
+   * @return the replica, empty if the instance is unknown or in none, never null
+   */
+  public Optional<ReplicaId> getHolder(InstanceId instance) {
+    InstanceEntry entry = instances.get(instance);
+    return entry == null || entry.replica == null
+        ? Optional.empty()
+        : Optional.of(entry.replica.id);
+  }
+
+  /**
+   * Tests whether an instance holds the weights of its replica by what the planner was told.
+   *
+   * @param instance the instance, not null
+   * @return true if it is a member and loaded
+   */
+  public boolean isLoaded(InstanceId instance) {
+    InstanceEntry entry = instances.get(instance);
+    return entry != null && entry.replica != null && entry.isLoaded;
+  }
+
+  /**
+   * Tests whether an instance may load now.
+   *
+   * @param instance the instance, not null
+   * @return true from {@link RepairAction.StartLoad} until the load ends or is called off
+   */
+  public boolean isLoading(InstanceId instance) {
+    InstanceEntry entry = instances.get(instance);
+    return entry != null && entry.isLoading;
+  }
+
   /**
    * Gets the number of usable instances that are in no replica.
    *
@@ -208,6 +257,14 @@
     }
   }
 
+  private void onUnloaded(RepairEvent.MemberUnloaded event) {
+    InstanceEntry instance = instances.get(event.instance());
+    if (instance != null && instance.isUp && instance.replica != null) {
+      unload(instance);
+      update(instance.replica);
+    }
+  }
+
   private void onWanted(RepairEvent.ReplicaWanted event, List<RepairAction> actions) {
     if (replicas.containsKey(event.replica())) {
       return;
@@ -236,8 +293,11 @@
   }
 
   private void onFormed(RepairEvent.ReplicaFormed event, List<RepairAction> actions) {
-    ReplicaEntry replica = replicas.get(event.replica());
-    if (replica == null || event.members().size() != replica.members.length) {
+    boolean isNew = !replicas.containsKey(event.replica());
+    ReplicaEntry replica =
+        replicas.computeIfAbsent(
+            event.replica(), id -> new ReplicaEntry(id, event.members().size(), event.nowNanos()));
+    if (event.members().size() != replica.members.length) {
       return;
     }
     if (!replica.isFull() || !replica.getMemberIds().equals(event.members())) {
@@ -245,7 +305,7 @@
     }
     replica.isPending = false;
     update(replica);
-    if (replica.domain != null) {
+    if (replica.domain != null && !isNew) {
       repair(replica.domain, event.nowNanos(), actions);
     }
   }
@@ -255,6 +315,9 @@
     boolean isKnown =
         members.stream().allMatch(m -> m != null && (m.replica == null || m.replica == replica));
     if (!isKnown) {
+      if (replica.domain == null) {
+        unplaced.add(replica);
+      }
       return;
     }
     vacate(replica);
