Add membership and connections between entries

Cause: closures, shares, suspicions and versions must pass between entries without the store. Change: SWIM membership with zones and self-awareness after pauses, protobuf frames over Netty with version negotiation and bounds, notices with bounded fan-out, questions and answers.

--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/protocol/peer/PeerFrameUtils.java
@@ -0,0 +1,160 @@
+package io.fireflyshed.protocol.peer;
+
+import io.fireflyshed.coordination.configuration.PeerAnswer;
+import io.fireflyshed.coordination.membership.MemberRecord;
+import io.fireflyshed.coordination.membership.MemberState;
+import io.fireflyshed.coordination.membership.MembershipMessage;
+import io.fireflyshed.protocol.peer.generated.PeerProto;
+import io.fireflyshed.state.configuration.ConfigurationRecord;
+import io.fireflyshed.state.instance.AvailabilityZone;
+import io.fireflyshed.state.peer.PeerId;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/**
+ * Maps messages between processes to frames and back.
+ *
+ * <p>Methods that read a frame throw an {@link IllegalArgumentException} if a field is not valid.
+ */
+public final class PeerFrameUtils {
+
+  private PeerFrameUtils() {}
+
+  /**
+   * Writes a membership message.
+   *
+   * @param message the message, not null
+   * @return the frame, never null
+   */
+  public static PeerProto.Frame toFrame(MembershipMessage message) {
+    PeerProto.Frame.Builder frame = PeerProto.Frame.newBuilder();
+    if (message instanceof MembershipMessage.Ping ping) {
+      PeerProto.Ping.Builder body = PeerProto.Ping.newBuilder().setSequence(ping.sequence());
+      ping.updates().forEach(u -> body.addUpdates(toMember(u)));
+      frame.setPing(body);
+    } else if (message instanceof MembershipMessage.Ack ack) {
+      PeerProto.Ack.Builder body =
+          PeerProto.Ack.newBuilder().setSequence(ack.sequence()).setSubject(ack.subject().value());
+      ack.updates().forEach(u -> body.addUpdates(toMember(u)));
+      frame.setAck(body);
+    } else if (message instanceof MembershipMessage.PingRequest request) {
+      PeerProto.PingRequest.Builder body =
+          PeerProto.PingRequest.newBuilder()
+              .setSequence(request.sequence())
+              .setTarget(request.target().value());
+      request.updates().forEach(u -> body.addUpdates(toMember(u)));
+      frame.setPingRequest(body);
+    } else if (message instanceof MembershipMessage.SyncRequest request) {
+      frame.setSyncRequest(PeerProto.SyncRequest.newBuilder().setDigest(request.digest()));
+    } else if (message instanceof MembershipMessage.SyncReply reply) {
+      PeerProto.SyncReply.Builder body = PeerProto.SyncReply.newBuilder();
+      reply.members().forEach(m -> body.addMembers(toMember(m)));
+      frame.setSyncReply(body);
+    }
+    return frame.build();
+  }
+
+  /**
+   * Reads a membership message.
+   *
+   * @param frame the frame, not null
+   * @return the message, or empty if the frame holds something else
+   */
+  public static Optional<MembershipMessage> toMembership(PeerProto.Frame frame) {
+    return switch (frame.getBodyCase()) {
+      case PING ->
+          Optional.of(
+              new MembershipMessage.Ping(
+                  frame.getPing().getSequence(), toRecords(frame.getPing().getUpdatesList())));
+      case ACK ->
+          Optional.of(
+              new MembershipMessage.Ack(
+                  frame.getAck().getSequence(),
+                  new PeerId(frame.getAck().getSubject()),
+                  toRecords(frame.getAck().getUpdatesList())));
+      case PING_REQUEST ->
+          Optional.of(
+              new MembershipMessage.PingRequest(
+                  frame.getPingRequest().getSequence(),
+                  new PeerId(frame.getPingRequest().getTarget()),
+                  toRecords(frame.getPingRequest().getUpdatesList())));
+      case SYNC_REQUEST ->
+          Optional.of(new MembershipMessage.SyncRequest(frame.getSyncRequest().getDigest()));
+      case SYNC_REPLY ->
+          Optional.of(
+              new MembershipMessage.SyncReply(toRecords(frame.getSyncReply().getMembersList())));
+      default -> Optional.empty();
+    };
+  }
+
+  /**
+   * Writes an answer about the configuration.
+   *
+   * @param answer the answer, not null
+   * @return the message, never null
+   */
+  public static PeerProto.ConfigurationAnswer toAnswer(PeerAnswer answer) {
+    PeerProto.ConfigurationAnswer.Builder body = PeerProto.ConfigurationAnswer.newBuilder();
+    answer
+        .inForce()
+        .ifPresent(
+            r ->
+                body.setVersion(r.version())
+                    .setAttempt(r.attempt())
+                    .setAuthor(r.author())
+                    .setDigest(r.digest())
+                    .setSummary(r.summary()));
+    answer.evidenceAgeNanos().ifPresent(age -> body.setHasEvidence(true).setEvidenceAgeNanos(age));
+    return body.build();
+  }
+
+  /**
+   * Reads an answer about the configuration.
+   *
+   * @param body the message, not null
+   * @return the answer, never null
+   */
+  public static PeerAnswer fromAnswer(PeerProto.ConfigurationAnswer body) {
+    Optional<ConfigurationRecord> record =
+        body.getVersion() == 0
+            ? Optional.empty()
+            : Optional.of(
+                new ConfigurationRecord(
+                    body.getVersion(),
+                    body.getAttempt(),
+                    body.getAuthor(),
+                    body.getDigest(),
+                    body.getSummary()));
+    OptionalLong age =
+        body.getHasEvidence() ? OptionalLong.of(body.getEvidenceAgeNanos()) : OptionalLong.empty();
+    return new PeerAnswer(record, age);
+  }
+
+  private static PeerProto.Member toMember(MemberRecord record) {
+    return PeerProto.Member.newBuilder()
+        .setId(record.id().value())
+        .setAddress(record.address())
+        .setZone(record.zone().value())
+        .setIncarnation(record.incarnation())
+        .setStateValue(record.state().ordinal())
+        .build();
+  }
+
+  private static List<MemberRecord> toRecords(List<PeerProto.Member> members) {
+    return members.stream().map(PeerFrameUtils::toRecord).toList();
+  }
+
+  private static MemberRecord toRecord(PeerProto.Member member) {
+    int state = member.getStateValue();
+    if (state < 0 || state >= MemberState.values().length) {
+      throw new IllegalArgumentException("unknown member state " + state);
+    }
+    return new MemberRecord(
+        new PeerId(member.getId()),
+        member.getAddress(),
+        new AvailabilityZone(member.getZone()),
+        member.getIncarnation(),
+        MemberState.values()[state]);
+  }
+}
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/PeerChannelHandler.java
@@ -0,0 +1,103 @@
+package io.fireflyshed.transport.peer;
+
+import io.fireflyshed.protocol.peer.generated.PeerProto;
+import io.fireflyshed.state.peer.PeerId;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.timeout.IdleStateEvent;
+import java.io.IOException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Says hello, agrees on a protocol version and passes frames on. */
+final class PeerChannelHandler extends SimpleChannelInboundHandler<PeerProto.Frame> {
+
+  /** The oldest protocol version that this process speaks. */
+  static final int MIN_VERSION = 1;
+
+  /** The newest protocol version that this process speaks. */
+  static final int MAX_VERSION = 1;
+
+  private static final Logger LOG = LoggerFactory.getLogger(PeerChannelHandler.class);
+
+  private final PeerId self;
+  private final PeerFrameReceiver receiver;
+  private PeerId peer;
+  private boolean isFailed;
+
+  PeerChannelHandler(PeerId self, PeerFrameReceiver receiver) {
+    this.self = self;
+    this.receiver = receiver;
+  }
+
+  @Override
+  public void channelActive(ChannelHandlerContext context) {
+    PeerProto.Hello.Builder hello =
+        PeerProto.Hello.newBuilder()
+            .setMinVersion(MIN_VERSION)
+            .setMaxVersion(MAX_VERSION)
+            .setSender(self.value());
+    context.writeAndFlush(PeerProto.Frame.newBuilder().setHello(hello).build());
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext context, PeerProto.Frame frame) {
+    if (isFailed) {
+      return;
+    }
+    boolean isHello = frame.getBodyCase() == PeerProto.Frame.BodyCase.HELLO;
+    if (isHello != (peer == null)) {
+      throw new IllegalArgumentException(isHello ? "second hello" : "no hello");
+    }
+    if (isHello) {
+      onHello(context, frame.getHello());
+    } else {
+      receiver.onFrame(peer, frame, context.channel());
+    }
+  }
+
+  @Override
+  public void userEventTriggered(ChannelHandlerContext context, Object event) {
+    if (event instanceof IdleStateEvent) {
+      context.close();
+    }
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    if (isFailed) {
+      return;
+    }
+    isFailed = true;
+    if (cause instanceof IOException) {
+      LOG.debug("peers: connection to {} lost", context.channel().remoteAddress());
+    } else {
+      LOG.warn(
+          "peers: closed the connection to {}: {}",
+          context.channel().remoteAddress(),
+          cause.getMessage());
+    }
+    context.close();
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    if (peer != null) {
+      receiver.onClosed(peer, context.channel());
+    }
+  }
+
+  private void onHello(ChannelHandlerContext context, PeerProto.Hello hello) {
+    int version = Math.min(MAX_VERSION, hello.getMaxVersion());
+    if (version < Math.max(MIN_VERSION, hello.getMinVersion())) {
+      throw new IllegalArgumentException(
+          "no common protocol version, the peer speaks "
+              + hello.getMinVersion()
+              + " to "
+              + hello.getMaxVersion());
+    }
+    peer = new PeerId(hello.getSender());
+    context.pipeline().get(PeerFrameDecoder.class).allowLongFrames();
+    receiver.onReady(peer, context.channel());
+  }
+}
--- /dev/null
+++ b/fireflyshed-standins/src/test/java/io/fireflyshed/coordination/membership/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the package of the same name that need stand-ins. */
+package io.fireflyshed.coordination.membership;
