--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/configuration/ConfigurationAgent.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/configuration/ConfigurationAgent.java
@@ -20,7 +20,7 @@
  * Follows the chain of configurations and puts each newer version in force.
  *
  * <p>All state but the published status belongs to the thread of the executor. {@link #getStatus()}
- * and {@link #getBody(String)} are thread safe.
+ * and {@link #getText()} are thread safe.
  */
 public final class ConfigurationAgent {
 
@@ -33,7 +33,8 @@
   private final Executor executor;
   private final BiConsumer<ConfigurationRecord, String> receiver;
   private volatile ConfigurationStatus status = ConfigurationStatus.ofNothing();
-  private volatile String body = "";
+  private final ConfigurationTexts texts = new ConfigurationTexts();
+  private volatile Optional<String> text = Optional.empty();
 
   /**
    * Creates an agent that does nothing until the first tick.
@@ -105,15 +106,21 @@
   }
 
   /**
-   * Gets the text in force if it has a digest.
+   * Gets the text in force.
    *
-   * @param digest the digest, not null
-   * @return the text, or empty if another one is in force, never null
+   * @return the text, or empty if none is in force, never null
    */
-  public Optional<String> getBody(String digest) {
-    String text = body;
-    boolean isWanted = !text.isEmpty() && ConfigurationStore.toDigest(text).equals(digest);
-    return isWanted ? Optional.of(text) : Optional.empty();
+  public Optional<String> getText() {
+    return text;
+  }
+
+  /**
+   * Gets the last texts that were in force.
+   *
+   * @return the texts, never null
+   */
+  public ConfigurationTexts getTexts() {
+    return texts;
   }
 
   private void perform(List<FollowerAction> actions) {
@@ -159,29 +166,30 @@
   }
 
   private void fetch(ConfigurationRecord record, Optional<PeerId> source) {
-    CompletableFuture<String> text =
+    CompletableFuture<String> answer =
         source.isPresent() ? peers.fetch(source.get(), record) : store.readBody(record);
-    text.whenCompleteAsync((found, error) -> onBody(record, found, error), executor);
+    answer.whenCompleteAsync((found, error) -> onBody(record, found, error), executor);
   }
 
-  private void onBody(ConfigurationRecord record, String text, Throwable error) {
-    if (error != null || !ConfigurationStore.toDigest(text).equals(record.digest())) {
+  private void onBody(ConfigurationRecord record, String found, Throwable error) {
+    if (error != null || !ConfigurationStore.toDigest(found).equals(record.digest())) {
       LOG.warn("configuration: text of version {} not fetched", record.version());
       follower.onFetchFailed();
       return;
     }
     List<FollowerAction> actions = follower.onBody(record);
     if (follower.getInForce().equals(Optional.of(record))) {
-      putInForce(record, text);
+      putInForce(record, found);
     }
     perform(actions);
     publish();
   }
 
-  private void putInForce(ConfigurationRecord record, String text) {
-    body = text;
+  private void putInForce(ConfigurationRecord record, String found) {
+    texts.add(found);
+    text = Optional.of(found);
     try {
-      receiver.accept(record, text);
+      receiver.accept(record, found);
     } catch (IllegalArgumentException e) {
       LOG.error("configuration: version {} can't be used", record.version(), e);
     }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/PeerNode.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/PeerNode.java
@@ -154,6 +154,15 @@
     return view.getOthers(settings.zone());
   }
 
+  /**
+   * Gets the number of open connections, without the listening socket.
+   *
+   * @return the count
+   */
+  public int getOpenConnections() {
+    return connections.getOpen() - 1;
+  }
+
   @Override
   public PeerId getSelf() {
     return settings.self();
