Join entries as peers and serve operators

Cause: entries neither found each other nor told operators what they have in force. Change: peers and the operator API in the entry process, seeds for a start without the platform, config status, drain, undrain and replicas; drains are edits of the configuration, so they hold everywhere and last.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/configuration/ConfigurationEditor.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/configuration/ConfigurationEditor.java
@@ -13,6 +13,8 @@
 public final class ConfigurationEditor {
 
   private static final int MAX_CONFLICTS = 8;
+  private static final CommitOutcome NOTHING_TO_EDIT =
+      new CommitOutcome.Rejected("no configuration was ever applied");
 
   private final ConfigurationStore store;
   private final ConfigurationCommitter committer;
@@ -29,7 +31,8 @@
   }
 
   /**
-   * Changes the newest configuration.
+   * Changes the newest configuration. Without one the edit is rejected, because a configuration
+   * that holds nothing but the edit would end all services.
    *
    * @param author who changes it, not null
    * @param summary what changes, for people, not null
@@ -59,9 +62,12 @@
         .readHead()
         .thenCompose(
             head ->
-                readDocument(head)
-                    .thenCompose(
-                        document -> apply(head, edit.apply(document).toText(), author, summary)))
+                head.isEmpty()
+                    ? CompletableFuture.completedFuture(NOTHING_TO_EDIT)
+                    : readDocument(head)
+                        .thenCompose(
+                            document ->
+                                apply(head, edit.apply(document).toText(), author, summary)))
         .thenCompose(
             outcome ->
                 outcome instanceof CommitOutcome.Conflict && triesLeft > 0
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/operator/package-info.java
@@ -0,0 +1,2 @@
+/** The API for operators. */
+package io.fireflyshed.transport.operator;
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/PeerConnections.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/PeerConnections.java
@@ -78,6 +78,13 @@
     write(channel, frame);
   }
 
+  /** Opens a connection to a process that is only known by its address. */
+  void open(InetSocketAddress address) {
+    if (all.size() < MAX_CONNECTIONS) {
+      newBootstrap().connect(address);
+    }
+  }
+
   /** Writes a frame unless too much waits already. */
   void write(Channel channel, PeerProto.Frame frame) {
     if (channel.isWritable()) {
@@ -148,11 +155,7 @@
       abandon(peer);
       return;
     }
-    new Bootstrap()
-        .group(loop)
-        .channel(NioSocketChannel.class)
-        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-        .handler(newInitializer())
+    newBootstrap()
         .connect(address)
         .addListener(
             done -> {
@@ -163,6 +166,14 @@
     loop.schedule(() -> abandon(peer), 2L * CONNECT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
   }
 
+  private Bootstrap newBootstrap() {
+    return new Bootstrap()
+        .group(loop)
+        .channel(NioSocketChannel.class)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+        .handler(newInitializer());
+  }
+
   /** Drops what waits for a connection that did not become ready. */
   private synchronized void abandon(PeerId peer) {
     Deque<PeerProto.Frame> frames = waiting.remove(peer);
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/PeerNode.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/PeerNode.java
@@ -4,6 +4,7 @@
 import com.github.benmanes.caffeine.cache.Caffeine;
 import io.fireflyshed.coordination.membership.MemberRecord;
 import io.fireflyshed.coordination.membership.MemberState;
+import io.fireflyshed.coordination.membership.MembershipMessage;
 import io.fireflyshed.coordination.membership.MembershipSend;
 import io.fireflyshed.coordination.membership.MembershipSettings;
 import io.fireflyshed.coordination.membership.SwimMembership;
@@ -33,6 +34,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -63,6 +65,7 @@
   private final AtomicLong nextNotice = new AtomicLong(1);
   private final PeerQuestions questions;
   private volatile PeerView view = new PeerView(Map.of());
+  private volatile Set<PeerId> dead = Set.of();
   private SwimMembership membership;
   private MemberRecord record;
 
@@ -127,6 +130,15 @@
         });
   }
 
+  /**
+   * Connects to processes that are only known by their addresses.
+   *
+   * @param addresses the addresses, not null
+   */
+  public void openSeeds(Collection<InetSocketAddress> addresses) {
+    addresses.forEach(connections::open);
+  }
+
   /**
    * Gets the questions that can be put to peers.
    *
@@ -154,6 +166,16 @@
     return view.getOthers(settings.zone());
   }
 
+  /**
+   * Tests whether a process was live once and is now believed to be gone.
+   *
+   * @param peer the process, not null
+   * @return true if it died or left and is still remembered
+   */
+  public boolean isDead(PeerId peer) {
+    return dead.contains(peer);
+  }
+
   /**
    * Gets the number of open connections, without the listening socket.
    *
@@ -224,6 +246,13 @@
   @Override
   public void onReady(PeerId peer, Channel channel) {
     LOG.debug("peers: connected to {}", peer);
+    run(
+        () -> {
+          if (membership.find(peer).isEmpty()) {
+            MembershipMessage ping = new MembershipMessage.Ping(0, List.of(record));
+            connections.write(channel, PeerFrameUtils.toFrame(ping));
+          }
+        });
   }
 
   @Override
@@ -270,6 +299,11 @@
     Map<PeerId, MemberRecord> members = new HashMap<>();
     live.forEach(p -> membership.find(p).ifPresent(r -> members.put(p, r)));
     if (!members.equals(view.members())) {
+      dead =
+          membership.getMembers().stream()
+              .filter(r -> !r.state().isLive())
+              .map(MemberRecord::id)
+              .collect(Collectors.toUnmodifiableSet());
       view = new PeerView(members);
     }
   }
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/command/ServeSettings.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/command/ServeSettings.java
@@ -1,6 +1,7 @@
 package io.fireflyshed.daemon.command;
 
 import io.fireflyshed.daemon.entry.EntryDaemonSettings;
+import io.fireflyshed.daemon.entry.SiteSettings;
 import io.fireflyshed.daemon.settings.Setting;
 import io.fireflyshed.daemon.settings.SettingArity;
 import io.fireflyshed.daemon.settings.SettingParsers;
@@ -11,11 +12,14 @@
 import io.fireflyshed.state.replica.ServiceName;
 import io.fireflyshed.transport.control.ControlSettings;
 import io.fireflyshed.transport.entry.EntrySettings;
+import io.fireflyshed.transport.operator.OperatorRole;
+import io.fireflyshed.transport.operator.OperatorToken;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 /** The settings of an entry process. */
 final class ServeSettings {
@@ -52,6 +56,42 @@
           "site of this process, which selects the overlay of the configuration",
           text -> IdentifierUtils.requireIdentifier("site", text));
 
+  static final Setting<Optional<InetSocketAddress>> PEER_LISTEN =
+      Setting.of(
+          "peer-listen",
+          SettingParsers.ADDRESS + ", or empty for none",
+          "",
+          "address by which peers reach this process",
+          ServeSettings::parseOptionalAddress);
+
+  static final Setting<InetSocketAddress> PEER_SEED =
+      new Setting<>(
+          "peer-seed",
+          SettingParsers.ADDRESS,
+          null,
+          "address of a peer, for a start without the platform; may be given several times",
+          false,
+          SettingArity.MANY,
+          SettingParsers::parseAddress);
+
+  static final Setting<Optional<InetSocketAddress>> OPERATOR_LISTEN =
+      Setting.of(
+          "operator-listen",
+          SettingParsers.ADDRESS + ", or empty for none",
+          "",
+          "address for operators",
+          ServeSettings::parseOptionalAddress);
+
+  static final Setting<OperatorToken> OPERATOR_TOKEN =
+      new Setting<>(
+          "operator-token",
+          "NAME:ROLE:TOKEN with a role of read, drain or configure",
+          null,
+          "an operator and the bearer token; may be given several times",
+          true,
+          SettingArity.MANY,
+          ServeSettings::parseToken);
+
   static final Setting<ModelServiceSpec> MODEL_SERVICE =
       new Setting<>(
           "model-service",
@@ -120,6 +160,10 @@
           PLATFORM,
           ZONE,
           SITE,
+          PEER_LISTEN,
+          PEER_SEED,
+          OPERATOR_LISTEN,
+          OPERATOR_TOKEN,
           MODEL_SERVICE,
           ACCOUNT,
           PROBE_INTERVAL,
@@ -157,10 +201,32 @@
         entry,
         values.get(PLATFORM),
         accounts,
-        values.get(SITE),
+        toSiteSettings(values),
         values.get(OTLP_ENDPOINT));
   }
 
+  private static SiteSettings toSiteSettings(SettingValues values) {
+    return new SiteSettings(
+        values.get(SITE),
+        values.get(PEER_LISTEN),
+        values.getAll(PEER_SEED),
+        values.get(OPERATOR_LISTEN),
+        values.getAll(OPERATOR_TOKEN));
+  }
+
+  private static Optional<InetSocketAddress> parseOptionalAddress(String text) {
+    return text.isEmpty() ? Optional.empty() : Optional.of(SettingParsers.parseAddress(text));
+  }
+
+  private static OperatorToken parseToken(String text) {
+    String[] parts = text.split(":", 3);
+    if (parts.length != 3 || parts[0].isEmpty() || parts[2].isEmpty()) {
+      throw new IllegalArgumentException("not three parts");
+    }
+    OperatorRole role = SettingParsers.newEnumParser(OperatorRole.class).apply(parts[1]);
+    return OperatorToken.of(parts[0], role, parts[2]);
+  }
+
   private static Setting<Duration> newDuration(String name, String text, String description) {
     return Setting.of(
         name, SettingParsers.DURATION, text, description, SettingParsers::parsePositiveDuration);
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/entry/EntryDaemon.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/entry/EntryDaemon.java
@@ -6,12 +6,10 @@
 import io.fireflyshed.protocol.desk.PlainService;
 import io.fireflyshed.protocol.engine.ModelEngine;
 import io.fireflyshed.state.clock.MonotonicClock;
-import io.fireflyshed.state.peer.PeerId;
 import io.fireflyshed.state.replica.ModelServiceSpec;
 import io.fireflyshed.state.replica.ServingView;
 import io.fireflyshed.state.table.TableService;
 import io.fireflyshed.transport.configuration.ConfigurationStore;
-import io.fireflyshed.transport.configuration.LoneConfigurationPeers;
 import io.fireflyshed.transport.control.AssignmentStore;
 import io.fireflyshed.transport.control.ControlLoop;
 import io.fireflyshed.transport.desk.HttpPlainService;
@@ -26,6 +24,8 @@
 import io.fireflyshed.transport.entry.StreamSettings;
 import io.fireflyshed.transport.entry.UnlimitedAdmission;
 import io.fireflyshed.transport.http.HttpCaller;
+import io.fireflyshed.transport.operator.OperatorActions;
+import io.fireflyshed.transport.operator.OperatorServer;
 import io.fireflyshed.transport.platform.HttpInstanceList;
 import io.fireflyshed.transport.platform.HttpObjectStore;
 import io.fireflyshed.transport.platform.HttpTableService;
@@ -36,14 +36,18 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
 import org.apache.commons.rng.simple.RandomSource;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Wires the parts of one entry process together. */
 public final class EntryDaemon implements AutoCloseable {
 
+  private static final Logger LOG = LoggerFactory.getLogger(EntryDaemon.class);
   private static final Duration PLATFORM_TIMEOUT = Duration.ofSeconds(3);
   private static final Duration CONTROL_TIMEOUT = Duration.ofSeconds(1);
   private static final Duration DESK_TIMEOUT = Duration.ofSeconds(10);
@@ -53,8 +57,11 @@
   private final OpenTelemetrySdk telemetry;
   private final ControlLoop control;
   private final ClaimingOrderPlacer orderPlacer;
+  private final PeerModule peers;
   private final ConfigurationModule configuration;
+  private final Optional<OperatorServer> operators;
   private final EntryServer server;
+  private volatile Optional<InetSocketAddress> operatorAddress = Optional.empty();
   private final List<ModelServiceSpec> flagServices;
 
   /**
@@ -79,7 +86,18 @@
             new HttpInstanceList(controlCaller, settings.platform(), PLATFORM_TIMEOUT),
             new AssignmentStore(table),
             clock);
-    configuration = newConfiguration(settings, table, clock);
+    peers = new PeerModule(settings.control().zone(), settings.site(), table, clock);
+    ConfigurationStore store =
+        new ConfigurationStore(
+            table, new HttpObjectStore(controlCaller, settings.platform(), PLATFORM_TIMEOUT));
+    configuration =
+        new ConfigurationModule(
+            settings.site().site(),
+            peers.getBus().getSelf(),
+            store,
+            peers.getConfigurationPeers(),
+            clock);
+    operators = newOperators(settings, store, clock);
     PlainService plainService = new HttpPlainService(trafficCaller, DESK_TIMEOUT);
     orderPlacer = newOrderPlacer(table, plainService, clock);
     server = newServer(settings, plainService, clock);
@@ -91,7 +109,10 @@
    * @return the bound address for callers, never null
    */
   public InetSocketAddress start() {
+    peers.start(configuration.getAgent());
     configuration.start(control, flagServices);
+    operatorAddress = operators.map(OperatorServer::start);
+    operatorAddress.ifPresent(a -> LOG.info("operator: listening on port {}", a.getPort()));
     control.start();
     return server.start();
   }
@@ -105,17 +126,34 @@
     return control;
   }
 
+  /** Gets the address for operators; fails before the start or if there is none. */
+  InetSocketAddress getOperatorAddress() {
+    return operatorAddress.orElseThrow();
+  }
+
+  /** Gets the peers of this process. */
+  PeerModule getPeers() {
+    return peers;
+  }
+
+  /** Gets the configuration of this process. */
+  ConfigurationModule getConfiguration() {
+    return configuration;
+  }
+
   /**
    * Shuts down without cutting requests off.
    *
    * @return a future of the number of requests that were still in flight at the end
    */
   public CompletableFuture<Integer> shutdown() {
-    return server.shutdown();
+    return server.shutdown().whenComplete((left, error) -> peers.leave());
   }
 
   @Override
   public void close() {
+    operators.ifPresent(OperatorServer::close);
+    peers.close();
     configuration.close();
     orderPlacer.close();
     control.close();
@@ -124,16 +162,15 @@
     telemetry.close();
   }
 
-  private ConfigurationModule newConfiguration(
-      EntryDaemonSettings settings, TableService table, MonotonicClock clock) {
-    HttpObjectStore objects =
-        new HttpObjectStore(controlCaller, settings.platform(), PLATFORM_TIMEOUT);
-    return new ConfigurationModule(
-        settings.site(),
-        new PeerId("e" + UUID.randomUUID()),
-        new ConfigurationStore(table, objects),
-        new LoneConfigurationPeers(),
-        clock);
+  private Optional<OperatorServer> newOperators(
+      EntryDaemonSettings settings, ConfigurationStore store, MonotonicClock clock) {
+    OperatorActions actions =
+        new EntryOperatorActions(
+            settings.site().site(), configuration.getAgent(), control, store, clock);
+    return settings
+        .site()
+        .operatorListen()
+        .map(a -> new OperatorServer(a, settings.site().operatorTokens(), actions));
   }
 
   private static ClaimingOrderPlacer newOrderPlacer(
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/entry/EntryDaemonSettings.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/entry/EntryDaemonSettings.java
@@ -13,7 +13,7 @@
  * @param entry the settings of the server for callers, not null
  * @param platform the address of the platform, not null
  * @param accounts the bearer key of each client account, copied, not null
- * @param site the name of the site, which selects the overlay of the configuration, not null
+ * @param site the settings by which it takes part in its site, not null
  * @param otlpEndpoint where to export traces, empty for nowhere, not null
  */
 public record EntryDaemonSettings(
@@ -21,7 +21,7 @@
     EntrySettings entry,
     InetSocketAddress platform,
     Map<String, String> accounts,
-    String site,
+    SiteSettings site,
     String otlpEndpoint) {
 
   /** Checks the parts and copies the map. */
--- a/fireflyshed-daemon/src/main/resources/META-INF/services/io.fireflyshed.daemon.command.Command
+++ b/fireflyshed-daemon/src/main/resources/META-INF/services/io.fireflyshed.daemon.command.Command
@@ -4,7 +4,11 @@
 io.fireflyshed.daemon.command.ConfigHistoryCommand
 io.fireflyshed.daemon.command.ConfigKeyCommand
 io.fireflyshed.daemon.command.ConfigShowCommand
+io.fireflyshed.daemon.command.ConfigStatusCommand
+io.fireflyshed.daemon.command.DrainCommand
 io.fireflyshed.daemon.command.QuickstartCommand
+io.fireflyshed.daemon.command.ReplicasCommand
 io.fireflyshed.daemon.command.ServeCommand
 io.fireflyshed.daemon.command.SettingsCommand
 io.fireflyshed.daemon.command.StandInsCommand
+io.fireflyshed.daemon.command.UndrainCommand
--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/entry/EntryConfigurationTest.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/entry/EntryConfigurationTest.java
@@ -8,7 +8,6 @@
 import io.fireflyshed.protocol.json.JsonUtils;
 import io.fireflyshed.state.replica.ServiceName;
 import io.fireflyshed.transport.configuration.ConfigurationCommitter;
-import io.fireflyshed.transport.configuration.ConfigurationEditor;
 import io.fireflyshed.transport.configuration.ConfigurationStore;
 import io.fireflyshed.transport.entry.ConfiguredAccountDirectory;
 import io.fireflyshed.transport.http.HttpCaller;
@@ -47,9 +46,10 @@
         new ConfigurationStore(
             new HttpTableService(caller, fixture.getPlatformAddress(), TIMEOUT),
             new HttpObjectStore(caller, fixture.getPlatformAddress(), TIMEOUT));
+    long version = store.readHead().join().map(h -> h.record().version()).orElse(0L);
     CommitOutcome outcome =
-        new ConfigurationEditor(store, new ConfigurationCommitter(store, Runnable::run))
-            .edit("ann", "test", old -> document)
+        new ConfigurationCommitter(store, Runnable::run)
+            .apply(version, "a" + version, "ann", document.toText(), "test")
             .join();
     caller.close();
     assertTrue(outcome instanceof CommitOutcome.Accepted, outcome.toString());
--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/entry/EntryFixture.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/entry/EntryFixture.java
@@ -66,7 +66,8 @@
             LIMIT);
     daemon =
         new EntryDaemon(
-            new EntryDaemonSettings(control, entry, platform, Map.of("test", KEY), "site", ""),
+            new EntryDaemonSettings(
+                control, entry, platform, Map.of("test", KEY), SiteSettings.ofLone("site"), ""),
             telemetry);
     address = daemon.start();
     await(() -> daemon.getViews().get().getOpen(new ServiceName("cards")).size() == 2);
