Walk a fault matrix over orders, streams and configuration

Cause: the seeded schedules mix all faults, so nothing showed which fault had struck at which step.

Change: a plan tells each schedule which faults to act out and notes the steps at which they struck. Frames that hold whole wanted events are passed on without encoding.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/protocol/completion/SseDecoder.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/protocol/completion/SseDecoder.java
@@ -57,6 +57,15 @@
     return events;
   }
 
+  /**
+   * Tests whether all bytes so far belong to complete events.
+   *
+   * @return true if no part of an event is held back
+   */
+  public boolean isBetweenEvents() {
+    return line.size() == 0 && !hasData && id == SseEvent.NO_ID && name.isEmpty();
+  }
+
   private void keep(byte[] bytes, int from, int to) {
     if (line.size() + to - from > MAX_LINE_BYTES) {
       throw new IllegalArgumentException("a line of the event stream is too long");
--- a/fireflyshed-core/src/main/java/io/fireflyshed/protocol/completion/SseEncoder.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/protocol/completion/SseEncoder.java
@@ -45,14 +45,21 @@
   }
 
   private void appendData(ByteBuffer data) {
-    frames.writeBytes(DATA);
-    for (int i = data.position(); i < data.limit(); i++) {
-      byte b = data.get(i);
-      frames.write(b);
-      if (b == '\n') {
-        frames.writeBytes(DATA);
+    byte[] bytes = new byte[data.remaining()];
+    data.duplicate().get(bytes);
+    int start = 0;
+    for (int i = 0; i < bytes.length; i++) {
+      if (bytes[i] == '\n') {
+        appendDataLine(bytes, start, i);
+        start = i + 1;
       }
     }
+    appendDataLine(bytes, start, bytes.length);
+  }
+
+  private void appendDataLine(byte[] bytes, int from, int to) {
+    frames.writeBytes(DATA);
+    frames.write(bytes, from, to - from);
     frames.write('\n');
   }
 }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/engine/EngineStreamDecoder.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/engine/EngineStreamDecoder.java
@@ -6,6 +6,9 @@
 import io.fireflyshed.protocol.completion.SseEncoder;
 import io.fireflyshed.protocol.completion.SseEvent;
 import io.fireflyshed.protocol.engine.StreamChunk;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.SynchronousSink;
 
@@ -31,12 +34,19 @@
     this.nextOffset = offset;
   }
 
-  /** Converts bytes to a chunk; the events before a wrong one are passed on before the error. */
+  /**
+   * Converts bytes to a chunk; the events before a wrong one are passed on before the error.
+   *
+   * <p>Bytes that hold whole events, all of them wanted, are passed on as they are.
+   */
   void decode(byte[] bytes, SynchronousSink<StreamChunk> sink) {
-    SseEncoder frames = new SseEncoder();
+    boolean isWhole = decoder.isBetweenEvents();
+    List<SseEvent> events = decoder.decode(bytes);
+    isWhole &= decoder.isBetweenEvents();
+    List<SseEvent> wanted = new ArrayList<>(events.size());
     long first = nextOffset;
     String error = null;
-    for (SseEvent event : decoder.decode(bytes)) {
+    for (SseEvent event : events) {
       error = isEnded ? null : check(event);
       if (error != null || isEnded) {
         break;
@@ -44,12 +54,14 @@
       if (isRepeated(event)) {
         continue;
       }
-      frames.append(event);
+      wanted.add(event);
       isEnded = event.isDone();
       nextOffset += isEnded ? 0 : 1;
     }
-    if (nextOffset > first || isEnded) {
-      sink.next(new StreamChunk(first, (int) (nextOffset - first), frames.toBytes(), isEnded));
+    if (!wanted.isEmpty()) {
+      isWhole &= wanted.size() == events.size();
+      ByteBuffer frames = isWhole ? ByteBuffer.wrap(bytes) : encode(wanted);
+      sink.next(new StreamChunk(first, (int) (nextOffset - first), frames, isEnded));
     }
     if (error != null) {
       sink.error(newError(error));
@@ -61,6 +73,12 @@
     return isEnded ? Flux.empty() : Flux.error(newError("the stream ended without its end event"));
   }
 
+  private static ByteBuffer encode(List<SseEvent> events) {
+    SseEncoder encoder = new SseEncoder();
+    events.forEach(encoder::append);
+    return encoder.toBytes();
+  }
+
   private String check(SseEvent event) {
     if (ERROR_EVENT.equals(event.name())) {
       return "the engine ended the stream with an error: " + event.getText();
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/configuration/ConfigurationSchedule.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/configuration/ConfigurationSchedule.java
@@ -1,5 +1,7 @@
 package io.fireflyshed.coordination.configuration;
 
+import io.fireflyshed.faults.FaultKind;
+import io.fireflyshed.faults.FaultPlan;
 import io.fireflyshed.state.configuration.ConfigurationRecord;
 import io.fireflyshed.state.peer.PeerId;
 import java.util.ArrayList;
@@ -9,15 +11,17 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 
 /** One seeded schedule of operators, processes, cuts, pauses and lost answers in virtual time. */
-final class ConfigurationSchedule {
+public final class ConfigurationSchedule {
 
   /** Names a deliberate mistake that the checks must catch. */
-  enum Mistake {
+  public enum Mistake {
     NONE,
     VERSION_FROM_CLOCK,
     REAPPLY_ON_START,
@@ -38,11 +42,13 @@
 
   private final UniformRandomProvider random;
   private final Mistake mistake;
+  private final FaultPlan plan;
   private final SimulatedStore store = new SimulatedStore();
   private final PriorityQueue<Event> events =
       new PriorityQueue<>(Comparator.comparingLong(Event::atNanos).thenComparing(Event::order));
   private final boolean[][] isCut = new boolean[ZONES + 1][ZONES + 1];
   private final List<Process> processes = new ArrayList<>();
+  private final Map<Integer, String> commitSteps = new HashMap<>();
   private final Map<String, CommitOutcome> outcomes = new HashMap<>();
   private long now;
   private long nextOrder;
@@ -51,16 +57,23 @@
   private boolean isSlow;
 
   ConfigurationSchedule(long seed, Mistake mistake) {
+    this(seed, mistake, FaultPlan.ofAll());
+  }
+
+  /** Creates a schedule with the faults of a plan. */
+  public ConfigurationSchedule(long seed, Mistake mistake, FaultPlan plan) {
+    this.plan = plan;
     this.random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
     this.mistake = mistake;
   }
 
   /** Runs the schedule; an assertion error tells which promise was broken. */
-  void run() {
+  public void run() {
     for (int i = 0; i < ZONES * PROCESSES_PER_ZONE; i++) {
       startProcess(i % ZONES);
     }
-    for (int i = 0; i < 2; i++) {
+    int operators = plan.strikes("Commit", FaultKind.TWO_OPERATORS, true) ? 2 : 1;
+    for (int i = 0; i < operators; i++) {
       new Operator(i).scheduleNext();
     }
     scheduleFault();
@@ -95,7 +108,40 @@
     }
     int from = random.nextInt(ZONES + 1);
     int to = random.nextInt(ZONES + 1);
-    switch (random.nextInt(5)) {
+    int fault = random.nextInt(5);
+    FaultKind kind = toKind(fault, from, to);
+    boolean isStriking = plan.isEnabled(kind);
+    getSteps().forEach(s -> plan.strikes(s, kind, true));
+    if (isStriking) {
+      act(fault, from, to);
+    }
+    scheduleFault();
+  }
+
+  private static FaultKind toKind(int fault, int from, int to) {
+    return switch (fault) {
+      case 0, 1 -> from == STORE || to == STORE ? FaultKind.PLATFORM_CUT : FaultKind.PEERS_CUT;
+      case 2 -> FaultKind.STORE_SLOW;
+      case 3 -> FaultKind.ENTRY_PAUSES;
+      default -> FaultKind.ENTRY_DIES;
+    };
+  }
+
+  /** Gets the steps that are under way. */
+  private Set<String> getSteps() {
+    Set<String> steps = new TreeSet<>(commitSteps.values());
+    boolean isSpreading = processes.stream().anyMatch(p -> p.index() < store.getLength() - 1);
+    if (isSpreading) {
+      steps.add("spread");
+    }
+    if (processes.stream().anyMatch(p -> p.index() < 0)) {
+      steps.add("join");
+    }
+    return steps.isEmpty() ? Set.of("all in force") : steps;
+  }
+
+  private void act(int fault, int from, int to) {
+    switch (fault) {
       case 0, 1 -> {
         isCut[from][to] = true;
         wasSplit[from] |= from == to;
@@ -109,7 +155,6 @@
         startProcess(old.zone);
       }
     }
-    scheduleFault();
   }
 
   private void heal() {
@@ -272,7 +317,8 @@
               .map(p -> p.zone)
               .findFirst()
               .orElse(STORE);
-      boolean isLost = isCut[zone][source] || isCut[source][zone] || random.nextInt(10) == 0;
+      boolean isFailed = plan.strikes("spread", FaultKind.STORE_DOWN, random.nextInt(10) == 0);
+      boolean isLost = isFailed || isCut[zone][source] || isCut[source][zone];
       at(
           now + newDelay(),
           () ->
@@ -302,7 +348,8 @@
     }
 
     private void tell(Process peer, long version) {
-      if (random.nextInt(4) > 0) {
+      boolean isLost = plan.strikes("spread", FaultKind.EVENTS_DISORDERED, random.nextInt(4) == 0);
+      if (!isLost) {
         send(
             zone,
             peer.zone,
@@ -353,7 +400,9 @@
         finish(commit, finish.outcome());
         return;
       }
-      boolean isRefused = random.nextInt(8) == 0;
+      String name = step.getClass().getSimpleName();
+      commitSteps.put(number, name);
+      boolean isRefused = plan.strikes(name, FaultKind.STORE_DOWN, random.nextInt(8) == 0);
       if (isRefused) {
         at(now + newDelay(), () -> perform(commit, commit.onFailure(false)));
       } else if (step instanceof CommitStep.ReadHead) {
@@ -372,7 +421,7 @@
     }
 
     private void commit(ConfigurationCommit commit, CommitStep.Commit wanted) {
-      boolean isLost = random.nextInt(4) == 0;
+      boolean isLost = plan.strikes("Commit", FaultKind.ANSWER_LOST, random.nextInt(4) == 0);
       long late = isLost ? random.nextLong(4_000 * MILLI) : 0;
       at(
           now + newDelay() + late,
@@ -398,6 +447,7 @@
     }
 
     private void finish(ConfigurationCommit commit, CommitOutcome outcome) {
+      commitSteps.remove(number);
       outcomes.put("operator-" + number + "-" + (count - 1), outcome);
       scheduleNext();
     }
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/order/OrderSchedule.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/order/OrderSchedule.java
@@ -1,6 +1,8 @@
 package io.fireflyshed.coordination.order;
 
 import io.fireflyshed.coordination.attempt.Outcome;
+import io.fireflyshed.faults.FaultKind;
+import io.fireflyshed.faults.FaultPlan;
 import io.fireflyshed.state.replica.ServiceName;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -11,6 +13,8 @@
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 
@@ -18,10 +22,10 @@
  * Runs ledgers of several processes against a store and a desk that fail at seeded steps, and
  * checks what the desk ran and what the callers were told.
  */
-final class OrderSchedule {
+public final class OrderSchedule {
 
   /** Names deliberate mistakes of the code around a ledger, which the checks must notice. */
-  enum Defect {
+  public enum Defect {
     NONE,
     RETRY_AFTER_UNKNOWN,
     CLAIM_NOT_AWAITED,
@@ -36,6 +40,7 @@
   private static final long END = 40_000 * MILLI;
   private static final long TICK = 50 * MILLI;
   private static final long STORE_TIMEOUT = 600 * MILLI;
+  private static final String DISPATCH = "dispatch to the desk";
   private static final int PROCESSES = 3;
   private static final int KEYS = 3;
   private static final int OTHER_BODY_PERCENT = 8;
@@ -46,9 +51,15 @@
   private static final class Process {
     final String name;
     final OrderLedger ledger;
+    final Map<String, Integer> pending = new TreeMap<>();
     boolean isDead;
     long pausedUntil;
 
+    /** Gets the steps whose answers the process awaits. */
+    Set<String> getSteps() {
+      return pending.isEmpty() ? Set.of("no request pending") : pending.keySet();
+    }
+
     Process(String name) {
       this.name = name;
       this.ledger = new OrderLedger(SETTINGS, name);
@@ -59,6 +70,7 @@
 
   private final UniformRandomProvider random;
   private final Defect defect;
+  private final FaultPlan plan;
   private final PriorityQueue<Event> events =
       new PriorityQueue<>(
           (a, b) ->
@@ -83,12 +95,18 @@
   private int deaths;
 
   OrderSchedule(long seed, Defect defect) {
+    this(seed, defect, FaultPlan.ofAll());
+  }
+
+  /** Creates a schedule with the faults of a plan. */
+  public OrderSchedule(long seed, Defect defect, FaultPlan plan) {
+    this.plan = plan;
     random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
     this.defect = defect;
   }
 
   /** Runs the schedule and gets what went wrong, empty if all is well. */
-  List<String> run() {
+  public List<String> run() {
     for (int i = 0; i < PROCESSES; i++) {
       processes.add(new Process("p" + i));
     }
@@ -133,12 +151,24 @@
 
   private void killOne() {
     int index = random.nextInt(PROCESSES);
+    if (!strikes(processes.get(index), FaultKind.ENTRY_DIES)) {
+      return;
+    }
     processes.get(index).isDead = true;
     processes.set(index, new Process("p" + index + "-" + ++deaths));
   }
 
   private void pauseOne() {
-    processes.get(random.nextInt(PROCESSES)).pausedUntil = now + random.nextLong(8_000) * MILLI;
+    Process process = processes.get(random.nextInt(PROCESSES));
+    long until = now + random.nextLong(8_000) * MILLI;
+    if (strikes(process, FaultKind.ENTRY_PAUSES)) {
+      process.pausedUntil = until;
+    }
+  }
+
+  private boolean strikes(Process process, FaultKind kind) {
+    process.getSteps().forEach(s -> plan.strikes(s, kind, true));
+    return plan.isEnabled(kind);
   }
 
   private void submit(OrderKey key, String digest, boolean isLate) {
@@ -170,6 +200,8 @@
       commit(process, a);
     } else if (action instanceof OrderAction.CommitResults a) {
       request(
+          process,
+          "record results",
           () -> a.resultsByGroup().forEach((g, r) -> results.put(g + "/" + a.batch(), r)),
           outcome ->
               deliver(
@@ -192,27 +224,35 @@
     return now < FAULT_END && random.nextInt(100) < percent;
   }
 
-  private long newDelay() {
-    return (1 + random.nextLong(isFaulty(10) ? 400 : 20)) * MILLI;
+  private long newDelay(String step) {
+    boolean isSlow = plan.strikes(step, FaultKind.STORE_SLOW, isFaulty(10));
+    return (1 + random.nextLong(isSlow ? 400 : 20)) * MILLI;
   }
 
   /** Sends a request whose effect or answer may be lost or late. RAN means a known effect. */
-  private void request(Runnable effect, java.util.function.Consumer<Outcome> answer) {
-    if (isFaulty(8)) {
-      after(newDelay(), () -> answer.accept(Outcome.NOT_RUN));
-    } else if (isFaulty(25)) {
+  private void request(Process process, String step, Runnable effect, Consumer<Outcome> receiver) {
+    process.pending.merge(step, 1, Integer::sum);
+    Consumer<Outcome> answer =
+        outcome -> {
+          process.pending.computeIfPresent(step, (s, n) -> n == 1 ? null : n - 1);
+          receiver.accept(outcome);
+        };
+    FaultKind refusal = step.equals(DISPATCH) ? FaultKind.TARGET_REFUSES : FaultKind.STORE_DOWN;
+    if (plan.strikes(step, refusal, isFaulty(8))) {
+      after(newDelay(step), () -> answer.accept(Outcome.NOT_RUN));
+    } else if (plan.strikes(step, FaultKind.ANSWER_LOST, isFaulty(25))) {
       int kind = random.nextInt(3);
       if (kind != 0) {
-        long delay = kind == 1 ? newDelay() : random.nextLong(6_000) * MILLI;
+        long delay = kind == 1 ? newDelay(step) : random.nextLong(6_000) * MILLI;
         after(delay, effect);
       }
       after(STORE_TIMEOUT, () -> answer.accept(Outcome.UNKNOWN));
     } else {
       after(
-          newDelay(),
+          newDelay(step),
           () -> {
             effect.run();
-            after(newDelay(), () -> answer.accept(Outcome.RAN));
+            after(newDelay(step), () -> answer.accept(Outcome.RAN));
           });
     }
   }
@@ -234,6 +274,8 @@
           }
         };
     request(
+        process,
+        "commit claims",
         effect,
         outcome ->
             deliver(
@@ -269,6 +311,8 @@
   private void readClaim(Process process, OrderAction.ReadClaim action) {
     List<Optional<StoredClaim>> read = new ArrayList<>();
     request(
+        process,
+        "read claim",
         () -> read.add(Optional.ofNullable(claims.get(action.key()))),
         outcome ->
             deliver(
@@ -295,6 +339,8 @@
   private void readResult(Process process, OrderAction.ReadResult action) {
     List<Optional<OrderResult>> read = new ArrayList<>();
     request(
+        process,
+        "read result",
         () -> read.add(findResult(action.holder())),
         outcome ->
             deliver(
@@ -322,6 +368,8 @@
     String digest = submission.digest();
     String text = action.key() + " " + digest + " " + action.attempt();
     request(
+        process,
+        DISPATCH,
         () -> {
           runs.computeIfAbsent(action.key(), k -> new ArrayList<>()).add(digest);
           ranAttempts.add(action.attempt());
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/entry/CompletionSchedule.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/entry/CompletionSchedule.java
@@ -4,6 +4,8 @@
 import io.fireflyshed.coordination.attempt.Outcome;
 import io.fireflyshed.coordination.retry.RetryPolicy;
 import io.fireflyshed.coordination.routing.LeastInFlightRouter;
+import io.fireflyshed.faults.FaultKind;
+import io.fireflyshed.faults.FaultPlan;
 import io.fireflyshed.protocol.completion.CompletionKind;
 import io.fireflyshed.protocol.completion.CompletionRequest;
 import io.fireflyshed.protocol.engine.EngineOrder;
@@ -47,10 +49,10 @@
  * Runs completions against an engine that fails at seeded steps, in virtual time, and checks what
  * the engine ran and what the callers got.
  */
-final class CompletionSchedule {
+public final class CompletionSchedule {
 
   /** Names deliberate mistakes of the code around a runner, which the checks must notice. */
-  enum Defect {
+  public enum Defect {
     NONE,
     CUT_TAKEN_AS_END,
     UNKNOWN_TOLD_AS_NOT_RUN,
@@ -78,6 +80,7 @@
 
   private final UniformRandomProvider random;
   private final Defect defect;
+  private final FaultPlan plan;
   private final VirtualTimeScheduler time = VirtualTimeScheduler.create();
   private final Map<String, Caller> callers = new HashMap<>();
   private final Map<String, Integer> runs = new HashMap<>();
@@ -85,12 +88,18 @@
   private int active;
 
   CompletionSchedule(long seed, Defect defect) {
+    this(seed, defect, FaultPlan.ofAll());
+  }
+
+  /** Creates a schedule with the faults of a plan. */
+  public CompletionSchedule(long seed, Defect defect, FaultPlan plan) {
+    this.plan = plan;
     random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
     this.defect = defect;
   }
 
   /** Runs the schedule and gets what went wrong, empty if all is well. */
-  List<String> run() {
+  public List<String> run() {
     VirtualTimeScheduler.set(time);
     try {
       CompletionRunner runner =
@@ -128,7 +137,7 @@
                   caller.isEnded |= chunk.isEnd();
                 },
                 e -> caller.error = e);
-    if (random.nextInt(6) == 0) {
+    if (plan.strikes("any", FaultKind.CALLER_LEAVES, random.nextInt(6) == 0)) {
       Mono.delay(Duration.ofMillis(random.nextInt(3000)))
           .subscribe(
               t -> {
@@ -147,7 +156,7 @@
   private ServingView newView() {
     List<OpenReplica> open = new ArrayList<>();
     for (int i = 0; i < REPLICAS; i++) {
-      if (random.nextInt(10) != 0) {
+      if (!plan.strikes("route", FaultKind.MEMBER_DIES, random.nextInt(10) == 0)) {
         InstanceRecord head =
             new InstanceRecord(
                 new InstanceId("i" + i),
@@ -221,24 +230,27 @@
     }
 
     private Flux<StreamChunk> newAttempt(EngineRequest request) {
+      String step = request.offset() == 0 ? "first attempt" : "resumed attempt";
       int fault = random.nextInt(10);
-      if (fault == 0) {
+      if (plan.strikes(step, FaultKind.TARGET_REFUSES, fault == 0)) {
         return Flux.error(newError(Outcome.NOT_RUN));
       }
-      if (fault == 1 && random.nextBoolean()) {
+      boolean isUnknown = fault == 1 && random.nextBoolean();
+      if (plan.strikes(step, FaultKind.ANSWER_LOST, isUnknown)) {
         return Flux.error(newError(Outcome.UNKNOWN));
       }
       runs.merge(request.requestId(), 1, Integer::sum);
       List<StreamChunk> chunks = newChunks(request);
-      int cut = fault < 7 ? random.nextInt(chunks.size() + 1) : chunks.size();
-      List<StreamChunk> sent = shuffle(chunks.subList(0, cut));
+      boolean isBroken = plan.strikes(step, FaultKind.TARGET_BREAKS, fault < 7);
+      int cut = isBroken ? random.nextInt(chunks.size() + 1) : chunks.size();
+      List<StreamChunk> sent = shuffle(step, chunks.subList(0, cut));
       Flux<StreamChunk> paced =
-          Flux.fromIterable(sent).concatMap(c -> Mono.delay(newPause()).thenReturn(c));
-      return fault < 7 ? paced.concatWith(newBreak(request, cut)) : paced;
+          Flux.fromIterable(sent).concatMap(c -> Mono.delay(newPause(step)).thenReturn(c));
+      return isBroken ? paced.concatWith(newBreak(request, cut)) : paced;
     }
 
-    private Duration newPause() {
-      boolean isLong = random.nextInt(60) == 0;
+    private Duration newPause(String step) {
+      boolean isLong = plan.strikes(step, FaultKind.TARGET_STALLS, random.nextInt(60) == 0);
       return Duration.ofMillis(isLong ? 15_000 : random.nextInt(200));
     }
 
@@ -267,18 +279,22 @@
     }
 
     /** Repeats some chunks and swaps others with their neighbours. */
-    private List<StreamChunk> shuffle(List<StreamChunk> chunks) {
+    private List<StreamChunk> shuffle(String step, List<StreamChunk> chunks) {
       List<StreamChunk> sent = new ArrayList<>();
       for (StreamChunk chunk : chunks) {
-        int place = sent.isEmpty() || random.nextInt(8) != 0 ? sent.size() : sent.size() - 1;
-        sent.add(place, chunk);
-        if (random.nextInt(8) == 0) {
+        boolean isSwapped = !sent.isEmpty() && isDisordered(step);
+        sent.add(isSwapped ? sent.size() - 1 : sent.size(), chunk);
+        if (isDisordered(step)) {
           sent.add(chunk);
         }
       }
       return sent;
     }
 
+    private boolean isDisordered(String step) {
+      return plan.strikes(step, FaultKind.EVENTS_DISORDERED, random.nextInt(8) == 0);
+    }
+
     private Flux<StreamChunk> newBreak(EngineRequest request, int cut) {
       if (defect == Defect.CUT_TAKEN_AS_END) {
         long end = request.offset() + cut;
