Project the measured slopes to the target size

Cause: slopes alone don't say which limit breaks first.

Change: `bench capacity` works out memory, processor time, bytes and reads and writes of the table service at the target size, each beside its limit, for today's way and for the way that would carry it.

--- a/fireflyshed-bench/src/main/java/io/fireflyshed/bench/capacity/CapacityBench.java
+++ b/fireflyshed-bench/src/main/java/io/fireflyshed/bench/capacity/CapacityBench.java
@@ -7,7 +7,9 @@
 import io.fireflyshed.daemon.settings.SettingValues;
 import java.io.PrintStream;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import org.apache.commons.math3.stat.regression.SimpleRegression;
 
 /**
@@ -43,13 +45,16 @@
     all.add(new ProbeBytes());
     all.add(new StreamMemory());
     boolean isValid = true;
+    Map<String, Double> slopes = new HashMap<>();
     for (SlopeMeasurement measurement : all) {
-      isValid &= measure(measurement, figures);
+      isValid &= measure(measurement, figures, slopes);
     }
+    new Projections(slopes, figures).print();
     return isValid ? EXIT_OK : EXIT_FAILED;
   }
 
-  private static boolean measure(SlopeMeasurement measurement, Figures figures) {
+  private static boolean measure(
+      SlopeMeasurement measurement, Figures figures, Map<String, Double> slopes) {
     SimpleRegression line = new SimpleRegression();
     double first = 0;
     for (int size : measurement.getSizes()) {
@@ -63,6 +68,8 @@
         measurement.getName() + "-slope", line.getSlope(), measurement.getUnit() + "/each", first);
     figures.print(measurement.getName() + "-intercept", line.getIntercept(), measurement.getUnit());
     figures.print(measurement.getName() + "-r2", line.getRSquare(), "1");
+    slopes.put(measurement.getName(), line.getSlope());
+    slopes.put(measurement.getName() + "-intercept", line.getIntercept());
     return first > 0;
   }
 }
