Measure the relay in rounds

Cause: the last of three rounds decided, so the load of the machine did. Change: medians of seven rounds after one to warm up.

--- a/fireflyshed-bench/src/main/java/io/fireflyshed/bench/relay/RelayBench.java
+++ b/fireflyshed-bench/src/main/java/io/fireflyshed/bench/relay/RelayBench.java
@@ -7,7 +7,11 @@
 import io.fireflyshed.daemon.settings.SettingValues;
 import java.io.PrintStream;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.function.ToDoubleFunction;
+import java.util.stream.Stream;
+import org.apache.commons.math3.stat.descriptive.rank.Median;
 
 /** Measures an entry beside a bare pass-through and a direct call, in the same run. */
 public final class RelayBench implements Command {
@@ -16,8 +20,8 @@
       Setting.of(
           "time",
           SettingParsers.DURATION,
-          "5s",
-          "length of each part of the run",
+          "1s",
+          "length of each round",
           SettingParsers::parsePositiveDuration);
 
   private static final Setting<Integer> TOKENS =
@@ -36,7 +40,8 @@
           "requests in flight in the throughput part",
           SettingParsers.newIntegerParser(1, 512));
 
-  private static final int ROUNDS = 3;
+  private static final int ROUNDS = 8;
+  private static final int WARM_UP_ROUNDS = 1;
   private static final Duration TOKEN_INTERVAL = Duration.ofMillis(5);
   private static final int SESSIONS_CONCURRENCY = 512;
 
@@ -108,27 +113,36 @@
     }
 
     boolean measure(Figures figures) {
-      LoadResult direct = null;
-      LoadResult bare = null;
-      LoadResult entry = null;
+      List<LoadResult> direct = new ArrayList<>();
+      List<LoadResult> bare = new ArrayList<>();
+      List<LoadResult> entry = new ArrayList<>();
       for (int round = 0; round < ROUNDS; round++) {
-        direct = site.newRun(site.getEngine()).runClosed(concurrency, time);
-        bare = site.newRun(site.getBare()).runClosed(concurrency, time);
-        entry = site.newRun(site.getEntry()).runClosed(concurrency, time);
+        direct.add(site.newRun(site.getEngine()).runClosed(concurrency, time));
+        bare.add(site.newRun(site.getBare()).runClosed(concurrency, time));
+        entry.add(site.newRun(site.getEntry()).runClosed(concurrency, time));
       }
-      bareRate = bare.getRequestsPerSecond();
-      double entryRate = entry.getRequestsPerSecond();
+      bareRate = getMedian(bare, LoadResult::getRequestsPerSecond);
+      double entryRate = getMedian(entry, LoadResult::getRequestsPerSecond);
+      double directRate = getMedian(direct, LoadResult::getRequestsPerSecond);
+      int tokens = site.getTokens();
       figures.print(name + "-requests", entryRate, "1/s", bareRate);
-      figures.print(
-          name + "-tokens", entryRate * site.getTokens(), "1/s", bareRate * site.getTokens());
-      figures.print(name + "-direct-requests", direct.getRequestsPerSecond(), "1/s", bareRate);
-      double base = toMicrosPerToken(direct);
+      figures.print(name + "-tokens", entryRate * tokens, "1/s", bareRate * tokens);
+      figures.print(name + "-direct-requests", directRate, "1/s", bareRate);
+      double base = getMedian(direct, this::toMicrosPerToken);
       figures.print(
           name + "-added-cpu",
-          toMicrosPerToken(entry) - base,
+          getMedian(entry, this::toMicrosPerToken) - base,
           "us/token",
-          toMicrosPerToken(bare) - base);
-      return direct.failures() + bare.failures() + entry.failures() == 0 && entry.requests() > 0;
+          getMedian(bare, this::toMicrosPerToken) - base);
+      return Stream.of(direct, bare, entry)
+          .flatMap(List::stream)
+          .allMatch(r -> r.failures() == 0 && r.requests() > 0);
+    }
+
+    private static double getMedian(
+        List<LoadResult> rounds, ToDoubleFunction<LoadResult> function) {
+      double[] values = rounds.stream().skip(WARM_UP_ROUNDS).mapToDouble(function).toArray();
+      return new Median().evaluate(values);
     }
 
     private double toMicrosPerToken(LoadResult result) {
