Keep the connection to an engine after a whole answer

Cause: a profile of the relay showed connect and close for each request. The stream was cancelled at the end event, before the body had ended, and the HTTP library closes a connection that is cancelled.

Change: the end event is passed on when the body has ended, or 200 ms after it came.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/engine/EngineStreamDecoder.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/engine/EngineStreamDecoder.java
@@ -11,6 +11,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
 import reactor.core.publisher.SynchronousSink;
 
 /**
@@ -26,8 +28,9 @@
   private final SseDecoder decoder = new SseDecoder();
   private final String peer;
   private final long startOffset;
+  private final Sinks.Empty<Void> endSignal = Sinks.empty();
   private long nextOffset;
-  private boolean isEnded;
+  private StreamChunk end;
 
   EngineStreamDecoder(String peer, long offset) {
     this.peer = peer;
@@ -38,7 +41,8 @@
   /**
    * Converts bytes to a chunk; the events before a wrong one are passed on before the error.
    *
-   * <p>Bytes that hold whole events, all of them wanted, are passed on as they are.
+   * <p>Bytes that hold whole events, all of them wanted, are passed on as they are. The end event
+   * is kept until the body has ended, so that the connection can be used again.
    */
   void decode(byte[] bytes, SynchronousSink<StreamChunk> sink) {
     boolean isWhole = decoder.isBetweenEvents();
@@ -48,30 +52,48 @@
     long first = nextOffset;
     String error = null;
     for (SseEvent event : events) {
-      error = isEnded ? null : check(event);
-      if (error != null || isEnded) {
+      if (isEnded()) {
+        break;
+      }
+      if (event.isDone()) {
+        end = new StreamChunk(nextOffset, 0, encode(List.of(event)), true);
+        endSignal.tryEmitEmpty();
+        break;
+      }
+      error = check(event);
+      if (error != null) {
         break;
       }
       if (isRepeated(event)) {
         continue;
       }
       wanted.add(event);
-      isEnded = event.isDone();
-      nextOffset += isEnded ? 0 : 1;
+      nextOffset++;
     }
     if (!wanted.isEmpty()) {
       isWhole &= wanted.size() == events.size();
       ByteBuffer frames = isWhole ? ByteBuffer.wrap(bytes) : encode(wanted);
-      sink.next(new StreamChunk(first, (int) (nextOffset - first), frames, isEnded));
+      sink.next(new StreamChunk(first, (int) (nextOffset - first), frames, false));
     }
     if (error != null) {
       sink.error(newError(error));
     }
   }
 
-  /** Fails if the body ended without the end event. */
-  Flux<StreamChunk> checkEnd() {
-    return isEnded ? Flux.empty() : Flux.error(newLost("the stream ended without its end event"));
+  /** Completes when the end event has come. */
+  Mono<Void> awaitEnd() {
+    return endSignal.asMono();
+  }
+
+  /** Gets the end event, or fails if the body ended without it. */
+  Flux<StreamChunk> getEnd() {
+    return isEnded()
+        ? Flux.just(end)
+        : Flux.error(newLost("the stream ended without its end event"));
+  }
+
+  private boolean isEnded() {
+    return end != null;
   }
 
   private static ByteBuffer encode(List<SseEvent> events) {
@@ -84,7 +106,7 @@
     if (ERROR_EVENT.equals(event.name())) {
       return "the engine ended the stream with an error: " + event.getText();
     }
-    if (!event.isDone() && event.id() != nextOffset && !isRepeated(event)) {
+    if (event.id() != nextOffset && !isRepeated(event)) {
       return "expected offset " + nextOffset + " but got " + event.id();
     }
     return null;
@@ -92,7 +114,7 @@
 
   /** Tests whether this attempt sent the event before. */
   private boolean isRepeated(SseEvent event) {
-    return !event.isDone() && event.id() >= startOffset && event.id() < nextOffset;
+    return event.id() >= startOffset && event.id() < nextOffset;
   }
 
   private TargetLostException newLost(String message) {
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/engine/HttpModelEngine.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/engine/HttpModelEngine.java
@@ -39,6 +39,7 @@
 /** Talks to model engines over HTTP. Thread safe. */
 public final class HttpModelEngine implements ModelEngine {
 
+  private static final Duration MAX_BODY_END_WAIT = Duration.ofMillis(200);
   private static final String STEP_STREAM = "stream";
 
   private final HttpCaller caller;
@@ -148,8 +149,8 @@
     EngineStreamDecoder decoder = new EngineStreamDecoder(peer, request.offset());
     return body.asByteArray()
         .handle(decoder::decode)
-        .concatWith(Flux.defer(decoder::checkEnd))
-        .takeUntil(StreamChunk::isEnd);
+        .takeUntilOther(decoder.awaitEnd().then(Mono.delay(MAX_BODY_END_WAIT)))
+        .concatWith(Flux.defer(decoder::getEnd));
   }
 
   private CompletableFuture<JsonNode> get(String step, InstanceRecord instance, String path) {
