Coordinate a zone under a lease and dissolve replicas before their instances move

Cause: any entry could form replicas, instances were never given free, and a reused id started at generation 1 again. Change: ZoneLease (epoch row apart from the renewal row), ZoneCoordinator with DissolveTracker, generations made of epoch and count, HealthTracker, DrainTracker, ServingGate that ignores answers older than a failure; ControlLoop only carries the thread, ZoneControl the wiring.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/assignment/ReplicaFormer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/assignment/ReplicaFormer.java
@@ -4,11 +4,11 @@
 import io.fireflyshed.state.instance.FabricDomain;
 import io.fireflyshed.state.instance.InstanceId;
 import io.fireflyshed.state.instance.InstanceRecord;
-import io.fireflyshed.state.replica.Assignment;
 import io.fireflyshed.state.replica.ModelServiceSpec;
 import io.fireflyshed.state.replica.ReplicaId;
+import io.fireflyshed.state.replica.ServiceName;
 import java.util.ArrayList;
-import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -16,51 +16,101 @@
 import java.util.Set;
 import java.util.TreeMap;
 
-/** Forms new replicas from free instances of one fabric domain. Stateless and thread safe. */
-public final class ReplicaFormer {
+/**
+ * The naive planner: replaces a replica as soon as a member is lost, loads all members at once and
+ * keeps no spares. Stateless and thread safe.
+ */
+public final class ReplicaFormer implements ReplicaPlanner {
 
-  private static final long FIRST_GENERATION = 1;
-
-  /**
-   * Plans the replicas that are missing in one availability zone.
-   *
-   * @param zone the zone, not null
-   * @param specs the wanted services, not null
-   * @param instances the listed instances, not null
-   * @param assignments the assignments that exist, not null
-   * @return the replicas to create, empty if none can be formed, never null
-   */
-  public List<Assignment> plan(
-      AvailabilityZone zone,
-      List<ModelServiceSpec> specs,
-      List<InstanceRecord> instances,
-      List<Assignment> assignments) {
-    Map<FabricDomain, List<InstanceRecord>> free = findFree(zone, instances, assignments);
-    Set<ReplicaId> taken = new HashSet<>(assignments.stream().map(Assignment::id).toList());
-    List<Assignment> plan = new ArrayList<>();
-    for (ModelServiceSpec spec : specs) {
-      for (int i = 0; i < spec.replicas(); i++) {
-        ReplicaId id = new ReplicaId(spec.name() + "." + zone + "." + i);
-        if (!taken.contains(id)) {
-          take(free, spec.instancesPerReplica())
-              .ifPresent(m -> plan.add(new Assignment(id, spec.name(), FIRST_GENERATION, m)));
-        }
+  @Override
+  public List<PlanAction> plan(ClusterState state) {
+    List<PlanAction> plan = new ArrayList<>();
+    Map<InstanceId, InstanceStatus> statuses = new TreeMap<>();
+    state.instances().forEach(i -> statuses.put(i.instance().id(), i.status()));
+    for (AssignmentState assignment : state.assignments()) {
+      if (assignment.phase() == AssignmentPhase.ACTIVE) {
+        keep(state, assignment, statuses, plan);
       }
     }
+    form(state, plan);
     return plan;
   }
 
-  private static Map<FabricDomain, List<InstanceRecord>> findFree(
-      AvailabilityZone zone, List<InstanceRecord> instances, List<Assignment> assignments) {
-    Set<InstanceId> assigned = new HashSet<>();
-    assignments.forEach(a -> a.members().forEach(m -> assigned.add(m.id())));
+  private static void keep(
+      ClusterState state,
+      AssignmentState current,
+      Map<InstanceId, InstanceStatus> statuses,
+      List<PlanAction> plan) {
+    ReplicaId id = current.assignment().id();
+    long generation = current.assignment().generation();
+    Optional<DissolveCause> cause = findCause(current, statuses);
+    if (cause.isPresent()) {
+      plan.add(new PlanAction.DissolveReplica(id, generation, cause.get()));
+      return;
+    }
+    Optional<String> model =
+        state.services().stream()
+            .filter(s -> s.name().equals(current.assignment().service()))
+            .map(ModelServiceSpec::model)
+            .findFirst();
+    if (model.isPresent() && !model.get().equals(current.model())) {
+      plan.add(new PlanAction.ChangeModel(id, generation, model.get()));
+      return;
+    }
+    for (InstanceRecord member : current.assignment().members()) {
+      if (!current.ready().contains(member.id()) && !current.loading().contains(member.id())) {
+        plan.add(new PlanAction.LoadMember(id, generation, member.id()));
+      }
+    }
+  }
+
+  private static Optional<DissolveCause> findCause(
+      AssignmentState current, Map<InstanceId, InstanceStatus> statuses) {
+    Set<InstanceStatus> found = new HashSet<>();
+    current.assignment().members().forEach(m -> found.add(statuses.get(m.id())));
+    if (found.contains(InstanceStatus.LEAVING)) {
+      return Optional.of(DissolveCause.DRAIN);
+    }
+    return found.contains(InstanceStatus.FAILED)
+        ? Optional.of(DissolveCause.MEMBER_LOST)
+        : Optional.empty();
+  }
+
+  private static void form(ClusterState state, List<PlanAction> plan) {
     Map<FabricDomain, List<InstanceRecord>> free = new TreeMap<>();
-    instances.stream()
-        .filter(i -> i.isEngine() && !i.leaving() && i.zone().equals(zone))
-        .filter(i -> !assigned.contains(i.id()))
-        .sorted(Comparator.comparing(InstanceRecord::id))
+    state.instances().stream()
+        .filter(InstanceState::isFree)
+        .map(InstanceState::instance)
         .forEach(i -> free.computeIfAbsent(i.domain(), d -> new ArrayList<>()).add(i));
-    return free;
+    Set<ReplicaId> taken = new HashSet<>();
+    Map<ServiceName, Integer> active = new HashMap<>();
+    for (AssignmentState assignment : state.assignments()) {
+      if (assignment.isHolding()) {
+        taken.add(assignment.assignment().id());
+      }
+      if (assignment.phase() == AssignmentPhase.ACTIVE) {
+        active.merge(assignment.assignment().service(), 1, Integer::sum);
+      }
+    }
+    for (ModelServiceSpec spec : state.services()) {
+      for (int i = active.getOrDefault(spec.name(), 0); i < spec.replicas(); i++) {
+        ReplicaId id = newId(spec, state.zone(), taken);
+        taken.add(id);
+        take(free, spec.instancesPerReplica())
+            .ifPresent(m -> plan.add(new PlanAction.FormReplica(id, spec.name(), spec.model(), m)));
+      }
+    }
+  }
+
+  private static ReplicaId newId(
+      ModelServiceSpec spec, AvailabilityZone zone, Set<ReplicaId> taken) {
+    int index = 0;
+    ReplicaId id = new ReplicaId(spec.name() + "." + zone + "." + index);
+    while (taken.contains(id)) {
+      index++;
+      id = new ReplicaId(spec.name() + "." + zone + "." + index);
+    }
+    return id;
   }
 
   private static Optional<List<InstanceRecord>> take(
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/drain/package-info.java
@@ -0,0 +1,2 @@
+/** Which instances leave and which replicas drain. */
+package io.fireflyshed.coordination.drain;
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/gate/ServingGate.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/gate/ServingGate.java
@@ -1,6 +1,6 @@
 package io.fireflyshed.coordination.gate;
 
-import io.fireflyshed.state.instance.BootId;
+import io.fireflyshed.coordination.drain.DrainTracker;
 import io.fireflyshed.state.instance.InstanceId;
 import io.fireflyshed.state.instance.InstanceRecord;
 import io.fireflyshed.state.replica.Assignment;
@@ -8,7 +8,6 @@
 import io.fireflyshed.state.replica.OpenReplica;
 import java.time.Duration;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -18,91 +17,77 @@
  * Decides which replicas may serve.
  *
  * <p>A replica is open only while there is evidence from every member, no older than a bound, that
- * the member runs this replica at this generation. Evidence ages from the moment its probe was
- * sent. A failed probe closes the replica at once, and so does a leaving mark, which stays until
- * the boot id of the instance changes. Not thread safe; belongs to the control thread.
+ * the member runs this replica at this generation, and while no member leaves. Evidence ages from
+ * the moment its probe was sent. A failed probe, a broken connection or a peer's notice closes the
+ * replica at once; after it, only the answer to a probe that was sent later counts. Not thread
+ * safe; belongs to the control thread.
  */
 public final class ServingGate {
 
   private record Evidence(MemberHealth health, long sentNanos) {}
 
   private final long maxAgeNanos;
+  private final DrainTracker drain;
   private final Map<InstanceId, Evidence> evidence = new HashMap<>();
-  private final Map<InstanceId, BootId> leavingBoots = new HashMap<>();
-  private final Set<InstanceId> leavingUnknownBoot = new HashSet<>();
+  private final Map<InstanceId, Long> failures = new HashMap<>();
 
   /**
    * Creates a gate without evidence; all replicas are closed.
    *
    * @param maxAge the age at which evidence becomes invalid, positive, not null
+   * @param drain tells which instances leave; this gate passes it the answers to probes, not null
    */
-  public ServingGate(Duration maxAge) {
+  public ServingGate(Duration maxAge, DrainTracker drain) {
     Objects.requireNonNull(maxAge, "maxAge");
     if (maxAge.isZero() || maxAge.isNegative()) {
       throw new IllegalArgumentException("maxAge must be positive: " + maxAge);
     }
     maxAgeNanos = maxAge.toNanos();
+    this.drain = Objects.requireNonNull(drain, "drain");
   }
 
   /**
-   * Takes in the answer to a probe.
+   * Takes in the answer to a probe. An answer that is out of order, or to a probe that was sent
+   * before the last failure was seen, changes nothing.
    *
    * @param health what the member said, not null
    * @param sentNanos the reading of the monotonic clock before the probe was sent
+   * @return true if this is the first sign that the member leaves
    */
-  public void onHealth(MemberHealth health, long sentNanos) {
+  public boolean onHealth(MemberHealth health, long sentNanos) {
     Evidence last = evidence.get(health.instance());
     if (last != null && last.sentNanos() - sentNanos > 0) {
-      return;
-    }
-    evidence.put(health.instance(), new Evidence(health, sentNanos));
-    if (leavingUnknownBoot.remove(health.instance())) {
-      leavingBoots.put(health.instance(), health.boot());
+      return false;
     }
-    if (health.isLeaving()) {
-      leavingBoots.put(health.instance(), health.boot());
+    Long failed = failures.get(health.instance());
+    if (failed != null && sentNanos - failed < 0) {
+      return false;
     }
+    failures.remove(health.instance());
+    evidence.put(health.instance(), new Evidence(health, sentNanos));
+    return drain.onHealth(health);
   }
 
   /**
-   * Takes in that a probe failed or that a connection to a member broke.
+   * Takes in that a probe failed, that a connection to a member broke, or that a peer saw so.
    *
    * @param instance the member, not null
+   * @param nowNanos the reading of the monotonic clock
+   * @return true if there was evidence that the member ran
    */
-  public void onFailure(InstanceId instance) {
-    evidence.remove(instance);
-  }
-
-  /**
-   * Takes in that an instance leaves. The mark stays until the boot id of the instance changes.
-   *
-   * @param instance the instance, not null
-   */
-  public void onLeaving(InstanceId instance) {
-    Evidence last = evidence.get(instance);
-    if (last != null) {
-      leavingBoots.put(instance, last.health().boot());
-    } else if (!leavingBoots.containsKey(instance)) {
-      leavingUnknownBoot.add(instance);
-    }
+  public boolean onFailure(InstanceId instance, long nowNanos) {
+    failures.put(instance, nowNanos);
+    return evidence.remove(instance) != null;
   }
 
   /**
-   * Tests whether an instance is marked as leaving.
+   * Forgets the instances that are in no replica.
    *
-   * @param instance the instance, not null
-   * @return true if the mark is set and the boot id has not changed since
+   * @param members the instances to keep, not null
    */
-  public boolean isLeaving(InstanceId instance) {
-    if (leavingUnknownBoot.contains(instance)) {
-      return true;
-    }
-    BootId marked = leavingBoots.get(instance);
-    if (marked == null) {
-      return false;
-    }
-    Evidence last = evidence.get(instance);
-    return last == null || last.health().boot().equals(marked);
+  public void retain(Set<InstanceId> members) {
+    evidence.keySet().retainAll(members);
+    failures.keySet().retainAll(members);
   }
 
   /**
@@ -117,7 +102,7 @@
     boolean isFirst = true;
     for (InstanceRecord member : assignment.members()) {
       Evidence last = evidence.get(member.id());
-      if (last == null || !isWhole(assignment, last.health()) || isLeaving(member.id())) {
+      if (last == null || !isWhole(assignment, last.health()) || drain.isLeaving(member)) {
         return Optional.empty();
       }
       long until = last.sentNanos() + maxAgeNanos;
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/health/package-info.java
@@ -0,0 +1,2 @@
+/** Suspicion of instances that fail, pause, answer late or come and go. */
+package io.fireflyshed.coordination.health;
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/lease/LeaseRows.java
@@ -0,0 +1,56 @@
+package io.fireflyshed.coordination.lease;
+
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * Holds the two rows of a lease as they were read together. The epoch row changes with a takeover
+ * only, so that transactions can be conditioned on it across renewals.
+ *
+ * @param epoch the epoch row, empty if it does not exist, not null
+ * @param renewal the renewal row, empty if it does not exist, not null
+ */
+public record LeaseRows(Optional<Entry> epoch, Optional<Entry> renewal) {
+
+  /**
+   * Holds one row.
+   *
+   * @param version the version of the row, 1 or more
+   * @param epoch the epoch, 1 or more
+   * @param attempt the id of the attempt that wrote the row, not null
+   */
+  public record Entry(long version, long epoch, String attempt) {
+
+    /** Checks the parts of the record. */
+    public Entry {
+      Objects.requireNonNull(attempt, "attempt");
+      if (version < 1 || epoch < 1) {
+        throw new IllegalArgumentException("version and epoch must be positive: " + version);
+      }
+    }
+  }
+
+  /** Checks the parts of the record. */
+  public LeaseRows {
+    Objects.requireNonNull(epoch, "epoch");
+    Objects.requireNonNull(renewal, "renewal");
+  }
+
+  /**
+   * Gets the version of the epoch row.
+   *
+   * @return the version, 0 if the row does not exist
+   */
+  public long getEpochVersion() {
+    return epoch.map(Entry::version).orElse(0L);
+  }
+
+  /**
+   * Gets the version of the renewal row.
+   *
+   * @return the version, 0 if the row does not exist
+   */
+  public long getRenewalVersion() {
+    return renewal.map(Entry::version).orElse(0L);
+  }
+}
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/control/AssignmentStore.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/control/AssignmentStore.java
@@ -1,23 +1,30 @@
 package io.fireflyshed.transport.control;
 
+import io.fireflyshed.coordination.assignment.AssignmentChange;
+import io.fireflyshed.coordination.assignment.VersionedAssignment;
 import io.fireflyshed.protocol.platform.AssignmentCodec;
-import io.fireflyshed.state.instance.InstanceRecord;
+import io.fireflyshed.state.instance.AvailabilityZone;
+import io.fireflyshed.state.instance.InstanceId;
 import io.fireflyshed.state.replica.Assignment;
 import io.fireflyshed.state.table.CommitResult;
 import io.fireflyshed.state.table.Condition;
+import io.fireflyshed.state.table.Row;
 import io.fireflyshed.state.table.RowKey;
 import io.fireflyshed.state.table.TableService;
 import io.fireflyshed.state.table.Transaction;
 import io.fireflyshed.state.table.Write;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 
 /**
- * Keeps assignments in the table service. Thread safe.
+ * Keeps the assignments in the table service: one row for each replica and one for each held
+ * instance. Thread safe.
  *
- * <p>Each assignment has one row, and so has each assigned instance. A transaction that creates an
- * assignment requires that none of these rows exists, so no instance is in two replicas.
+ * <p>The row of a replica stays when it is dissolved, so that its generation can only grow. Rows
+ * that have not changed since the last read are not decoded again.
  */
 public final class AssignmentStore {
 
@@ -25,6 +32,7 @@
   private static final String MEMBERS = "members";
 
   private final TableService table;
+  private volatile Map<RowKey, VersionedAssignment> decoded = Map.of();
 
   /**
    * Creates a store.
@@ -36,33 +44,57 @@
   }
 
   /**
-   * Reads all assignments.
+   * Reads the replicas of all zones.
    *
-   * @return a future of the assignments
+   * @return a future of the replicas with the versions of their rows
    */
-  public CompletableFuture<List<Assignment>> read() {
-    return table
-        .scan(REPLICAS, "")
-        .thenApply(rows -> rows.stream().map(r -> AssignmentCodec.fromText(r.value())).toList());
+  public CompletableFuture<List<VersionedAssignment>> read() {
+    return table.scan(REPLICAS, "").thenApply(this::decode);
+  }
+
+  private List<VersionedAssignment> decode(List<Row> rows) {
+    Map<RowKey, VersionedAssignment> last = decoded;
+    Map<RowKey, VersionedAssignment> next = new HashMap<>();
+    List<VersionedAssignment> result = new ArrayList<>();
+    for (Row row : rows) {
+      VersionedAssignment known = last.get(row.key());
+      VersionedAssignment current =
+          known != null && known.version() == row.version()
+              ? known
+              : new VersionedAssignment(AssignmentCodec.fromStoredText(row.value()), row.version());
+      next.put(row.key(), current);
+      result.add(current);
+    }
+    decoded = next;
+    return List.copyOf(result);
   }
 
   /**
-   * Creates an assignment unless the replica or one of the members is taken.
+   * Commits a change of a replica.
    *
-   * @param assignment the assignment, not null
-   * @return a future of the result of the transaction
+   * @param zone the availability zone of the replica and of its coordinator, not null
+   * @param change the change, not null
+   * @return a future of the result; a conflict means that the epoch or the replica has changed or
+   *     that another replica holds an instance
    */
-  public CompletableFuture<CommitResult> create(Assignment assignment) {
+  public CompletableFuture<CommitResult> commit(AvailabilityZone zone, AssignmentChange change) {
+    Assignment assignment = change.next().assignment();
+    RowKey replica = new RowKey(REPLICAS, zone + "/" + assignment.id());
     List<Condition> conditions = new ArrayList<>();
     List<Write> writes = new ArrayList<>();
-    RowKey replica = new RowKey(REPLICAS, assignment.id().value());
-    conditions.add(Condition.ofAbsent(replica));
-    writes.add(Write.ofPut(replica, AssignmentCodec.toText(assignment)));
-    for (InstanceRecord member : assignment.members()) {
-      RowKey key = new RowKey(MEMBERS, member.id().value());
-      conditions.add(Condition.ofAbsent(key));
-      writes.add(Write.ofPut(key, assignment.id().value()));
+    conditions.add(new Condition(LeaseStore.getEpochKey(zone), change.epochVersion()));
+    conditions.add(new Condition(replica, change.expectedVersion()));
+    writes.add(Write.ofPut(replica, AssignmentCodec.toText(change.next())));
+    for (InstanceId instance : change.claimed()) {
+      RowKey member = getMemberKey(instance);
+      conditions.add(Condition.ofAbsent(member));
+      writes.add(Write.ofPut(member, assignment.id().value()));
     }
+    change.freed().forEach(i -> writes.add(Write.ofDelete(getMemberKey(i))));
     return table.commit(new Transaction(conditions, writes));
   }
+
+  private static RowKey getMemberKey(InstanceId instance) {
+    return new RowKey(MEMBERS, instance.value());
+  }
 }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/control/ControlLoop.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/control/ControlLoop.java
@@ -1,28 +1,12 @@
 package io.fireflyshed.transport.control;
 
-import io.fireflyshed.coordination.assignment.ReplicaFormer;
-import io.fireflyshed.coordination.gate.ServingGate;
-import io.fireflyshed.protocol.engine.EngineOrder;
-import io.fireflyshed.protocol.engine.ModelEngine;
-import io.fireflyshed.state.clock.MonotonicClock;
 import io.fireflyshed.state.instance.InstanceId;
-import io.fireflyshed.state.instance.InstanceList;
-import io.fireflyshed.state.instance.InstanceRecord;
-import io.fireflyshed.state.replica.Assignment;
-import io.fireflyshed.state.replica.MemberHealth;
 import io.fireflyshed.state.replica.ModelServiceSpec;
-import io.fireflyshed.state.replica.OpenReplica;
-import io.fireflyshed.state.replica.ServiceName;
 import io.fireflyshed.state.replica.ServingView;
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
-import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -30,60 +14,34 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Runs the control thread: reads the platform, probes members, forms replicas and publishes the
- * serving view.
+ * Runs the control thread, which reads the platform, probes members, coordinates the zone while it
+ * holds the lease, and publishes the serving view.
  *
- * <p>All state but the published view belongs to the control thread. {@link #get()} is thread safe.
+ * <p>All methods are thread safe.
  */
 public final class ControlLoop implements Supplier<ServingView>, AutoCloseable {
 
   private static final Logger LOG = LoggerFactory.getLogger(ControlLoop.class);
-  private static final long ORDER_DEADLINE_MILLIS = 5_000;
+  private static final long TICK_MILLIS = 50;
 
-  private final ControlSettings settings;
-  private final ModelEngine engine;
-  private final InstanceList instanceList;
-  private final AssignmentStore store;
-  private final MonotonicClock clock;
-  private final ServingGate gate;
-  private final ReplicaFormer former = new ReplicaFormer();
   private final ScheduledExecutorService thread;
-
-  private final Set<InstanceId> probing = new HashSet<>();
-  private final Set<InstanceId> ordering = new HashSet<>();
-  private List<InstanceRecord> instances = List.of();
-  private List<Assignment> assignments = List.of();
-  private boolean isRefreshing;
-  private volatile ServingView view = ServingView.ofNothing();
+  private final ZoneControl control;
 
   /**
    * Creates a loop that does nothing until it is started.
    *
    * @param settings the settings, not null
-   * @param engine talks to engines, not null
-   * @param instanceList the platform's list, not null
-   * @param store keeps assignments, not null
-   * @param clock the clock of this process, not null
+   * @param parts what it works with, not null
    */
-  public ControlLoop(
-      ControlSettings settings,
-      ModelEngine engine,
-      InstanceList instanceList,
-      AssignmentStore store,
-      MonotonicClock clock) {
-    this.settings = settings;
-    this.engine = engine;
-    this.instanceList = instanceList;
-    this.store = store;
-    this.clock = clock;
-    this.gate = new ServingGate(settings.evidenceMaxAge());
-    this.thread = Executors.newSingleThreadScheduledExecutor(r -> new Thread(r, "control"));
+  public ControlLoop(ControlSettings settings, ControlParts parts) {
+    thread = Executors.newSingleThreadScheduledExecutor(r -> new Thread(r, "control"));
+    control = new ZoneControl(settings, parts, this::execute);
   }
 
   /** Starts the control thread. */
   public void start() {
-    repeat(this::refresh, settings.refreshInterval().toMillis());
-    repeat(this::probeAll, settings.probeInterval().toMillis());
+    Runnable tick = () -> runGuarded(control::tick);
+    thread.scheduleWithFixedDelay(tick, 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
   }
 
   /**
@@ -93,162 +51,67 @@
    */
   @Override
   public ServingView get() {
-    return view;
-  }
-
-  @Override
-  public void close() {
-    thread.shutdownNow();
-  }
-
-  private void repeat(Runnable step, long intervalMillis) {
-    Runnable guarded =
-        () -> {
-          try {
-            step.run();
-          } catch (RuntimeException e) {
-            LOG.error("control: step failed", e);
-          }
-        };
-    thread.scheduleWithFixedDelay(guarded, 0, intervalMillis, TimeUnit.MILLISECONDS);
-  }
-
-  private void refresh() {
-    if (isRefreshing) {
-      return;
-    }
-    isRefreshing = true;
-    CompletableFuture<List<InstanceRecord>> listed = instanceList.read();
-    CompletableFuture<List<Assignment>> stored = store.read();
-    CompletableFuture.allOf(listed, stored)
-        .whenCompleteAsync((ignored, error) -> onRefresh(listed, stored, error), thread);
+    return control.getView();
   }
 
-  private void onRefresh(
-      CompletableFuture<List<InstanceRecord>> listed,
-      CompletableFuture<List<Assignment>> stored,
-      Throwable error) {
-    isRefreshing = false;
-    if (!listed.isCompletedExceptionally()) {
-      instances = listed.join();
-      instances.stream().filter(InstanceRecord::leaving).forEach(i -> gate.onLeaving(i.id()));
-    }
-    if (!stored.isCompletedExceptionally()) {
-      assignments = stored.join();
-    }
-    publish();
-    if (error != null) {
-      LOG.warn("control: platform read failed: {}", error.getMessage());
-      return;
-    }
-    formMissing();
+  /**
+   * Gets what the meters show of the zone.
+   *
+   * @return the measures, never null
+   */
+  public ServingMeter getMeter() {
+    return control.getMeter();
   }
 
-  private void formMissing() {
-    List<Assignment> plan =
-        former.plan(settings.zone(), settings.services(), instances, assignments);
-    for (Assignment assignment : plan) {
-      store
-          .create(assignment)
-          .whenComplete(
-              (result, error) -> {
-                if (error != null) {
-                  LOG.warn("control: forming {} failed: {}", assignment.id(), error.getMessage());
-                } else if (result.isCommitted()) {
-                  LOG.info("control: formed replica {}", assignment.id());
-                }
-              });
-    }
+  /**
+   * Takes in the wanted model services, as from a new configuration.
+   *
+   * @param services the services, not null
+   */
+  public void setServices(List<ModelServiceSpec> services) {
+    List<ModelServiceSpec> copy = List.copyOf(services);
+    execute(() -> control.setServices(copy));
   }
 
-  private void probeAll() {
-    for (Assignment assignment : assignments) {
-      assignment.members().forEach(m -> probe(assignment, m));
-    }
-    publish();
+  /**
+   * Takes in that a connection to an instance broke while it carried a request. The replicas of the
+   * instance close at once and are probed anew.
+   *
+   * @param instance the instance, not null
+   */
+  public void reportFailure(InstanceId instance) {
+    execute(() -> control.onConnectionLost(instance));
   }
 
-  private void probe(Assignment assignment, InstanceRecord member) {
-    if (!probing.add(member.id())) {
-      return;
-    }
-    long sentNanos = clock.nanoTime();
-    engine
-        .probe(member)
-        .whenCompleteAsync(
-            (health, error) -> onProbe(assignment, member, health, error, sentNanos), thread);
+  /**
+   * Hands the lease of the zone over, as at shutdown. Probing and publishing go on.
+   *
+   * @return a future that completes when the lease is given up or could not be handed over
+   */
+  public CompletableFuture<Void> releaseLease() {
+    CompletableFuture<Void> released = new CompletableFuture<>();
+    execute(() -> control.releaseLease().whenComplete((result, error) -> released.complete(null)));
+    return released;
   }
 
-  private void onProbe(
-      Assignment assignment,
-      InstanceRecord member,
-      MemberHealth health,
-      Throwable error,
-      long sentNanos) {
-    probing.remove(member.id());
-    if (error != null || !health.instance().equals(member.id())) {
-      gate.onFailure(member.id());
-    } else {
-      gate.onHealth(health, sentNanos);
-      orderLoad(assignment, member, health);
-    }
-    publish();
+  @Override
+  public void close() {
+    thread.shutdownNow();
   }
 
-  private void orderLoad(Assignment assignment, InstanceRecord member, MemberHealth health) {
-    boolean isRunning =
-        health.generation() == assignment.generation()
-            && health.replica().equals(Optional.of(assignment.id()));
-    if (isRunning || !member.zone().equals(settings.zone()) || !ordering.add(member.id())) {
-      return;
+  private void execute(Runnable step) {
+    try {
+      thread.execute(() -> runGuarded(step));
+    } catch (RejectedExecutionException e) {
+      LOG.debug("control: step dropped after close");
     }
-    engine
-        .order(member, newOrder(assignment))
-        .whenCompleteAsync(
-            (ignored, error) -> {
-              ordering.remove(member.id());
-              if (error != null) {
-                LOG.warn("control: load order failed: {}", error.getMessage());
-              }
-            },
-            thread);
-  }
-
-  private EngineOrder newOrder(Assignment assignment) {
-    String model =
-        settings.services().stream()
-            .filter(s -> s.name().equals(assignment.service()))
-            .map(ModelServiceSpec::model)
-            .findFirst()
-            .orElse("");
-    return new EngineOrder(
-        assignment.generation(),
-        Optional.of(assignment.id()),
-        assignment.generation(),
-        model,
-        "",
-        assignment.members().stream().map(InstanceRecord::id).toList(),
-        ORDER_DEADLINE_MILLIS);
   }
 
-  private void publish() {
-    long now = clock.nanoTime();
-    Map<ServiceName, List<OpenReplica>> open = new HashMap<>();
-    for (Assignment assignment : assignments) {
-      gate.getOpen(assignment, now)
-          .ifPresent(
-              r -> open.computeIfAbsent(assignment.service(), s -> new ArrayList<>()).add(r));
-    }
-    Map<ServiceName, ModelServiceSpec> services = new HashMap<>();
-    settings.services().forEach(s -> services.put(s.name(), s));
-    Map<ServiceName, List<InstanceRecord>> targets = new HashMap<>();
-    for (InstanceRecord instance : instances) {
-      if (!instance.leaving()) {
-        instance
-            .plainService()
-            .ifPresent(s -> targets.computeIfAbsent(s, t -> new ArrayList<>()).add(instance));
-      }
+  private static void runGuarded(Runnable step) {
+    try {
+      step.run();
+    } catch (RuntimeException e) {
+      LOG.error("control: step failed", e);
     }
-    view = new ServingView(services, open, targets);
   }
 }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/control/ControlSettings.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/control/ControlSettings.java
@@ -15,13 +15,17 @@
  * @param evidenceMaxAge the age at which evidence of health becomes invalid, positive, not null
  * @param refreshInterval the time between two reads of the instance list and of the assignments,
  *     positive, not null
+ * @param coordinator the settings of the zone coordinator, not null
  */
 public record ControlSettings(
     AvailabilityZone zone,
     List<ModelServiceSpec> services,
     Duration probeInterval,
     Duration evidenceMaxAge,
-    Duration refreshInterval) {
+    Duration refreshInterval,
+    CoordinatorSettings coordinator) {
+
+  private static final Duration DEFAULT_DRAIN_TIME = Duration.ofSeconds(30);
 
   /** Checks the parts and copies the list. */
   public ControlSettings {
@@ -30,6 +34,31 @@
     requirePositive("probeInterval", probeInterval);
     requirePositive("evidenceMaxAge", evidenceMaxAge);
     requirePositive("refreshInterval", refreshInterval);
+    Objects.requireNonNull(coordinator, "coordinator");
+  }
+
+  /**
+   * Creates settings with the usual settings of the zone coordinator.
+   *
+   * @param zone the availability zone of this process, not null
+   * @param services the wanted model services, copied, not null
+   * @param probeInterval the time between two probes of an instance, positive, not null
+   * @param evidenceMaxAge the age at which evidence of health becomes invalid, positive, not null
+   * @param refreshInterval the time between two reads of the platform, positive, not null
+   */
+  public ControlSettings(
+      AvailabilityZone zone,
+      List<ModelServiceSpec> services,
+      Duration probeInterval,
+      Duration evidenceMaxAge,
+      Duration refreshInterval) {
+    this(
+        zone,
+        services,
+        probeInterval,
+        evidenceMaxAge,
+        refreshInterval,
+        CoordinatorSettings.of(evidenceMaxAge, DEFAULT_DRAIN_TIME, false));
   }
 
   private static void requirePositive(String name, Duration value) {
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/control/LeaseStore.java
@@ -0,0 +1,110 @@
+package io.fireflyshed.transport.control;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.fireflyshed.coordination.lease.LeaseAction;
+import io.fireflyshed.coordination.lease.LeaseRows;
+import io.fireflyshed.coordination.lease.ZoneLease;
+import io.fireflyshed.protocol.json.JsonUtils;
+import io.fireflyshed.state.instance.AvailabilityZone;
+import io.fireflyshed.state.table.CommitResult;
+import io.fireflyshed.state.table.Condition;
+import io.fireflyshed.state.table.Row;
+import io.fireflyshed.state.table.RowKey;
+import io.fireflyshed.state.table.TableService;
+import io.fireflyshed.state.table.Transaction;
+import io.fireflyshed.state.table.Write;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/** Keeps the two rows of the lease of a zone coordinator in the table service. Thread safe. */
+public final class LeaseStore {
+
+  private static final String LEASES = "leases";
+
+  private final TableService table;
+  private final RowKey epochKey;
+  private final RowKey renewalKey;
+  private final String prefix;
+
+  /**
+   * Creates a store.
+   *
+   * @param table the table service, not null
+   * @param zone the availability zone, not null
+   */
+  public LeaseStore(TableService table, AvailabilityZone zone) {
+    this.table = table;
+    this.epochKey = getEpochKey(zone);
+    this.renewalKey = new RowKey(LEASES, zone + "/renewal");
+    this.prefix = zone + "/";
+  }
+
+  /**
+   * Gets the row on which the transactions of a coordinator are conditioned.
+   *
+   * @param zone the availability zone, not null
+   * @return the key, never null
+   */
+  static RowKey getEpochKey(AvailabilityZone zone) {
+    return new RowKey(LEASES, zone + "/epoch");
+  }
+
+  /**
+   * Reads both rows in one request.
+   *
+   * @return a future of the rows
+   */
+  public CompletableFuture<LeaseRows> read() {
+    return table
+        .scan(LEASES, prefix)
+        .thenApply(rows -> new LeaseRows(find(rows, epochKey), find(rows, renewalKey)));
+  }
+
+  /**
+   * Commits a takeover, a renewal or a release.
+   *
+   * @param action the request, not a read, not null
+   * @return a future of the result
+   */
+  public CompletableFuture<CommitResult> commit(LeaseAction action) {
+    if (action instanceof LeaseAction.TakeOver takeOver) {
+      String text = toText(takeOver.epoch(), takeOver.attempt());
+      return table.commit(
+          new Transaction(
+              List.of(
+                  new Condition(epochKey, takeOver.epochVersion()),
+                  new Condition(renewalKey, takeOver.renewalVersion())),
+              List.of(Write.ofPut(epochKey, text), Write.ofPut(renewalKey, text))));
+    }
+    if (action instanceof LeaseAction.Renew renew) {
+      return table.commit(
+          new Transaction(
+              List.of(new Condition(epochKey, renew.epochVersion())),
+              List.of(Write.ofPut(renewalKey, toText(renew.epoch(), renew.attempt())))));
+    }
+    LeaseAction.Release release = (LeaseAction.Release) action;
+    return table.commit(
+        new Transaction(
+            List.of(new Condition(epochKey, release.epochVersion())),
+            List.of(Write.ofPut(epochKey, toText(release.epoch(), ZoneLease.RELEASED)))));
+  }
+
+  private static String toText(long epoch, String attempt) {
+    ObjectNode node = JsonUtils.getMapper().createObjectNode();
+    node.put("epoch", epoch);
+    node.put("attempt", attempt);
+    return JsonUtils.toText(node);
+  }
+
+  private static Optional<LeaseRows.Entry> find(List<Row> rows, RowKey key) {
+    return rows.stream().filter(r -> r.key().equals(key)).findFirst().map(LeaseStore::toEntry);
+  }
+
+  private static LeaseRows.Entry toEntry(Row row) {
+    JsonNode node = JsonUtils.parse(row.value());
+    return new LeaseRows.Entry(
+        row.version(), node.path("epoch").asLong(), node.path("attempt").asText());
+  }
+}
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/gate/ServingGateTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/gate/ServingGateTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import io.fireflyshed.coordination.drain.DrainTracker;
 import io.fireflyshed.state.instance.AvailabilityZone;
 import io.fireflyshed.state.instance.BootId;
 import io.fireflyshed.state.instance.FabricDomain;
@@ -46,7 +47,11 @@
   }
 
   private static ServingGate newOpenGate() {
-    ServingGate gate = new ServingGate(MAX_AGE);
+    return newOpenGate(new DrainTracker());
+  }
+
+  private static ServingGate newOpenGate(DrainTracker drain) {
+    ServingGate gate = new ServingGate(MAX_AGE, drain);
     gate.onHealth(newHealth(FIRST, "b1", 7), 0);
     gate.onHealth(newHealth(SECOND, "b2", 7), 100);
     return gate;
@@ -57,7 +62,7 @@
 
     @Test
     public void opensOnlyWithEvidenceFromEveryMember() {
-      ServingGate gate = new ServingGate(MAX_AGE);
+      ServingGate gate = new ServingGate(MAX_AGE, new DrainTracker());
       gate.onHealth(newHealth(FIRST, "b1", 7), 0);
       assertFalse(gate.getOpen(ASSIGNMENT, 0).isPresent());
       gate.onHealth(newHealth(SECOND, "b2", 7), 0);
@@ -82,9 +87,27 @@
     @Test
     public void closesAtOnceOnFailure() {
       ServingGate gate = newOpenGate();
-      gate.onFailure(SECOND);
+      gate.onFailure(SECOND, 200);
       assertFalse(gate.getOpen(ASSIGNMENT, 200).isPresent());
     }
+
+    @Test
+    public void ignoresAnAnswerToAProbeSentBeforeTheFailure() {
+      ServingGate gate = newOpenGate();
+      gate.onFailure(SECOND, 200);
+      gate.onHealth(newHealth(SECOND, "b2", 7), 199);
+      assertFalse(gate.getOpen(ASSIGNMENT, 300).isPresent());
+      gate.onHealth(newHealth(SECOND, "b2", 7), 200);
+      assertTrue(gate.getOpen(ASSIGNMENT, 300).isPresent());
+    }
+
+    @Test
+    public void ignoresAnswersOutOfOrder() {
+      ServingGate gate = newOpenGate();
+      gate.onHealth(newHealth(SECOND, "b3", 0), 300);
+      gate.onHealth(newHealth(SECOND, "b2", 7), 250);
+      assertFalse(gate.getOpen(ASSIGNMENT, 400).isPresent());
+    }
   }
 
   /** Tests of leaving marks. */
@@ -92,8 +115,9 @@
 
     @Test
     public void staysUntilTheBootIdChanges() {
-      ServingGate gate = newOpenGate();
-      gate.onLeaving(SECOND);
+      DrainTracker drain = new DrainTracker();
+      ServingGate gate = newOpenGate(drain);
+      drain.onNotice(SECOND, Optional.empty());
       gate.onHealth(newHealth(SECOND, "b2", 7), 200);
       assertFalse(gate.getOpen(ASSIGNMENT, 300).isPresent());
       gate.onHealth(newHealth(SECOND, "b3", 7), 400);
@@ -102,8 +126,9 @@
 
     @Test
     public void attachesToTheFirstBootThatIsSeenLater() {
-      ServingGate gate = new ServingGate(MAX_AGE);
-      gate.onLeaving(FIRST);
+      DrainTracker drain = new DrainTracker();
+      ServingGate gate = new ServingGate(MAX_AGE, drain);
+      drain.onNotice(FIRST, Optional.empty());
       gate.onHealth(newHealth(FIRST, "b1", 7), 0);
       gate.onHealth(newHealth(SECOND, "b2", 7), 0);
       assertFalse(gate.getOpen(ASSIGNMENT, 1).isPresent());
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/command/ServeSettings.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/command/ServeSettings.java
@@ -9,6 +9,7 @@
 import io.fireflyshed.state.replica.ModelServiceSpec;
 import io.fireflyshed.state.replica.ServiceName;
 import io.fireflyshed.transport.control.ControlSettings;
+import io.fireflyshed.transport.control.CoordinatorSettings;
 import io.fireflyshed.transport.entry.EntrySettings;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -72,6 +73,20 @@
   static final Setting<Duration> REFRESH_INTERVAL =
       newDuration("refresh-interval", "1s", "time between two reads of the platform");
 
+  static final Setting<Duration> STREAM_DRAIN_TIME =
+      newDuration(
+          "stream-drain-time",
+          "30s",
+          "how long streams may finish on a replica that drains before they move elsewhere");
+
+  static final Setting<Boolean> ENGINE_FENCING =
+      Setting.of(
+          "engine-fencing",
+          "true or false",
+          "false",
+          "whether all engines refuse an order with an old fencing number",
+          ServeSettings::parseBoolean);
+
   static final Setting<Duration> BODY_TIMEOUT =
       newDuration("body-timeout", "10s", "longest wait for a request body");
 
@@ -115,6 +130,8 @@
           PROBE_INTERVAL,
           EVIDENCE_MAX_AGE,
           REFRESH_INTERVAL,
+          STREAM_DRAIN_TIME,
+          ENGINE_FENCING,
           BODY_TIMEOUT,
           DRAIN_DELAY,
           DRAIN_TIMEOUT,
@@ -132,7 +149,11 @@
             values.getAll(MODEL_SERVICE),
             values.get(PROBE_INTERVAL),
             values.get(EVIDENCE_MAX_AGE),
-            values.get(REFRESH_INTERVAL));
+            values.get(REFRESH_INTERVAL),
+            CoordinatorSettings.of(
+                values.get(EVIDENCE_MAX_AGE),
+                values.get(STREAM_DRAIN_TIME),
+                values.get(ENGINE_FENCING)));
     EntrySettings entry =
         new EntrySettings(
             values.get(LISTEN),
@@ -171,6 +192,13 @@
     return Map.entry(text.substring(0, colon), text.substring(colon + 1));
   }
 
+  private static boolean parseBoolean(String text) {
+    if (!text.equals("true") && !text.equals("false")) {
+      throw new IllegalArgumentException("neither true nor false");
+    }
+    return Boolean.parseBoolean(text);
+  }
+
   private static String parseUrl(String text) {
     if (!text.isEmpty() && !text.startsWith("http://") && !text.startsWith("https://")) {
       throw new IllegalArgumentException("not a URL");
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/entry/EntryDaemon.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/entry/EntryDaemon.java
@@ -1,13 +1,16 @@
 package io.fireflyshed.daemon.entry;
 
+import io.fireflyshed.coordination.assignment.ReplicaFormer;
 import io.fireflyshed.coordination.routing.LeastInFlightRouter;
 import io.fireflyshed.protocol.desk.PlainService;
 import io.fireflyshed.protocol.engine.ModelEngine;
 import io.fireflyshed.state.clock.MonotonicClock;
+import io.fireflyshed.state.peer.LonePeerBus;
+import io.fireflyshed.state.peer.PeerId;
 import io.fireflyshed.state.replica.ServingView;
 import io.fireflyshed.state.table.TableService;
-import io.fireflyshed.transport.control.AssignmentStore;
 import io.fireflyshed.transport.control.ControlLoop;
+import io.fireflyshed.transport.control.ControlParts;
 import io.fireflyshed.transport.desk.HttpPlainService;
 import io.fireflyshed.transport.engine.HttpModelEngine;
 import io.fireflyshed.transport.entry.AccountDirectory;
@@ -27,8 +30,10 @@
 import io.opentelemetry.sdk.OpenTelemetrySdk;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
+import org.apache.commons.rng.simple.RandomSource;
 
 /** Wires the parts of one entry process together. */
 public final class EntryDaemon implements AutoCloseable {
@@ -55,10 +60,14 @@
     control =
         new ControlLoop(
             settings.control(),
-            new HttpModelEngine(controlCaller, CONTROL_TIMEOUT),
-            new HttpInstanceList(controlCaller, settings.platform(), PLATFORM_TIMEOUT),
-            new AssignmentStore(table),
-            clock);
+            new ControlParts(
+                new HttpModelEngine(controlCaller, CONTROL_TIMEOUT),
+                new HttpInstanceList(controlCaller, settings.platform(), PLATFORM_TIMEOUT),
+                table,
+                new LonePeerBus(new PeerId(UUID.randomUUID().toString())),
+                new ReplicaFormer(),
+                clock,
+                RandomSource.XO_RO_SHI_RO_128_PP.create()));
     server = newServer(settings, table, clock);
   }
 
@@ -117,6 +126,7 @@
             plainService,
             new ClaimingOrderPlacer(table, plainService));
     PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    control.getMeter().register(metrics, settings.control().zone().value());
     return new EntryServer(settings.entry(), control, completions, orders, metrics);
   }
 }
