--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/control/ZoneControl.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/control/ZoneControl.java
@@ -41,10 +41,11 @@
  * #tick()} does what is due, and answers come back through an executor that runs one step at a
  * time. Not thread safe but for {@link #getView()} and {@link #getMeter()}.
  */
-final class ZoneControl {
+class ZoneControl {
 
   private static final Logger LOG = LoggerFactory.getLogger(ZoneControl.class);
   private static final long STEP_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+  private static final long METER_NANOS = TimeUnit.SECONDS.toNanos(1);
 
   private final ControlSettings settings;
   private final ControlParts parts;
@@ -72,6 +73,7 @@
   private long nextProbeNanos;
   private long nextRefreshNanos;
   private long nextStepNanos;
+  private long nextMeterNanos;
   private volatile ServingView view = ServingView.ofNothing();
 
   ZoneControl(ControlSettings settings, ControlParts parts, Executor executor) {
@@ -114,6 +116,7 @@
       nextProbeNanos = now;
       nextRefreshNanos = now;
       nextStepNanos = now;
+      nextMeterNanos = now;
     }
     lease.next(now).ifPresent(this::send);
     if (nextRefreshNanos - now <= 0) {
@@ -295,13 +298,18 @@
       health.onAnswer(instance, answer.boot(), sentNanos, now);
       instanceView.onHealth(answer, sentNanos);
       coordinator.onHealth(answer, sentNanos, now);
-      if (gate.onHealth(answer, sentNanos)) {
+      if (gate.onHealth(answer, getEvidenceNanos(sentNanos, now))) {
         publishLeaving(instance);
         publish();
       }
     }
   }
 
+  /** Gets the moment from which evidence ages. Tests show what another choice would break. */
+  long getEvidenceNanos(long sentNanos, long receivedNanos) {
+    return sentNanos;
+  }
+
   void onConnectionLost(InstanceId instance) {
     onFailed(instance, now());
     nextProbeNanos = now();
@@ -346,7 +354,10 @@
         .filter(a -> a.getHead().zone().equals(settings.zone()))
         .forEach(a -> serving.add(a.id()));
     List<CoordinatorAction> actions = coordinator.step(grant.get(), serving, now);
-    meter.onState(coordinator.getState(now), serving);
+    if (nextMeterNanos - now <= 0) {
+      nextMeterNanos = now + METER_NANOS;
+      meter.onState(coordinator.getState(now), serving);
+    }
     for (CoordinatorAction action : actions) {
       if (action instanceof CoordinatorAction.Commit commit) {
         commit(commit);
