--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/entry/EntryDaemon.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/entry/EntryDaemon.java
@@ -1,6 +1,10 @@
 package io.fireflyshed.daemon.entry;
 
+<<<<<<< HEAD
 import io.fireflyshed.coordination.assignment.ReplicaFormer;
+=======
+import io.fireflyshed.coordination.order.OrderSettings;
+>>>>>>> main
 import io.fireflyshed.coordination.routing.LeastInFlightRouter;
 import io.fireflyshed.protocol.desk.PlainService;
 import io.fireflyshed.protocol.engine.ModelEngine;
@@ -46,6 +50,7 @@
   private final HttpCaller trafficCaller = new HttpCaller("traffic");
   private final OpenTelemetrySdk telemetry;
   private final ControlLoop control;
+  private final ClaimingOrderPlacer orderPlacer;
   private final EntryServer server;
 
   /**
@@ -54,12 +59,18 @@
    * @param settings the settings, not null
    */
   public EntryDaemon(EntryDaemonSettings settings) {
+    this(settings, TelemetryFactory.newTelemetry(settings.otlpEndpoint()));
+  }
+
+  /** Creates a process that is not started and sends its spans to given telemetry. */
+  EntryDaemon(EntryDaemonSettings settings, OpenTelemetrySdk telemetry) {
+    this.telemetry = telemetry;
     MonotonicClock clock = MonotonicClock.system();
-    telemetry = TelemetryFactory.newTelemetry(settings.otlpEndpoint());
     TableService table = new HttpTableService(controlCaller, settings.platform(), PLATFORM_TIMEOUT);
     control =
         new ControlLoop(
             settings.control(),
+<<<<<<< HEAD
             new ControlParts(
                 new HttpModelEngine(controlCaller, CONTROL_TIMEOUT),
                 new HttpInstanceList(controlCaller, settings.platform(), PLATFORM_TIMEOUT),
@@ -69,6 +80,15 @@
                 clock,
                 RandomSource.XO_RO_SHI_RO_128_PP.create()));
     server = newServer(settings, table, clock);
+=======
+            new HttpModelEngine(controlCaller, CONTROL_TIMEOUT),
+            new HttpInstanceList(controlCaller, settings.platform(), PLATFORM_TIMEOUT),
+            new AssignmentStore(table),
+            clock);
+    PlainService plainService = new HttpPlainService(trafficCaller, DESK_TIMEOUT);
+    orderPlacer = newOrderPlacer(table, plainService, clock);
+    server = newServer(settings, plainService, clock);
+>>>>>>> main
   }
 
   /**
@@ -101,16 +121,22 @@
 
   @Override
   public void close() {
+    orderPlacer.close();
     control.close();
     controlCaller.close();
     trafficCaller.close();
     telemetry.close();
   }
 
+  private static ClaimingOrderPlacer newOrderPlacer(
+      TableService table, PlainService plainService, MonotonicClock clock) {
+    return new ClaimingOrderPlacer(
+        OrderSettings.ofDefaults(), "e" + UUID.randomUUID(), table, plainService, clock);
+  }
+
   private EntryServer newServer(
-      EntryDaemonSettings settings, TableService table, MonotonicClock clock) {
+      EntryDaemonSettings settings, PlainService plainService, MonotonicClock clock) {
     ModelEngine engine = new HttpModelEngine(trafficCaller, CONTROL_TIMEOUT);
-    PlainService plainService = new HttpPlainService(trafficCaller, DESK_TIMEOUT);
     RequestTracer tracer = new RequestTracer(telemetry);
     AccountDirectory accounts = new FixedAccountDirectory(settings.accounts());
     CompletionRunner runner =
@@ -119,12 +145,7 @@
         new CompletionHandler(
             settings.entry(), accounts, control, new UnlimitedAdmission(), runner, tracer);
     OrderHandler orders =
-        new OrderHandler(
-            settings.entry(),
-            accounts,
-            control,
-            plainService,
-            new ClaimingOrderPlacer(table, plainService));
+        new OrderHandler(settings.entry(), accounts, control, plainService, orderPlacer);
     PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     control.getMeter().register(metrics, settings.control().zone().value());
     return new EntryServer(settings.entry(), control, completions, orders, metrics);
--- a/fireflyshed-standins/src/test/java/io/fireflyshed/transport/control/FakeProcess.java
+++ b/fireflyshed-standins/src/test/java/io/fireflyshed/transport/control/FakeProcess.java
@@ -5,7 +5,7 @@
 import io.fireflyshed.protocol.engine.EngineRequest;
 import io.fireflyshed.protocol.engine.LoadReport;
 import io.fireflyshed.protocol.engine.ModelEngine;
-import io.fireflyshed.protocol.engine.StreamEvent;
+import io.fireflyshed.protocol.engine.StreamChunk;
 import io.fireflyshed.state.instance.InstanceId;
 import io.fireflyshed.state.instance.InstanceList;
 import io.fireflyshed.state.instance.InstanceRecord;
@@ -137,7 +137,7 @@
   }
 
   @Override
-  public Flux<StreamEvent> stream(EngineRequest request) {
+  public Flux<StreamChunk> stream(EngineRequest request) {
     return Flux.empty();
   }
 
