--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/entry/EntryDaemon.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/entry/EntryDaemon.java
@@ -1,10 +1,7 @@
 package io.fireflyshed.daemon.entry;
 
-<<<<<<< HEAD
 import io.fireflyshed.coordination.assignment.ReplicaFormer;
-=======
 import io.fireflyshed.coordination.order.OrderSettings;
->>>>>>> main
 import io.fireflyshed.coordination.routing.LeastInFlightRouter;
 import io.fireflyshed.protocol.desk.PlainService;
 import io.fireflyshed.protocol.engine.ModelEngine;
@@ -70,7 +67,6 @@
     control =
         new ControlLoop(
             settings.control(),
-<<<<<<< HEAD
             new ControlParts(
                 new HttpModelEngine(controlCaller, CONTROL_TIMEOUT),
                 new HttpInstanceList(controlCaller, settings.platform(), PLATFORM_TIMEOUT),
@@ -79,16 +75,9 @@
                 new ReplicaFormer(),
                 clock,
                 RandomSource.XO_RO_SHI_RO_128_PP.create()));
-    server = newServer(settings, table, clock);
-=======
-            new HttpModelEngine(controlCaller, CONTROL_TIMEOUT),
-            new HttpInstanceList(controlCaller, settings.platform(), PLATFORM_TIMEOUT),
-            new AssignmentStore(table),
-            clock);
     PlainService plainService = new HttpPlainService(trafficCaller, DESK_TIMEOUT);
     orderPlacer = newOrderPlacer(table, plainService, clock);
     server = newServer(settings, plainService, clock);
->>>>>>> main
   }
 
   /**
@@ -116,7 +105,9 @@
    * @return a future of the number of requests that were still in flight at the end
    */
   public CompletableFuture<Integer> shutdown() {
-    return server.shutdown();
+    return server
+        .shutdown()
+        .thenCompose(inFlight -> control.releaseLease().thenApply(ignored -> inFlight));
   }
 
   @Override
