--- a/fireflyshed-bench/src/main/resources/META-INF/services/io.fireflyshed.daemon.command.Command
+++ b/fireflyshed-bench/src/main/resources/META-INF/services/io.fireflyshed.daemon.command.Command
@@ -1,1 +1,2 @@
+io.fireflyshed.bench.repair.RepairCommand
 io.fireflyshed.bench.relay.RelayBench
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/control/ControlLoop.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/control/ControlLoop.java
@@ -1,9 +1,12 @@
 package io.fireflyshed.transport.control;
 
+import io.fireflyshed.coordination.drain.DrainOrders;
 import io.fireflyshed.state.instance.InstanceId;
 import io.fireflyshed.state.replica.ModelServiceSpec;
 import io.fireflyshed.state.replica.ServingView;
 import java.util.List;
+import java.util.Objects;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
@@ -73,6 +76,26 @@
     execute(() -> control.setServices(copy));
   }
 
+  /**
+   * Replaces the instances that an operator drains. Their replicas get no new work, and no replica
+   * is formed of them.
+   *
+   * @param instances the instances, copied, not null
+   */
+  public void setDrained(Set<InstanceId> instances) {
+    setDrains(new DrainOrders(instances, Set.of()));
+  }
+
+  /**
+   * Replaces the instances and the fabric domains that an operator drains.
+   *
+   * @param orders the instances and domains, not null
+   */
+  public void setDrains(DrainOrders orders) {
+    Objects.requireNonNull(orders, "orders");
+    execute(() -> control.setDrains(orders));
+  }
+
   /**
    * Takes in that a connection to an instance broke while it carried a request. The replicas of the
    * instance close at once and are probed anew.
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/control/ZoneControl.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/control/ZoneControl.java
@@ -5,6 +5,7 @@
 import io.fireflyshed.coordination.assignment.StoredAssignment;
 import io.fireflyshed.coordination.assignment.VersionedAssignment;
 import io.fireflyshed.coordination.assignment.ZoneCoordinator;
+import io.fireflyshed.coordination.drain.DrainOrders;
 import io.fireflyshed.coordination.drain.DrainTracker;
 import io.fireflyshed.coordination.gate.ServingGate;
 import io.fireflyshed.coordination.health.HealthTracker;
@@ -51,7 +52,6 @@
   private final ControlParts parts;
   private final Executor executor;
   private final AssignmentStore store;
-  private final DrainStore drainStore;
   private final LeaseStore leaseStore;
   private final ZoneLease lease;
   private final DrainTracker drain = new DrainTracker();
@@ -67,7 +67,6 @@
   private List<VersionedAssignment> assignments = List.of();
   private boolean isReadingList;
   private boolean isReadingRows;
-  private boolean isReadingDrains;
   private boolean isRowsReadDue;
   private boolean isStarted;
   private long nextProbeNanos;
@@ -83,7 +82,6 @@
     this.services = settings.services();
     CoordinatorSettings bounds = settings.coordinator();
     store = new AssignmentStore(parts.table());
-    drainStore = new DrainStore(parts.table());
     leaseStore = new LeaseStore(parts.table(), settings.zone());
     lease = new ZoneLease(parts.peers().getSelf(), bounds.lease(), parts.random());
     health = new HealthTracker(bounds.health());
@@ -108,6 +106,11 @@
     publish();
   }
 
+  void setDrains(DrainOrders orders) {
+    drain.onOrders(orders);
+    publish();
+  }
+
   /** Does what is due now. */
   void tick() {
     long now = now();
@@ -122,7 +125,6 @@
     if (nextRefreshNanos - now <= 0) {
       nextRefreshNanos = now + settings.refreshInterval().toNanos();
       readList();
-      readDrains();
       isRowsReadDue = true;
     }
     if (isRowsReadDue) {
@@ -214,26 +216,6 @@
     publish();
   }
 
-  private void readDrains() {
-    if (isReadingDrains) {
-      return;
-    }
-    isReadingDrains = true;
-    drainStore
-        .read()
-        .whenCompleteAsync(
-            (orders, error) -> {
-              isReadingDrains = false;
-              if (error != null) {
-                LOG.warn("control: reading the drains failed: {}", error.getMessage());
-              } else {
-                drain.onOrders(orders);
-                publish();
-              }
-            },
-            executor);
-  }
-
   private void readRows() {
     if (isReadingRows) {
       return;
@@ -343,7 +325,7 @@
   private void coordinate() {
     long now = now();
     Optional<LeaseGrant> grant = lease.getGrant(now);
-    if (grant.isEmpty()) {
+    if (grant.isEmpty() || services.isEmpty()) {
       meter.onNoLease();
       return;
     }
--- a/fireflyshed-standins/src/test/java/io/fireflyshed/transport/control/FakeNetwork.java
+++ b/fireflyshed-standins/src/test/java/io/fireflyshed/transport/control/FakeNetwork.java
@@ -72,9 +72,7 @@
   private <T> CompletableFuture<T> call(Supplier<CompletableFuture<T>> request, boolean isLost) {
     CompletableFuture<T> answer = new CompletableFuture<>();
     boolean isCut = isStoreCut;
-    time.after(
-        TIMEOUT_NANOS,
-        () -> answer.completeExceptionally(new EffectUnknownException("call", "store", null)));
+    failLater(answer, () -> new EffectUnknownException("call", "store", null));
     if (!isCut) {
       time.after(
           nextFlight(),
@@ -90,7 +88,7 @@
 
   CompletableFuture<MemberHealth> probe(FakeEngine engine) {
     CompletableFuture<MemberHealth> answer = new CompletableFuture<>();
-    failLater(answer);
+    failLater(answer, () -> new NoEffectException("call", "engine", "no answer", null));
     if (!isEngineCut) {
       time.after(
           nextFlight(),
@@ -106,7 +104,7 @@
 
   CompletableFuture<Void> order(FakeEngine engine, EngineOrder order) {
     CompletableFuture<Void> answer = new CompletableFuture<>();
-    failLater(answer);
+    failLater(answer, () -> new NoEffectException("call", "engine", "no answer", null));
     long held = nextOrderDelayNanos;
     nextOrderDelayNanos = 0;
     if (!isEngineCut) {
@@ -123,12 +121,14 @@
     }
   }
 
-  private void failLater(CompletableFuture<?> answer) {
+  private void failLater(CompletableFuture<?> answer, Supplier<RuntimeException> error) {
     time.after(
         TIMEOUT_NANOS,
-        () ->
-            answer.completeExceptionally(
-                new NoEffectException("call", "engine", "no answer", null)));
+        () -> {
+          if (!answer.isDone()) {
+            answer.completeExceptionally(error.get());
+          }
+        });
   }
 
   private static <T> void copy(CompletableFuture<T> from, CompletableFuture<T> to) {
