--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/assignment/DissolveTracker.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/assignment/DissolveTracker.java
@@ -39,8 +39,8 @@
   }
 
   /** Tests whether the engines may be told to stop: streams broke, or had time to finish. */
-  boolean isUnloadDue(boolean isBroken, long nowNanos) {
-    return isBroken || nowNanos - seenNanos >= timing.drainTime().toNanos();
+  boolean isUnloadDue(boolean isDrained, long nowNanos) {
+    return isDrained || nowNanos - seenNanos >= timing.drainTime().toNanos();
   }
 
   boolean isStopped(InstanceId member) {
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/assignment/InstanceView.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/assignment/InstanceView.java
@@ -122,6 +122,10 @@
     return answer == null || answer.sentNanos() - nanos < 0;
   }
 
+  boolean isDraining(Assignment assignment) {
+    return drain.isDraining(assignment);
+  }
+
   /** Tests whether a member certainly does not serve, so that no stream is worth waiting for. */
   boolean isBroken(Assignment assignment, long nowNanos) {
     return assignment.members().stream()
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/assignment/ZoneCoordinator.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/assignment/ZoneCoordinator.java
@@ -33,6 +33,7 @@
   private final Map<ReplicaId, VersionedAssignment> rows = new HashMap<>();
   private final Map<ReplicaId, DissolveTracker> trackers = new HashMap<>();
   private final Map<ReplicaId, Long> downSince = new HashMap<>();
+  private final Map<Assignment, Long> drainingSince = new HashMap<>();
   private final Map<InstanceId, Long> quarantineEnds = new HashMap<>();
   private final Set<InstanceId> ordering = new HashSet<>();
   private final Map<InstanceId, Long> loadAccepted = new HashMap<>();
@@ -147,6 +148,7 @@
       startEpoch(grant, nowNanos);
     }
     noteDown(serving, nowNanos);
+    noteDraining(nowNanos);
     if (!isFresh || commitsInFlight > 0 || !grant.isValid(nowNanos)) {
       return List.of();
     }
@@ -180,6 +182,25 @@
     }
   }
 
+  private void noteDraining(long nowNanos) {
+    Set<Assignment> draining = new HashSet<>();
+    for (VersionedAssignment row : rows.values()) {
+      Assignment assignment = row.stored().assignment();
+      if (row.stored().isHolding() && view.isDraining(assignment)) {
+        draining.add(assignment);
+        drainingSince.putIfAbsent(assignment, nowNanos);
+      }
+    }
+    drainingSince.keySet().retainAll(draining);
+  }
+
+  /** Tests whether the streams of a replica that drains broke, or had time to finish. */
+  private boolean isDrained(Assignment assignment, long nowNanos) {
+    Long since = drainingSince.get(assignment);
+    return view.isBroken(assignment, nowNanos)
+        || since != null && nowNanos - since >= timing.drainTime().toNanos();
+  }
+
   private void dissolve(LeaseGrant grant, long nowNanos, List<CoordinatorAction> actions) {
     for (DissolveTracker tracker : trackers.values()) {
       Assignment assignment = tracker.getAssignment();
@@ -188,7 +209,7 @@
       }
       if (tracker.isFree(nowNanos)) {
         actions.add(new CoordinatorAction.Commit(newEnd(grant, assignment.id())));
-      } else if (tracker.isUnloadDue(view.isBroken(assignment, nowNanos), nowNanos)) {
+      } else if (tracker.isUnloadDue(isDrained(assignment, nowNanos), nowNanos)) {
         unload(tracker, nowNanos, actions);
       }
     }
@@ -233,7 +254,7 @@
       return form(form, grant);
     }
     if (action instanceof PlanAction.DissolveReplica dissolve) {
-      return end(dissolve.replica(), dissolve.generation(), Optional.empty(), grant);
+      return dissolve(dissolve, grant, nowNanos);
     }
     if (action instanceof PlanAction.ChangeModel change) {
       return end(change.replica(), change.generation(), Optional.of(change.model()), grant);
@@ -262,6 +283,19 @@
         new CoordinatorAction.Commit(newChange(grant, next, version, claimed, Set.of())));
   }
 
+  /** Dissolves a replica; one that drains stays as it is until then, so a drain can be lifted. */
+  private Optional<CoordinatorAction> dissolve(
+      PlanAction.DissolveReplica dissolve, LeaseGrant grant, long nowNanos) {
+    VersionedAssignment row = rows.get(dissolve.replica());
+    boolean isEarly =
+        row != null
+            && dissolve.cause() == DissolveCause.DRAIN
+            && !isDrained(row.stored().assignment(), nowNanos);
+    return isEarly
+        ? Optional.empty()
+        : end(dissolve.replica(), dissolve.generation(), Optional.empty(), grant);
+  }
+
   private Optional<CoordinatorAction> end(
       ReplicaId id, long generation, Optional<String> nextModel, LeaseGrant grant) {
     VersionedAssignment row = rows.get(id);
