--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/entry/EntryDaemon.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/entry/EntryDaemon.java
@@ -2,12 +2,15 @@
 
 import io.fireflyshed.coordination.assignment.ReplicaFormer;
 import io.fireflyshed.coordination.order.OrderSettings;
+import io.fireflyshed.coordination.poison.PoisonList;
+import io.fireflyshed.coordination.poison.PoisonSettings;
 import io.fireflyshed.coordination.retry.RetryPolicy;
 import io.fireflyshed.coordination.routing.LeastInFlightRouter;
 import io.fireflyshed.protocol.desk.PlainService;
 import io.fireflyshed.protocol.engine.ModelEngine;
 import io.fireflyshed.state.clock.MonotonicClock;
 import io.fireflyshed.state.peer.LonePeerBus;
+import io.fireflyshed.state.peer.PeerBus;
 import io.fireflyshed.state.peer.PeerId;
 import io.fireflyshed.state.replica.ModelServiceSpec;
 import io.fireflyshed.state.replica.ServingView;
@@ -25,6 +28,7 @@
 import io.fireflyshed.transport.entry.EntryServer;
 import io.fireflyshed.transport.entry.FixedAccountDirectory;
 import io.fireflyshed.transport.entry.OrderHandler;
+import io.fireflyshed.transport.entry.PoisonGuard;
 import io.fireflyshed.transport.entry.StreamSettings;
 import io.fireflyshed.transport.entry.UnlimitedAdmission;
 import io.fireflyshed.transport.http.HttpCaller;
@@ -48,10 +52,12 @@
 
   private static final Duration PLATFORM_TIMEOUT = Duration.ofSeconds(3);
   private static final Duration CONTROL_TIMEOUT = Duration.ofSeconds(1);
+  private static final Duration RECORD_TIMEOUT = Duration.ofSeconds(5);
   private static final Duration DESK_TIMEOUT = Duration.ofSeconds(10);
 
   private final HttpCaller controlCaller = new HttpCaller("control");
   private final HttpCaller trafficCaller = new HttpCaller("traffic");
+  private final PeerBus peers = new LonePeerBus(new PeerId("e" + UUID.randomUUID()));
   private final OpenTelemetrySdk telemetry;
   private final ControlLoop control;
   private final ClaimingOrderPlacer orderPlacer;
@@ -81,7 +87,7 @@
                 new HttpModelEngine(controlCaller, CONTROL_TIMEOUT),
                 new HttpInstanceList(controlCaller, settings.platform(), PLATFORM_TIMEOUT),
                 table,
-                new LonePeerBus(new PeerId(UUID.randomUUID().toString())),
+                peers,
                 new ReplicaFormer(),
                 clock,
                 RandomSource.XO_RO_SHI_RO_128_PP.create()));
@@ -119,7 +125,8 @@
   public CompletableFuture<Integer> shutdown() {
     return server
         .shutdown()
-        .thenCompose(inFlight -> control.releaseLease().thenApply(ignored -> inFlight));
+        .thenCompose(left -> orderPlacer.drain(RECORD_TIMEOUT).thenApply(open -> left))
+        .thenCompose(left -> control.releaseLease().thenApply(ignored -> left));
   }
 
   @Override
@@ -138,7 +145,7 @@
         new HttpObjectStore(controlCaller, settings.platform(), PLATFORM_TIMEOUT);
     return new ConfigurationModule(
         settings.site(),
-        new PeerId("e" + UUID.randomUUID()),
+        peers.getSelf(),
         new ConfigurationStore(table, objects),
         new LoneConfigurationPeers(),
         clock);
@@ -164,7 +171,11 @@
             tracer,
             clock,
             StreamSettings.ofDefaults(),
-            RetryPolicy.ofDefaults(RandomSource.XO_RO_SHI_RO_128_PP.create()));
+            RetryPolicy.ofDefaults(RandomSource.XO_RO_SHI_RO_128_PP.create()),
+            new PoisonGuard(
+                new PoisonList(PoisonSettings.ofDefaults()),
+                peers,
+                clock));
     CompletionHandler completions =
         new CompletionHandler(
             settings.entry(), accounts, control, new UnlimitedAdmission(), runner, tracer);
