--- a/fireflyshed-bench/src/main/java/io/fireflyshed/bench/capacity/CapacityFixtures.java
+++ b/fireflyshed-bench/src/main/java/io/fireflyshed/bench/capacity/CapacityFixtures.java
@@ -1,5 +1,6 @@
 package io.fireflyshed.bench.capacity;
 
+import io.fireflyshed.coordination.drain.DrainTracker;
 import io.fireflyshed.coordination.gate.ServingGate;
 import io.fireflyshed.state.instance.AvailabilityZone;
 import io.fireflyshed.state.instance.BootId;
@@ -58,7 +59,7 @@
   }
 
   static ServingGate newGate(List<Assignment> assignments) {
-    ServingGate gate = new ServingGate(MAX_AGE);
+    ServingGate gate = new ServingGate(MAX_AGE, new DrainTracker());
     for (Assignment assignment : assignments) {
       for (InstanceRecord member : assignment.members()) {
         gate.onHealth(
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/entry/EntryDaemon.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/entry/EntryDaemon.java
@@ -172,10 +172,7 @@
             clock,
             StreamSettings.ofDefaults(),
             RetryPolicy.ofDefaults(RandomSource.XO_RO_SHI_RO_128_PP.create()),
-            new PoisonGuard(
-                new PoisonList(PoisonSettings.ofDefaults()),
-                peers,
-                clock));
+            new PoisonGuard(new PoisonList(PoisonSettings.ofDefaults()), peers, clock));
     CompletionHandler completions =
         new CompletionHandler(
             settings.entry(), accounts, control, new UnlimitedAdmission(), runner, tracer);
