--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/repair/RepairReplicaPlanner.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/repair/RepairReplicaPlanner.java
@@ -85,17 +85,13 @@
     boolean isSameOrder = current.size() == lastAssignments.size();
     for (int i = 0; i < current.size(); i++) {
       AssignmentState next = current.get(i);
-      ReplicaId id = next.assignment().id();
       AssignmentState last = isSameOrder ? lastAssignments.get(i) : null;
-      if (last == null || !last.assignment().id().equals(id)) {
+      if (last == null || !isSameReplica(last, next)) {
         isSameOrder = false;
-        last = assignments.get(id);
+        last = assignments.get(next.assignment().id());
       }
       if (last == null || !isSame(last, next)) {
-        assignments.put(id, next);
-        unsettled.add(id);
-        isChangeDue = true;
-        isResetDue |= isForeign(last, next);
+        onChanged(last, next);
       }
     }
     if (!isSameOrder && assignments.size() != current.size()) {
@@ -105,26 +101,42 @@
     }
   }
 
+  private void onChanged(AssignmentState last, AssignmentState next) {
+    ReplicaId id = next.assignment().id();
+    assignments.put(id, next);
+    unsettled.add(id);
+    isChangeDue = true;
+    isResetDue |= isForeign(last, next);
+  }
+
+  private static boolean isSameReplica(AssignmentState last, AssignmentState next) {
+    return last.assignment() == next.assignment()
+        || last.assignment().id().equals(next.assignment().id());
+  }
+
   private static boolean isSame(AssignmentState last, AssignmentState next) {
     if (last == next) {
       return true;
     }
-    if (last.assignment().generation() != next.assignment().generation()
-        || last.phase() != next.phase()) {
+    if (last.phase() != next.phase() || !isSameGeneration(last, next)) {
       return false;
     }
     return isAllReady(last) && isAllReady(next)
         || last.ready().equals(next.ready()) && last.loading().equals(next.loading());
   }
 
+  private static boolean isSameGeneration(AssignmentState last, AssignmentState next) {
+    return last.assignment() == next.assignment()
+        || last.assignment().generation() == next.assignment().generation();
+  }
+
   private static boolean isAllReady(AssignmentState state) {
     return state.ready().size() == state.assignment().members().size();
   }
 
   /** Tests whether a new generation has members that this planner did not plan. */
   private boolean isForeign(AssignmentState last, AssignmentState next) {
-    boolean isNew =
-        last == null || last.assignment().generation() != next.assignment().generation();
+    boolean isNew = last == null || !isSameGeneration(last, next);
     return isNew
         && next.phase() == AssignmentPhase.ACTIVE
         && !toIds(next).equals(planner.getMembers(next.assignment().id()));
@@ -162,16 +174,15 @@
     boolean isSameOrder = current.size() == lastInstances.size();
     for (int i = 0; i < current.size(); i++) {
       InstanceState next = current.get(i);
-      InstanceId id = next.instance().id();
       InstanceState last = isSameOrder ? lastInstances.get(i) : null;
       if (last == null || !isSameInstance(last, next)) {
         isSameOrder = false;
-        last = instances.get(id);
+        last = instances.get(next.instance().id());
       }
       if (last == null
           || last.status() != next.status()
           || last.isAssigned() != next.isAssigned()) {
-        instances.put(id, next);
+        instances.put(next.instance().id(), next);
         onChanged(next, state.nowNanos());
       }
     }
