--- a/fireflyshed-bench/src/main/java/io/fireflyshed/bench/capacity/CapacityFixtures.java
+++ b/fireflyshed-bench/src/main/java/io/fireflyshed/bench/capacity/CapacityFixtures.java
@@ -1,5 +1,8 @@
 package io.fireflyshed.bench.capacity;
 
+import io.fireflyshed.coordination.assignment.AssignmentPhase;
+import io.fireflyshed.coordination.assignment.StoredAssignment;
+import io.fireflyshed.coordination.drain.DrainTracker;
 import io.fireflyshed.coordination.gate.ServingGate;
 import io.fireflyshed.state.instance.AvailabilityZone;
 import io.fireflyshed.state.instance.BootId;
@@ -49,6 +52,10 @@
     return new Assignment(new ReplicaId("cards.zone-a." + number), SERVICE, 1, records);
   }
 
+  static StoredAssignment newStored(Assignment assignment) {
+    return new StoredAssignment(assignment, "cards-1", AssignmentPhase.ACTIVE, Optional.empty());
+  }
+
   static List<Assignment> newAssignments(int replicas) {
     List<Assignment> assignments = new ArrayList<>();
     for (int i = 0; i < replicas; i++) {
@@ -58,7 +65,7 @@
   }
 
   static ServingGate newGate(List<Assignment> assignments) {
-    ServingGate gate = new ServingGate(MAX_AGE);
+    ServingGate gate = new ServingGate(MAX_AGE, new DrainTracker());
     for (Assignment assignment : assignments) {
       for (InstanceRecord member : assignment.members()) {
         gate.onHealth(
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/entry/EntryDaemon.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/entry/EntryDaemon.java
@@ -1,5 +1,6 @@
 package io.fireflyshed.daemon.entry;
 
+import io.fireflyshed.coordination.assignment.ReplicaFormer;
 import io.fireflyshed.coordination.order.OrderSettings;
 import io.fireflyshed.coordination.poison.PoisonList;
 import io.fireflyshed.coordination.poison.PoisonSettings;
@@ -12,8 +13,8 @@
 import io.fireflyshed.state.replica.ServingView;
 import io.fireflyshed.state.table.TableService;
 import io.fireflyshed.transport.configuration.ConfigurationStore;
-import io.fireflyshed.transport.control.AssignmentStore;
 import io.fireflyshed.transport.control.ControlLoop;
+import io.fireflyshed.transport.control.ControlParts;
 import io.fireflyshed.transport.desk.HttpPlainService;
 import io.fireflyshed.transport.engine.HttpModelEngine;
 import io.fireflyshed.transport.entry.AccountDirectory;
@@ -83,14 +84,18 @@
     MonotonicClock clock = MonotonicClock.system();
     flagServices = settings.control().services();
     TableService table = new HttpTableService(controlCaller, settings.platform(), PLATFORM_TIMEOUT);
+    peers = new PeerModule(settings.control().zone(), settings.site(), table, clock);
     control =
         new ControlLoop(
             settings.control(),
-            new HttpModelEngine(controlCaller, CONTROL_TIMEOUT),
-            new HttpInstanceList(controlCaller, settings.platform(), PLATFORM_TIMEOUT),
-            new AssignmentStore(table),
-            clock);
-    peers = new PeerModule(settings.control().zone(), settings.site(), table, clock);
+            new ControlParts(
+                new HttpModelEngine(controlCaller, CONTROL_TIMEOUT),
+                new HttpInstanceList(controlCaller, settings.platform(), PLATFORM_TIMEOUT),
+                table,
+                peers.getBus(),
+                new ReplicaFormer(),
+                clock,
+                RandomSource.XO_RO_SHI_RO_128_PP.create()));
     ConfigurationStore store =
         new ConfigurationStore(
             table, new HttpObjectStore(controlCaller, settings.platform(), PLATFORM_TIMEOUT));
@@ -154,6 +159,7 @@
     return server
         .shutdown()
         .thenCompose(left -> orderPlacer.drain(RECORD_TIMEOUT).thenApply(open -> left))
+        .thenCompose(left -> control.releaseLease().thenApply(ignored -> left))
         .whenComplete((left, error) -> peers.leave());
   }
 
@@ -213,6 +219,7 @@
             plainService,
             configuration.newOrderPlacer(orderPlacer));
     PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    control.getMeter().register(metrics, settings.control().zone().value());
     return new EntryServer(settings.entry(), control, completions, orders, metrics);
   }
 }
