Walk the fault matrix over forming, repair and drain

Cause: the schedules of replicas landed after the matrix.

Change: their faults follow a plan too; twelve faults, five steps.

--- a/fireflyshed-standins/src/test/java/io/fireflyshed/faults/FaultTrials.java
+++ b/fireflyshed-standins/src/test/java/io/fireflyshed/faults/FaultTrials.java
@@ -2,10 +2,15 @@
 
 import static io.fireflyshed.faults.FaultKind.ANSWER_LOST;
 import static io.fireflyshed.faults.FaultKind.CALLER_LEAVES;
+import static io.fireflyshed.faults.FaultKind.DOMAIN_DARK;
 import static io.fireflyshed.faults.FaultKind.ENTRY_DIES;
 import static io.fireflyshed.faults.FaultKind.ENTRY_PAUSES;
 import static io.fireflyshed.faults.FaultKind.EVENTS_DISORDERED;
 import static io.fireflyshed.faults.FaultKind.MEMBER_DIES;
+import static io.fireflyshed.faults.FaultKind.MEMBER_FLAPS;
+import static io.fireflyshed.faults.FaultKind.MEMBER_LEAVES;
+import static io.fireflyshed.faults.FaultKind.MEMBER_PAUSES;
+import static io.fireflyshed.faults.FaultKind.ORDER_LATE;
 import static io.fireflyshed.faults.FaultKind.PEERS_CUT;
 import static io.fireflyshed.faults.FaultKind.PLATFORM_CUT;
 import static io.fireflyshed.faults.FaultKind.STORE_DOWN;
@@ -17,6 +22,7 @@
 
 import io.fireflyshed.coordination.configuration.ConfigurationSchedule;
 import io.fireflyshed.coordination.order.OrderSchedule;
+import io.fireflyshed.transport.control.FaultSchedule;
 import io.fireflyshed.transport.entry.CompletionSchedule;
 import java.util.List;
 
@@ -26,7 +32,33 @@
   private FaultTrials() {}
 
   static List<FaultTrial> getAll() {
-    return List.of(newOrders(), newStreams(), newConfiguration());
+    return List.of(newReplicas(), newOrders(), newStreams(), newConfiguration());
+  }
+
+  private static FaultTrial newReplicas() {
+    return new FaultTrial(
+        "Replicas",
+        "no request goes to a replica without evidence, newer than the bound, from every member; no"
+            + " instance is in two replicas; all replicas serve again after the last fault",
+        List.of(
+            MEMBER_DIES,
+            MEMBER_PAUSES,
+            MEMBER_FLAPS,
+            MEMBER_LEAVES,
+            DOMAIN_DARK,
+            ENTRY_PAUSES,
+            PEERS_CUT,
+            PLATFORM_CUT,
+            STORE_DOWN,
+            STORE_SLOW,
+            ANSWER_LOST,
+            ORDER_LATE),
+        (seed, plan) ->
+            new FaultSchedule(seed, FaultSchedule.Variant.CORRECT, plan)
+                .run()
+                .violation()
+                .map(List::of)
+                .orElse(List.of()));
   }
 
   private static FaultTrial newOrders() {
--- a/fireflyshed-standins/src/test/java/io/fireflyshed/transport/control/FaultSchedule.java
+++ b/fireflyshed-standins/src/test/java/io/fireflyshed/transport/control/FaultSchedule.java
@@ -6,6 +6,8 @@
 import io.fireflyshed.coordination.assignment.VersionedAssignment;
 import io.fireflyshed.coordination.health.HealthSettings;
 import io.fireflyshed.coordination.lease.LeaseTiming;
+import io.fireflyshed.faults.FaultKind;
+import io.fireflyshed.faults.FaultPlan;
 import io.fireflyshed.standins.platform.InMemoryTableService;
 import io.fireflyshed.state.instance.AvailabilityZone;
 import io.fireflyshed.state.instance.FabricDomain;
@@ -28,6 +30,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -37,10 +40,10 @@
  * Drives the control of three processes over six instances through faults that follow from a seed,
  * and checks every request that they would send.
  */
-final class FaultSchedule {
+public final class FaultSchedule {
 
   /** Names what is broken on purpose. */
-  enum Variant {
+  public enum Variant {
     /** Nothing. */
     CORRECT,
     /** Instances are given free without a wait for the evidence of entries to run out. */
@@ -50,7 +53,7 @@
   }
 
   /** What a schedule did and what was wrong. */
-  record Result(Optional<String> violation, int requests, int moves) {}
+  public record Result(Optional<String> violation, int requests, int moves) {}
 
   static final double MAX_DRIFT = 0.01;
 
@@ -69,8 +72,24 @@
   private static final AvailabilityZone ZONE = new AvailabilityZone("a");
   private static final ServiceName SERVICE = new ServiceName("cards");
 
+  private static final List<FaultKind> KINDS =
+      List.of(
+          FaultKind.MEMBER_DIES,
+          FaultKind.MEMBER_PAUSES,
+          FaultKind.DOMAIN_DARK,
+          FaultKind.ENTRY_PAUSES,
+          FaultKind.PLATFORM_CUT,
+          FaultKind.PEERS_CUT,
+          FaultKind.ANSWER_LOST,
+          FaultKind.STORE_SLOW,
+          FaultKind.ORDER_LATE,
+          FaultKind.MEMBER_LEAVES,
+          FaultKind.STORE_DOWN,
+          FaultKind.MEMBER_FLAPS);
+
   private final long seed;
   private final Variant variant;
+  private final FaultPlan plan;
   private final UniformRandomProvider random;
   private final VirtualTime time = new VirtualTime();
   private final InMemoryTableService table = new InMemoryTableService();
@@ -81,9 +100,16 @@
   private Optional<String> violation = Optional.empty();
   private int requests;
   private long rowsWrites;
+  private long drainEndNanos;
   private List<StoredAssignment> rows = List.of();
 
   FaultSchedule(long seed, Variant variant) {
+    this(seed, variant, FaultPlan.ofAll());
+  }
+
+  /** Creates a schedule with the faults of a plan. */
+  public FaultSchedule(long seed, Variant variant, FaultPlan plan) {
+    this.plan = plan;
     this.seed = seed;
     this.variant = variant;
     this.random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
@@ -162,7 +188,7 @@
   }
 
   /** Runs the schedule until the faults are over and all replicas serve again. */
-  Result run() {
+  public Result run() {
     int faults = 3 + random.nextInt(5);
     for (int f = 0; f < faults; f++) {
       long lasting = random.nextLong(LONGEST_FAULT_NANOS) + 1;
@@ -188,7 +214,12 @@
     FakeProcess process = processes.get(random.nextInt(PROCESSES));
     FakeNetwork network = process.getNetwork();
     FakeEngine engine = new ArrayList<>(engines.values()).get(random.nextInt(engines.size()));
-    switch (random.nextInt(12)) {
+    int fault = random.nextInt(KINDS.size());
+    getSteps().forEach(s -> plan.strikes(s, KINDS.get(fault), true));
+    if (!plan.isEnabled(KINDS.get(fault))) {
+      return;
+    }
+    switch (fault) {
       case 0 -> holdDown(List.of(engine), lasting);
       case 1 -> last(lasting, engine::pause, engine::resume);
       case 2 -> darken(lasting);
@@ -199,12 +230,35 @@
           last(lasting, () -> network.isAnswerLost = true, () -> network.isAnswerLost = false);
       case 7 -> last(lasting, () -> network.isSlow = true, () -> network.isSlow = false);
       case 8 -> processes.forEach(p -> p.getNetwork().nextOrderDelayNanos = lasting);
-      case 9 -> last(lasting, engine::leave, engine::restart);
+      case 9 -> {
+        drainEndNanos = time.now() + lasting;
+        last(lasting, engine::leave, engine::restart);
+      }
       case 10 -> processes.forEach(p -> cutStore(p.getNetwork(), lasting));
       default -> flap(engine, lasting);
     }
   }
 
+  /** Gets the steps that are under way, as the rows of the assignments tell. */
+  private Set<String> getSteps() {
+    Set<String> steps = new TreeSet<>();
+    List<StoredAssignment> stored = readRows();
+    long active = stored.stream().filter(StoredAssignment::isActive).count();
+    if (stored.stream().anyMatch(s -> s.phase() == AssignmentPhase.DISSOLVING)) {
+      steps.add("dissolve");
+    }
+    if (time.now() < drainEndNanos) {
+      steps.add("drain");
+    }
+    if (active < REPLICAS) {
+      steps.add("form");
+    }
+    if (active > 0) {
+      steps.add(isServing() ? "serve" : "repair");
+    }
+    return steps;
+  }
+
   private void last(long lasting, Runnable start, Runnable end) {
     start.run();
     time.after(lasting, end);
