--- a/fireflyshed-bench/src/main/resources/META-INF/services/io.fireflyshed.daemon.command.Command
+++ b/fireflyshed-bench/src/main/resources/META-INF/services/io.fireflyshed.daemon.command.Command
@@ -1,3 +1,5 @@
 io.fireflyshed.bench.repair.RepairCommand
 io.fireflyshed.bench.relay.RelayBench
 io.fireflyshed.bench.capacity.CapacityBench
+io.fireflyshed.bench.order.OrderBench
+io.fireflyshed.bench.poison.PoisonBench
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/poison/PoisonList.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/poison/PoisonList.java
@@ -11,6 +11,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeSet;
 
 /**
  * Finds requests that crash the replicas that run them.
@@ -48,7 +49,6 @@
   private final PoisonSettings settings;
   private final Map<CrashId, Crash> crashes = new LinkedHashMap<>();
   private final Map<String, List<Crash>> byFingerprint = new LinkedHashMap<>();
-  private final Map<String, Set<ReplicaId>> isolated = new LinkedHashMap<>();
 
   /**
    * Creates an empty list.
@@ -106,6 +106,9 @@
     if (own == null) {
       return PoisonVerdict.CLEAR;
     }
+    if (nowNanos - own.get(own.size() - 1).atNanos < settings.settleTime().toNanos()) {
+      return PoisonVerdict.UNDECIDED;
+    }
     if (isCulprit(fingerprint)) {
       return PoisonVerdict.REFUSED;
     }
@@ -115,39 +118,29 @@
   }
 
   /**
-   * Chooses the replica on which a suspect runs. Processes that see the same replicas prefer the
-   * same one for a fingerprint, by rendezvous hashing (Thaler and Ravishankar, 1998).
+   * Chooses the replica on which a suspect runs, apart from all other suspects. Processes that know
+   * the same suspects and replicas choose the same.
    *
-   * @param fingerprint the fingerprint of the request, not null
-   * @param replicas the replicas that may run it, not null
-   * @return the choice, or empty if each replica runs another suspect of this process
-   */
-  public synchronized Optional<ReplicaId> isolate(String fingerprint, List<ReplicaId> replicas) {
-    Optional<ReplicaId> choice =
-        replicas.stream()
-            .filter(r -> isFree(fingerprint, r))
-            .max(
-                (a, b) ->
-                    Long.compareUnsigned(
-                        RendezvousHash.score(fingerprint, a),
-                        RendezvousHash.score(fingerprint, b)));
-    choice.ifPresent(r -> isolated.computeIfAbsent(fingerprint, f -> new HashSet<>()).add(r));
-    return choice;
-  }
-
-  /**
-   * Takes in that a suspect no longer runs on a replica.
+   * <p>Each suspect in turn takes the free replica that it prefers by rendezvous hashing (Thaler
+   * and Ravishankar, 1998).
    *
-   * @param fingerprint the fingerprint of the request, not null
-   * @param replica the replica, not null
+   * @param fingerprint the fingerprint of the suspect, not null
+   * @param replicas the replicas that may run it, not null
+   * @param nowNanos the reading of the monotonic clock
+   * @return the choice, or empty if there are more suspects than replicas
    */
-  public synchronized void release(String fingerprint, ReplicaId replica) {
-    isolated.computeIfPresent(
-        fingerprint,
-        (f, replicas) -> {
-          replicas.remove(replica);
-          return replicas.isEmpty() ? null : replicas;
-        });
+  public synchronized Optional<ReplicaId> isolate(
+      String fingerprint, List<ReplicaId> replicas, long nowNanos) {
+    Set<ReplicaId> free = new HashSet<>(replicas);
+    for (String suspect : new TreeSet<>(byFingerprint.keySet())) {
+      if (suspect.equals(fingerprint)) {
+        return choose(suspect, free);
+      }
+      if (getVerdict(suspect, nowNanos) == PoisonVerdict.SUSPECTED) {
+        choose(suspect, free).ifPresent(free::remove);
+      }
+    }
+    return Optional.empty();
   }
 
   /**
@@ -171,9 +164,12 @@
     return entries;
   }
 
-  private boolean isFree(String fingerprint, ReplicaId replica) {
-    return isolated.entrySet().stream()
-        .noneMatch(e -> !e.getKey().equals(fingerprint) && e.getValue().contains(replica));
+  private static Optional<ReplicaId> choose(String fingerprint, Set<ReplicaId> replicas) {
+    return replicas.stream()
+        .max(
+            (a, b) ->
+                Long.compareUnsigned(
+                    RendezvousHash.score(fingerprint, a), RendezvousHash.score(fingerprint, b)));
   }
 
   /** Tests whether a request was the only suspect in a crash after its first one. */
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/entry/CompletionRunner.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/entry/CompletionRunner.java
@@ -47,6 +47,7 @@
 public final class CompletionRunner {
 
   private static final Logger LOG = LoggerFactory.getLogger(CompletionRunner.class);
+  private static final Duration VERDICT_POLL = Duration.ofMillis(20);
   private static final int MAX_EARLY_CHUNKS = 16;
   private static final String STEP = "stream";
   private static final int RETRY_AFTER_SECONDS = 1;
@@ -143,6 +144,7 @@
     private Flux<StreamChunk> next(AttemptException last) {
       return switch (poison.getVerdict(request)) {
         case REFUSED -> Flux.error(newRefused());
+        case UNDECIDED -> Mono.delay(VERDICT_POLL).thenMany(Flux.defer(() -> next(last)));
         case SUSPECTED -> nextIsolated(last);
         case CLEAR -> nextRouted(last);
       };
@@ -166,7 +168,7 @@
               .toList();
       return poison
           .isolate(request, open)
-          .map(a -> run(a, newRoute()).doFinally(signal -> poison.release(request, a)))
+          .map(a -> run(a, newRoute()))
           .orElseGet(() -> Flux.error(newProblem(last)));
     }
 
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/entry/PoisonGuard.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/entry/PoisonGuard.java
@@ -94,18 +94,13 @@
     }
   }
 
-  /** Chooses a replica for a suspect and keeps other suspects of this process away from it. */
+  /** Chooses a replica for a suspect, apart from other suspects. */
   Optional<Assignment> isolate(CompletionRequest request, List<Assignment> open) {
     List<ReplicaId> ids = open.stream().map(Assignment::id).toList();
-    return list.isolate(toFingerprint(request), ids)
+    return list.isolate(toFingerprint(request), ids, clock.nanoTime())
         .flatMap(id -> open.stream().filter(a -> a.id().equals(id)).findFirst());
   }
 
-  /** Takes in that a suspect no longer runs on a replica. */
-  void release(CompletionRequest request, Assignment replica) {
-    list.release(toFingerprint(request), replica.id());
-  }
-
   private void onNotice(PeerNotice notice) {
     if (notice instanceof PeerNotice.PoisonSuspected n) {
       list.onCrash(n.fingerprint(), n.replica(), n.generation(), clock.nanoTime());
