--- /dev/null
+++ b/fireflyshed-bench/src/test/java/io/fireflyshed/bench/order/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the measurement of one-time orders. */
+package io.fireflyshed.bench.order;
--- /dev/null
+++ b/fireflyshed-bench/src/test/java/io/fireflyshed/bench/poison/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the measurement of requests that crash replicas. */
+package io.fireflyshed.bench.poison;
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/entry/OrderHandler.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/entry/OrderHandler.java
@@ -93,16 +93,20 @@
    *
    * @param request the request, not null
    * @param response the response, not null
+   * @param shutdown ends what is in flight at the deadline of a shutdown, not null
    * @return completes when the answer is sent, never null
    */
-  public Publisher<Void> handleLookup(HttpServerRequest request, HttpServerResponse response) {
+  Publisher<Void> handleLookup(
+      HttpServerRequest request, HttpServerResponse response, ShutdownSignal shutdown) {
     return answer(
         response,
         () -> {
           authenticate(request);
           List<InstanceRecord> targets = findTargets(readService(request));
           String key = requireKey(request.param("key"));
-          return toMono(lookup(targets, 0, key));
+          return shutdown
+              .limit(toMono(lookup(targets, 0, key)).flux(), OrderProblems::newClosing)
+              .next();
         });
   }
 
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/entry/OrderProblems.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/entry/OrderProblems.java
@@ -37,7 +37,7 @@
     String detail =
         isFinal
             ? "the target may have run the order; look it up before ordering anew"
-            : "an earlier request with this key has no recorded result yet";
+            : "the order with this key has no recorded result yet";
     return new ProblemException(
         new Problem(
             isFinal ? 502 : 409,
--- /dev/null
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/entry/CompletionRunnerTest.java
@@ -0,0 +1,169 @@
+package io.fireflyshed.transport.entry;
+
+import static org.testng.Assert.assertEquals;
+
+import io.fireflyshed.coordination.attempt.AttemptException;
+import io.fireflyshed.coordination.attempt.Outcome;
+import io.fireflyshed.coordination.attempt.TargetLostException;
+import io.fireflyshed.coordination.poison.PoisonList;
+import io.fireflyshed.coordination.poison.PoisonSettings;
+import io.fireflyshed.coordination.retry.RetryPolicy;
+import io.fireflyshed.coordination.routing.LeastInFlightRouter;
+import io.fireflyshed.protocol.completion.CompletionKind;
+import io.fireflyshed.protocol.completion.CompletionRequest;
+import io.fireflyshed.protocol.engine.EngineOrder;
+import io.fireflyshed.protocol.engine.EngineRequest;
+import io.fireflyshed.protocol.engine.LoadReport;
+import io.fireflyshed.protocol.engine.ModelEngine;
+import io.fireflyshed.protocol.engine.StreamChunk;
+import io.fireflyshed.protocol.problem.Problem;
+import io.fireflyshed.protocol.problem.ProblemException;
+import io.fireflyshed.state.instance.AvailabilityZone;
+import io.fireflyshed.state.instance.FabricDomain;
+import io.fireflyshed.state.instance.InstanceId;
+import io.fireflyshed.state.instance.InstanceRecord;
+import io.fireflyshed.state.peer.LonePeerBus;
+import io.fireflyshed.state.peer.PeerId;
+import io.fireflyshed.state.replica.Assignment;
+import io.fireflyshed.state.replica.MemberHealth;
+import io.fireflyshed.state.replica.OpenReplica;
+import io.fireflyshed.state.replica.ReplicaId;
+import io.fireflyshed.state.replica.ServiceName;
+import io.fireflyshed.state.replica.ServingView;
+import io.fireflyshed.transport.trace.RequestTracer;
+import io.opentelemetry.api.OpenTelemetry;
+import io.opentelemetry.context.Context;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.apache.commons.rng.simple.RandomSource;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import reactor.core.publisher.Flux;
+import reactor.test.scheduler.VirtualTimeScheduler;
+
+/** Tests {@link CompletionRunner} in virtual time. */
+public class CompletionRunnerTest {
+
+  private static final ServiceName SERVICE = new ServiceName("cards");
+  private static final int REPLICAS = 5;
+
+  /** Fails each attempt with the next of the given errors, then with the last one. */
+  private static final class FailingEngine implements ModelEngine {
+    private final List<AttemptException> errors = new ArrayList<>();
+    private int runs;
+
+    @Override
+    public CompletableFuture<MemberHealth> probe(InstanceRecord instance) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public CompletableFuture<LoadReport> readLoad(InstanceRecord instance) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public CompletableFuture<Void> order(InstanceRecord instance, EngineOrder order) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public Flux<StreamChunk> stream(EngineRequest request) {
+      return Flux.defer(() -> Flux.error(errors.get(Math.min(runs++, errors.size() - 1))));
+    }
+  }
+
+  private VirtualTimeScheduler time;
+  private FailingEngine engine;
+  private CompletionRunner runner;
+
+  /** Creates a runner in virtual time. */
+  @BeforeMethod
+  public void setUp() {
+    time = VirtualTimeScheduler.create();
+    VirtualTimeScheduler.set(time);
+    engine = new FailingEngine();
+    ServingView view = newView();
+    runner =
+        new CompletionRunner(
+            () -> view,
+            new LeastInFlightRouter(),
+            engine,
+            new RequestTracer(OpenTelemetry.noop()),
+            () -> time.now(TimeUnit.NANOSECONDS),
+            StreamSettings.ofDefaults(),
+            RetryPolicy.ofDefaults(RandomSource.XO_RO_SHI_RO_128_PP.create(1)),
+            new PoisonGuard(
+                new PoisonList(PoisonSettings.ofDefaults()),
+                new LonePeerBus(new PeerId("p")),
+                () -> time.now(TimeUnit.NANOSECONDS)));
+  }
+
+  /** Gives the real time back. */
+  @AfterMethod(alwaysRun = true)
+  public void tearDown() {
+    VirtualTimeScheduler.reset();
+  }
+
+  private static ServingView newView() {
+    List<OpenReplica> open = new ArrayList<>();
+    for (int i = 0; i < REPLICAS; i++) {
+      InstanceRecord head =
+          new InstanceRecord(
+              new InstanceId("i" + i),
+              InetSocketAddress.createUnresolved("127.0.0.1", 1 + i),
+              new AvailabilityZone("a"),
+              new FabricDomain("f"),
+              8,
+              false,
+              Optional.empty());
+      Assignment replica = new Assignment(new ReplicaId("r" + i), SERVICE, 1, List.of(head));
+      open.add(new OpenReplica(replica, Long.MAX_VALUE));
+    }
+    return new ServingView(Map.of(), Map.of(SERVICE, open), Map.of());
+  }
+
+  private Problem fail() {
+    String body = "{\"model\":\"cards\",\"prompt\":\"p\"}";
+    CompletionRequest request =
+        CompletionRequest.parse(CompletionKind.TEXT, body.getBytes(StandardCharsets.UTF_8));
+    List<Throwable> errors = new ArrayList<>();
+    runner.run(request, "req", Context.root()).subscribe(chunk -> {}, errors::add);
+    time.advanceTimeBy(Duration.ofMinutes(1));
+    assertEquals(errors.size(), 1);
+    return ((ProblemException) errors.get(0)).getProblem();
+  }
+
+  private static AttemptException newError(Outcome outcome) {
+    return new AttemptException("stream", "engine", outcome, "broken", null);
+  }
+
+  @Test
+  public void requestThatCrashesReplicasIsRefusedAfterTheSecond() {
+    engine.errors.add(new TargetLostException("stream", "engine", Outcome.RAN, "lost", null));
+    Problem first = fail();
+    assertEquals(first.type(), "poison-request");
+    assertEquals(first.outcome(), Outcome.RAN);
+    assertEquals(engine.runs, 2);
+    Problem second = fail();
+    assertEquals(second.outcome(), Outcome.NOT_RUN);
+    assertEquals(second.isRetryable(), false);
+    assertEquals(engine.runs, 2);
+  }
+
+  @Test
+  public void notRunIsSaidOnlyIfNoAttemptMayHaveRun() {
+    engine.errors.add(newError(Outcome.UNKNOWN));
+    engine.errors.add(newError(Outcome.NOT_RUN));
+    assertEquals(fail().outcome(), Outcome.UNKNOWN);
+    assertEquals(engine.runs, 3);
+  }
+}
