--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/entry/EntryServer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/entry/EntryServer.java
@@ -131,7 +131,9 @@
     routes.get("/v1/models", this::listModels);
     routes.post(
         "/v1/services/{service}/orders", counted((q, r) -> orders.handleOrder(q, r, shutdown)));
-    routes.get("/v1/services/{service}/lookups/{key}", counted((q, r) -> orders.handleLookup(q, r, shutdown)));
+    routes.get(
+        "/v1/services/{service}/lookups/{key}",
+        counted((q, r) -> orders.handleLookup(q, r, shutdown)));
     routes.get("/livez", (q, r) -> r.sendString(Mono.just("ok\n")));
     routes.get("/readyz", this::answerReady);
     routes.get(
