Tell a lookup that is cut at the deadline of a shutdown as unknown

Cause: it was told as not run although the target may have run it. Change: outcome unknown, retryable. Found by reading; EntryDaemonTest runs green.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/entry/OrderHandler.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/entry/OrderHandler.java
@@ -105,7 +105,7 @@
           List<InstanceRecord> targets = findTargets(readService(request));
           String key = requireKey(request.param("key"));
           return shutdown
-              .limit(toMono(lookup(targets, 0, key)).flux(), OrderProblems::newClosing)
+              .limit(toMono(lookup(targets, 0, key)).flux(), OrderProblems::newLookupCut)
               .next();
         });
   }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/entry/OrderProblems.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/entry/OrderProblems.java
@@ -32,6 +32,20 @@
     return newLater("shutting-down", "the entry is shutting down");
   }
 
+  /** Gets the problem of a lookup that was in flight at the deadline of a shutdown. */
+  static ProblemException newLookupCut() {
+    return new ProblemException(
+        new Problem(
+            503,
+            "shutting-down",
+            "the entry shut down before the answer came",
+            "lookup",
+            PEER,
+            Outcome.UNKNOWN,
+            true,
+            OptionalInt.of(RETRY_AFTER_SECONDS)));
+  }
+
   /** Gets the problem of an order that may have run. */
   static ProblemException newUnknown(boolean isFinal) {
     String detail =
