--- /dev/null
+++ b/fireflyshed-bench/src/main/java/io/fireflyshed/bench/configuration/package-info.java
@@ -0,0 +1,2 @@
+/** Measures the spread of configurations. */
+package io.fireflyshed.bench.configuration;
--- /dev/null
+++ b/fireflyshed-bench/src/main/java/io/fireflyshed/bench/membership/package-info.java
@@ -0,0 +1,2 @@
+/** Measures membership. */
+package io.fireflyshed.bench.membership;
--- a/fireflyshed-bench/src/main/resources/META-INF/services/io.fireflyshed.daemon.command.Command
+++ b/fireflyshed-bench/src/main/resources/META-INF/services/io.fireflyshed.daemon.command.Command
@@ -1,3 +1,5 @@
-io.fireflyshed.bench.repair.RepairCommand
-io.fireflyshed.bench.relay.RelayBench
 io.fireflyshed.bench.capacity.CapacityBench
+io.fireflyshed.bench.configuration.ConfigBenchCommand
+io.fireflyshed.bench.membership.MembershipBenchCommand
+io.fireflyshed.bench.relay.RelayBench
+io.fireflyshed.bench.repair.RepairCommand
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/membership/SwimMembership.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/membership/SwimMembership.java
@@ -129,13 +129,17 @@
   }
 
   /**
-   * Takes a process that the platform listed.
+   * Takes a process that the platform listed. It is not passed on, because all read the list.
    *
    * @param record the process, not null
    * @param nowNanos the reading of the monotonic clock
    */
   public void addSeed(MemberRecord record, long nowNanos) {
-    merge(List.of(record), nowNanos);
+    MemberRecord known = members.get(record.id());
+    boolean isNews = known == null ? record.state().isLive() : record.isNewerThan(known);
+    if (isNews && !record.id().equals(self.id())) {
+      keep(record, nowNanos);
+    }
   }
 
   /**
@@ -319,13 +323,17 @@
   }
 
   private void put(MemberRecord record, long nowNanos) {
+    keep(record, nowNanos);
+    updates.add(record);
+  }
+
+  private void keep(MemberRecord record, long nowNanos) {
     members.put(record.id(), record);
     if (record.state() == MemberState.ALIVE) {
       stateSinceNanos.remove(record.id());
     } else {
       stateSinceNanos.put(record.id(), nowNanos);
     }
-    updates.add(record);
     isChanged = true;
   }
 
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/configuration/ConfigurationFollowerTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/configuration/ConfigurationFollowerTest.java
@@ -65,6 +65,15 @@
       assertFalse(follower.isCurrent(LEASE));
     }
 
+    @Test
+    public void asksAnotherZoneWhenItsEvidenceGetsOld() {
+      ConfigurationFollower follower = newCurrent(7);
+      List<FollowerAction> early = follower.onTick(List.of(), List.of(FIRST), 1);
+      assertFalse(early.contains(new FollowerAction.AskPeer(FIRST)), early.toString());
+      List<FollowerAction> late = follower.onTick(List.of(), List.of(FIRST), LEASE / 2);
+      assertTrue(late.contains(new FollowerAction.AskPeer(FIRST)), late.toString());
+    }
+
     @Test
     public void isRenewedByFreshEvidenceOfAPeer() {
       ConfigurationFollower follower = newCurrent(7);
