--- a/fireflyshed-bench/src/main/java/io/fireflyshed/bench/capacity/StateMeasurements.java
+++ b/fireflyshed-bench/src/main/java/io/fireflyshed/bench/capacity/StateMeasurements.java
@@ -75,12 +75,17 @@
 
   private static double measureDecode(int replicas) {
     List<String> rows =
-        CapacityFixtures.newAssignments(replicas).stream().map(AssignmentCodec::toText).toList();
-    return BenchUtils.measureMicros(() -> rows.forEach(AssignmentCodec::fromText));
+        CapacityFixtures.newAssignments(replicas).stream()
+            .map(CapacityFixtures::newStored)
+            .map(AssignmentCodec::toText)
+            .toList();
+    return BenchUtils.measureMicros(() -> rows.forEach(AssignmentCodec::fromStoredText));
   }
 
   private static double measureRow(int members) {
-    return AssignmentCodec.toText(CapacityFixtures.newAssignment(0, members)).length();
+    return AssignmentCodec.toText(
+            CapacityFixtures.newStored(CapacityFixtures.newAssignment(0, members)))
+        .length();
   }
 
   private static double measureRoute(ReplicaRouter router, int replicas) {
