--- /dev/null
+++ b/fireflyshed-bench/src/main/java/io/fireflyshed/bench/limits/package-info.java
@@ -0,0 +1,2 @@
+/** Measures limits of client accounts and fair queueing in simulated time. */
+package io.fireflyshed.bench.limits;
--- /dev/null
+++ b/fireflyshed-bench/src/main/resources/META-INF/services/io.fireflyshed.daemon.command.Command
@@ -0,0 +1,2 @@
+io.fireflyshed.bench.limits.LimitsBench
+io.fireflyshed.bench.routing.RoutingBench
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/limits/AccountState.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/limits/AccountState.java
@@ -15,7 +15,13 @@
 final class AccountState {
 
   /** The weight of the last interval in the average of arrivals. */
-  private static final double SMOOTHING = 0.4;
+  private static final double ARRIVAL_SMOOTHING = 0.1;
+
+  /** The time in which a process wants to serve what waits. */
+  private static final double DRAIN_SECONDS = 4;
+
+  /** The weight of the last request in the average of run times. */
+  private static final double HOLD_SMOOTHING = 0.1;
 
   private static final double NANOS_PER_SECOND = Duration.ofSeconds(1).toNanos();
 
@@ -95,7 +101,7 @@
   void end(long heldNanos) {
     running--;
     slots.ifPresent(s -> s.setInUse(running));
-    meanHoldSeconds += SMOOTHING / 4 * (heldNanos / NANOS_PER_SECOND - meanHoldSeconds);
+    meanHoldSeconds += HOLD_SMOOTHING * (heldNanos / NANOS_PER_SECOND - meanHoldSeconds);
   }
 
   /** Gets the seconds until the limits let a number of further requests in. */
@@ -117,7 +123,7 @@
   List<ShareDemand> tick(Collection<PeerId> partners, int queued, long nowNanos) {
     double seconds = (nowNanos - tickNanos) / NANOS_PER_SECOND;
     if (seconds > 0) {
-      arrivalsPerSecond += SMOOTHING * (arrivals / seconds - arrivalsPerSecond);
+      arrivalsPerSecond += ARRIVAL_SMOOTHING * (arrivals / seconds - arrivalsPerSecond);
       arrivals = 0;
       tickNanos = nowNanos;
     }
@@ -125,7 +131,7 @@
     List<ShareDemand> demands = new ArrayList<>();
     rates.ifPresent(
         r -> {
-          r.setDemand(arrivalsPerSecond + queued);
+          r.setDemand(arrivalsPerSecond + queued / DRAIN_SECONDS);
           demands.addAll(r.newDemands(partners, nowNanos));
         });
     slots.ifPresent(
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/limits/ShareLedger.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/limits/ShareLedger.java
@@ -42,8 +42,14 @@
  */
 public final class ShareLedger {
 
+  /** How much more than its own demand a process asks for. */
+  private static final double ASK_HEADROOM = 1.1;
+
+  /** How many times what is missing a process asks for, over all peers. */
+  private static final double ASK_SPREAD = 2;
+
   /** How much more than its own demand a process keeps before it lends. */
-  private static final double HEADROOM = 1.1;
+  private static final double KEEP_HEADROOM = 1.02;
 
   private static final double NEGLIGIBLE = 1e-6;
 
@@ -143,7 +149,9 @@
    */
   public List<ShareDemand> newDemands(Collection<PeerId> partners, long nowNanos) {
     double own = getOwn(nowNanos);
-    double shortage = demand > own ? demand * HEADROOM - own : 0;
+    double base = limit / terms.maxProcesses();
+    boolean isShort = demand > (isSettled(nowNanos) ? base : own);
+    double shortage = isShort ? Math.max(0, demand * ASK_HEADROOM - own) : 0;
     double borrowed = getBorrowed(nowNanos);
     lenders.entrySet().removeIf(e -> !partners.contains(e.getKey()) && e.getValue().isIdle());
     List<ShareDemand> demands = new ArrayList<>();
@@ -153,7 +161,7 @@
       }
       Lender lender = lenders.computeIfAbsent(partner, p -> new Lender());
       updateHeld(lender, nowNanos);
-      double wanted = getWanted(shortage, borrowed, lender.getAmount(nowNanos));
+      double wanted = getWanted(shortage, borrowed, lender.getAmount(nowNanos), partners.size());
       if (lender.isDue(wanted)) {
         demands.add(newDemand(partner, lender, wanted, nowNanos));
       }
@@ -241,8 +249,11 @@
   }
 
   /** Splits the shortage over lenders: each keeps its part, and all are asked for the rest. */
-  private static double getWanted(double shortage, double borrowed, double amount) {
-    return borrowed > shortage ? amount * shortage / borrowed : amount + shortage - borrowed;
+  private static double getWanted(double shortage, double borrowed, double amount, int partners) {
+    if (borrowed > shortage) {
+      return amount * shortage / borrowed;
+    }
+    return amount + (shortage - borrowed) * Math.min(1, ASK_SPREAD / partners);
   }
 
   private ShareDemand newDemand(PeerId partner, Lender lender, double wanted, long nowNanos) {
@@ -265,7 +276,7 @@
   /** Gets how much to lend: what is spare, divided so that small wants are met first. */
   private double getOffer(Borrower borrower, long nowNanos) {
     double base = limit / terms.maxProcesses();
-    double spare = Math.min(base * (1 - terms.reserve()), base - demand * HEADROOM);
+    double spare = Math.min(base * (1 - terms.reserve()), base - demand * KEEP_HEADROOM);
     double fair = Math.min(borrower.wanted, getFairPart(spare, borrower, nowNanos));
     double others = getLent(nowNanos) - borrower.getLiability(nowNanos);
     double needed = Math.max(0, inUse - getBorrowed(nowNanos));
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/routing/ReplicaRouter.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/routing/ReplicaRouter.java
@@ -26,6 +26,15 @@
    */
   void onStart(ReplicaId replica, RouteRequest request);
 
+  /**
+   * Takes in that an attempt received a token; routers that judge speed use it.
+   *
+   * @param replica the replica, not null
+   * @param request the request, the same object as at the start, not null
+   * @param nowNanos the reading of the monotonic clock
+   */
+  default void onToken(ReplicaId replica, RouteRequest request, long nowNanos) {}
+
   /**
    * Takes in that an attempt on a replica ended in any way.
    *
