--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/engine/HttpModelEngine.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/engine/HttpModelEngine.java
@@ -4,13 +4,13 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.fireflyshed.coordination.attempt.AttemptException;
 import io.fireflyshed.coordination.attempt.Outcome;
-import io.fireflyshed.protocol.completion.SseDecoder;
+import io.fireflyshed.coordination.attempt.TargetLostException;
 import io.fireflyshed.protocol.engine.EngineHeaders;
 import io.fireflyshed.protocol.engine.EngineOrder;
 import io.fireflyshed.protocol.engine.EngineRequest;
 import io.fireflyshed.protocol.engine.LoadReport;
 import io.fireflyshed.protocol.engine.ModelEngine;
-import io.fireflyshed.protocol.engine.StreamEvent;
+import io.fireflyshed.protocol.engine.StreamChunk;
 import io.fireflyshed.protocol.json.JsonUtils;
 import io.fireflyshed.state.error.NoEffectException;
 import io.fireflyshed.state.error.ServingException;
@@ -19,6 +19,7 @@
 import io.fireflyshed.state.instance.InstanceRecord;
 import io.fireflyshed.state.replica.MemberHealth;
 import io.fireflyshed.state.replica.ReplicaId;
+import io.fireflyshed.transport.http.HandOver;
 import io.fireflyshed.transport.http.HttpCall;
 import io.fireflyshed.transport.http.HttpCaller;
 import io.netty.buffer.Unpooled;
@@ -29,7 +30,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.atomic.AtomicBoolean;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.netty.ByteBufFlux;
@@ -106,20 +106,20 @@
   }
 
   @Override
-  public Flux<StreamEvent> stream(EngineRequest request) {
+  public Flux<StreamChunk> stream(EngineRequest request) {
     return Flux.defer(
         () -> {
           String peer = request.replica().getHead().getAddressText();
-          AtomicBoolean isHandedOver = new AtomicBoolean();
+          HandOver handOver = new HandOver();
           return newClient(request)
-              .doOnRequest((r, connection) -> isHandedOver.set(true))
+              .doOnRequest((r, connection) -> handOver.begin())
               .post()
               .uri("http://" + peer + request.kind().getPath())
               .send(
                   Mono.just(
                       Unpooled.wrappedBuffer(request.body().getBytes(StandardCharsets.UTF_8))))
               .response((response, body) -> decode(request, peer, response, body))
-              .onErrorMap(e -> toStreamError(peer, isHandedOver.get(), e));
+              .onErrorMap(e -> toStreamError(peer, handOver.isGivenUp(), e));
         });
   }
 
@@ -138,20 +138,18 @@
             });
   }
 
-  private static Flux<StreamEvent> decode(
+  private static Flux<StreamChunk> decode(
       EngineRequest request, String peer, HttpClientResponse response, ByteBufFlux body) {
     int status = response.status().code();
     if (status != 200) {
       return body.then()
           .thenMany(Flux.error(refused(STEP_STREAM, peer, status, response.responseHeaders())));
     }
-    SseDecoder decoder = new SseDecoder();
-    EngineStreamDecoder events = new EngineStreamDecoder(peer, request.offset());
+    EngineStreamDecoder decoder = new EngineStreamDecoder(peer, request.offset());
     return body.asByteArray()
-        .concatMapIterable(decoder::decode)
-        .map(events::toEvent)
-        .concatWith(Flux.defer(events::checkEnd))
-        .takeUntil(StreamEvent::isEnd);
+        .handle(decoder::decode)
+        .concatWith(Flux.defer(decoder::checkEnd))
+        .takeUntil(StreamChunk::isEnd);
   }
 
   private CompletableFuture<JsonNode> get(String step, InstanceRecord instance, String path) {
@@ -193,12 +191,13 @@
     return new AttemptException(step, peer, outcome, String.valueOf(cause.getMessage()), cause);
   }
 
-  private static Throwable toStreamError(String peer, boolean isHandedOver, Throwable error) {
+  private static Throwable toStreamError(String peer, boolean isGivenUp, Throwable error) {
     if (error instanceof AttemptException) {
       return error;
     }
-    Outcome outcome = isHandedOver ? Outcome.UNKNOWN : Outcome.NOT_RUN;
-    return new AttemptException(
-        STEP_STREAM, peer, outcome, String.valueOf(error.getMessage()), error);
+    String message = String.valueOf(error.getMessage());
+    return isGivenUp
+        ? new AttemptException(STEP_STREAM, peer, Outcome.NOT_RUN, message, error)
+        : new TargetLostException(STEP_STREAM, peer, Outcome.UNKNOWN, message, error);
   }
 }
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/entry/EntryDaemon.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/entry/EntryDaemon.java
@@ -1,12 +1,20 @@
 package io.fireflyshed.daemon.entry;
 
 import io.fireflyshed.coordination.order.OrderSettings;
+import io.fireflyshed.coordination.poison.PoisonList;
+import io.fireflyshed.coordination.poison.PoisonSettings;
+import io.fireflyshed.coordination.retry.RetryPolicy;
 import io.fireflyshed.coordination.routing.LeastInFlightRouter;
 import io.fireflyshed.protocol.desk.PlainService;
 import io.fireflyshed.protocol.engine.ModelEngine;
 import io.fireflyshed.state.clock.MonotonicClock;
+import io.fireflyshed.state.peer.LonePeerBus;
+import io.fireflyshed.state.peer.PeerId;
+import io.fireflyshed.state.replica.ModelServiceSpec;
 import io.fireflyshed.state.replica.ServingView;
 import io.fireflyshed.state.table.TableService;
+import io.fireflyshed.transport.configuration.ConfigurationStore;
+import io.fireflyshed.transport.configuration.LoneConfigurationPeers;
 import io.fireflyshed.transport.control.AssignmentStore;
 import io.fireflyshed.transport.control.ControlLoop;
 import io.fireflyshed.transport.desk.HttpPlainService;
@@ -18,9 +26,12 @@
 import io.fireflyshed.transport.entry.EntryServer;
 import io.fireflyshed.transport.entry.FixedAccountDirectory;
 import io.fireflyshed.transport.entry.OrderHandler;
+import io.fireflyshed.transport.entry.PoisonGuard;
+import io.fireflyshed.transport.entry.StreamSettings;
 import io.fireflyshed.transport.entry.UnlimitedAdmission;
 import io.fireflyshed.transport.http.HttpCaller;
 import io.fireflyshed.transport.platform.HttpInstanceList;
+import io.fireflyshed.transport.platform.HttpObjectStore;
 import io.fireflyshed.transport.platform.HttpTableService;
 import io.fireflyshed.transport.trace.RequestTracer;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
@@ -28,15 +39,18 @@
 import io.opentelemetry.sdk.OpenTelemetrySdk;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.List;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
+import org.apache.commons.rng.simple.RandomSource;
 
 /** Wires the parts of one entry process together. */
 public final class EntryDaemon implements AutoCloseable {
 
   private static final Duration PLATFORM_TIMEOUT = Duration.ofSeconds(3);
   private static final Duration CONTROL_TIMEOUT = Duration.ofSeconds(1);
+  private static final Duration RECORD_TIMEOUT = Duration.ofSeconds(5);
   private static final Duration DESK_TIMEOUT = Duration.ofSeconds(10);
 
   private final HttpCaller controlCaller = new HttpCaller("control");
@@ -44,7 +58,9 @@
   private final OpenTelemetrySdk telemetry;
   private final ControlLoop control;
   private final ClaimingOrderPlacer orderPlacer;
+  private final ConfigurationModule configuration;
   private final EntryServer server;
+  private final List<ModelServiceSpec> flagServices;
 
   /**
    * Creates a process that is not started.
@@ -52,8 +68,14 @@
    * @param settings the settings, not null
    */
   public EntryDaemon(EntryDaemonSettings settings) {
+    this(settings, TelemetryFactory.newTelemetry(settings.otlpEndpoint()));
+  }
+
+  /** Creates a process that is not started and sends its spans to given telemetry. */
+  EntryDaemon(EntryDaemonSettings settings, OpenTelemetrySdk telemetry) {
+    this.telemetry = telemetry;
     MonotonicClock clock = MonotonicClock.system();
-    telemetry = TelemetryFactory.newTelemetry(settings.otlpEndpoint());
+    flagServices = settings.control().services();
     TableService table = new HttpTableService(controlCaller, settings.platform(), PLATFORM_TIMEOUT);
     control =
         new ControlLoop(
@@ -62,6 +84,7 @@
             new HttpInstanceList(controlCaller, settings.platform(), PLATFORM_TIMEOUT),
             new AssignmentStore(table),
             clock);
+    configuration = newConfiguration(settings, table, clock);
     PlainService plainService = new HttpPlainService(trafficCaller, DESK_TIMEOUT);
     orderPlacer = newOrderPlacer(table, plainService, clock);
     server = newServer(settings, plainService, clock);
@@ -73,6 +96,7 @@
    * @return the bound address for callers, never null
    */
   public InetSocketAddress start() {
+    configuration.start(control, flagServices);
     control.start();
     return server.start();
   }
@@ -92,11 +116,14 @@
    * @return a future of the number of requests that were still in flight at the end
    */
   public CompletableFuture<Integer> shutdown() {
-    return server.shutdown();
+    return server
+        .shutdown()
+        .thenCompose(left -> orderPlacer.drain(RECORD_TIMEOUT).thenApply(open -> left));
   }
 
   @Override
   public void close() {
+    configuration.close();
     orderPlacer.close();
     control.close();
     controlCaller.close();
@@ -104,6 +131,18 @@
     telemetry.close();
   }
 
+  private ConfigurationModule newConfiguration(
+      EntryDaemonSettings settings, TableService table, MonotonicClock clock) {
+    HttpObjectStore objects =
+        new HttpObjectStore(controlCaller, settings.platform(), PLATFORM_TIMEOUT);
+    return new ConfigurationModule(
+        settings.site(),
+        new PeerId("e" + UUID.randomUUID()),
+        new ConfigurationStore(table, objects),
+        new LoneConfigurationPeers(),
+        clock);
+  }
+
   private static ClaimingOrderPlacer newOrderPlacer(
       TableService table, PlainService plainService, MonotonicClock clock) {
     return new ClaimingOrderPlacer(
@@ -114,14 +153,31 @@
       EntryDaemonSettings settings, PlainService plainService, MonotonicClock clock) {
     ModelEngine engine = new HttpModelEngine(trafficCaller, CONTROL_TIMEOUT);
     RequestTracer tracer = new RequestTracer(telemetry);
-    AccountDirectory accounts = new FixedAccountDirectory(settings.accounts());
+    AccountDirectory accounts =
+        configuration.newAccounts(new FixedAccountDirectory(settings.accounts()));
     CompletionRunner runner =
-        new CompletionRunner(control, new LeastInFlightRouter(), engine, tracer, clock);
+        new CompletionRunner(
+            control,
+            new LeastInFlightRouter(),
+            engine,
+            tracer,
+            clock,
+            StreamSettings.ofDefaults(),
+            RetryPolicy.ofDefaults(RandomSource.XO_RO_SHI_RO_128_PP.create()),
+            new PoisonGuard(
+                new PoisonList(PoisonSettings.ofDefaults()),
+                new LonePeerBus(new PeerId("e" + UUID.randomUUID())),
+                clock));
     CompletionHandler completions =
         new CompletionHandler(
             settings.entry(), accounts, control, new UnlimitedAdmission(), runner, tracer);
     OrderHandler orders =
-        new OrderHandler(settings.entry(), accounts, control, plainService, orderPlacer);
+        new OrderHandler(
+            settings.entry(),
+            accounts,
+            control,
+            plainService,
+            configuration.newOrderPlacer(orderPlacer));
     PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     return new EntryServer(settings.entry(), control, completions, orders, metrics);
   }
--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/entry/EntryFixture.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/entry/EntryFixture.java
@@ -8,6 +8,7 @@
 import io.fireflyshed.state.replica.ServiceName;
 import io.fireflyshed.transport.control.ControlSettings;
 import io.fireflyshed.transport.entry.EntrySettings;
+import io.opentelemetry.sdk.OpenTelemetrySdk;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.URI;
@@ -37,16 +38,23 @@
   private final StandInSite site;
   private final EntryDaemon daemon;
   private final InetSocketAddress address;
+  private final InetSocketAddress platform;
 
   EntryFixture(Duration stepTime) throws InterruptedException {
-    this(stepTime, "");
+    this(stepTime, TelemetryFactory.newTelemetry(""));
   }
 
-  EntryFixture(Duration stepTime, String otlpEndpoint) throws InterruptedException {
+  EntryFixture(Duration stepTime, OpenTelemetrySdk telemetry) throws InterruptedException {
+    this(stepTime, telemetry, LIMIT);
+  }
+
+  EntryFixture(Duration stepTime, OpenTelemetrySdk telemetry, Duration drainTimeout)
+      throws InterruptedException {
     EngineSettings engines =
         new EngineSettings(Duration.ofMillis(20), stepTime, 64, 256, 512, true);
     site = new StandInSite("127.0.0.1", engines);
-    InetSocketAddress platform = site.start(0, List.of(ZONE), 2, 2, new ServiceName("desk"));
+    site.getEngines().setTelemetry(telemetry);
+    platform = site.start(0, List.of(ZONE), 2, 2, new ServiceName("desk"));
     ControlSettings control =
         new ControlSettings(
             ZONE,
@@ -60,10 +68,11 @@
             MAX_BODY_BYTES,
             BODY_TIMEOUT,
             Duration.ofMillis(50),
-            LIMIT);
+            drainTimeout);
     daemon =
         new EntryDaemon(
-            new EntryDaemonSettings(control, entry, platform, Map.of("test", KEY), otlpEndpoint));
+            new EntryDaemonSettings(control, entry, platform, Map.of("test", KEY), "site", ""),
+            telemetry);
     address = daemon.start();
     await(() -> daemon.getViews().get().getOpen(new ServiceName("cards")).size() == 2);
   }
@@ -99,6 +108,10 @@
     return address;
   }
 
+  InetSocketAddress getPlatformAddress() {
+    return platform;
+  }
+
   HttpClient getClient() {
     return client;
   }
