Wire routing, limits and load polling into the entry daemon

Cause: the daemon chose by own requests in flight and let every request in. Change: AffinityRouter, LoadPoller and QueueingAdmission in EntryDaemon with checked settings (TrafficFlags); engines' cache changes over HTTP; the stand-in hashes blocks with PrefixBlocks. Conclusion: shares stay at the base share until a peer transport replaces LonePeerBus.

--- a/fireflyshed-bench/src/main/java/io/fireflyshed/bench/routing/Policies.java
+++ b/fireflyshed-bench/src/main/java/io/fireflyshed/bench/routing/Policies.java
@@ -83,7 +83,7 @@
 
     @Override
     public void onToken(SimulatedRequest request, int replica, long nowNanos) {
-      routers[request.entry()].onToken(ids.get(replica), request.route(), nowNanos);
+      routers[request.entry()].onTokens(ids.get(replica), request.route(), 1, nowNanos);
     }
 
     @Override
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/routing/AffinityRouter.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/routing/AffinityRouter.java
@@ -150,14 +150,15 @@
   }
 
   @Override
-  public synchronized void onToken(ReplicaId replica, RouteRequest request, long nowNanos) {
+  public synchronized void onTokens(
+      ReplicaId replica, RouteRequest request, int tokens, long nowNanos) {
     Attempt attempt = attempts.get(request);
     if (attempt == null) {
       return;
     }
     ReplicaSpeed speed = getState(replica).speed;
     if (attempt.hasToken) {
-      speed.onGap(nowNanos - attempt.tokenNanos);
+      speed.onGap((nowNanos - attempt.tokenNanos) / Math.max(1, tokens));
     }
     speed.onToken(nowNanos);
     attempt.tokenNanos = nowNanos;
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/routing/ReplicaRouter.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/routing/ReplicaRouter.java
@@ -27,13 +27,14 @@
   void onStart(ReplicaId replica, RouteRequest request);
 
   /**
-   * Takes in that an attempt received a token; routers that judge speed use it.
+   * Takes in that an attempt received tokens; routers that judge speed use it.
    *
    * @param replica the replica, not null
    * @param request the request, the same object as at the start, not null
+   * @param tokens the number of tokens that came together, positive
    * @param nowNanos the reading of the monotonic clock
    */
-  default void onToken(ReplicaId replica, RouteRequest request, long nowNanos) {}
+  default void onTokens(ReplicaId replica, RouteRequest request, int tokens, long nowNanos) {}
 
   /**
    * Takes in that an attempt on a replica ended in any way.
--- a/fireflyshed-core/src/main/java/io/fireflyshed/protocol/engine/ModelEngine.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/protocol/engine/ModelEngine.java
@@ -1,7 +1,9 @@
 package io.fireflyshed.protocol.engine;
 
+import io.fireflyshed.coordination.routing.CacheChange;
 import io.fireflyshed.state.instance.InstanceRecord;
 import io.fireflyshed.state.replica.MemberHealth;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import reactor.core.publisher.Flux;
 
@@ -24,6 +26,19 @@
    */
   CompletableFuture<LoadReport> readLoad(InstanceRecord instance);
 
+  /**
+   * Asks an engine for the changes of its prefix cache.
+   *
+   * @param instance the instance, not null
+   * @param after the sequence number after which changes are wanted, 0 for all
+   * @return a future of the changes, which may have gaps; it fails if no answer comes in time.
+   *     Engines that publish none answer with an empty list
+   */
+  default CompletableFuture<List<CacheChange>> readCacheChanges(
+      InstanceRecord instance, long after) {
+    return CompletableFuture.completedFuture(List.of());
+  }
+
   /**
    * Sends an order to an engine.
    *
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/engine/HttpModelEngine.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/engine/HttpModelEngine.java
@@ -5,6 +5,7 @@
 import io.fireflyshed.coordination.attempt.AttemptException;
 import io.fireflyshed.coordination.attempt.Outcome;
 import io.fireflyshed.coordination.attempt.TargetLostException;
+import io.fireflyshed.coordination.routing.CacheChange;
 import io.fireflyshed.protocol.engine.EngineHeaders;
 import io.fireflyshed.protocol.engine.EngineOrder;
 import io.fireflyshed.protocol.engine.EngineRequest;
@@ -27,6 +28,8 @@
 import io.netty.handler.codec.http.HttpMethod;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -72,6 +75,25 @@
                     node.path("ageMillis").asLong()));
   }
 
+  @Override
+  public CompletableFuture<List<CacheChange>> readCacheChanges(
+      InstanceRecord instance, long after) {
+    return get("read-cache", instance, "/control/cache-events/" + after)
+        .thenApply(
+            node -> {
+              List<CacheChange> changes = new ArrayList<>();
+              node.path("events")
+                  .forEach(
+                      e ->
+                          changes.add(
+                              new CacheChange(
+                                  e.path("sequence").asLong(),
+                                  e.path("block").asLong(),
+                                  e.path("stored").asBoolean())));
+              return changes;
+            });
+  }
+
   @Override
   public CompletableFuture<Void> order(InstanceRecord instance, EngineOrder order) {
     ObjectNode node = JsonUtils.getMapper().createObjectNode();
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/entry/CompletionRunner.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/entry/CompletionRunner.java
@@ -215,6 +215,7 @@
       router.onStart(replica.id(), route);
       return stalls
           .watch(engine.stream(call))
+          .doOnNext(c -> router.onTokens(replica.id(), route, c.tokens(), clock.nanoTime()))
           .<StreamChunk>handle((chunk, sink) -> assemble(attemptId, peer, chunk, sink))
           .takeUntil(chunk -> answer.isComplete())
           .concatWith(Flux.defer(() -> checkEnd(peer)))
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/load/LoadPoller.java
@@ -0,0 +1,135 @@
+package io.fireflyshed.transport.load;
+
+import io.fireflyshed.coordination.routing.AffinityRouter;
+import io.fireflyshed.coordination.routing.CacheChange;
+import io.fireflyshed.protocol.engine.LoadReport;
+import io.fireflyshed.protocol.engine.ModelEngine;
+import io.fireflyshed.state.clock.MonotonicClock;
+import io.fireflyshed.state.instance.InstanceRecord;
+import io.fireflyshed.state.replica.Assignment;
+import io.fireflyshed.state.replica.OpenReplica;
+import io.fireflyshed.state.replica.ReplicaId;
+import io.fireflyshed.state.replica.ServingView;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Objects;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Supplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import reactor.core.Disposable;
+import reactor.core.publisher.Flux;
+import reactor.core.scheduler.Scheduler;
+
+/**
+ * Asks the heads of open replicas for their load and cache changes, one after another, at a bounded
+ * rate, and passes the answers to the router. Thread safe.
+ *
+ * <p>The rate bounds the cost of an entry: with more replicas the reports grow older instead.
+ */
+public final class LoadPoller implements AutoCloseable {
+
+  private static final Logger LOG = LoggerFactory.getLogger(LoadPoller.class);
+
+  private final Supplier<ServingView> views;
+  private final ModelEngine engine;
+  private final AffinityRouter router;
+  private final MonotonicClock clock;
+  private final Set<ReplicaId> polling = ConcurrentHashMap.newKeySet();
+  private Set<ReplicaId> known = new HashSet<>();
+  private List<Assignment> round = List.of();
+  private int next;
+  private Disposable timer;
+
+  /**
+   * Creates a poller that does nothing until it is started.
+   *
+   * @param views gets the published view, not null
+   * @param engine talks to engines, not null
+   * @param router takes the answers, not null
+   * @param clock the clock of this process, not null
+   */
+  public LoadPoller(
+      Supplier<ServingView> views,
+      ModelEngine engine,
+      AffinityRouter router,
+      MonotonicClock clock) {
+    this.views = Objects.requireNonNull(views, "views");
+    this.engine = Objects.requireNonNull(engine, "engine");
+    this.router = Objects.requireNonNull(router, "router");
+    this.clock = Objects.requireNonNull(clock, "clock");
+  }
+
+  /**
+   * Starts to poll.
+   *
+   * @param pollsPerSecond the most replicas that are asked in a second, 1 or more
+   * @param scheduler runs the timer, not null
+   */
+  public synchronized void start(int pollsPerSecond, Scheduler scheduler) {
+    Duration interval = Duration.ofSeconds(1).dividedBy(pollsPerSecond);
+    timer =
+        Flux.interval(interval, interval, scheduler)
+            .onBackpressureDrop()
+            .subscribe(i -> pollNext(), e -> LOG.error("load: polling stopped", e));
+  }
+
+  @Override
+  public synchronized void close() {
+    if (timer != null) {
+      timer.dispose();
+    }
+  }
+
+  /** Asks the next replica; the first one again after the last. */
+  synchronized void pollNext() {
+    if (next >= round.size()) {
+      startRound();
+    }
+    if (next < round.size()) {
+      poll(round.get(next++));
+    }
+  }
+
+  private void startRound() {
+    round =
+        views.get().open().values().stream()
+            .flatMap(List::stream)
+            .map(OpenReplica::assignment)
+            .toList();
+    next = 0;
+    Set<ReplicaId> present = new HashSet<>();
+    round.forEach(a -> present.add(a.id()));
+    known.stream().filter(id -> !present.contains(id)).forEach(router::forget);
+    known = present;
+  }
+
+  private void poll(Assignment assignment) {
+    ReplicaId id = assignment.id();
+    if (!polling.add(id)) {
+      return;
+    }
+    InstanceRecord head = assignment.getHead();
+    engine
+        .readLoad(head)
+        .thenAccept(report -> onLoad(id, report))
+        .thenCompose(done -> engine.readCacheChanges(head, router.getLastSequence(id)))
+        .whenComplete((changes, error) -> onChanges(id, changes, error));
+  }
+
+  private void onLoad(ReplicaId id, LoadReport report) {
+    long measured = clock.nanoTime() - Duration.ofMillis(report.ageMillis()).toNanos();
+    router.onLoad(id, report.running() + report.queued(), measured);
+  }
+
+  private void onChanges(ReplicaId id, List<CacheChange> changes, Throwable error) {
+    polling.remove(id);
+    if (error != null) {
+      LOG.debug("load: poll of {} failed: {}", id, error.getMessage());
+      return;
+    }
+    router.onCacheChanges(id, changes, clock.nanoTime());
+  }
+}
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/load/package-info.java
@@ -0,0 +1,2 @@
+/** Polling of the load and of the prefix caches of engines. */
+package io.fireflyshed.transport.load;
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/routing/AffinityRouterTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/routing/AffinityRouterTest.java
@@ -63,7 +63,7 @@
       router.onStart(replica, request);
       for (int i = 0; i < tokens; i++) {
         clock.advance(gap);
-        router.onToken(replica, request, clock.nanoTime());
+        router.onTokens(replica, request, 1, clock.nanoTime());
       }
       router.onEnd(replica, request);
     }
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/command/ServeSettings.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/command/ServeSettings.java
@@ -16,6 +16,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Stream;
 
 /** The settings of an entry process. */
 final class ServeSettings {
@@ -115,22 +116,25 @@
           ServeSettings::parseUrl);
 
   static final List<Setting<?>> ALL =
-      List.of(
-          LISTEN,
-          PLATFORM,
-          ZONE,
-          SITE,
-          MODEL_SERVICE,
-          ACCOUNT,
-          PROBE_INTERVAL,
-          EVIDENCE_MAX_AGE,
-          REFRESH_INTERVAL,
-          BODY_TIMEOUT,
-          DRAIN_DELAY,
-          DRAIN_TIMEOUT,
-          MAX_BODY_BYTES,
-          LOG_FORMAT,
-          OTLP_ENDPOINT);
+      Stream.concat(
+              Stream.<Setting<?>>of(
+                  LISTEN,
+                  PLATFORM,
+                  ZONE,
+                  SITE,
+                  MODEL_SERVICE,
+                  ACCOUNT,
+                  PROBE_INTERVAL,
+                  EVIDENCE_MAX_AGE,
+                  REFRESH_INTERVAL,
+                  BODY_TIMEOUT,
+                  DRAIN_DELAY,
+                  DRAIN_TIMEOUT,
+                  MAX_BODY_BYTES,
+                  LOG_FORMAT,
+                  OTLP_ENDPOINT),
+              TrafficFlags.ALL.stream())
+          .toList();
 
   private ServeSettings() {}
 
@@ -158,6 +162,7 @@
         values.get(PLATFORM),
         accounts,
         values.get(SITE),
+        TrafficFlags.toSettings(values),
         values.get(OTLP_ENDPOINT));
   }
 
--- /dev/null
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/command/TrafficFlags.java
@@ -0,0 +1,111 @@
+package io.fireflyshed.daemon.command;
+
+import io.fireflyshed.coordination.limits.AccountLimit;
+import io.fireflyshed.coordination.limits.LimitSettings;
+import io.fireflyshed.daemon.entry.TrafficSettings;
+import io.fireflyshed.daemon.settings.Setting;
+import io.fireflyshed.daemon.settings.SettingArity;
+import io.fireflyshed.daemon.settings.SettingException;
+import io.fireflyshed.daemon.settings.SettingParsers;
+import io.fireflyshed.daemon.settings.SettingValues;
+import java.time.Duration;
+import java.util.List;
+
+/** The settings of limits and routing of an entry process. */
+final class TrafficFlags {
+
+  static final Setting<AccountLimit> ACCOUNT_LIMIT =
+      new Setting<>(
+          "account-limit",
+          "NAME:WEIGHT:REQUESTS_PER_SECOND:MAX_CONCURRENT, 0 for no limit",
+          null,
+          "what a client account may use over all entries; may be given several times",
+          false,
+          SettingArity.MANY,
+          TrafficFlags::parseLimit);
+
+  static final Setting<Integer> MAX_ENTRIES =
+      newInteger("max-entries", 1, 10_000, 9, "most entry processes alive at the same time");
+
+  static final Setting<Duration> SHARE_LEASE =
+      newDuration("share-lease", "3s", "how long a lent share of a limit may be used");
+
+  static final Setting<Duration> MAX_RUN_TIME =
+      newDuration("max-run-time", "10m", "longest time that a request may run");
+
+  static final Setting<Duration> QUEUE_TIMEOUT =
+      newDuration("queue-timeout", "10s", "longest wait of a request for its start");
+
+  static final Setting<Integer> MAX_QUEUED =
+      newInteger("max-queued", 1, 1_000_000, 2_000, "most requests that wait in this entry");
+
+  static final Setting<Integer> REPLICA_CONCURRENCY =
+      newInteger(
+          "replica-concurrency", 1, 100_000, 64, "requests that all entries run on one replica");
+
+  static final Setting<Duration> ZONE_COST =
+      newDuration("zone-cost", "2ms", "time by which another availability zone is farther away");
+
+  static final Setting<Integer> LOAD_POLLS =
+      newInteger("load-polls", 1, 1_000, 20, "most replicas asked for their load in a second");
+
+  static final List<Setting<?>> ALL =
+      List.of(
+          ACCOUNT_LIMIT,
+          MAX_ENTRIES,
+          SHARE_LEASE,
+          MAX_RUN_TIME,
+          QUEUE_TIMEOUT,
+          MAX_QUEUED,
+          REPLICA_CONCURRENCY,
+          ZONE_COST,
+          LOAD_POLLS);
+
+  private TrafficFlags() {}
+
+  /** Builds the typed settings. */
+  static TrafficSettings toSettings(SettingValues values) {
+    List<AccountLimit> limits = values.getAll(ACCOUNT_LIMIT);
+    if (limits.stream().map(AccountLimit::account).distinct().count() != limits.size()) {
+      throw new SettingException("--account-limit names an account twice");
+    }
+    return new TrafficSettings(
+        LimitSettings.of(
+            limits,
+            values.get(MAX_ENTRIES),
+            values.get(SHARE_LEASE),
+            values.get(MAX_RUN_TIME),
+            values.get(QUEUE_TIMEOUT),
+            values.get(MAX_QUEUED)),
+        values.get(REPLICA_CONCURRENCY),
+        values.get(ZONE_COST),
+        values.get(LOAD_POLLS));
+  }
+
+  private static Setting<Integer> newInteger(
+      String name, int min, int max, int usual, String description) {
+    return Setting.of(
+        name,
+        min + " to " + max,
+        String.valueOf(usual),
+        description,
+        SettingParsers.newIntegerParser(min, max));
+  }
+
+  private static Setting<Duration> newDuration(String name, String text, String description) {
+    return Setting.of(
+        name, SettingParsers.DURATION, text, description, SettingParsers::parsePositiveDuration);
+  }
+
+  private static AccountLimit parseLimit(String text) {
+    String[] parts = text.split(":", -1);
+    if (parts.length != 4 || parts[0].isEmpty()) {
+      throw new IllegalArgumentException("not four parts");
+    }
+    return new AccountLimit(
+        parts[0],
+        Double.parseDouble(parts[1]),
+        Double.parseDouble(parts[2]),
+        Integer.parseInt(parts[3]));
+  }
+}
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/entry/EntryDaemon.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/entry/EntryDaemon.java
@@ -4,11 +4,13 @@
 import io.fireflyshed.coordination.poison.PoisonList;
 import io.fireflyshed.coordination.poison.PoisonSettings;
 import io.fireflyshed.coordination.retry.RetryPolicy;
-import io.fireflyshed.coordination.routing.LeastInFlightRouter;
+import io.fireflyshed.coordination.routing.AffinityRouter;
+import io.fireflyshed.coordination.routing.RouterSettings;
 import io.fireflyshed.protocol.desk.PlainService;
 import io.fireflyshed.protocol.engine.ModelEngine;
 import io.fireflyshed.state.clock.MonotonicClock;
 import io.fireflyshed.state.peer.LonePeerBus;
+import io.fireflyshed.state.peer.PeerBus;
 import io.fireflyshed.state.peer.PeerId;
 import io.fireflyshed.state.replica.ModelServiceSpec;
 import io.fireflyshed.state.replica.ServingView;
@@ -27,9 +29,10 @@
 import io.fireflyshed.transport.entry.FixedAccountDirectory;
 import io.fireflyshed.transport.entry.OrderHandler;
 import io.fireflyshed.transport.entry.PoisonGuard;
+import io.fireflyshed.transport.entry.QueueingAdmission;
 import io.fireflyshed.transport.entry.StreamSettings;
-import io.fireflyshed.transport.entry.UnlimitedAdmission;
 import io.fireflyshed.transport.http.HttpCaller;
+import io.fireflyshed.transport.load.LoadPoller;
 import io.fireflyshed.transport.platform.HttpInstanceList;
 import io.fireflyshed.transport.platform.HttpObjectStore;
 import io.fireflyshed.transport.platform.HttpTableService;
@@ -44,6 +47,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
 import org.apache.commons.rng.simple.RandomSource;
+import reactor.core.scheduler.Schedulers;
 
 /** Wires the parts of one entry process together. */
 public final class EntryDaemon implements AutoCloseable {
@@ -59,8 +63,13 @@
   private final ControlLoop control;
   private final ClaimingOrderPlacer orderPlacer;
   private final ConfigurationModule configuration;
+  private final PeerBus peers = new LonePeerBus(new PeerId("e" + UUID.randomUUID()));
+  private final AffinityRouter router;
+  private final LoadPoller poller;
+  private final QueueingAdmission admission;
   private final EntryServer server;
   private final List<ModelServiceSpec> flagServices;
+  private final int loadPolls;
 
   /**
    * Creates a process that is not started.
@@ -87,6 +96,18 @@
     configuration = newConfiguration(settings, table, clock);
     PlainService plainService = new HttpPlainService(trafficCaller, DESK_TIMEOUT);
     orderPlacer = newOrderPlacer(table, plainService, clock);
+    TrafficSettings traffic = settings.traffic();
+    router =
+        new AffinityRouter(
+            RouterSettings.of(settings.control().zone(), traffic.zoneCost()),
+            clock,
+            RandomSource.XO_SHI_RO_256_PP.create());
+    poller =
+        new LoadPoller(control, new HttpModelEngine(controlCaller, CONTROL_TIMEOUT), router, clock);
+    admission =
+        new QueueingAdmission(
+            traffic.limits(), () -> getCapacity(traffic.replicaConcurrency()), peers, clock);
+    loadPolls = traffic.loadPolls();
     server = newServer(settings, plainService, clock);
   }
 
@@ -98,6 +119,8 @@
   public InetSocketAddress start() {
     configuration.start(control, flagServices);
     control.start();
+    poller.start(loadPolls, Schedulers.parallel());
+    admission.start(Schedulers.parallel());
     return server.start();
   }
 
@@ -123,6 +146,8 @@
 
   @Override
   public void close() {
+    admission.close();
+    poller.close();
     configuration.close();
     orderPlacer.close();
     control.close();
@@ -131,6 +156,12 @@
     telemetry.close();
   }
 
+  /** Gets this entry's part of what the open replicas can run at the same time. */
+  private int getCapacity(int replicaConcurrency) {
+    int open = control.get().open().values().stream().mapToInt(List::size).sum();
+    return open * replicaConcurrency / (1 + peers.getLivePeers().size());
+  }
+
   private ConfigurationModule newConfiguration(
       EntryDaemonSettings settings, TableService table, MonotonicClock clock) {
     HttpObjectStore objects =
@@ -158,19 +189,15 @@
     CompletionRunner runner =
         new CompletionRunner(
             control,
-            new LeastInFlightRouter(),
+            router,
             engine,
             tracer,
             clock,
             StreamSettings.ofDefaults(),
             RetryPolicy.ofDefaults(RandomSource.XO_RO_SHI_RO_128_PP.create()),
-            new PoisonGuard(
-                new PoisonList(PoisonSettings.ofDefaults()),
-                new LonePeerBus(new PeerId("e" + UUID.randomUUID())),
-                clock));
+            new PoisonGuard(new PoisonList(PoisonSettings.ofDefaults()), peers, clock));
     CompletionHandler completions =
-        new CompletionHandler(
-            settings.entry(), accounts, control, new UnlimitedAdmission(), runner, tracer);
+        new CompletionHandler(settings.entry(), accounts, control, admission, runner, tracer);
     OrderHandler orders =
         new OrderHandler(
             settings.entry(),
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/entry/EntryDaemonSettings.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/entry/EntryDaemonSettings.java
@@ -14,6 +14,7 @@
  * @param platform the address of the platform, not null
  * @param accounts the bearer key of each client account, copied, not null
  * @param site the name of the site, which selects the overlay of the configuration, not null
+ * @param traffic the settings of limits and routing, not null
  * @param otlpEndpoint where to export traces, empty for nowhere, not null
  */
 public record EntryDaemonSettings(
@@ -22,6 +23,7 @@
     InetSocketAddress platform,
     Map<String, String> accounts,
     String site,
+    TrafficSettings traffic,
     String otlpEndpoint) {
 
   /** Checks the parts and copies the map. */
@@ -31,6 +33,7 @@
     Objects.requireNonNull(platform, "platform");
     accounts = Map.copyOf(accounts);
     Objects.requireNonNull(site, "site");
+    Objects.requireNonNull(traffic, "traffic");
     Objects.requireNonNull(otlpEndpoint, "otlpEndpoint");
   }
 }
--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/entry/EntryFixture.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/entry/EntryFixture.java
@@ -71,7 +71,14 @@
             drainTimeout);
     daemon =
         new EntryDaemon(
-            new EntryDaemonSettings(control, entry, platform, Map.of("test", KEY), "site", ""),
+            new EntryDaemonSettings(
+                control,
+                entry,
+                platform,
+                Map.of("test", KEY),
+                "site",
+                TrafficSettings.ofDefaults(),
+                ""),
             telemetry);
     address = daemon.start();
     await(() -> daemon.getViews().get().getOpen(new ServiceName("cards")).size() == 2);
--- a/fireflyshed-standins/src/main/java/io/fireflyshed/standins/engine/PrefixCache.java
+++ b/fireflyshed-standins/src/main/java/io/fireflyshed/standins/engine/PrefixCache.java
@@ -1,11 +1,10 @@
 package io.fireflyshed.standins.engine;
 
-import java.nio.charset.StandardCharsets;
+import io.fireflyshed.coordination.routing.PrefixBlocks;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import org.apache.commons.codec.digest.MurmurHash3;
 
 /**
  * Caches prompt prefixes in blocks and forgets the least recently used block. Not thread safe.
@@ -15,7 +14,7 @@
 final class PrefixCache {
 
   /** The number of prompt tokens in a block. */
-  static final int BLOCK_TOKENS = 16;
+  static final int BLOCK_TOKENS = PrefixBlocks.BLOCK_TOKENS;
 
   private final int capacity;
   private final List<CacheEvent> events = new ArrayList<>();
@@ -27,18 +26,12 @@
 
   /** Stores all blocks of a prompt and gets the number of its tokens that were cached before. */
   int use(String prompt) {
-    String[] tokens = prompt.split("\\s+");
     int cached = 0;
     boolean isPrefixCached = true;
-    StringBuilder prefix = new StringBuilder();
-    for (int end = BLOCK_TOKENS; end <= tokens.length; end += BLOCK_TOKENS) {
-      for (int i = end - BLOCK_TOKENS; i < end; i++) {
-        prefix.append(tokens[i]).append(' ');
-      }
-      long hash = hash(prefix);
-      isPrefixCached = isPrefixCached && blocks.containsKey(hash);
+    for (long block : PrefixBlocks.of(prompt)) {
+      isPrefixCached = isPrefixCached && blocks.containsKey(block);
       cached += isPrefixCached ? BLOCK_TOKENS : 0;
-      put(hash);
+      put(block);
     }
     return cached;
   }
@@ -80,9 +73,4 @@
       events.subList(0, capacity).clear();
     }
   }
-
-  private static long hash(CharSequence text) {
-    byte[] bytes = text.toString().getBytes(StandardCharsets.UTF_8);
-    return MurmurHash3.hash128x64(bytes)[0];
-  }
 }
