--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/entry/EntryDaemon.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/entry/EntryDaemon.java
@@ -9,14 +9,10 @@
 import io.fireflyshed.protocol.desk.PlainService;
 import io.fireflyshed.protocol.engine.ModelEngine;
 import io.fireflyshed.state.clock.MonotonicClock;
-import io.fireflyshed.state.peer.LonePeerBus;
-import io.fireflyshed.state.peer.PeerBus;
-import io.fireflyshed.state.peer.PeerId;
 import io.fireflyshed.state.replica.ModelServiceSpec;
 import io.fireflyshed.state.replica.ServingView;
 import io.fireflyshed.state.table.TableService;
 import io.fireflyshed.transport.configuration.ConfigurationStore;
-import io.fireflyshed.transport.configuration.LoneConfigurationPeers;
 import io.fireflyshed.transport.control.AssignmentStore;
 import io.fireflyshed.transport.control.ControlLoop;
 import io.fireflyshed.transport.desk.HttpPlainService;
@@ -33,6 +29,8 @@
 import io.fireflyshed.transport.entry.StreamSettings;
 import io.fireflyshed.transport.http.HttpCaller;
 import io.fireflyshed.transport.load.LoadPoller;
+import io.fireflyshed.transport.operator.OperatorActions;
+import io.fireflyshed.transport.operator.OperatorServer;
 import io.fireflyshed.transport.platform.HttpInstanceList;
 import io.fireflyshed.transport.platform.HttpObjectStore;
 import io.fireflyshed.transport.platform.HttpTableService;
@@ -43,15 +41,19 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
 import org.apache.commons.rng.simple.RandomSource;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import reactor.core.scheduler.Schedulers;
 
 /** Wires the parts of one entry process together. */
 public final class EntryDaemon implements AutoCloseable {
 
+  private static final Logger LOG = LoggerFactory.getLogger(EntryDaemon.class);
   private static final Duration PLATFORM_TIMEOUT = Duration.ofSeconds(3);
   private static final Duration CONTROL_TIMEOUT = Duration.ofSeconds(1);
   private static final Duration RECORD_TIMEOUT = Duration.ofSeconds(5);
@@ -62,12 +64,14 @@
   private final OpenTelemetrySdk telemetry;
   private final ControlLoop control;
   private final ClaimingOrderPlacer orderPlacer;
+  private final PeerModule peers;
   private final ConfigurationModule configuration;
-  private final PeerBus peers = new LonePeerBus(new PeerId("e" + UUID.randomUUID()));
   private final AffinityRouter router;
   private final LoadPoller poller;
   private final QueueingAdmission admission;
+  private final Optional<OperatorServer> operators;
   private final EntryServer server;
+  private volatile Optional<InetSocketAddress> operatorAddress = Optional.empty();
   private final List<ModelServiceSpec> flagServices;
   private final int loadPolls;
 
@@ -93,7 +97,18 @@
             new HttpInstanceList(controlCaller, settings.platform(), PLATFORM_TIMEOUT),
             new AssignmentStore(table),
             clock);
-    configuration = newConfiguration(settings, table, clock);
+    peers = new PeerModule(settings.control().zone(), settings.site(), table, clock);
+    ConfigurationStore store =
+        new ConfigurationStore(
+            table, new HttpObjectStore(controlCaller, settings.platform(), PLATFORM_TIMEOUT));
+    configuration =
+        new ConfigurationModule(
+            settings.site().site(),
+            peers.getBus().getSelf(),
+            store,
+            peers.getConfigurationPeers(),
+            clock);
+    operators = newOperators(settings, store, clock);
     PlainService plainService = new HttpPlainService(trafficCaller, DESK_TIMEOUT);
     orderPlacer = newOrderPlacer(table, plainService, clock);
     TrafficSettings traffic = settings.traffic();
@@ -106,7 +121,10 @@
         new LoadPoller(control, new HttpModelEngine(controlCaller, CONTROL_TIMEOUT), router, clock);
     admission =
         new QueueingAdmission(
-            traffic.limits(), () -> getCapacity(traffic.replicaConcurrency()), peers, clock);
+            traffic.limits(),
+            () -> getCapacity(traffic.replicaConcurrency()),
+            peers.getBus(),
+            clock);
     loadPolls = traffic.loadPolls();
     server = newServer(settings, plainService, clock);
   }
@@ -117,7 +135,10 @@
    * @return the bound address for callers, never null
    */
   public InetSocketAddress start() {
+    peers.start(configuration.getAgent());
     configuration.start(control, flagServices);
+    operatorAddress = operators.map(OperatorServer::start);
+    operatorAddress.ifPresent(a -> LOG.info("operator: listening on port {}", a.getPort()));
     control.start();
     poller.start(loadPolls, Schedulers.parallel());
     admission.start(Schedulers.parallel());
@@ -133,6 +154,21 @@
     return control;
   }
 
+  /** Gets the address for operators; fails before the start or if there is none. */
+  InetSocketAddress getOperatorAddress() {
+    return operatorAddress.orElseThrow();
+  }
+
+  /** Gets the peers of this process. */
+  PeerModule getPeers() {
+    return peers;
+  }
+
+  /** Gets the configuration of this process. */
+  ConfigurationModule getConfiguration() {
+    return configuration;
+  }
+
   /**
    * Shuts down without cutting requests off.
    *
@@ -141,13 +177,16 @@
   public CompletableFuture<Integer> shutdown() {
     return server
         .shutdown()
-        .thenCompose(left -> orderPlacer.drain(RECORD_TIMEOUT).thenApply(open -> left));
+        .thenCompose(left -> orderPlacer.drain(RECORD_TIMEOUT).thenApply(open -> left))
+        .whenComplete((left, error) -> peers.leave());
   }
 
   @Override
   public void close() {
     admission.close();
     poller.close();
+    operators.ifPresent(OperatorServer::close);
+    peers.close();
     configuration.close();
     orderPlacer.close();
     control.close();
@@ -159,19 +198,18 @@
   /** Gets this entry's part of what the open replicas can run at the same time. */
   private int getCapacity(int replicaConcurrency) {
     int open = control.get().open().values().stream().mapToInt(List::size).sum();
-    return open * replicaConcurrency / (1 + peers.getLivePeers().size());
+    return open * replicaConcurrency / (1 + peers.getBus().getLivePeers().size());
   }
 
-  private ConfigurationModule newConfiguration(
-      EntryDaemonSettings settings, TableService table, MonotonicClock clock) {
-    HttpObjectStore objects =
-        new HttpObjectStore(controlCaller, settings.platform(), PLATFORM_TIMEOUT);
-    return new ConfigurationModule(
-        settings.site(),
-        new PeerId("e" + UUID.randomUUID()),
-        new ConfigurationStore(table, objects),
-        new LoneConfigurationPeers(),
-        clock);
+  private Optional<OperatorServer> newOperators(
+      EntryDaemonSettings settings, ConfigurationStore store, MonotonicClock clock) {
+    OperatorActions actions =
+        new EntryOperatorActions(
+            settings.site().site(), configuration.getAgent(), control, store, clock);
+    return settings
+        .site()
+        .operatorListen()
+        .map(a -> new OperatorServer(a, settings.site().operatorTokens(), actions));
   }
 
   private static ClaimingOrderPlacer newOrderPlacer(
@@ -195,7 +233,7 @@
             clock,
             StreamSettings.ofDefaults(),
             RetryPolicy.ofDefaults(RandomSource.XO_RO_SHI_RO_128_PP.create()),
-            new PoisonGuard(new PoisonList(PoisonSettings.ofDefaults()), peers, clock));
+            new PoisonGuard(new PoisonList(PoisonSettings.ofDefaults()), peers.getBus(), clock));
     CompletionHandler completions =
         new CompletionHandler(settings.entry(), accounts, control, admission, runner, tracer);
     OrderHandler orders =
--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/entry/EntryFixture.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/entry/EntryFixture.java
@@ -76,7 +76,7 @@
                 entry,
                 platform,
                 Map.of("test", KEY),
-                "site",
+                SiteSettings.ofLone("site"),
                 TrafficSettings.ofDefaults(),
                 ""),
             telemetry);
