--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/limits/AccountState.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/limits/AccountState.java
@@ -15,7 +15,7 @@
 final class AccountState {
 
   /** The weight of the last interval in the average of arrivals. */
-  private static final double ARRIVAL_SMOOTHING = 0.1;
+  private static final double ARRIVAL_SMOOTHING = 0.05;
 
   /** The time in which a process wants to serve what waits. */
   private static final double DRAIN_SECONDS = 4;
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/limits/ShareLedger.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/limits/ShareLedger.java
@@ -48,9 +48,6 @@
   /** How many times what is missing a process asks for, over all peers. */
   private static final double ASK_SPREAD = 2;
 
-  /** How much more than its own demand a process keeps before it lends. */
-  private static final double KEEP_HEADROOM = 1.02;
-
   private static final double NEGLIGIBLE = 1e-6;
 
   private final PeerId self;
@@ -276,7 +273,7 @@
   /** Gets how much to lend: what is spare, divided so that small wants are met first. */
   private double getOffer(Borrower borrower, long nowNanos) {
     double base = limit / terms.maxProcesses();
-    double spare = Math.min(base * (1 - terms.reserve()), base - demand * KEEP_HEADROOM);
+    double spare = Math.min(base * (1 - terms.reserve()), base - demand);
     double fair = Math.min(borrower.wanted, getFairPart(spare, borrower, nowNanos));
     double others = getLent(nowNanos) - borrower.getLiability(nowNanos);
     double needed = Math.max(0, inUse - getBorrowed(nowNanos));
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/routing/CandidateSet.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/routing/CandidateSet.java
@@ -9,7 +9,7 @@
 /** Collects the candidates of one request in one pass over the open replicas. Not thread safe. */
 final class CandidateSet {
 
-  private static final int DEEPEST = 4;
+  private static final int DEEPEST = 2;
   private static final int HOMES = 1;
   private static final int RANDOM = 1;
 
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/routing/RouterSettings.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/routing/RouterSettings.java
@@ -28,7 +28,7 @@
     double returnRatio) {
 
   private static final Duration BLOCK_COST = Duration.ofMillis(1);
-  private static final Duration LOAD_COST = Duration.ofMillis(1);
+  private static final Duration LOAD_COST = Duration.ofNanos(1_500_000);
   private static final double LOAD_BOUND = 2;
   private static final int MAX_BLOCKS = 200_000;
   private static final double EJECT_RATIO = 2.2;
