--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/entry/EntryDaemon.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/entry/EntryDaemon.java
@@ -5,7 +5,8 @@
 import io.fireflyshed.coordination.poison.PoisonList;
 import io.fireflyshed.coordination.poison.PoisonSettings;
 import io.fireflyshed.coordination.retry.RetryPolicy;
-import io.fireflyshed.coordination.routing.LeastInFlightRouter;
+import io.fireflyshed.coordination.routing.AffinityRouter;
+import io.fireflyshed.coordination.routing.RouterSettings;
 import io.fireflyshed.protocol.desk.PlainService;
 import io.fireflyshed.protocol.engine.ModelEngine;
 import io.fireflyshed.state.clock.MonotonicClock;
@@ -25,9 +26,10 @@
 import io.fireflyshed.transport.entry.FixedAccountDirectory;
 import io.fireflyshed.transport.entry.OrderHandler;
 import io.fireflyshed.transport.entry.PoisonGuard;
+import io.fireflyshed.transport.entry.QueueingAdmission;
 import io.fireflyshed.transport.entry.StreamSettings;
-import io.fireflyshed.transport.entry.UnlimitedAdmission;
 import io.fireflyshed.transport.http.HttpCaller;
+import io.fireflyshed.transport.load.LoadPoller;
 import io.fireflyshed.transport.operator.OperatorActions;
 import io.fireflyshed.transport.operator.OperatorServer;
 import io.fireflyshed.transport.platform.HttpInstanceList;
@@ -47,6 +49,7 @@
 import org.apache.commons.rng.simple.RandomSource;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import reactor.core.scheduler.Schedulers;
 
 /** Wires the parts of one entry process together. */
 public final class EntryDaemon implements AutoCloseable {
@@ -64,10 +67,14 @@
   private final ClaimingOrderPlacer orderPlacer;
   private final PeerModule peers;
   private final ConfigurationModule configuration;
+  private final AffinityRouter router;
+  private final LoadPoller poller;
+  private final QueueingAdmission admission;
   private final Optional<OperatorServer> operators;
   private final EntryServer server;
   private volatile Optional<InetSocketAddress> operatorAddress = Optional.empty();
   private final List<ModelServiceSpec> flagServices;
+  private final int loadPolls;
 
   /**
    * Creates a process that is not started.
@@ -109,6 +116,21 @@
     operators = newOperators(settings, store, clock);
     PlainService plainService = new HttpPlainService(trafficCaller, DESK_TIMEOUT);
     orderPlacer = newOrderPlacer(table, plainService, clock);
+    TrafficSettings traffic = settings.traffic();
+    router =
+        new AffinityRouter(
+            RouterSettings.of(settings.control().zone(), traffic.zoneCost()),
+            clock,
+            RandomSource.XO_SHI_RO_256_PP.create());
+    poller =
+        new LoadPoller(control, new HttpModelEngine(controlCaller, CONTROL_TIMEOUT), router, clock);
+    admission =
+        new QueueingAdmission(
+            traffic.limits(),
+            () -> getCapacity(traffic.replicaConcurrency()),
+            peers.getBus(),
+            clock);
+    loadPolls = traffic.loadPolls();
     server = newServer(settings, plainService, clock);
   }
 
@@ -123,6 +145,8 @@
     operatorAddress = operators.map(OperatorServer::start);
     operatorAddress.ifPresent(a -> LOG.info("operator: listening on port {}", a.getPort()));
     control.start();
+    poller.start(loadPolls, Schedulers.parallel());
+    admission.start(Schedulers.parallel());
     return server.start();
   }
 
@@ -165,6 +189,8 @@
 
   @Override
   public void close() {
+    admission.close();
+    poller.close();
     operators.ifPresent(OperatorServer::close);
     peers.close();
     configuration.close();
@@ -175,6 +201,12 @@
     telemetry.close();
   }
 
+  /** Gets this entry's part of what the open replicas can run at the same time. */
+  private int getCapacity(int replicaConcurrency) {
+    int open = control.get().open().values().stream().mapToInt(List::size).sum();
+    return open * replicaConcurrency / (1 + peers.getBus().getLivePeers().size());
+  }
+
   private Optional<OperatorServer> newOperators(
       EntryDaemonSettings settings, ConfigurationStore store, MonotonicClock clock) {
     OperatorActions actions =
@@ -201,7 +233,7 @@
     CompletionRunner runner =
         new CompletionRunner(
             control,
-            new LeastInFlightRouter(),
+            router,
             engine,
             tracer,
             clock,
@@ -209,8 +241,7 @@
             RetryPolicy.ofDefaults(RandomSource.XO_RO_SHI_RO_128_PP.create()),
             new PoisonGuard(new PoisonList(PoisonSettings.ofDefaults()), peers.getBus(), clock));
     CompletionHandler completions =
-        new CompletionHandler(
-            settings.entry(), accounts, control, new UnlimitedAdmission(), runner, tracer);
+        new CompletionHandler(settings.entry(), accounts, control, admission, runner, tracer);
     OrderHandler orders =
         new OrderHandler(
             settings.entry(),
