--- /dev/null
+++ b/fireflyshed-bench/src/main/java/io/fireflyshed/bench/drain/package-info.java
@@ -0,0 +1,2 @@
+/** Measures how fast instances that leave stop getting new work. */
+package io.fireflyshed.bench.drain;
--- /dev/null
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/assignment/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the assignment of instances to replicas. */
+package io.fireflyshed.coordination.assignment;
--- /dev/null
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/drain/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the signs of leaving. */
+package io.fireflyshed.coordination.drain;
--- /dev/null
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/health/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the judgement of instances. */
+package io.fireflyshed.coordination.health;
