--- a/fireflyshed-standins/src/test/java/io/fireflyshed/transport/control/FakeProcess.java
+++ b/fireflyshed-standins/src/test/java/io/fireflyshed/transport/control/FakeProcess.java
@@ -1,6 +1,6 @@
 package io.fireflyshed.transport.control;
 
-import io.fireflyshed.coordination.assignment.ReplicaFormer;
+import io.fireflyshed.coordination.assignment.ReplicaPlanner;
 import io.fireflyshed.protocol.engine.EngineOrder;
 import io.fireflyshed.protocol.engine.EngineRequest;
 import io.fireflyshed.protocol.engine.LoadReport;
@@ -51,6 +51,7 @@
       UniformRandomProvider random,
       ControlSettings settings,
       InstanceList list,
+      ReplicaPlanner planner,
       BiConsumer<PeerId, PeerNotice> publisher,
       boolean isAgedFromReceipt) {
     this.self = self;
@@ -59,8 +60,7 @@
     this.engines = engines;
     this.publisher = publisher;
     this.clockRate = 1 + (random.nextDouble() - 0.5) * FaultSchedule.MAX_DRIFT;
-    ControlParts parts =
-        new ControlParts(this, list, network, this, new ReplicaFormer(), this::clock, random);
+    ControlParts parts = new ControlParts(this, list, network, this, planner, this::clock, random);
     control =
         isAgedFromReceipt
             ? new ZoneControl(settings, parts, this::run) {
--- a/fireflyshed-standins/src/test/java/io/fireflyshed/transport/control/FaultSchedule.java
+++ b/fireflyshed-standins/src/test/java/io/fireflyshed/transport/control/FaultSchedule.java
@@ -2,10 +2,16 @@
 
 import io.fireflyshed.coordination.assignment.AssignmentPhase;
 import io.fireflyshed.coordination.assignment.DissolveTiming;
+import io.fireflyshed.coordination.assignment.ReplicaFormer;
+import io.fireflyshed.coordination.assignment.ReplicaPlanner;
 import io.fireflyshed.coordination.assignment.StoredAssignment;
 import io.fireflyshed.coordination.assignment.VersionedAssignment;
 import io.fireflyshed.coordination.health.HealthSettings;
 import io.fireflyshed.coordination.lease.LeaseTiming;
+import io.fireflyshed.coordination.repair.RepairReplicaPlanner;
+import io.fireflyshed.coordination.repair.RepairSettings;
+import io.fireflyshed.coordination.repair.RepairWeights;
+import io.fireflyshed.coordination.repair.RolloutSettings;
 import io.fireflyshed.standins.platform.InMemoryTableService;
 import io.fireflyshed.state.instance.AvailabilityZone;
 import io.fireflyshed.state.instance.FabricDomain;
@@ -41,8 +47,10 @@
 
   /** Names what is broken on purpose. */
   enum Variant {
-    /** Nothing. */
+    /** Nothing; the naive planner proposes. */
     CORRECT,
+    /** Nothing; the repair planner proposes. */
+    REPAIR,
     /** Instances are given free without a wait for the evidence of entries to run out. */
     NO_WAIT,
     /** Evidence ages from the receipt of the answer. */
@@ -123,10 +131,24 @@
             random,
             newSettings(isFencing),
             () -> CompletableFuture.completedFuture(listed),
+            variant == Variant.REPAIR ? newRepairPlanner() : new ReplicaFormer(),
             this::tellPeers,
             variant == Variant.AGED_FROM_RECEIPT));
   }
 
+  private static ReplicaPlanner newRepairPlanner() {
+    RepairSettings settings =
+        new RepairSettings(
+            RepairWeights.ofHarwood(),
+            Duration.ofSeconds(1),
+            8,
+            Duration.ofSeconds(4),
+            false,
+            4,
+            Duration.ofSeconds(2));
+    return new RepairReplicaPlanner(settings, RolloutSettings.ofDefaults());
+  }
+
   private ControlSettings newSettings(boolean isFencing) {
     boolean isWaiting = variant != Variant.NO_WAIT;
     DissolveTiming dissolve =
--- a/fireflyshed-standins/src/test/java/io/fireflyshed/transport/control/FaultScheduleTest.java
+++ b/fireflyshed-standins/src/test/java/io/fireflyshed/transport/control/FaultScheduleTest.java
@@ -24,6 +24,7 @@
           + SEED
           + "=<seed>";
   private static final int SCHEDULES = 10_000;
+  private static final int REPAIR_SCHEDULES = 300;
   private static final int BROKEN_SCHEDULES = 400;
 
   private static LongStream getSeeds(int count) {
@@ -51,6 +52,12 @@
       long moved = results.stream().filter(r -> r.moves() > 0).count();
       assertTrue(moved * 2 > results.size(), "only " + moved + " schedules moved a replica");
     }
+
+    @Test
+    public void holdsUnderTheRepairPlanner() {
+      List<String> violations = findViolations(run(getSeeds(REPAIR_SCHEDULES), Variant.REPAIR));
+      assertEquals(violations.size(), 0, violations.stream().limit(5).toList() + REPRODUCE);
+    }
   }
 
   /** Tests that the checks find parts that are broken on purpose. */
