--- a/fireflyshed-bench/src/main/resources/META-INF/services/io.fireflyshed.daemon.command.Command
+++ b/fireflyshed-bench/src/main/resources/META-INF/services/io.fireflyshed.daemon.command.Command
@@ -9,3 +9,4 @@
 io.fireflyshed.bench.membership.MembershipBenchCommand
 io.fireflyshed.bench.relay.RelayBench
 io.fireflyshed.bench.repair.RepairCommand
+io.fireflyshed.bench.drain.DrainCommand
