--- a/fireflyshed-standins/src/test/java/io/fireflyshed/faults/FaultTrials.java
+++ b/fireflyshed-standins/src/test/java/io/fireflyshed/faults/FaultTrials.java
@@ -54,7 +54,7 @@
             ANSWER_LOST,
             ORDER_LATE),
         (seed, plan) ->
-            new FaultSchedule(seed, FaultSchedule.Variant.CORRECT, plan)
+            new FaultSchedule(seed, FaultSchedule.Variant.REPAIR, plan)
                 .run()
                 .violation()
                 .map(List::of)
