--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/entry/EntryDaemon.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/entry/EntryDaemon.java
@@ -1,9 +1,12 @@
 package io.fireflyshed.daemon.entry;
 
-import io.fireflyshed.coordination.assignment.ReplicaFormer;
 import io.fireflyshed.coordination.order.OrderSettings;
 import io.fireflyshed.coordination.poison.PoisonList;
 import io.fireflyshed.coordination.poison.PoisonSettings;
+import io.fireflyshed.coordination.repair.RepairReplicaPlanner;
+import io.fireflyshed.coordination.repair.RepairSettings;
+import io.fireflyshed.coordination.repair.RepairWeights;
+import io.fireflyshed.coordination.repair.RolloutSettings;
 import io.fireflyshed.coordination.retry.RetryPolicy;
 import io.fireflyshed.coordination.routing.LeastInFlightRouter;
 import io.fireflyshed.protocol.desk.PlainService;
@@ -93,7 +96,8 @@
                 new HttpInstanceList(controlCaller, settings.platform(), PLATFORM_TIMEOUT),
                 table,
                 peers.getBus(),
-                new ReplicaFormer(),
+                new RepairReplicaPlanner(
+                    RepairSettings.of(RepairWeights.ofHarwood()), RolloutSettings.ofDefaults()),
                 clock,
                 RandomSource.XO_RO_SHI_RO_128_PP.create()));
     ConfigurationStore store =
