Count a cancelled attempt whichever way the engine notices it

Cause: EntryDaemonTest's cancel test failed now and then on a busy machine. The stand-in removes a cancelled run in its step as well as on the cancel signal, but counted only the second; if the step came first, the cancel was never counted and the test waited in vain.

Ruled out: a lost cancel in the entry; the run had left the engine.

Change: the step counts too; a run is removed, and so counted, once.

Conclusion: the test waits for what really happened.

--- a/fireflyshed-standins/src/main/java/io/fireflyshed/standins/engine/EngineStandIn.java
+++ b/fireflyshed-standins/src/main/java/io/fireflyshed/standins/engine/EngineStandIn.java
@@ -241,6 +241,7 @@
 
   private boolean stepRun(EngineRun run) {
     if (run.isCancelled()) {
+      cancelled++;
       return true;
     }
     long before = run.getOffset();
