--- /dev/null
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/command/PlannerFlags.java
@@ -0,0 +1,74 @@
+package io.fireflyshed.daemon.command;
+
+import io.fireflyshed.coordination.repair.RepairSettings;
+import io.fireflyshed.coordination.repair.RolloutSettings;
+import io.fireflyshed.daemon.entry.PlannerKind;
+import io.fireflyshed.daemon.entry.PlannerSettings;
+import io.fireflyshed.daemon.settings.Setting;
+import io.fireflyshed.daemon.settings.SettingParsers;
+import io.fireflyshed.daemon.settings.SettingValues;
+import java.time.Duration;
+
+/** The settings of the planner of a zone. */
+final class PlannerFlags {
+
+  static final Setting<PlannerKind> PLANNER =
+      Setting.of(
+          "planner",
+          "repair or form",
+          "repair",
+          "how replicas are planned",
+          SettingParsers.newEnumParser(PlannerKind.class));
+
+  static final Setting<Duration> LOAD_TIME =
+      Setting.of(
+          "load-time",
+          SettingParsers.DURATION,
+          "2m",
+          "time that a member takes to load its weights at full rate",
+          SettingParsers::parsePositiveDuration);
+
+  static final Setting<Integer> LOAD_SLOTS =
+      Setting.of(
+          "load-slots",
+          "1 to 10000",
+          "8",
+          "members of a zone that the weight store serves at full rate at once",
+          SettingParsers.newIntegerParser(1, 10_000));
+
+  static final Setting<Integer> FLOOR_PERCENT =
+      Setting.of(
+          "floor-percent",
+          "0 to 100",
+          "75",
+          "share of a service's replicas that stays whole while versions or sizes change",
+          SettingParsers.newIntegerParser(0, 100));
+
+  static final Setting<Integer> MAX_CHANGING =
+      Setting.of(
+          "max-changing",
+          "1 to 10000",
+          "1",
+          "replicas of a service that change at once",
+          SettingParsers.newIntegerParser(1, 10_000));
+
+  private static final double PERCENT = 100;
+
+  private PlannerFlags() {}
+
+  static PlannerSettings toSettings(SettingValues values) {
+    RepairSettings base = PlannerSettings.ofDefaults().repair();
+    RepairSettings repair =
+        new RepairSettings(
+            base.weights(),
+            values.get(LOAD_TIME),
+            values.get(LOAD_SLOTS),
+            base.releaseTime(),
+            base.isWeightKept(),
+            base.unstableLosses(),
+            base.stableTime());
+    double floorShare = values.get(FLOOR_PERCENT) / PERCENT;
+    return new PlannerSettings(
+        values.get(PLANNER), repair, new RolloutSettings(floorShare, values.get(MAX_CHANGING)));
+  }
+}
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/command/ServeSettings.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/command/ServeSettings.java
@@ -186,6 +186,11 @@
           REFRESH_INTERVAL,
           STREAM_DRAIN_TIME,
           ENGINE_FENCING,
+          PlannerFlags.PLANNER,
+          PlannerFlags.LOAD_TIME,
+          PlannerFlags.LOAD_SLOTS,
+          PlannerFlags.FLOOR_PERCENT,
+          PlannerFlags.MAX_CHANGING,
           BODY_TIMEOUT,
           DRAIN_DELAY,
           DRAIN_TIMEOUT,
@@ -219,6 +224,7 @@
     values.getAll(ACCOUNT).forEach(a -> accounts.put(a.getKey(), a.getValue()));
     return new EntryDaemonSettings(
         control,
+        PlannerFlags.toSettings(values),
         entry,
         values.get(PLATFORM),
         accounts,
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/entry/EntryDaemon.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/entry/EntryDaemon.java
@@ -1,6 +1,5 @@
 package io.fireflyshed.daemon.entry;
 
-import io.fireflyshed.coordination.assignment.ReplicaFormer;
 import io.fireflyshed.coordination.order.OrderSettings;
 import io.fireflyshed.coordination.poison.PoisonList;
 import io.fireflyshed.coordination.poison.PoisonSettings;
@@ -93,7 +92,7 @@
                 new HttpInstanceList(controlCaller, settings.platform(), PLATFORM_TIMEOUT),
                 table,
                 peers.getBus(),
-                new ReplicaFormer(),
+                settings.planner().newPlanner(),
                 clock,
                 RandomSource.XO_RO_SHI_RO_128_PP.create()));
     ConfigurationStore store =
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/entry/EntryDaemonSettings.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/entry/EntryDaemonSettings.java
@@ -10,6 +10,7 @@
  * Holds the settings of an entry process.
  *
  * @param control the settings of the control thread, not null
+ * @param planner the settings of the planner of the zone, not null
  * @param entry the settings of the server for callers, not null
  * @param platform the address of the platform, not null
  * @param accounts the bearer key of each client account, copied, not null
@@ -18,6 +19,7 @@
  */
 public record EntryDaemonSettings(
     ControlSettings control,
+    PlannerSettings planner,
     EntrySettings entry,
     InetSocketAddress platform,
     Map<String, String> accounts,
@@ -27,6 +29,7 @@
   /** Checks the parts and copies the map. */
   public EntryDaemonSettings {
     Objects.requireNonNull(control, "control");
+    Objects.requireNonNull(planner, "planner");
     Objects.requireNonNull(entry, "entry");
     Objects.requireNonNull(platform, "platform");
     accounts = Map.copyOf(accounts);
--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/entry/EntryFixture.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/entry/EntryFixture.java
@@ -72,7 +72,13 @@
     daemon =
         new EntryDaemon(
             new EntryDaemonSettings(
-                control, entry, platform, Map.of("test", KEY), SiteSettings.ofLone("site"), ""),
+                control,
+                PlannerSettings.ofDefaults(),
+                entry,
+                platform,
+                Map.of("test", KEY),
+                SiteSettings.ofLone("site"),
+                ""),
             telemetry);
     address = daemon.start();
     await(() -> daemon.getViews().get().getOpen(new ServiceName("cards")).size() == 2);
--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/entry/EntryPeersTest.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/entry/EntryPeersTest.java
@@ -83,7 +83,8 @@
                 OperatorToken.of("rob", OperatorRole.READ, "token-r")));
     EntryDaemon daemon =
         new EntryDaemon(
-            new EntryDaemonSettings(control, entry, platformAddress, Map.of(), site, ""));
+            new EntryDaemonSettings(
+                control, PlannerSettings.ofDefaults(), entry, platformAddress, Map.of(), site, ""));
     daemons.add(daemon);
     daemon.start();
     return daemon;
