--- a/fireflyshed-bench/src/main/resources/META-INF/services/io.fireflyshed.daemon.command.Command
+++ b/fireflyshed-bench/src/main/resources/META-INF/services/io.fireflyshed.daemon.command.Command
@@ -1,3 +1,7 @@
+io.fireflyshed.bench.limits.LimitsBench
+io.fireflyshed.bench.routing.RoutingBench
+io.fireflyshed.bench.repair.RepairCommand
+io.fireflyshed.bench.relay.RelayBench
 io.fireflyshed.bench.capacity.CapacityBench
 io.fireflyshed.bench.order.OrderBench
 io.fireflyshed.bench.poison.PoisonBench
@@ -5,3 +9,4 @@
 io.fireflyshed.bench.membership.MembershipBenchCommand
 io.fireflyshed.bench.relay.RelayBench
 io.fireflyshed.bench.repair.RepairCommand
+io.fireflyshed.bench.drain.DrainCommand
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/command/ServeSettings.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/command/ServeSettings.java
@@ -21,6 +21,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 /** The settings of an entry process. */
 final class ServeSettings {
@@ -170,33 +171,36 @@
           ServeSettings::parseUrl);
 
   static final List<Setting<?>> ALL =
-      List.of(
-          LISTEN,
-          PLATFORM,
-          ZONE,
-          SITE,
-          PEER_LISTEN,
-          PEER_SEED,
-          OPERATOR_LISTEN,
-          OPERATOR_TOKEN,
-          MODEL_SERVICE,
-          ACCOUNT,
-          PROBE_INTERVAL,
-          EVIDENCE_MAX_AGE,
-          REFRESH_INTERVAL,
-          STREAM_DRAIN_TIME,
-          ENGINE_FENCING,
-          PlannerFlags.PLANNER,
-          PlannerFlags.LOAD_TIME,
-          PlannerFlags.LOAD_SLOTS,
-          PlannerFlags.FLOOR_PERCENT,
-          PlannerFlags.MAX_CHANGING,
-          BODY_TIMEOUT,
-          DRAIN_DELAY,
-          DRAIN_TIMEOUT,
-          MAX_BODY_BYTES,
-          LOG_FORMAT,
-          OTLP_ENDPOINT);
+      Stream.concat(
+              Stream.<Setting<?>>of(
+                  LISTEN,
+                  PLATFORM,
+                  ZONE,
+                  SITE,
+                  PEER_LISTEN,
+                  PEER_SEED,
+                  OPERATOR_LISTEN,
+                  OPERATOR_TOKEN,
+                  MODEL_SERVICE,
+                  ACCOUNT,
+                  PROBE_INTERVAL,
+                  EVIDENCE_MAX_AGE,
+                  REFRESH_INTERVAL,
+                  STREAM_DRAIN_TIME,
+                  ENGINE_FENCING,
+                  PlannerFlags.PLANNER,
+                  PlannerFlags.LOAD_TIME,
+                  PlannerFlags.LOAD_SLOTS,
+                  PlannerFlags.FLOOR_PERCENT,
+                  PlannerFlags.MAX_CHANGING,
+                  BODY_TIMEOUT,
+                  DRAIN_DELAY,
+                  DRAIN_TIMEOUT,
+                  MAX_BODY_BYTES,
+                  LOG_FORMAT,
+                  OTLP_ENDPOINT),
+              TrafficFlags.ALL.stream())
+          .toList();
 
   private ServeSettings() {}
 
@@ -229,6 +233,7 @@
         values.get(PLATFORM),
         accounts,
         toSiteSettings(values),
+        TrafficFlags.toSettings(values),
         values.get(OTLP_ENDPOINT));
   }
 
--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/entry/EntryFixture.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/entry/EntryFixture.java
@@ -78,6 +78,7 @@
                 platform,
                 Map.of("test", KEY),
                 SiteSettings.ofLone("site"),
+                TrafficSettings.ofDefaults(),
                 ""),
             telemetry);
     address = daemon.start();
--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/entry/EntryPeersTest.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/entry/EntryPeersTest.java
@@ -84,7 +84,14 @@
     EntryDaemon daemon =
         new EntryDaemon(
             new EntryDaemonSettings(
-                control, PlannerSettings.ofDefaults(), entry, platformAddress, Map.of(), site, ""));
+                control,
+                PlannerSettings.ofDefaults(),
+                entry,
+                platformAddress,
+                Map.of(),
+                site,
+                TrafficSettings.ofDefaults(),
+                ""));
     daemons.add(daemon);
     daemon.start();
     return daemon;
