--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/entry/EntryDaemon.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/entry/EntryDaemon.java
@@ -3,10 +3,6 @@
 import io.fireflyshed.coordination.order.OrderSettings;
 import io.fireflyshed.coordination.poison.PoisonList;
 import io.fireflyshed.coordination.poison.PoisonSettings;
-import io.fireflyshed.coordination.repair.RepairReplicaPlanner;
-import io.fireflyshed.coordination.repair.RepairSettings;
-import io.fireflyshed.coordination.repair.RepairWeights;
-import io.fireflyshed.coordination.repair.RolloutSettings;
 import io.fireflyshed.coordination.retry.RetryPolicy;
 import io.fireflyshed.coordination.routing.AffinityRouter;
 import io.fireflyshed.coordination.routing.RouterSettings;
@@ -103,8 +99,7 @@
                 new HttpInstanceList(controlCaller, settings.platform(), PLATFORM_TIMEOUT),
                 table,
                 peers.getBus(),
-                new RepairReplicaPlanner(
-                    RepairSettings.of(RepairWeights.ofHarwood()), RolloutSettings.ofDefaults()),
+                settings.planner().newPlanner(),
                 clock,
                 RandomSource.XO_RO_SHI_RO_128_PP.create()));
     ConfigurationStore store =
