--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/entry/EntryFixture.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/entry/EntryFixture.java
@@ -73,6 +73,7 @@
         new EntryDaemon(
             new EntryDaemonSettings(
                 control,
+                PlannerSettings.ofDefaults(),
                 entry,
                 platform,
                 Map.of("test", KEY),
