Close a replica when its stream is lost, bound run times, hedge lookups

Cause: three parts were built but not joined. A broken stream closed its replica only at the next probe; the limits' proof needs requests to end within the longest run time, which nothing enforced; lookups had a loop of their own beside the hedged one.

Change: the traffic client reports the head of a lost stream to the control thread; a request that runs too long is cancelled and ends in an explicit error that says whether it ran; lookups are hedged and orders go to the best target first.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/entry/CompletionRunner.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/entry/CompletionRunner.java
@@ -102,7 +102,11 @@
    *     ProblemException}
    */
   public Flux<StreamChunk> run(CompletionRequest request, String requestId, Context context) {
-    return Flux.defer(() -> new Run(request, requestId, context).start());
+    return Flux.defer(
+        () -> {
+          Run run = new Run(request, requestId, context);
+          return StreamUtils.failOn(run.start(), Mono.delay(settings.timeout()), run::newTimeout);
+        });
   }
 
   private static StreamChunk join(List<StreamChunk> chunks) {
@@ -275,6 +279,21 @@
               OptionalInt.empty()));
     }
 
+    /** Creates the error of a request that ran longer than it may. */
+    private ProblemException newTimeout() {
+      Outcome known = answer.getDelivered() > 0 ? Outcome.RAN : Outcome.UNKNOWN;
+      return new ProblemException(
+          new Problem(
+              504,
+              "run-time-exceeded",
+              "the request ran longer than " + settings.timeout().toSeconds() + " s",
+              STEP,
+              "entry",
+              attempts == 0 ? Outcome.NOT_RUN : known,
+              false,
+              OptionalInt.empty()));
+    }
+
     private ProblemException newProblem(AttemptException last) {
       if (last == null) {
         return new ProblemException(
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/entry/OrderHandler.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/entry/OrderHandler.java
@@ -3,13 +3,13 @@
 import io.fireflyshed.coordination.attempt.AttemptException;
 import io.fireflyshed.coordination.attempt.Outcome;
 import io.fireflyshed.protocol.desk.DeskReply;
-import io.fireflyshed.protocol.desk.PlainService;
 import io.fireflyshed.protocol.problem.Problem;
 import io.fireflyshed.protocol.problem.ProblemException;
 import io.fireflyshed.state.IdentifierUtils;
 import io.fireflyshed.state.instance.InstanceRecord;
 import io.fireflyshed.state.replica.ServiceName;
 import io.fireflyshed.state.replica.ServingView;
+import io.fireflyshed.transport.desk.HedgedLookup;
 import io.fireflyshed.transport.http.BodyReader;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import java.nio.charset.StandardCharsets;
@@ -18,6 +18,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.function.Supplier;
+import java.util.function.UnaryOperator;
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -33,7 +34,8 @@
   private final EntrySettings settings;
   private final AccountDirectory accounts;
   private final Supplier<ServingView> views;
-  private final PlainService plainService;
+  private final UnaryOperator<List<InstanceRecord>> sorter;
+  private final HedgedLookup lookups;
   private final OrderPlacer placer;
 
   /**
@@ -42,19 +44,22 @@
    * @param settings the limits for requests, not null
    * @param accounts finds client accounts, not null
    * @param views gets the published view, not null
-   * @param plainService talks to targets, not null
+   * @param sorter sorts usable targets, the best first, not null
+   * @param lookups answers lookups, not null
    * @param placer places one-time orders, not null
    */
   public OrderHandler(
       EntrySettings settings,
       AccountDirectory accounts,
       Supplier<ServingView> views,
-      PlainService plainService,
+      UnaryOperator<List<InstanceRecord>> sorter,
+      HedgedLookup lookups,
       OrderPlacer placer) {
     this.settings = settings;
     this.accounts = accounts;
     this.views = views;
-    this.plainService = plainService;
+    this.sorter = sorter;
+    this.lookups = lookups;
     this.placer = placer;
   }
 
@@ -74,7 +79,7 @@
           final String account = authenticate(request);
           final ServiceName service = readService(request);
           final String key = requireKey(request.requestHeaders().get(KEY_HEADER));
-          final List<InstanceRecord> targets = findTargets(service);
+          final List<InstanceRecord> targets = sorter.apply(findTargets(service));
           return BodyReader.read(request, settings.maxBodyBytes(), settings.bodyTimeout())
               .defaultIfEmpty(new byte[0])
               .map(bytes -> new String(bytes, StandardCharsets.UTF_8))
@@ -105,7 +110,7 @@
           List<InstanceRecord> targets = findTargets(readService(request));
           String key = requireKey(request.param("key"));
           return shutdown
-              .limit(toMono(lookup(targets, 0, key)).flux(), OrderProblems::newLookupCut)
+              .limit(toMono(lookups.lookup(targets, key)).flux(), OrderProblems::newLookupCut)
               .next();
         });
   }
@@ -115,16 +120,6 @@
     return Flux.defer(() -> Mono.fromFuture(placer.place(order), true));
   }
 
-  private CompletableFuture<DeskReply> lookup(List<InstanceRecord> targets, int index, String key) {
-    return plainService
-        .lookup(targets.get(index), key)
-        .exceptionallyCompose(
-            e ->
-                index + 1 < targets.size()
-                    ? lookup(targets, index + 1, key)
-                    : CompletableFuture.failedFuture(e));
-  }
-
   private Publisher<Void> answer(HttpServerResponse response, Supplier<Mono<DeskReply>> call) {
     return Mono.defer(call)
         .flatMap(
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/entry/StreamSettings.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/entry/StreamSettings.java
@@ -23,15 +23,22 @@
   }
 
   /**
-   * Creates the settings of an entry.
+   * Creates the settings of an entry with the usual waits for tokens.
    *
+   * @param timeout the longest time that a request may run, not null
    * @return the settings, never null
    */
-  public static StreamSettings ofDefaults() {
+  public static StreamSettings of(Duration timeout) {
     return new StreamSettings(
-        Duration.ofMinutes(10),
-        Duration.ofSeconds(30),
-        Duration.ofSeconds(10),
-        Duration.ofSeconds(2));
+        timeout, Duration.ofSeconds(30), Duration.ofSeconds(10), Duration.ofSeconds(2));
+  }
+
+  /**
+   * Creates the settings of an entry whose requests may run for ten minutes.
+   *
+   * @return the settings, never null
+   */
+  public static StreamSettings ofDefaults() {
+    return of(Duration.ofMinutes(10));
   }
 }
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/entry/CompletionRunnerTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/entry/CompletionRunnerTest.java
@@ -34,6 +34,7 @@
 import io.opentelemetry.api.OpenTelemetry;
 import io.opentelemetry.context.Context;
 import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -54,11 +55,14 @@
 
   private static final ServiceName SERVICE = new ServiceName("cards");
   private static final int REPLICAS = 5;
+  private static final Duration MAX_RUN_TIME = Duration.ofMinutes(1);
+  private static final Duration TOKEN_INTERVAL = Duration.ofSeconds(1);
 
   /** Fails each attempt with the next of the given errors, then with the last one. */
   private static final class FailingEngine implements ModelEngine {
     private final List<AttemptException> errors = new ArrayList<>();
     private int runs;
+    private int cancels;
 
     @Override
     public CompletableFuture<MemberHealth> probe(InstanceRecord instance) {
@@ -77,8 +81,16 @@
 
     @Override
     public Flux<StreamChunk> stream(EngineRequest request) {
+      if (errors.isEmpty()) {
+        return newEndlessStream().doOnCancel(() -> cancels++);
+      }
       return Flux.defer(() -> Flux.error(errors.get(Math.min(runs++, errors.size() - 1))));
     }
+
+    private Flux<StreamChunk> newEndlessStream() {
+      return Flux.interval(TOKEN_INTERVAL)
+          .map(i -> new StreamChunk(i, 1, ByteBuffer.allocate(0), false));
+    }
   }
 
   private VirtualTimeScheduler time;
@@ -99,7 +111,7 @@
             engine,
             new RequestTracer(OpenTelemetry.noop()),
             () -> time.now(TimeUnit.NANOSECONDS),
-            StreamSettings.ofDefaults(),
+            StreamSettings.of(MAX_RUN_TIME),
             RetryPolicy.ofDefaults(RandomSource.XO_RO_SHI_RO_128_PP.create(1)),
             new PoisonGuard(
                 new PoisonList(PoisonSettings.ofDefaults()),
@@ -137,7 +149,7 @@
         CompletionRequest.parse(CompletionKind.TEXT, body.getBytes(StandardCharsets.UTF_8));
     List<Throwable> errors = new ArrayList<>();
     runner.run(request, "req", Context.root()).subscribe(chunk -> {}, errors::add);
-    time.advanceTimeBy(Duration.ofMinutes(1));
+    time.advanceTimeBy(MAX_RUN_TIME);
     assertEquals(errors.size(), 1);
     return ((ProblemException) errors.get(0)).getProblem();
   }
@@ -166,4 +178,12 @@
     assertEquals(fail().outcome(), Outcome.UNKNOWN);
     assertEquals(engine.runs, 3);
   }
+
+  @Test
+  public void requestThatRunsTooLongEndsInAnErrorAndIsCancelled() {
+    Problem problem = fail();
+    assertEquals(problem.type(), "run-time-exceeded");
+    assertEquals(problem.outcome(), Outcome.RAN);
+    assertEquals(engine.cancels, 1);
+  }
 }
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/entry/EntryDaemon.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/entry/EntryDaemon.java
@@ -6,6 +6,7 @@
 import io.fireflyshed.coordination.retry.RetryPolicy;
 import io.fireflyshed.coordination.routing.AffinityRouter;
 import io.fireflyshed.coordination.routing.RouterSettings;
+import io.fireflyshed.coordination.routing.TargetPicker;
 import io.fireflyshed.protocol.desk.PlainService;
 import io.fireflyshed.protocol.engine.ModelEngine;
 import io.fireflyshed.state.clock.MonotonicClock;
@@ -15,8 +16,10 @@
 import io.fireflyshed.transport.configuration.ConfigurationStore;
 import io.fireflyshed.transport.control.ControlLoop;
 import io.fireflyshed.transport.control.ControlParts;
+import io.fireflyshed.transport.desk.HedgedLookup;
 import io.fireflyshed.transport.desk.HttpPlainService;
 import io.fireflyshed.transport.engine.HttpModelEngine;
+import io.fireflyshed.transport.engine.LossReportingEngine;
 import io.fireflyshed.transport.entry.AccountDirectory;
 import io.fireflyshed.transport.entry.ClaimingOrderPlacer;
 import io.fireflyshed.transport.entry.CompletionHandler;
@@ -58,6 +61,7 @@
   private static final Duration CONTROL_TIMEOUT = Duration.ofSeconds(1);
   private static final Duration RECORD_TIMEOUT = Duration.ofSeconds(5);
   private static final Duration DESK_TIMEOUT = Duration.ofSeconds(10);
+  private static final Duration HEDGE_DELAY = Duration.ofMillis(200);
 
   private final HttpCaller controlCaller = new HttpCaller("control");
   private final HttpCaller trafficCaller = new HttpCaller("traffic");
@@ -225,7 +229,9 @@
 
   private EntryServer newServer(
       EntryDaemonSettings settings, PlainService plainService, MonotonicClock clock) {
-    ModelEngine engine = new HttpModelEngine(trafficCaller, CONTROL_TIMEOUT);
+    ModelEngine engine =
+        new LossReportingEngine(
+            new HttpModelEngine(trafficCaller, CONTROL_TIMEOUT), control::reportFailure);
     RequestTracer tracer = new RequestTracer(telemetry);
     AccountDirectory accounts =
         configuration.newAccounts(new FixedAccountDirectory(settings.accounts()));
@@ -236,17 +242,19 @@
             engine,
             tracer,
             clock,
-            StreamSettings.ofDefaults(),
+            StreamSettings.of(settings.traffic().limits().concurrencyTerms().hold()),
             RetryPolicy.ofDefaults(RandomSource.XO_RO_SHI_RO_128_PP.create()),
             new PoisonGuard(new PoisonList(PoisonSettings.ofDefaults()), peers.getBus(), clock));
     CompletionHandler completions =
         new CompletionHandler(settings.entry(), accounts, control, admission, runner, tracer);
+    TargetPicker picker = new TargetPicker(settings.control().zone());
     OrderHandler orders =
         new OrderHandler(
             settings.entry(),
             accounts,
             control,
-            plainService,
+            targets -> picker.sort(targets, clock.nanoTime()),
+            new HedgedLookup(plainService, picker, clock, HEDGE_DELAY),
             configuration.newOrderPlacer(orderPlacer));
     PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     control.getMeter().register(metrics, settings.control().zone().value());
