--- a/fireflyshed-bench/src/main/java/io/fireflyshed/bench/configuration/ConfigBenchCommand.java
+++ b/fireflyshed-bench/src/main/java/io/fireflyshed/bench/configuration/ConfigBenchCommand.java
@@ -4,7 +4,6 @@
 import io.fireflyshed.coordination.configuration.CommitOutcome;
 import io.fireflyshed.daemon.command.Command;
 import io.fireflyshed.daemon.settings.Setting;
-import io.fireflyshed.daemon.settings.SettingParsers;
 import io.fireflyshed.daemon.settings.SettingValues;
 import io.fireflyshed.protocol.configuration.ConfigurationDocument;
 import io.fireflyshed.protocol.json.JsonUtils;
@@ -28,20 +27,10 @@
       Setting.of("seed", "a number", "1", "seed of the schedule", Long::parseLong);
 
   private static final Setting<Integer> CHANGES =
-      Setting.of(
-          "changes",
-          "1 to 10000",
-          "40",
-          "how many changes the nine entries get",
-          SettingParsers.newIntegerParser(1, 10_000));
+      Setting.ofInteger("changes", 1, 10_000, 40, "how many changes the nine entries get");
 
   private static final Setting<Integer> ROUNDS =
-      Setting.of(
-          "rounds",
-          "1 to 10000",
-          "100",
-          "how many changes the large site gets",
-          SettingParsers.newIntegerParser(1, 10_000));
+      Setting.ofInteger("rounds", 1, 10_000, 100, "how many changes the large site gets");
 
   private static final int ACCOUNTS = 200;
   private static final int ENTRIES = 9;
--- a/fireflyshed-bench/src/main/java/io/fireflyshed/bench/drain/DrainCommand.java
+++ b/fireflyshed-bench/src/main/java/io/fireflyshed/bench/drain/DrainCommand.java
@@ -3,7 +3,6 @@
 import io.fireflyshed.bench.Figures;
 import io.fireflyshed.daemon.command.Command;
 import io.fireflyshed.daemon.settings.Setting;
-import io.fireflyshed.daemon.settings.SettingParsers;
 import io.fireflyshed.daemon.settings.SettingValues;
 import java.io.PrintStream;
 import java.time.Duration;
@@ -19,32 +18,17 @@
   private static final long TARGET_MILLIS = 2_000;
 
   private static final Setting<Integer> SEED =
-      Setting.of(
-          "seed",
-          "0 to 2147483647",
-          "1",
-          "seed of the order and the moments of leaving",
-          SettingParsers.newIntegerParser(0, Integer.MAX_VALUE));
+      Setting.ofInteger(
+          "seed", 0, Integer.MAX_VALUE, 1, "seed of the order and the moments of leaving");
 
   private static final Setting<Integer> REPLICAS =
-      Setting.of(
-          "replicas",
-          "1 to 128",
-          "32",
-          "replicas of two instances, one of which leaves",
-          SettingParsers.newIntegerParser(1, 128));
+      Setting.ofInteger("replicas", 1, 128, 32, "replicas of two instances, one of which leaves");
 
   private static final Setting<Integer> ENTRIES =
-      Setting.of(
-          "entries", "1 to 8", "3", "entries of each kind", SettingParsers.newIntegerParser(1, 8));
+      Setting.ofInteger("entries", 1, 8, 3, "entries of each kind");
 
   private static final Setting<Duration> LIST_LAG =
-      Setting.of(
-          "list-lag",
-          SettingParsers.DURATION,
-          "30s",
-          "lag of the instance list",
-          SettingParsers::parsePositiveDuration);
+      Setting.ofDuration("list-lag", "30s", "lag of the instance list");
 
   @Override
   public String getName() {
--- a/fireflyshed-bench/src/main/java/io/fireflyshed/bench/limits/LimitsBench.java
+++ b/fireflyshed-bench/src/main/java/io/fireflyshed/bench/limits/LimitsBench.java
@@ -7,7 +7,6 @@
 import io.fireflyshed.coordination.limits.LimitSettings;
 import io.fireflyshed.daemon.command.Command;
 import io.fireflyshed.daemon.settings.Setting;
-import io.fireflyshed.daemon.settings.SettingParsers;
 import io.fireflyshed.daemon.settings.SettingValues;
 import java.io.PrintStream;
 import java.time.Duration;
@@ -42,20 +41,10 @@
   private static final Duration WINDOW = Duration.ofSeconds(1);
 
   private static final Setting<Integer> SEED =
-      Setting.of(
-          "seed",
-          "1 to 1000000",
-          "1",
-          "seed of the workload and the faults",
-          SettingParsers.newIntegerParser(1, 1_000_000));
+      Setting.ofInteger("seed", 1, 1_000_000, 1, "seed of the workload and the faults");
 
   private static final Setting<Integer> SECONDS =
-      Setting.of(
-          "seconds",
-          "30 to 600",
-          "60",
-          "simulated length of a run",
-          SettingParsers.newIntegerParser(30, 600));
+      Setting.ofInteger("seconds", 30, 600, 60, "simulated length of a run");
 
   @Override
   public String getName() {
--- a/fireflyshed-bench/src/main/java/io/fireflyshed/bench/membership/MembershipBenchCommand.java
+++ b/fireflyshed-bench/src/main/java/io/fireflyshed/bench/membership/MembershipBenchCommand.java
@@ -36,12 +36,7 @@
           SettingParsers.newIntegerParser(9, 1_800));
 
   private static final Setting<Integer> SECONDS =
-      Setting.of(
-          "seconds",
-          "10 to 600",
-          "120",
-          "measured seconds of virtual time",
-          SettingParsers.newIntegerParser(10, 600));
+      Setting.ofInteger("seconds", 10, 600, 120, "measured seconds of virtual time");
 
   private static final int ZONES = 9;
   private static final int TARGET_PROCESSES = 3_200;
--- a/fireflyshed-bench/src/main/java/io/fireflyshed/bench/order/OrderBench.java
+++ b/fireflyshed-bench/src/main/java/io/fireflyshed/bench/order/OrderBench.java
@@ -4,7 +4,6 @@
 import io.fireflyshed.coordination.order.OrderSettings;
 import io.fireflyshed.daemon.command.Command;
 import io.fireflyshed.daemon.settings.Setting;
-import io.fireflyshed.daemon.settings.SettingParsers;
 import io.fireflyshed.daemon.settings.SettingValues;
 import java.io.PrintStream;
 import java.time.Duration;
@@ -14,15 +13,15 @@
 public final class OrderBench implements Command {
 
   private static final Setting<Integer> RATE =
-      newInteger("rate", 1, 20_000, "5000", "orders offered a second");
+      Setting.ofInteger("rate", 1, 20_000, 5000, "orders offered a second");
   private static final Setting<Integer> SECONDS =
-      newInteger("seconds", 1, 120, "20", "virtual time of each part of the run");
+      Setting.ofInteger("seconds", 1, 120, 20, "virtual time of each part of the run");
   private static final Setting<Integer> WRITES =
-      newInteger("writes", 1, 10_000, "300", "writes a second that the store takes");
+      Setting.ofInteger("writes", 1, 10_000, 300, "writes a second that the store takes");
   private static final Setting<Integer> ENTRIES =
-      newInteger("entries", 1, 100, "9", "number of entries");
+      Setting.ofInteger("entries", 1, 100, 9, "number of entries");
   private static final Setting<Integer> SEED =
-      newInteger("seed", 0, Integer.MAX_VALUE, "1", "seed of the run");
+      Setting.ofInteger("seed", 0, Integer.MAX_VALUE, 1, "seed of the run");
 
   private static final double MICROS_PER_MILLI = 1000;
 
@@ -101,14 +100,4 @@
   private static double getMillis(OrderLoad load, double percentile) {
     return load.getLatencies().getValueAtPercentile(percentile) / MICROS_PER_MILLI;
   }
-
-  private static Setting<Integer> newInteger(
-      String name, int min, int max, String defaultText, String description) {
-    return Setting.of(
-        name,
-        min + " to " + max,
-        defaultText,
-        description,
-        SettingParsers.newIntegerParser(min, max));
-  }
 }
--- a/fireflyshed-bench/src/main/java/io/fireflyshed/bench/poison/PoisonBench.java
+++ b/fireflyshed-bench/src/main/java/io/fireflyshed/bench/poison/PoisonBench.java
@@ -3,7 +3,6 @@
 import io.fireflyshed.bench.Figures;
 import io.fireflyshed.daemon.command.Command;
 import io.fireflyshed.daemon.settings.Setting;
-import io.fireflyshed.daemon.settings.SettingParsers;
 import io.fireflyshed.daemon.settings.SettingValues;
 import java.io.PrintStream;
 import java.util.List;
@@ -12,19 +11,19 @@
 public final class PoisonBench implements Command {
 
   private static final Setting<Integer> RUNS =
-      newInteger("runs", 1, 10_000, "100", "number of runs, each with its own seed");
+      Setting.ofInteger("runs", 1, 10_000, 100, "number of runs, each with its own seed");
   private static final Setting<Integer> SECONDS =
-      newInteger("seconds", 10, 600, "60", "virtual time of each run");
+      Setting.ofInteger("seconds", 10, 600, 60, "virtual time of each run");
   private static final Setting<Integer> ENTRIES =
-      newInteger("entries", 1, 100, "9", "number of entries");
+      Setting.ofInteger("entries", 1, 100, 9, "number of entries");
   private static final Setting<Integer> REPLICAS =
-      newInteger("replicas", 2, 1000, "65", "number of replicas");
+      Setting.ofInteger("replicas", 2, 1000, 65, "number of replicas");
   private static final Setting<Integer> INNOCENTS =
-      newInteger("innocents", 1, 10_000, "300", "innocent requests a second");
+      Setting.ofInteger("innocents", 1, 10_000, 300, "innocent requests a second");
   private static final Setting<Integer> RESEND =
-      newInteger("resend", 1, 60_000, "200", "milliseconds until the request is sent again");
+      Setting.ofInteger("resend", 1, 60_000, 200, "milliseconds until the request is sent again");
   private static final Setting<Integer> SEED =
-      newInteger("seed", 0, Integer.MAX_VALUE, "1", "seed of the first run");
+      Setting.ofInteger("seed", 0, Integer.MAX_VALUE, 1, "seed of the first run");
 
   /** Sums over runs. */
   private static final class Totals {
@@ -85,14 +84,4 @@
     run.run(values.get(INNOCENTS), values.get(SECONDS));
     return run;
   }
-
-  private static Setting<Integer> newInteger(
-      String name, int min, int max, String defaultText, String description) {
-    return Setting.of(
-        name,
-        min + " to " + max,
-        defaultText,
-        description,
-        SettingParsers.newIntegerParser(min, max));
-  }
 }
--- a/fireflyshed-bench/src/main/java/io/fireflyshed/bench/relay/RelayBench.java
+++ b/fireflyshed-bench/src/main/java/io/fireflyshed/bench/relay/RelayBench.java
@@ -3,7 +3,6 @@
 import io.fireflyshed.bench.Figures;
 import io.fireflyshed.daemon.command.Command;
 import io.fireflyshed.daemon.settings.Setting;
-import io.fireflyshed.daemon.settings.SettingParsers;
 import io.fireflyshed.daemon.settings.SettingValues;
 import java.io.PrintStream;
 import java.time.Duration;
@@ -17,31 +16,16 @@
 public final class RelayBench implements Command {
 
   private static final Setting<Duration> TIME =
-      Setting.of(
-          "time",
-          SettingParsers.DURATION,
-          "1s",
-          "length of each round",
-          SettingParsers::parsePositiveDuration);
+      Setting.ofDuration("time", "1s", "length of each round");
 
   private static final Setting<Integer> TOKENS =
-      Setting.of(
-          "tokens",
-          "1 to 4096",
-          "64",
-          "tokens in each answer",
-          SettingParsers.newIntegerParser(1, 4096));
+      Setting.ofInteger("tokens", 1, 4096, 64, "tokens in each answer");
 
   private static final Setting<Integer> CONCURRENCY =
-      Setting.of(
-          "concurrency",
-          "1 to 512",
-          "64",
-          "requests in flight in the throughput part",
-          SettingParsers.newIntegerParser(1, 512));
-
-  private static final int ROUNDS = 8;
-  private static final int WARM_UP_ROUNDS = 1;
+      Setting.ofInteger("concurrency", 1, 512, 64, "requests in flight in the throughput part");
+
+  private static final int ROUNDS = 12;
+  private static final int WARM_UP_ROUNDS = 5;
   private static final Duration TOKEN_INTERVAL = Duration.ofMillis(5);
   private static final int SESSIONS_CONCURRENCY = 512;
 
--- a/fireflyshed-bench/src/main/java/io/fireflyshed/bench/repair/RepairCommand.java
+++ b/fireflyshed-bench/src/main/java/io/fireflyshed/bench/repair/RepairCommand.java
@@ -7,7 +7,6 @@
 import io.fireflyshed.coordination.repair.SpareUtils;
 import io.fireflyshed.daemon.command.Command;
 import io.fireflyshed.daemon.settings.Setting;
-import io.fireflyshed.daemon.settings.SettingParsers;
 import io.fireflyshed.daemon.settings.SettingValues;
 import java.io.PrintStream;
 import java.util.List;
@@ -26,47 +25,33 @@
   private static final int MAX_SPARES = INSTANCES_PER_REPLICA - 1;
 
   private static final Setting<Integer> SEED =
-      Setting.of(
-          "seed",
-          "0 to 2147483647",
-          "1",
-          "seed of the outages",
-          SettingParsers.newIntegerParser(0, Integer.MAX_VALUE));
+      Setting.ofInteger("seed", 0, Integer.MAX_VALUE, 1, "seed of the outages");
 
   private static final Setting<Integer> DAYS =
-      Setting.of(
-          "days",
-          "1 to 28",
-          "7",
-          "simulated days; each run of days has one lost rack",
-          SettingParsers.newIntegerParser(1, 28));
+      Setting.ofInteger("days", 1, 28, 7, "simulated days; each run of days has one lost rack");
 
   private static final Setting<Integer> ZONES =
-      Setting.of(
-          "zones",
-          "1 to 36",
-          "36",
-          "availability zones of the large fleet, 278 replicas each",
-          SettingParsers.newIntegerParser(1, 36));
+      Setting.ofInteger(
+          "zones", 1, 36, 36, "availability zones of the large fleet, 278 replicas each");
 
   private static final Setting<Integer> PAUSES =
-      Setting.of(
+      Setting.ofInteger(
           "pauses",
-          "0 to 4000",
-          "400",
-          "pauses a day for each 40,000 instances in the runs with pauses",
-          SettingParsers.newIntegerParser(0, 4_000));
+          0,
+          4_000,
+          400,
+          "pauses a day for each 40,000 instances in the runs with pauses");
 
   private static final Setting<Boolean> KEEP_WEIGHTS =
       Setting.ofFlag("keep-weights", "members keep their weights while another one is replaced");
 
   private static final Setting<Integer> PLANNED_REPLICAS =
-      Setting.of(
+      Setting.ofInteger(
           "planned-replicas",
-          "100 to 10000",
-          "10000",
-          "replicas of the largest zone whose planning time is measured",
-          SettingParsers.newIntegerParser(100, 10_000));
+          100,
+          10_000,
+          10000,
+          "replicas of the largest zone whose planning time is measured");
 
   @Override
   public String getName() {
--- a/fireflyshed-bench/src/main/java/io/fireflyshed/bench/routing/RoutingBench.java
+++ b/fireflyshed-bench/src/main/java/io/fireflyshed/bench/routing/RoutingBench.java
@@ -7,7 +7,6 @@
 import io.fireflyshed.coordination.routing.RouterSettings;
 import io.fireflyshed.daemon.command.Command;
 import io.fireflyshed.daemon.settings.Setting;
-import io.fireflyshed.daemon.settings.SettingParsers;
 import io.fireflyshed.daemon.settings.SettingValues;
 import io.fireflyshed.state.clock.ManualClock;
 import io.fireflyshed.state.instance.AvailabilityZone;
@@ -51,28 +50,13 @@
   private static final Duration ZONE_COST = Duration.ofMillis(2);
 
   private static final Setting<Integer> SEED =
-      Setting.of(
-          "seed",
-          "1 to 1000000",
-          "1",
-          "seed of the workload and the faults",
-          SettingParsers.newIntegerParser(1, 1_000_000));
+      Setting.ofInteger("seed", 1, 1_000_000, 1, "seed of the workload and the faults");
 
   private static final Setting<Integer> SECONDS =
-      Setting.of(
-          "seconds",
-          "10 to 600",
-          "90",
-          "simulated length of a run",
-          SettingParsers.newIntegerParser(10, 600));
+      Setting.ofInteger("seconds", 10, 600, 90, "simulated length of a run");
 
   private static final Setting<Integer> REPLICAS =
-      Setting.of(
-          "replicas",
-          "3 to 500",
-          "65",
-          "number of replicas",
-          SettingParsers.newIntegerParser(3, 500));
+      Setting.ofInteger("replicas", 3, 500, 65, "number of replicas");
 
   @Override
   public String getName() {
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/command/ConfigSettings.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/command/ConfigSettings.java
@@ -2,7 +2,6 @@
 
 import io.fireflyshed.daemon.settings.Setting;
 import io.fireflyshed.daemon.settings.SettingArity;
-import io.fireflyshed.daemon.settings.SettingParsers;
 import io.fireflyshed.daemon.settings.SettingValues;
 import io.fireflyshed.protocol.configuration.ConfigurationChecker;
 import io.fireflyshed.protocol.configuration.ConfigurationDocument;
@@ -39,12 +38,7 @@
           "of-version", "1 or more, or 0 for the newest", "0", "the version", Long::parseLong);
 
   static final Setting<Integer> LIMIT =
-      Setting.of(
-          "limit",
-          "1 to 1000",
-          "20",
-          "how many versions to print",
-          SettingParsers.newIntegerParser(1, 1_000));
+      Setting.ofInteger("limit", 1, 1_000, 20, "how many versions to print");
 
   private ConfigSettings() {}
 
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/command/PlannerFlags.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/command/PlannerFlags.java
@@ -21,36 +21,27 @@
           SettingParsers.newEnumParser(PlannerKind.class));
 
   static final Setting<Duration> LOAD_TIME =
-      Setting.of(
-          "load-time",
-          SettingParsers.DURATION,
-          "2m",
-          "time that a member takes to load its weights at full rate",
-          SettingParsers::parsePositiveDuration);
+      Setting.ofDuration(
+          "load-time", "2m", "time that a member takes to load its weights at full rate");
 
   static final Setting<Integer> LOAD_SLOTS =
-      Setting.of(
+      Setting.ofInteger(
           "load-slots",
-          "1 to 10000",
-          "8",
-          "members of a zone that the weight store serves at full rate at once",
-          SettingParsers.newIntegerParser(1, 10_000));
+          1,
+          10_000,
+          8,
+          "members of a zone that the weight store serves at full rate at once");
 
   static final Setting<Integer> FLOOR_PERCENT =
-      Setting.of(
+      Setting.ofInteger(
           "floor-percent",
-          "0 to 100",
-          "75",
-          "share of a service's replicas that stays whole while versions or sizes change",
-          SettingParsers.newIntegerParser(0, 100));
+          0,
+          100,
+          75,
+          "share of a service's replicas that stays whole while versions or sizes change");
 
   static final Setting<Integer> MAX_CHANGING =
-      Setting.of(
-          "max-changing",
-          "1 to 10000",
-          "1",
-          "replicas of a service that change at once",
-          SettingParsers.newIntegerParser(1, 10_000));
+      Setting.ofInteger("max-changing", 1, 10_000, 1, "replicas of a service that change at once");
 
   private static final double PERCENT = 100;
 
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/command/ServeSettings.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/command/ServeSettings.java
@@ -115,16 +115,17 @@
           ServeSettings::parseAccount);
 
   static final Setting<Duration> PROBE_INTERVAL =
-      newDuration("probe-interval", "500ms", "time between two probes of an instance");
+      Setting.ofDuration("probe-interval", "500ms", "time between two probes of an instance");
 
   static final Setting<Duration> EVIDENCE_MAX_AGE =
-      newDuration("evidence-max-age", "2s", "age at which evidence of health becomes invalid");
+      Setting.ofDuration(
+          "evidence-max-age", "2s", "age at which evidence of health becomes invalid");
 
   static final Setting<Duration> REFRESH_INTERVAL =
-      newDuration("refresh-interval", "1s", "time between two reads of the platform");
+      Setting.ofDuration("refresh-interval", "1s", "time between two reads of the platform");
 
   static final Setting<Duration> STREAM_DRAIN_TIME =
-      newDuration(
+      Setting.ofDuration(
           "stream-drain-time",
           "30s",
           "how long streams may finish on a replica that drains before they move elsewhere");
@@ -138,21 +139,16 @@
           ServeSettings::parseBoolean);
 
   static final Setting<Duration> BODY_TIMEOUT =
-      newDuration("body-timeout", "10s", "longest wait for a request body");
+      Setting.ofDuration("body-timeout", "10s", "longest wait for a request body");
 
   static final Setting<Duration> DRAIN_DELAY =
-      newDuration("drain-delay", "5s", "time between not ready and the end of accepting");
+      Setting.ofDuration("drain-delay", "5s", "time between not ready and the end of accepting");
 
   static final Setting<Duration> DRAIN_TIMEOUT =
-      newDuration("drain-timeout", "1m", "longest wait for requests in flight at shutdown");
+      Setting.ofDuration("drain-timeout", "1m", "longest wait for requests in flight at shutdown");
 
   static final Setting<Integer> MAX_BODY_BYTES =
-      Setting.of(
-          "max-body-bytes",
-          "1 to 67108864",
-          "4194304",
-          "largest accepted request body",
-          SettingParsers.newIntegerParser(1, 64 << 20));
+      Setting.ofInteger("max-body-bytes", 1, 64 << 20, 4194304, "largest accepted request body");
 
   static final Setting<LogFormat> LOG_FORMAT =
       Setting.of(
@@ -259,11 +255,6 @@
     return OperatorToken.of(parts[0], role, parts[2]);
   }
 
-  private static Setting<Duration> newDuration(String name, String text, String description) {
-    return Setting.of(
-        name, SettingParsers.DURATION, text, description, SettingParsers::parsePositiveDuration);
-  }
-
   private static ModelServiceSpec parseService(String text) {
     String[] parts = text.split(":", -1);
     if (parts.length != 4 || parts[1].isEmpty()) {
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/command/StandInsCommand.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/command/StandInsCommand.java
@@ -3,7 +3,6 @@
 import ch.qos.logback.classic.Level;
 import io.fireflyshed.daemon.settings.Setting;
 import io.fireflyshed.daemon.settings.SettingArity;
-import io.fireflyshed.daemon.settings.SettingParsers;
 import io.fireflyshed.daemon.settings.SettingValues;
 import io.fireflyshed.standins.StandInSite;
 import io.fireflyshed.standins.engine.EngineSettings;
@@ -17,12 +16,7 @@
 public final class StandInsCommand implements Command {
 
   static final Setting<Integer> PORT =
-      Setting.of(
-          "port",
-          "0 to 65535",
-          "8700",
-          "port of the platform on 127.0.0.1",
-          SettingParsers.newIntegerParser(0, 65_535));
+      Setting.ofInteger("port", 0, 65_535, 8700, "port of the platform on 127.0.0.1");
 
   static final Setting<AvailabilityZone> ZONES =
       new Setting<>(
@@ -35,20 +29,10 @@
           AvailabilityZone::new);
 
   static final Setting<Integer> DOMAINS =
-      Setting.of(
-          "domains",
-          "1 to 64",
-          "2",
-          "fabric domains in each zone",
-          SettingParsers.newIntegerParser(1, 64));
+      Setting.ofInteger("domains", 1, 64, 2, "fabric domains in each zone");
 
   static final Setting<Integer> INSTANCES =
-      Setting.of(
-          "instances",
-          "1 to 64",
-          "4",
-          "engine instances in each fabric domain",
-          SettingParsers.newIntegerParser(1, 64));
+      Setting.ofInteger("instances", 1, 64, 4, "engine instances in each fabric domain");
 
   static final Setting<ServiceName> DESK =
       Setting.of("desk", "a name", "desk", "name of the plain service", ServiceName::new);
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/command/TrafficFlags.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/command/TrafficFlags.java
@@ -6,7 +6,6 @@
 import io.fireflyshed.daemon.settings.Setting;
 import io.fireflyshed.daemon.settings.SettingArity;
 import io.fireflyshed.daemon.settings.SettingException;
-import io.fireflyshed.daemon.settings.SettingParsers;
 import io.fireflyshed.daemon.settings.SettingValues;
 import java.time.Duration;
 import java.util.List;
@@ -25,29 +24,31 @@
           TrafficFlags::parseLimit);
 
   static final Setting<Integer> MAX_ENTRIES =
-      newInteger("max-entries", 1, 10_000, 9, "most entry processes alive at the same time");
+      Setting.ofInteger("max-entries", 1, 10_000, 9, "most entry processes alive at the same time");
 
   static final Setting<Duration> SHARE_LEASE =
-      newDuration("share-lease", "3s", "how long a lent share of a limit may be used");
+      Setting.ofDuration("share-lease", "3s", "how long a lent share of a limit may be used");
 
   static final Setting<Duration> MAX_RUN_TIME =
-      newDuration("max-run-time", "10m", "longest time that a request may run");
+      Setting.ofDuration("max-run-time", "10m", "longest time that a request may run");
 
   static final Setting<Duration> QUEUE_TIMEOUT =
-      newDuration("queue-timeout", "10s", "longest wait of a request for its start");
+      Setting.ofDuration("queue-timeout", "10s", "longest wait of a request for its start");
 
   static final Setting<Integer> MAX_QUEUED =
-      newInteger("max-queued", 1, 1_000_000, 2_000, "most requests that wait in this entry");
+      Setting.ofInteger("max-queued", 1, 1_000_000, 2_000, "most requests that wait in this entry");
 
   static final Setting<Integer> REPLICA_CONCURRENCY =
-      newInteger(
+      Setting.ofInteger(
           "replica-concurrency", 1, 100_000, 64, "requests that all entries run on one replica");
 
   static final Setting<Duration> ZONE_COST =
-      newDuration("zone-cost", "2ms", "time by which another availability zone is farther away");
+      Setting.ofDuration(
+          "zone-cost", "2ms", "time by which another availability zone is farther away");
 
   static final Setting<Integer> LOAD_POLLS =
-      newInteger("load-polls", 1, 1_000, 20, "most replicas asked for their load in a second");
+      Setting.ofInteger(
+          "load-polls", 1, 1_000, 20, "most replicas asked for their load in a second");
 
   static final List<Setting<?>> ALL =
       List.of(
@@ -82,21 +83,6 @@
         values.get(LOAD_POLLS));
   }
 
-  private static Setting<Integer> newInteger(
-      String name, int min, int max, int usual, String description) {
-    return Setting.of(
-        name,
-        min + " to " + max,
-        String.valueOf(usual),
-        description,
-        SettingParsers.newIntegerParser(min, max));
-  }
-
-  private static Setting<Duration> newDuration(String name, String text, String description) {
-    return Setting.of(
-        name, SettingParsers.DURATION, text, description, SettingParsers::parsePositiveDuration);
-  }
-
   private static AccountLimit parseLimit(String text) {
     String[] parts = text.split(":", -1);
     if (parts.length != 4 || parts[0].isEmpty()) {
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/settings/Setting.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/settings/Setting.java
@@ -1,5 +1,6 @@
 package io.fireflyshed.daemon.settings;
 
+import java.time.Duration;
 import java.util.Locale;
 import java.util.Objects;
 import java.util.function.Function;
@@ -56,6 +57,43 @@
     return new Setting<>(name, allowed, defaultText, description, false, SettingArity.ONE, parser);
   }
 
+  /**
+   * Creates a setting with a whole number.
+   *
+   * @param name the long flag without dashes, not null
+   * @param min the smallest allowed number
+   * @param max the largest allowed number
+   * @param defaultValue the default
+   * @param description what the setting does, not null
+   * @return the setting, never null
+   */
+  public static Setting<Integer> ofInteger(
+      String name, int min, int max, int defaultValue, String description) {
+    return of(
+        name,
+        min + " to " + max,
+        String.valueOf(defaultValue),
+        description,
+        SettingParsers.newIntegerParser(min, max));
+  }
+
+  /**
+   * Creates a setting with a duration that must not be zero.
+   *
+   * @param name the long flag without dashes, not null
+   * @param defaultText the text of the default, not null
+   * @param description what the setting does, not null
+   * @return the setting, never null
+   */
+  public static Setting<Duration> ofDuration(String name, String defaultText, String description) {
+    return of(
+        name,
+        SettingParsers.DURATION,
+        defaultText,
+        description,
+        SettingParsers::parsePositiveDuration);
+  }
+
   /**
    * Creates a setting that is off unless its flag is given.
    *
