Let one seed of the replica schedules run alone

Cause: the printed command ran one seed, but then failed on checks that need many seeds: how many schedules moved a replica, and whether broken variants are found.

A run without a seed checks the same as before.

Conclusion: the printed command repeats a failure and nothing else.

--- a/fireflyshed-standins/src/test/java/io/fireflyshed/transport/control/FaultScheduleTest.java
+++ b/fireflyshed-standins/src/test/java/io/fireflyshed/transport/control/FaultScheduleTest.java
@@ -50,7 +50,8 @@
       assertEquals(violations.size(), 0, violations.stream().limit(5).toList() + REPRODUCE);
       assertTrue(results.stream().mapToLong(Result::requests).sum() > 0);
       long moved = results.stream().filter(r -> r.moves() > 0).count();
-      assertTrue(moved * 2 > results.size(), "only " + moved + " schedules moved a replica");
+      boolean isWhole = results.size() == SCHEDULES;
+      assertTrue(!isWhole || moved * 2 > SCHEDULES, "only " + moved + " schedules moved a replica");
     }
 
     @Test
@@ -75,7 +76,7 @@
 
     private static void assertFound(Variant variant, String text) {
       boolean isFound =
-          getSeeds(BROKEN_SCHEDULES)
+          LongStream.rangeClosed(1, BROKEN_SCHEDULES)
               .parallel()
               .mapToObj(s -> new FaultSchedule(s, variant).run())
               .anyMatch(r -> r.violation().filter(v -> v.contains(text)).isPresent());
