End a stalled attempt with its own error

Cause: StallWatch cut the stream of a silent replica without raising newError, so the runner saw an ordinary early end and reported "ran" where nothing may have run, and the loss of a closed, silent replica was never told to the guard against requests that crash replicas. Change: watch() fails the stream with newError through StreamUtils.failOn. Before: silentReplicaMayHaveRunTheRequest and silentReplicaThatIsClosedCountsAsLost fail (RAN instead of UNKNOWN; two runs expected, three seen). After: both pass, with the other Completion tests.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/entry/StallWatch.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/entry/StallWatch.java
@@ -27,7 +27,6 @@
   private long lastNanos;
   private long wanted;
   private boolean isStarted;
-  private volatile boolean isBroken;
 
   StallWatch(StreamSettings settings, MonotonicClock clock, BooleanSupplier isOpen, String peer) {
     this.settings = settings;
@@ -41,7 +40,8 @@
   Flux<StreamChunk> watch(Flux<StreamChunk> chunks) {
     Mono<Long> stalled =
         Flux.interval(CHECK_INTERVAL).onBackpressureDrop().filter(tick -> isStalled()).next();
-    return chunks.doOnRequest(this::onRequest).doOnNext(chunk -> onChunk()).takeUntilOther(stalled);
+    Flux<StreamChunk> watched = chunks.doOnRequest(this::onRequest).doOnNext(chunk -> onChunk());
+    return StreamUtils.failOn(watched, stalled, this::newError);
   }
 
   private synchronized void onRequest(long count) {
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/entry/CompletionRunnerTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/entry/CompletionRunnerTest.java
@@ -55,7 +55,7 @@
 
   private static final ServiceName SERVICE = new ServiceName("cards");
   private static final int REPLICAS = 5;
-  private static final Duration MAX_RUN_TIME = Duration.ofMinutes(1);
+  private static final Duration MAX_RUN_TIME = Duration.ofMinutes(2);
   private static final Duration TOKEN_INTERVAL = Duration.ofSeconds(1);
 
   /** Fails each attempt with the next of the given errors, then with the last one. */
@@ -63,6 +63,7 @@
     private final List<AttemptException> errors = new ArrayList<>();
     private int runs;
     private int cancels;
+    private boolean isSilent;
 
     @Override
     public CompletableFuture<MemberHealth> probe(InstanceRecord instance) {
@@ -81,6 +82,10 @@
 
     @Override
     public Flux<StreamChunk> stream(EngineRequest request) {
+      if (isSilent) {
+        runs++;
+        return Flux.<StreamChunk>never().doOnCancel(() -> cancels++);
+      }
       if (errors.isEmpty()) {
         return newEndlessStream().doOnCancel(() -> cancels++);
       }
@@ -95,6 +100,7 @@
 
   private VirtualTimeScheduler time;
   private FailingEngine engine;
+  private ServingView view;
   private CompletionRunner runner;
 
   /** Creates a runner in virtual time. */
@@ -103,7 +109,7 @@
     time = VirtualTimeScheduler.create();
     VirtualTimeScheduler.set(time);
     engine = new FailingEngine();
-    ServingView view = newView();
+    view = newView();
     runner =
         new CompletionRunner(
             () -> view,
@@ -186,4 +192,32 @@
     assertEquals(problem.outcome(), Outcome.RAN);
     assertEquals(engine.cancels, 1);
   }
+
+  @Test
+  public void silentReplicaMayHaveRunTheRequest() {
+    engine.isSilent = true;
+    Problem problem = fail();
+    assertEquals(problem.type(), "attempts-failed");
+    assertEquals(problem.outcome(), Outcome.UNKNOWN);
+    assertEquals(engine.cancels, engine.runs);
+  }
+
+  @Test
+  public void silentReplicaThatIsClosedCountsAsLost() {
+    engine.isSilent = true;
+    CompletionRequest request =
+        CompletionRequest.parse(
+            CompletionKind.TEXT,
+            "{\"model\":\"cards\",\"prompt\":\"p\"}".getBytes(StandardCharsets.UTF_8));
+    List<Throwable> errors = new ArrayList<>();
+    runner.run(request, "req", Context.root()).subscribe(chunk -> {}, errors::add);
+    view = new ServingView(Map.of(), Map.of(), Map.of());
+    time.advanceTimeBy(MAX_RUN_TIME);
+    assertEquals(engine.runs, 1);
+    engine.isSilent = false;
+    engine.errors.add(new TargetLostException("stream", "engine", Outcome.RAN, "lost", null));
+    view = newView();
+    assertEquals(fail().type(), "poison-request");
+    assertEquals(engine.runs, 2, "the silent loss counts as the first crash");
+  }
 }
