--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/directory/package-info.java
@@ -0,0 +1,2 @@
+/** Decides which listed targets may get requests. */
+package io.fireflyshed.coordination.directory;
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/state/error/HistoryLostException.java
@@ -0,0 +1,17 @@
+package io.fireflyshed.state.error;
+
+/** Signals that the changes after a version are no longer known, so that all must be read again. */
+public class HistoryLostException extends NoEffectException {
+
+  private static final long serialVersionUID = 1L;
+
+  /**
+   * Creates an exception.
+   *
+   * @param step the step that failed, not null
+   * @param peer the address or name of the peer, not null
+   */
+  public HistoryLostException(String step, String peer) {
+    super(step, peer, "the history of changes was dropped", null);
+  }
+}
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/entry/StreamUtils.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/entry/StreamUtils.java
@@ -6,7 +6,7 @@
 import reactor.core.publisher.Mono;
 
 /** Adds limits to streams. */
-final class StreamUtils {
+public final class StreamUtils {
 
   private StreamUtils() {}
 
@@ -15,8 +15,14 @@
    *
    * <p>The signal must complete rather than fail, because a failing signal would not cancel the
    * source.
+   *
+   * @param source the stream, not null
+   * @param signal cuts the stream, not null
+   * @param error makes the error, not null
+   * @param <T> the type of the elements
+   * @return the stream that can be cut, never null
    */
-  static <T> Flux<T> failOn(Flux<T> source, Mono<?> signal, Supplier<Throwable> error) {
+  public static <T> Flux<T> failOn(Flux<T> source, Mono<?> signal, Supplier<Throwable> error) {
     return Flux.defer(
         () -> {
           boolean[] isCut = new boolean[1];
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/log/package-info.java
@@ -0,0 +1,2 @@
+/** Structured log lines of decisions. */
+package io.fireflyshed.transport.log;
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/command/Logging.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/command/Logging.java
@@ -1,5 +1,6 @@
 package io.fireflyshed.daemon.command;
 
+import ch.qos.logback.classic.AsyncAppender;
 import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.Logger;
 import ch.qos.logback.classic.LoggerContext;
@@ -7,7 +8,9 @@
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.core.ConsoleAppender;
 import ch.qos.logback.core.encoder.Encoder;
+import io.fireflyshed.state.clock.MonotonicClock;
 import net.logstash.logback.encoder.LogstashEncoder;
+import net.logstash.logback.fieldnames.LogstashFieldNames;
 import org.slf4j.LoggerFactory;
 
 /** Configures the log. */
@@ -16,6 +19,9 @@
   private static final String PATTERN =
       "%d{yyyy-MM-dd'T'HH:mm:ss.SSSXXX} %-5level %msg%n%ex{short}";
 
+  /** The lines that may wait for the output stream; more are left out. */
+  private static final int EVENT_QUEUE = 2048;
+
   private Logging() {}
 
   /**
@@ -39,6 +45,49 @@
     context.getLogger("io.fireflyshed").setLevel(level);
   }
 
+  /**
+   * Sends structured lines to the standard output stream, without ever waiting for it. Lines beyond
+   * a budget are left out and counted.
+   */
+  public static void configureEvents() {
+    LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
+    context.reset();
+    ConsoleAppender<ILoggingEvent> console = new ConsoleAppender<>();
+    console.setContext(context);
+    console.setEncoder(newEventEncoder(context));
+    console.start();
+    AsyncAppender appender = new AsyncAppender();
+    appender.setContext(context);
+    appender.setQueueSize(EVENT_QUEUE);
+    appender.setDiscardingThreshold(0);
+    appender.setNeverBlock(true);
+    appender.addAppender(console);
+    LineBudgetFilter budget = new LineBudgetFilter(MonotonicClock.system());
+    budget.start();
+    appender.addFilter(budget);
+    appender.start();
+    Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
+    root.setLevel(Level.WARN);
+    root.addAppender(appender);
+    context.getLogger("io.fireflyshed").setLevel(Level.INFO);
+  }
+
+  private static Encoder<ILoggingEvent> newEventEncoder(LoggerContext context) {
+    LogstashFieldNames names = new LogstashFieldNames();
+    names.setTimestamp("time");
+    names.setMessage("event");
+    names.setLogger("part");
+    names.setVersion(null);
+    names.setLevelValue(null);
+    names.setThread(null);
+    LogstashEncoder encoder = new LogstashEncoder();
+    encoder.setContext(context);
+    encoder.setFieldNames(names);
+    encoder.setShortenedLoggerNameLength(1);
+    encoder.start();
+    return encoder;
+  }
+
   private static Encoder<ILoggingEvent> newEncoder(LogFormat format, LoggerContext context) {
     if (format == LogFormat.JSON) {
       LogstashEncoder encoder = new LogstashEncoder();
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/command/ShutdownUtils.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/command/ShutdownUtils.java
@@ -3,12 +3,17 @@
 import java.util.concurrent.CountDownLatch;
 
 /** Waits for the signal to stop. */
-final class ShutdownUtils {
+public final class ShutdownUtils {
 
   private ShutdownUtils() {}
 
-  /** Blocks until the process is told to stop; the action then runs before the process ends. */
-  static void awaitStop(Runnable action) throws InterruptedException {
+  /**
+   * Blocks until the process is told to stop; the action then runs before the process ends.
+   *
+   * @param action the action, not null
+   * @throws InterruptedException if the thread is interrupted
+   */
+  public static void awaitStop(Runnable action) throws InterruptedException {
     CountDownLatch stopped = new CountDownLatch(1);
     Runtime.getRuntime()
         .addShutdownHook(
--- /dev/null
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
@@ -0,0 +1,184 @@
+package io.fireflyshed.daemon.platform;
+
+import io.fireflyshed.coordination.formation.FormationSettings;
+import io.fireflyshed.coordination.lease.LeaseTiming;
+import io.fireflyshed.coordination.lease.ZoneLease;
+import io.fireflyshed.coordination.placement.PlacementSettings;
+import io.fireflyshed.coordination.placement.StallDetector;
+import io.fireflyshed.coordination.placement.TargetPlacer;
+import io.fireflyshed.coordination.retry.RetryBudget;
+import io.fireflyshed.platform.HttpEngineControl;
+import io.fireflyshed.platform.PlatformSettings;
+import io.fireflyshed.platform.StoreClient;
+import io.fireflyshed.platform.StoreConfigurationSource;
+import io.fireflyshed.platform.StoreTargetRegistry;
+import io.fireflyshed.platform.WireHeaders;
+import io.fireflyshed.state.clock.MonotonicClock;
+import io.fireflyshed.state.clock.SuspendAwareClock;
+import io.fireflyshed.state.instance.InstanceId;
+import io.fireflyshed.state.peer.PeerId;
+import io.fireflyshed.state.target.Target;
+import io.fireflyshed.state.traffic.TrafficConfiguration;
+import io.fireflyshed.transport.control.LeaseStore;
+import io.fireflyshed.transport.formation.FormationController;
+import io.fireflyshed.transport.forward.Forwarder;
+import io.fireflyshed.transport.forward.RequestGate;
+import io.fireflyshed.transport.forward.TargetCaller;
+import io.fireflyshed.transport.forward.TrafficServer;
+import io.fireflyshed.transport.forward.TrafficServerSettings;
+import io.fireflyshed.transport.http.HttpCaller;
+import io.fireflyshed.transport.log.EventLog;
+import io.fireflyshed.transport.registry.ConfigurationWatcher;
+import io.fireflyshed.transport.registry.TargetFollower;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.time.Duration;
+import java.util.Set;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.stream.Collectors;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+
+/** One entry process on the users' platform: its parts and their threads. */
+public final class PlatformEntry {
+
+  /** The length of a coordinator's lease: repair stops for this long when its holder dies. */
+  private static final Duration LEASE_LENGTH = Duration.ofMillis(2500);
+
+  /** Two renewals may fail before the lease runs out. */
+  private static final Duration LEASE_RENEWAL = Duration.ofMillis(800);
+
+  private static final Duration LEASE_WATCH = Duration.ofMillis(1000);
+  private static final double CLOCK_DRIFT = 0.02;
+
+  /** What a request may take from the check of its key to its start at a target. */
+  private static final Duration KEY_MARGIN = Duration.ofMillis(500);
+
+  /** The balancer takes a process out after two questions, one a second. */
+  private static final Duration DRAIN_DELAY = Duration.ofMillis(2600);
+
+  /** The time that remains for the process to end before it is killed. */
+  private static final Duration EXIT_MARGIN = Duration.ofMillis(600);
+
+  /** The entries among which the deployment's slack of repeats is split; more may come. */
+  private static final int BUDGET_PARTS = 12;
+
+  /** The part of the ratio of repeats that is used, as requests are counted a little late. */
+  private static final double BUDGET_RATIO_PART = 0.8;
+
+  private final PlatformSettings settings;
+  private final MonotonicClock clock =
+      new SuspendAwareClock(MonotonicClock.system(), System::currentTimeMillis);
+  private final ScheduledExecutorService control =
+      Executors.newSingleThreadScheduledExecutor(r -> new Thread(r, "control"));
+  private final PrometheusMeterRegistry metrics =
+      new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+  private final HttpCaller caller = new HttpCaller("platform");
+  private final TargetPlacer placer;
+  private final TargetFollower targets;
+  private final ConfigurationWatcher configuration;
+  private final FormationController formation;
+  private final Forwarder forwarder;
+  private final TrafficServer server;
+  private final EventLog log = new EventLog("entry");
+  private volatile boolean hasServed;
+
+  /**
+   * Creates an entry that does nothing until it is started.
+   *
+   * @param settings the platform's settings, not null
+   */
+  public PlatformEntry(PlatformSettings settings) {
+    this.settings = settings;
+    UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create();
+    WireHeaders codec = new WireHeaders();
+    StoreClient store = new StoreClient(caller, settings.store());
+    PlacementSettings placement = PlacementSettings.ofDefaults();
+    placer = new TargetPlacer(placement, settings.zone(), random);
+    targets =
+        new TargetFollower(new StoreTargetRegistry(store), control, clock, this::onTargetsChanged);
+    configuration =
+        new ConfigurationWatcher(new StoreConfigurationSource(store), control, clock, c -> {});
+    formation = newFormation(store, random);
+    forwarder =
+        new Forwarder(
+            targets,
+            placer,
+            new StallDetector(placement),
+            new TargetCaller(codec),
+            newBudget(settings),
+            clock,
+            formation::onStalled);
+    server =
+        new TrafficServer(
+            newServerSettings(settings),
+            codec,
+            new RequestGate(
+                configuration::get, configuration::getAge, settings.maxKeyAge().minus(KEY_MARGIN)),
+            () -> configuration.get().map(TrafficConfiguration::limits),
+            forwarder,
+            random,
+            clock,
+            this::isReady,
+            metrics);
+  }
+
+  private FormationController newFormation(StoreClient store, UniformRandomProvider random) {
+    LeaseTiming timing = new LeaseTiming(LEASE_LENGTH, LEASE_RENEWAL, LEASE_WATCH, CLOCK_DRIFT);
+    return new FormationController(
+        settings.zone(),
+        new ZoneLease(new PeerId(settings.node()), timing, random),
+        new LeaseStore(store, settings.zone()),
+        new HttpEngineControl(caller),
+        targets::getAll,
+        configuration::get,
+        FormationSettings.of(settings.loadWindow(), settings.zones()),
+        () -> settings.isFirstStart() && !hasServed,
+        control,
+        clock);
+  }
+
+  private static RetryBudget newBudget(PlatformSettings settings) {
+    double balance = Math.max(1, settings.repeatSlack() / (double) BUDGET_PARTS);
+    return new RetryBudget(settings.repeatRatio() * BUDGET_RATIO_PART, balance, balance);
+  }
+
+  private static TrafficServerSettings newServerSettings(PlatformSettings settings) {
+    return new TrafficServerSettings(
+        settings.listen(),
+        settings.readinessListen(),
+        PlatformSettings.READINESS_PATH,
+        settings.metricsListen(),
+        settings.maxKeyAge(),
+        DRAIN_DELAY,
+        settings.grace().minus(DRAIN_DELAY).minus(EXIT_MARGIN));
+  }
+
+  /** Starts all parts. */
+  public void start() {
+    log.info("started", "node", settings.node(), "zone", settings.zone());
+    configuration.start();
+    targets.start();
+    formation.start();
+    forwarder.start();
+    server.start();
+  }
+
+  private boolean isReady() {
+    return configuration.get().isPresent() && targets.isRead();
+  }
+
+  private void onTargetsChanged(Set<InstanceId> changed) {
+    Set<InstanceId> listed = targets.getAll().stream().map(Target::id).collect(Collectors.toSet());
+    placer.retain(listed);
+    changed.forEach(placer::reset);
+  }
+
+  /** Shuts down without cutting requests off; blocks until then. */
+  public void stop() {
+    formation.release();
+    int left = server.shutdown().join();
+    log.info("stopped", "in_flight", left);
+  }
+}
--- /dev/null
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/package-info.java
@@ -0,0 +1,2 @@
+/** Wires an entry process to the users' platform. */
+package io.fireflyshed.daemon.platform;
--- a/fireflyshed-daemon/src/main/resources/META-INF/services/io.fireflyshed.daemon.command.Command
+++ b/fireflyshed-daemon/src/main/resources/META-INF/services/io.fireflyshed.daemon.command.Command
@@ -12,3 +12,4 @@
 io.fireflyshed.daemon.command.SettingsCommand
 io.fireflyshed.daemon.command.StandInsCommand
 io.fireflyshed.daemon.command.UndrainCommand
+io.fireflyshed.daemon.platform.PlatformEntryCommand
