Plan on what answered orders did, wait for engines about to be free; stand-ins of the platform

Cause: a report lags 200 ms, and a report that was under way when an order was answered still counted, so orders were given twice (80 of 272 refused); a replica was formed of cold spares while its survivors were free a moment later. Change: the effect of an answered order is known at once, reports asked for sooner count as signs of life only, and slow candidates wait for engines that are about to be free. Tests: 50 of the planner in virtual time, 40 of them random faults.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/EngineState.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/EngineState.java
@@ -3,12 +3,17 @@
 import io.fireflyshed.state.target.EngineOrder;
 import io.fireflyshed.state.target.EngineReport;
 import io.fireflyshed.state.target.Membership;
+import io.fireflyshed.state.target.MembershipPhase;
 import io.fireflyshed.state.target.OrderReply;
 import io.fireflyshed.state.target.Target;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.Set;
 
-/** What the planner knows of one engine. Not thread safe. */
+/**
+ * What the planner knows of one engine: its reports, and the effects of answered orders, which
+ * reports show only after a lag. Not thread safe.
+ */
 final class EngineState {
 
   private static final int LOST_FAILURES = 2;
@@ -16,15 +21,16 @@
   private Target target;
   private boolean isListed = true;
   private EngineReport report;
-  private long reportSentNanos;
+  private Optional<Membership> membership = Optional.empty();
+  private long orderSequence;
+  private String lastModel = "";
   private int failures;
   private boolean isAsked;
+  private boolean isReportDue = true;
   private boolean isOrdered;
+  private boolean isUncertain;
   private long askedNanos;
-  private long dueNanos = Long.MIN_VALUE;
-  private boolean isReportDue = true;
-  private String lastModel = "";
-  private long lastStartMillis;
+  private long effectNanos = Long.MIN_VALUE;
 
   EngineState(Target target) {
     this.target = target;
@@ -34,12 +40,26 @@
     return target;
   }
 
-  void setTarget(Target target) {
-    if (target.startMillis() != this.target.startMillis()) {
-      requestReport();
+  void setTarget(Target newTarget) {
+    if (newTarget.startMillis() != target.startMillis()) {
+      isReportDue = true;
+    }
+    target = newTarget;
+    isListed = true;
+    takeListedPhase();
+  }
+
+  /** Takes in that the registry lists a member as ready, which it shows sooner than a report. */
+  private void takeListedPhase() {
+    Optional<Membership> listed = target.membership();
+    boolean isNews =
+        listed.isPresent()
+            && membership.filter(m -> m.isSameReplica(listed.get())).isPresent()
+            && membership.get().phase() == MembershipPhase.JOINING
+            && listed.get().phase() == MembershipPhase.READY;
+    if (isNews) {
+      membership = listed;
     }
-    this.target = target;
-    this.isListed = true;
   }
 
   void setListed(boolean isListed) {
@@ -50,14 +70,31 @@
     return isListed;
   }
 
-  Optional<EngineReport> getReport() {
-    return Optional.ofNullable(report);
+  boolean isKnown() {
+    return report != null;
   }
 
   Optional<Membership> getMembership() {
-    return report == null ? Optional.empty() : report.membership();
+    return membership;
+  }
+
+  long getOrderSequence() {
+    return orderSequence;
   }
 
+  String getDomain() {
+    return report.domain().value();
+  }
+
+  Set<String> getStagedModels() {
+    return report.stagedModels();
+  }
+
+  boolean isBusy() {
+    return report.isBusy();
+  }
+
+  /** Gets the model of the engine's last replica since its start, or an empty text. */
   String getLastModel() {
     return lastModel;
   }
@@ -69,23 +106,29 @@
   }
 
   void onReport(EngineReport newReport) {
-    if (newReport.startMillis() != lastStartMillis) {
+    isAsked = false;
+    failures = 0;
+    boolean isNewLife = report == null || newReport.startMillis() != report.startMillis();
+    boolean isStale = effectNanos != Long.MIN_VALUE && askedNanos - effectNanos < 0;
+    if (isStale && !isNewLife) {
+      isReportDue = true;
+      return;
+    }
+    if (isNewLife) {
       lastModel = "";
-      lastStartMillis = newReport.startMillis();
     }
-    isAsked = false;
     report = newReport;
-    reportSentNanos = askedNanos;
-    failures = 0;
-    newReport.membership().ifPresent(m -> lastModel = m.getModel());
+    membership = newReport.membership();
+    orderSequence = newReport.orderSequence();
+    isUncertain = false;
+    membership.ifPresent(m -> lastModel = m.getModel());
+    takeListedPhase();
   }
 
   void onNoReport() {
     isAsked = false;
     failures++;
-    if (failures < LOST_FAILURES) {
-      requestReport();
-    }
+    isReportDue = isReportDue || failures < LOST_FAILURES;
   }
 
   /** Tests whether the engine gave no sign of life for too long. */
@@ -97,47 +140,60 @@
     return target.isLeaving() || !isListed;
   }
 
-  /** Tests whether the engine can be given orders on the ground of what is known of it. */
+  /** Tests whether enough is known of the engine to give it an order. */
   boolean isOrderable() {
-    return !isLost() && report != null && !isOrdered && !isReportDue;
+    return report != null && !isLost() && !isOrdered && !isUncertain;
   }
 
-  void onOrderSent(EngineOrder order) {
+  void onOrderSent() {
     isOrdered = true;
-    if (order instanceof EngineOrder.Join join) {
-      lastModel = join.model();
-    }
   }
 
-  /** Takes in the answer to an order; reports that are older than it say nothing of its effect. */
-  void onOrderAnswered(OrderReply reply, long nowNanos, Duration reportLag) {
+  /**
+   * Takes in the answer to an order.
+   *
+   * @param reportLag the age of what reports say; those asked for sooner don't show the effect
+   */
+  void onOrderAnswered(EngineOrder order, OrderReply reply, long nowNanos, Duration reportLag) {
     isOrdered = false;
     isReportDue = true;
-    dueNanos = nowNanos + reportLag.toNanos();
-    if (reply == OrderReply.HOLDS) {
-      dueNanos = nowNanos;
+    effectNanos = nowNanos + reportLag.toNanos();
+    if (reply == OrderReply.BEGUN) {
+      orderSequence++;
+      applyEffect(order);
+    } else {
+      isUncertain = true;
     }
   }
 
-  void requestReport() {
-    if (!isReportDue) {
-      isReportDue = true;
-      dueNanos = Long.MIN_VALUE;
+  private void applyEffect(EngineOrder order) {
+    if (order instanceof EngineOrder.Join join) {
+      int rank = join.members().indexOf(target.id());
+      membership =
+          Optional.of(
+              new Membership(join.replica(), join.generation(), rank, MembershipPhase.JOINING));
+      lastModel = join.model();
+    } else if (order instanceof EngineOrder.Leave) {
+      membership = Optional.empty();
+    } else if (order instanceof EngineOrder.Close) {
+      membership =
+          membership.map(
+              m -> new Membership(m.replica(), m.generation(), m.rank(), MembershipPhase.CLOSING));
+    } else {
+      // The effect comes later and shows in a report.
+      isUncertain = true;
     }
   }
 
+  void requestReport() {
+    isReportDue = true;
+  }
+
   boolean isReportDue(Duration interval, long nowNanos) {
-    if (isAsked || isOrdered) {
+    boolean isEffectShown = effectNanos == Long.MIN_VALUE || nowNanos - effectNanos >= 0;
+    if (isAsked || isOrdered || !isEffectShown) {
       return false;
     }
-    if (isReportDue) {
-      return dueNanos == Long.MIN_VALUE || nowNanos - dueNanos >= 0;
-    }
-    return nowNanos - askedNanos > interval.toNanos();
-  }
-
-  /** Tests whether a report was asked for after a moment. */
-  boolean isReportedSince(long nanos) {
-    return report != null && reportSentNanos - nanos > 0;
+    return isReportDue || nowNanos - askedNanos > interval.toNanos();
   }
 }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/FormationPlanner.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/FormationPlanner.java
@@ -198,14 +198,15 @@
    * Takes in the answer to an order.
    *
    * @param id the engine, not null
+   * @param order the order, not null
    * @param reply the answer, not null
    * @param nowNanos the reading of the monotonic clock
    */
-  public void onOrdered(InstanceId id, OrderReply reply, long nowNanos) {
+  public void onOrdered(InstanceId id, EngineOrder order, OrderReply reply, long nowNanos) {
     if (reply == OrderReply.FENCED) {
       isFenced = true;
     }
-    getEngine(id).ifPresent(e -> e.onOrderAnswered(reply, nowNanos, profile.reportLag()));
+    getEngine(id).ifPresent(e -> e.onOrderAnswered(order, reply, nowNanos, profile.reportLag()));
   }
 
   /**
@@ -233,7 +234,7 @@
     engines.values().removeIf(e -> !e.isListed() && e.isLost() && !isMember(e));
     form(nowNanos, orders);
     for (FormationOrder order : orders) {
-      engines.get(order.target().id()).onOrderSent(order.order());
+      engines.get(order.target().id()).onOrderSent();
     }
     return orders;
   }
@@ -265,12 +266,12 @@
       return;
     }
     EngineState engine = head.get();
-    if (engine.getReport().isEmpty()) {
+    if (!engine.isKnown()) {
       return;
     }
     Optional<Membership> membership = engine.getMembership().filter(replica::isSame);
     if (membership.isEmpty()) {
-      if (replica.getStage() != ReplicaState.Stage.FORMING || isJoinOver(replica, engine)) {
+      if (replica.getStage() != ReplicaState.Stage.FORMING || isJoinOver(engine)) {
         replica.setStage(ReplicaState.Stage.DISSOLVING);
       }
       return;
@@ -296,9 +297,9 @@
     }
   }
 
-  /** Tests whether an engine reported after its join was answered and isn't in the replica. */
-  private static boolean isJoinOver(ReplicaState replica, EngineState engine) {
-    return engine.isOrderable() && engine.isReportedSince(replica.getStartNanos());
+  /** Tests whether the state of an engine after its join is known. */
+  private static boolean isJoinOver(EngineState engine) {
+    return engine.isOrderable();
   }
 
   private void advanceForming(
@@ -387,7 +388,7 @@
         return Optional.of("member " + id + " leaves");
       }
       boolean isIn = member.getMembership().filter(replica::isSame).isPresent();
-      if (!isIn && (!isForming || isJoinOver(replica, member)) && member.getReport().isPresent()) {
+      if (!isIn && (!isForming || isJoinOver(member)) && member.isKnown()) {
         return Optional.of("member " + id + " is no longer in the replica");
       }
     }
@@ -395,7 +396,7 @@
   }
 
   private boolean areAllReported() {
-    return engines.values().stream().allMatch(e -> e.getReport().isPresent() || e.isLost());
+    return engines.values().stream().allMatch(e -> e.isKnown() || e.isLost());
   }
 
   private void dissolve(
@@ -409,8 +410,7 @@
 
   private static void order(
       EngineState engine, EngineOrder order, String reason, List<FormationOrder> orders) {
-    long sequence = engine.getReport().orElseThrow().orderSequence();
-    orders.add(new FormationOrder(engine.getTarget(), order, sequence, reason));
+    orders.add(new FormationOrder(engine.getTarget(), order, engine.getOrderSequence(), reason));
   }
 
   /** Tests whether nothing of a replica is left that must be waited for. */
@@ -448,9 +448,8 @@
   /** Tests whether the head of a dissolved replica reported that it left. */
   private boolean isHeadOut(ReplicaState replica) {
     return getEngine(replica.getHead())
-        .filter(e -> !e.isLost())
-        .flatMap(EngineState::getReport)
-        .filter(r -> r.membership().filter(replica::isSame).isEmpty())
+        .filter(e -> !e.isLost() && e.isKnown())
+        .filter(e -> e.getMembership().filter(replica::isSame).isEmpty())
         .isPresent();
   }
 
@@ -461,7 +460,7 @@
     orders.forEach(o -> ordered.add(o.target().id()));
     for (EngineState engine : engines.values()) {
       if (!ordered.contains(engine.getTarget().id()) && isFree(engine)) {
-        String domain = engine.getReport().orElseThrow().domain().value();
+        String domain = engine.getDomain();
         domains.computeIfAbsent(domain, d -> new ArrayList<>()).add(engine);
       }
     }
@@ -472,7 +471,9 @@
       return;
     }
     for (Map.Entry<String, List<EngineState>> entry : domains.entrySet()) {
-      stageSpares(entry.getKey(), entry.getValue(), nowNanos, orders);
+      if (!isChanging(entry.getKey())) {
+        stageSpares(entry.getKey(), entry.getValue(), nowNanos, orders);
+      }
     }
   }
 
@@ -482,6 +483,10 @@
       if (best.isEmpty() || !loads.isAllowed(best.get().loads(), nowNanos)) {
         return;
       }
+      boolean isQuick = best.get().time().compareTo(settings.quick()) <= 0;
+      if (!isQuick && isChanging(free.get(0).getDomain())) {
+        return;
+      }
       Candidate candidate = best.get();
       loads.begin(candidate.loads(), nowNanos);
       long generation = nextGeneration++;
@@ -495,6 +500,27 @@
     }
   }
 
+  /**
+   * Tests whether engines of a domain are about to become free, which may allow a better choice.
+   */
+  private boolean isChanging(String domain) {
+    for (EngineState engine : engines.values()) {
+      if (!engine.isKnown() || !engine.getDomain().equals(domain) || engine.isLost()) {
+        continue;
+      }
+      boolean isEnding =
+          engine
+              .getMembership()
+              .map(m -> replicas.get(m.replica()))
+              .filter(r -> !r.isLive())
+              .isPresent();
+      if (!engine.isLeaving() && (isEnding || !engine.isOrderable())) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** A replica that could be formed. */
   private record Candidate(
       ModelProfile model, List<EngineState> members, Duration time, int loads) {}
@@ -572,7 +598,7 @@
 
   /** Ranks engines that another model could use above those that none could use. */
   private static int getOtherUse(EngineState engine, ModelProfile model) {
-    Set<String> staged = engine.getReport().orElseThrow().stagedModels();
+    Set<String> staged = engine.getStagedModels();
     return staged.isEmpty() || staged.contains(model.name()) ? 0 : 1;
   }
 
@@ -585,7 +611,7 @@
 
   private static boolean isCold(EngineState engine, ModelProfile model) {
     return !engine.getLastModel().equals(model.name())
-        && !engine.getReport().orElseThrow().stagedModels().contains(model.name());
+        && !engine.getStagedModels().contains(model.name());
   }
 
   /** Lets spares hold the models of their domain, that of the largest replicas first. */
@@ -594,9 +620,8 @@
     List<EngineState> idle = new ArrayList<>();
     Set<String> held = new HashSet<>();
     for (EngineState spare : spares) {
-      EngineReport report = spare.getReport().orElseThrow();
-      Set<String> staged = report.stagedModels();
-      if (report.isBusy() || staged.stream().anyMatch(m -> isWanted(m, domain) && held.add(m))) {
+      Set<String> staged = spare.getStagedModels();
+      if (spare.isBusy() || staged.stream().anyMatch(m -> isWanted(m, domain) && held.add(m))) {
         continue;
       }
       idle.add(spare);
@@ -622,7 +647,6 @@
         .flatMap(r -> r.getMembers().stream())
         .map(this::getEngine)
         .flatMap(Optional::stream)
-        .flatMap(e -> e.getReport().stream())
-        .anyMatch(r -> r.domain().value().equals(domain));
+        .anyMatch(e -> e.isKnown() && e.getDomain().equals(domain));
   }
 }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/formation/FormationController.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/formation/FormationController.java
@@ -256,6 +256,6 @@
         order.orderSequence(),
         "reply",
         reply);
-    planner.onOrdered(order.target().id(), reply, clock.nanoTime());
+    planner.onOrdered(order.target().id(), order.order(), reply, clock.nanoTime());
   }
 }
--- /dev/null
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/FormationPlannerTest.java
@@ -0,0 +1,183 @@
+package io.fireflyshed.coordination.formation;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests {@link FormationPlanner} against simulated engines in virtual time. */
+public class FormationPlannerTest {
+
+  private static final Duration SETTLE = Duration.ofSeconds(45);
+
+  private static FormationSimulation newSettled(int domains) {
+    FormationSimulation simulation = new FormationSimulation(1, domains);
+    simulation.run(SETTLE);
+    return simulation;
+  }
+
+  /** Tests the first formation. */
+  public static class Forming {
+
+    @Test
+    public void domainHoldsOneReplicaOfEachModel() {
+      FormationSimulation simulation = newSettled(2);
+      assertEquals(simulation.countWhole(FormationSimulation.LARGE), 2);
+      assertEquals(simulation.countWhole(FormationSimulation.SMALL), 2);
+      assertEquals(simulation.violations, List.of());
+    }
+
+    @Test
+    public void sparesHoldTheModelsOfTheirDomain() {
+      FormationSimulation simulation = newSettled(1);
+      List<String> staged = new ArrayList<>();
+      simulation.engines.values().stream()
+          .filter(e -> e.membership == null)
+          .forEach(e -> staged.addAll(e.staged));
+      assertEquals(Set.copyOf(staged), Set.of("large", "small"));
+    }
+
+    @Test
+    public void enginesThatTurnUpOneByOneFormTheSameReplicas() {
+      FormationSimulation simulation = new FormationSimulation(1, 0);
+      for (int i = 0; i < 11; i++) {
+        simulation.add("e" + i, "d0");
+        simulation.run(Duration.ofMillis(150));
+      }
+      simulation.run(SETTLE);
+      assertEquals(simulation.countWhole(FormationSimulation.LARGE), 1);
+      assertEquals(simulation.countWhole(FormationSimulation.SMALL), 1);
+    }
+  }
+
+  /** Tests the repair of replicas that lost a member. */
+  public static class Repair {
+
+    @Test
+    public void memberThatIsLostIsReplacedByTheSpareWithinFourSeconds() {
+      FormationSimulation simulation = newSettled(1);
+      simulation.findMember(FormationSimulation.LARGE, false).isAlive = false;
+      simulation.run(Duration.ofSeconds(4));
+      assertEquals(simulation.countWhole(FormationSimulation.LARGE), 1);
+      assertEquals(simulation.violations, List.of());
+    }
+
+    @Test
+    public void headThatIsLostIsReplacedWithinFiveSeconds() {
+      FormationSimulation simulation = newSettled(1);
+      simulation.findMember(FormationSimulation.SMALL, true).isAlive = false;
+      simulation.run(Duration.ofSeconds(5));
+      assertEquals(simulation.countWhole(FormationSimulation.SMALL), 1);
+      assertEquals(simulation.violations, List.of());
+    }
+
+    @Test
+    public void memberThatLeavesIsReplaced() {
+      FormationSimulation simulation = newSettled(1);
+      SimulatedEngine leaving = simulation.findMember(FormationSimulation.LARGE, false);
+      leaving.isLeaving = true;
+      simulation.run(Duration.ofSeconds(5));
+      assertEquals(simulation.countWhole(FormationSimulation.LARGE), 1);
+      assertTrue(leaving.membership == null || leaving.membership.generation() < 1_000_004);
+      assertEquals(simulation.violations, List.of());
+    }
+
+    @Test
+    public void memberThatStartsAnewRejoins() {
+      FormationSimulation simulation = newSettled(1);
+      simulation.findMember(FormationSimulation.LARGE, false).restart(simulation.nowMillis);
+      simulation.run(Duration.ofSeconds(6));
+      assertEquals(simulation.countWhole(FormationSimulation.LARGE), 1);
+      assertEquals(simulation.violations, List.of());
+    }
+
+    @Test
+    public void engineThatSwallowedAnOrderIsNotOrderedOnAnOldReport() {
+      FormationSimulation simulation = newSettled(2);
+      int joins = simulation.joins;
+      simulation.run(Duration.ofSeconds(20));
+      assertEquals(simulation.joins, joins, "a settled zone gets no orders");
+    }
+  }
+
+  /** Tests coordinators that follow each other. */
+  public static class Succession {
+
+    @Test
+    public void successorKeepsTheReplicasThatServe() {
+      FormationSimulation simulation = newSettled(2);
+      int joins = simulation.joins;
+      simulation.newPlanner();
+      simulation.run(Duration.ofSeconds(10));
+      assertEquals(simulation.joins, joins);
+      assertEquals(simulation.countWhole(FormationSimulation.LARGE), 2);
+    }
+
+    @Test
+    public void successorFinishesWhatIsHalfFormed() {
+      FormationSimulation simulation = new FormationSimulation(1, 1);
+      simulation.run(Duration.ofSeconds(4));
+      simulation.newPlanner();
+      simulation.run(SETTLE);
+      assertEquals(simulation.countWhole(FormationSimulation.LARGE), 1);
+      assertEquals(simulation.countWhole(FormationSimulation.SMALL), 1);
+      assertEquals(simulation.violations, List.of());
+    }
+  }
+
+  /** Tests random faults. */
+  public static class Faults {
+
+    /** Gets the seeds. */
+    @DataProvider
+    public static Object[][] seeds() {
+      Object[][] seeds = new Object[40][];
+      for (int i = 0; i < seeds.length; i++) {
+        seeds[i] = new Object[] {(long) i + 1};
+      }
+      return seeds;
+    }
+
+    @Test(dataProvider = "seeds")
+    public void replicasStayWholeAndEnginesInOne(long seed) {
+      FormationSimulation simulation = new FormationSimulation(seed, 2);
+      simulation.lostAnswers = 0.1;
+      simulation.lateOrders = 0.2;
+      for (int i = 0; i < 40; i++) {
+        simulation.run(Duration.ofMillis(200 + simulation.random.nextInt(2500)));
+        strike(simulation);
+      }
+      simulation.lateOrders = 0;
+      simulation.lostAnswers = 0;
+      simulation.cut.clear();
+      simulation.engines.values().stream()
+          .filter(e -> !e.isAlive)
+          .forEach(e -> e.restart(simulation.nowMillis));
+      simulation.engines.values().forEach(e -> e.isLeaving = false);
+      simulation.run(Duration.ofSeconds(90));
+      assertEquals(simulation.violations, List.of(), "seed " + seed);
+      long whole =
+          simulation.countWhole(FormationSimulation.LARGE)
+              + simulation.countWhole(FormationSimulation.SMALL);
+      assertTrue(whole >= 4, "seed " + seed + ": " + whole + " replicas are whole");
+    }
+
+    private static void strike(FormationSimulation simulation) {
+      List<SimulatedEngine> engines = new ArrayList<>(simulation.engines.values());
+      SimulatedEngine engine = engines.get(simulation.random.nextInt(engines.size()));
+      switch (simulation.random.nextInt(6)) {
+        case 0 -> engine.isAlive = false;
+        case 1 -> engine.restart(simulation.nowMillis);
+        case 2 -> simulation.cut.add(engine.id);
+        case 3 -> simulation.cut.clear();
+        case 4 -> engine.isLeaving = !engine.isLeaving;
+        default -> simulation.newPlanner();
+      }
+    }
+  }
+}
--- /dev/null
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/FormationSimulation.java
@@ -0,0 +1,232 @@
+package io.fireflyshed.coordination.formation;
+
+import io.fireflyshed.state.instance.InstanceId;
+import io.fireflyshed.state.target.EngineOrder;
+import io.fireflyshed.state.target.Membership;
+import io.fireflyshed.state.target.MembershipPhase;
+import io.fireflyshed.state.target.OrderReply;
+import io.fireflyshed.state.target.Target;
+import io.fireflyshed.state.traffic.EngineProfile;
+import io.fireflyshed.state.traffic.ModelProfile;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+
+/**
+ * Plays planners against simulated engines in virtual time and checks what must always hold.
+ *
+ * <p>Reports lag, answers get lost, orders come late, and a planner may be replaced by a successor
+ * that knows nothing while the old one's orders are still on their way.
+ */
+final class FormationSimulation {
+
+  static final ModelProfile LARGE =
+      new ModelProfile("large", 6, 0.67, 1, Duration.ofSeconds(16), Duration.ofMillis(1600));
+  static final ModelProfile SMALL =
+      new ModelProfile("small", 3, 0.33, 0.6, Duration.ofSeconds(12), Duration.ofMillis(1100));
+  static final long STEP_MILLIS = 50;
+  private static final long LAG_MILLIS = 200;
+  private static final long TIMEOUT_MILLIS = 300;
+  private static final int DOMAIN_SIZE = 11;
+
+  final Map<InstanceId, SimulatedEngine> engines = new LinkedHashMap<>();
+  final List<String> violations = new ArrayList<>();
+  final UniformRandomProvider random;
+  final EngineProfile profile;
+  double lostAnswers;
+  double lateOrders;
+  Set<InstanceId> cut = new HashSet<>();
+  FormationPlanner planner;
+  long epoch;
+  long nowMillis;
+  int joins;
+  private final TreeMap<Long, List<Runnable>> events = new TreeMap<>();
+  private final Map<String, Set<InstanceId>> everReady = new HashMap<>();
+
+  FormationSimulation(long seed, int domains) {
+    random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+    profile =
+        new EngineProfile(
+            18,
+            Duration.ofMillis(6),
+            Duration.ofNanos(100_000),
+            6,
+            56_100,
+            2048,
+            150,
+            100,
+            8,
+            Duration.ofMillis(LAG_MILLIS),
+            List.of(LARGE, SMALL));
+    for (int d = 0; d < domains; d++) {
+      for (int i = 0; i < DOMAIN_SIZE; i++) {
+        add("e" + d + "-" + i, "d" + d);
+      }
+    }
+    newPlanner();
+  }
+
+  SimulatedEngine add(String id, String domain) {
+    SimulatedEngine engine = new SimulatedEngine(id, domain);
+    engines.put(engine.id, engine);
+    return engine;
+  }
+
+  /** Replaces the planner by a successor with a higher epoch. */
+  void newPlanner() {
+    epoch++;
+    planner =
+        new FormationPlanner(
+            FormationSettings.of(Duration.ofSeconds(5), 1), profile, epoch, epoch == 1, nanos());
+  }
+
+  private long nanos() {
+    return Duration.ofMillis(nowMillis).toNanos();
+  }
+
+  void run(Duration time) {
+    long end = nowMillis + time.toMillis();
+    while (nowMillis < end) {
+      step();
+    }
+  }
+
+  private void step() {
+    nowMillis += STEP_MILLIS;
+    while (!events.isEmpty() && events.firstKey() <= nowMillis) {
+      events.pollFirstEntry().getValue().forEach(Runnable::run);
+    }
+    engines.values().stream().filter(e -> e.isAlive).forEach(e -> e.advance(nowMillis));
+    check();
+    List<Target> listed =
+        engines.values().stream().filter(e -> e.isAlive).map(SimulatedEngine::toTarget).toList();
+    FormationPlanner current = planner;
+    current.onTargets(listed, nanos());
+    current.takeDueReports(nanos()).forEach(t -> ask(current, t.id()));
+    current.plan(nanos()).forEach(o -> give(current, epoch, o));
+  }
+
+  private void at(long millis, Runnable event) {
+    events.computeIfAbsent(millis, m -> new ArrayList<>()).add(event);
+  }
+
+  private void ask(FormationPlanner asking, InstanceId id) {
+    SimulatedEngine engine = engines.get(id);
+    if (!engine.isAlive || cut.contains(id)) {
+      at(nowMillis + TIMEOUT_MILLIS, () -> asking.onNoReport(id));
+      return;
+    }
+    var report = engine.report(nowMillis, LAG_MILLIS);
+    at(nowMillis + STEP_MILLIS, () -> asking.onReport(id, report, nanos()));
+  }
+
+  private void give(FormationPlanner giving, long token, FormationOrder order) {
+    SimulatedEngine engine = engines.get(order.target().id());
+    if (order.order() instanceof EngineOrder.Join) {
+      joins++;
+    }
+    boolean isLost = !engine.isAlive || cut.contains(engine.id);
+    boolean isLate = random.nextDouble() < lateOrders;
+    if (isLost || isLate) {
+      if (isLate) {
+        at(nowMillis + 2000 + random.nextInt(10_000), () -> apply(engine, token, order));
+      }
+      at(
+          nowMillis + TIMEOUT_MILLIS,
+          () -> giving.onOrdered(engine.id, order.order(), OrderReply.UNKNOWN, nanos()));
+      return;
+    }
+    OrderReply reply = apply(engine, token, order);
+    OrderReply heard = random.nextDouble() < lostAnswers ? OrderReply.UNKNOWN : reply;
+    at(nowMillis + STEP_MILLIS, () -> giving.onOrdered(engine.id, order.order(), heard, nanos()));
+  }
+
+  private OrderReply apply(SimulatedEngine engine, long token, FormationOrder order) {
+    if (!engine.isAlive) {
+      return OrderReply.UNKNOWN;
+    }
+    Membership before = engine.membership;
+    List<InstanceId> membersBefore = engine.members;
+    OrderReply reply =
+        engine.take(order.order(), token, order.orderSequence(), profile.models(), nowMillis);
+    if (reply == OrderReply.BEGUN && order.order() instanceof EngineOrder.Join && before != null) {
+      checkTaken(engine, before, membersBefore);
+    }
+    return reply;
+  }
+
+  /** Checks that an engine is not taken from a replica whose head serves. */
+  private void checkTaken(SimulatedEngine engine, Membership before, List<InstanceId> members) {
+    SimulatedEngine head = members.isEmpty() ? null : engines.get(members.get(0));
+    boolean isServing =
+        head != null
+            && head.isAlive
+            && head != engine
+            && head.membership != null
+            && head.membership.isSameReplica(before)
+            && head.membership.phase() == MembershipPhase.OPEN;
+    if (isServing) {
+      violations.add(nowMillis + " ms: " + engine.id + " was taken from " + before.replica());
+    }
+  }
+
+  /** Checks that each replica that serves had all its members ready in this generation. */
+  private void check() {
+    for (SimulatedEngine engine : engines.values()) {
+      if (engine.isAlive
+          && engine.membership != null
+          && engine.membership.phase() != MembershipPhase.JOINING) {
+        everReady.computeIfAbsent(getKey(engine), k -> new HashSet<>()).add(engine.id);
+      }
+    }
+    for (SimulatedEngine engine : engines.values()) {
+      if (isOpenHead(engine)
+          && !everReady.getOrDefault(getKey(engine), Set.of()).containsAll(engine.members)) {
+        violations.add(nowMillis + " ms: " + engine.membership.replica() + " serves in part");
+      }
+    }
+  }
+
+  private static String getKey(SimulatedEngine engine) {
+    return engine.membership.replica() + "/" + engine.membership.generation();
+  }
+
+  private static boolean isOpenHead(SimulatedEngine engine) {
+    return engine.isAlive
+        && engine.membership != null
+        && engine.membership.isHead()
+        && engine.membership.phase() == MembershipPhase.OPEN;
+  }
+
+  /** Counts the replicas of a model that serve with all members alive and in place. */
+  long countWhole(ModelProfile model) {
+    return engines.values().stream()
+        .filter(FormationSimulation::isOpenHead)
+        .filter(e -> e.membership.getModel().equals(model.name()))
+        .filter(e -> e.members.stream().allMatch(m -> isInPlace(engines.get(m), e)))
+        .count();
+  }
+
+  private static boolean isInPlace(SimulatedEngine member, SimulatedEngine head) {
+    return member.isAlive
+        && member.membership != null
+        && member.membership.isSameReplica(head.membership);
+  }
+
+  SimulatedEngine findMember(ModelProfile model, boolean isHead) {
+    return engines.values().stream()
+        .filter(e -> e.isAlive && e.membership != null)
+        .filter(e -> e.membership.getModel().equals(model.name()))
+        .filter(e -> e.membership.isHead() == isHead)
+        .findFirst()
+        .orElseThrow();
+  }
+}
--- /dev/null
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/SimulatedEngine.java
@@ -0,0 +1,210 @@
+package io.fireflyshed.coordination.formation;
+
+import io.fireflyshed.state.instance.AvailabilityZone;
+import io.fireflyshed.state.instance.FabricDomain;
+import io.fireflyshed.state.instance.InstanceId;
+import io.fireflyshed.state.replica.ServiceName;
+import io.fireflyshed.state.target.EngineOrder;
+import io.fireflyshed.state.target.EngineReport;
+import io.fireflyshed.state.target.Membership;
+import io.fireflyshed.state.target.MembershipPhase;
+import io.fireflyshed.state.target.OrderReply;
+import io.fireflyshed.state.target.Target;
+import io.fireflyshed.state.traffic.ModelProfile;
+import java.net.InetSocketAddress;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+
+/** An engine as the planner's tests play it, with its own times and checks of orders. */
+final class SimulatedEngine {
+
+  static final ServiceName SERVICE = new ServiceName("assistant");
+  static final AvailabilityZone ZONE = new AvailabilityZone("a");
+  private static final long REJOIN_MILLIS = 200;
+  private static final long OPEN_MILLIS = 300;
+
+  final InstanceId id;
+  final String domain;
+  final Set<String> staged = new LinkedHashSet<>();
+  private final TreeMap<Long, EngineReport> history = new TreeMap<>();
+  boolean isAlive = true;
+  boolean isLeaving;
+  long startMillis = 1;
+  long sequence;
+  long fence;
+  long highestGeneration;
+  Membership membership;
+  List<InstanceId> members = List.of();
+  String lastModel = "";
+  private long readyAt = Long.MAX_VALUE;
+  private long openAt = Long.MAX_VALUE;
+  private long stagedAt = Long.MAX_VALUE;
+  private String staging = "";
+
+  SimulatedEngine(String id, String domain) {
+    this.id = new InstanceId(id);
+    this.domain = domain;
+    record(0);
+  }
+
+  Target toTarget() {
+    return new Target(
+        id,
+        SERVICE,
+        InetSocketAddress.createUnresolved("127.0.0.1", 1),
+        ZONE,
+        isLeaving,
+        18,
+        startMillis,
+        Optional.ofNullable(membership));
+  }
+
+  /** Gets the report as of some time ago. */
+  EngineReport report(long nowMillis, long lagMillis) {
+    return history.floorEntry(Math.max(0, nowMillis - lagMillis)).getValue();
+  }
+
+  void restart(long nowMillis) {
+    startMillis = nowMillis + 1;
+    sequence = 0;
+    fence = 0;
+    highestGeneration = 0;
+    membership = null;
+    members = List.of();
+    lastModel = "";
+    readyAt = Long.MAX_VALUE;
+    openAt = Long.MAX_VALUE;
+    isAlive = true;
+    record(nowMillis);
+  }
+
+  void advance(long nowMillis) {
+    if (nowMillis >= readyAt) {
+      readyAt = Long.MAX_VALUE;
+      membership = withPhase(MembershipPhase.READY);
+    }
+    if (nowMillis >= openAt) {
+      openAt = Long.MAX_VALUE;
+      membership = withPhase(MembershipPhase.OPEN);
+    }
+    if (nowMillis >= stagedAt) {
+      stagedAt = Long.MAX_VALUE;
+      staged.clear();
+      staged.add(staging);
+    }
+    record(nowMillis);
+  }
+
+  private Membership withPhase(MembershipPhase phase) {
+    return new Membership(membership.replica(), membership.generation(), membership.rank(), phase);
+  }
+
+  private void record(long nowMillis) {
+    history.put(
+        nowMillis,
+        new EngineReport(
+            startMillis,
+            sequence,
+            stagedAt != Long.MAX_VALUE || readyAt != Long.MAX_VALUE,
+            0,
+            0,
+            0,
+            1,
+            new FabricDomain(domain),
+            staged,
+            Optional.ofNullable(membership)));
+  }
+
+  OrderReply take(
+      EngineOrder order, long token, long expected, List<ModelProfile> models, long nowMillis) {
+    if (token < fence) {
+      return OrderReply.FENCED;
+    }
+    fence = token;
+    if (expected != sequence) {
+      return OrderReply.CONFLICT;
+    }
+    OrderReply reply = apply(order, models, nowMillis);
+    if (reply == OrderReply.BEGUN) {
+      sequence++;
+    }
+    record(nowMillis);
+    return reply;
+  }
+
+  private OrderReply apply(EngineOrder order, List<ModelProfile> models, long nowMillis) {
+    if (order instanceof EngineOrder.Join join) {
+      return join(join, models, nowMillis);
+    }
+    if (order instanceof EngineOrder.Stage stage) {
+      if (stagedAt != Long.MAX_VALUE) {
+        return OrderReply.CONFLICT;
+      }
+      staging = stage.model();
+      stagedAt = nowMillis + getModel(models, staging).load().toMillis();
+      return OrderReply.BEGUN;
+    }
+    if (order instanceof EngineOrder.Open open) {
+      if (!isIn(open.replica().value(), open.generation())
+          || membership.phase() != MembershipPhase.READY) {
+        return OrderReply.CONFLICT;
+      }
+      openAt = nowMillis + OPEN_MILLIS;
+      return OrderReply.BEGUN;
+    }
+    if (order instanceof EngineOrder.Close close) {
+      if (!isIn(close.replica().value(), close.generation())) {
+        return OrderReply.CONFLICT;
+      }
+      openAt = Long.MAX_VALUE;
+      membership = withPhase(MembershipPhase.READY);
+      return OrderReply.BEGUN;
+    }
+    EngineOrder.Leave leave = (EngineOrder.Leave) order;
+    if (!isIn(leave.replica().value(), leave.generation())) {
+      return OrderReply.HOLDS;
+    }
+    membership = null;
+    members = List.of();
+    readyAt = Long.MAX_VALUE;
+    openAt = Long.MAX_VALUE;
+    return OrderReply.BEGUN;
+  }
+
+  private OrderReply join(EngineOrder.Join join, List<ModelProfile> models, long nowMillis) {
+    if (join.generation() < highestGeneration) {
+      return OrderReply.FENCED;
+    }
+    highestGeneration = join.generation();
+    ModelProfile model = getModel(models, join.model());
+    long millis =
+        lastModel.equals(join.model())
+            ? REJOIN_MILLIS
+            : staged.contains(join.model()) ? model.warmup().toMillis() : model.load().toMillis();
+    if (!staged.contains(join.model()) && !lastModel.equals(join.model())) {
+      staged.clear();
+      staged.add(join.model());
+    }
+    lastModel = join.model();
+    members = join.members();
+    membership =
+        new Membership(
+            join.replica(), join.generation(), members.indexOf(id), MembershipPhase.JOINING);
+    readyAt = nowMillis + millis;
+    openAt = Long.MAX_VALUE;
+    return OrderReply.BEGUN;
+  }
+
+  private boolean isIn(String replica, long generation) {
+    return membership != null
+        && membership.replica().value().equals(replica)
+        && membership.generation() == generation;
+  }
+
+  private static ModelProfile getModel(List<ModelProfile> models, String name) {
+    return models.stream().filter(m -> m.name().equals(name)).findFirst().orElseThrow();
+  }
+}
--- a/fireflyshed-daemon/src/main/resources/META-INF/services/io.fireflyshed.daemon.command.Command
+++ b/fireflyshed-daemon/src/main/resources/META-INF/services/io.fireflyshed.daemon.command.Command
@@ -13,3 +13,4 @@
 io.fireflyshed.daemon.command.StandInsCommand
 io.fireflyshed.daemon.command.UndrainCommand
 io.fireflyshed.daemon.platform.PlatformEntryCommand
+io.fireflyshed.daemon.platform.RehearseCommand
--- /dev/null
+++ b/fireflyshed-standins/src/main/java/io/fireflyshed/standins/fleet/FleetStandIn.java
@@ -0,0 +1,129 @@
+package io.fireflyshed.standins.fleet;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.fireflyshed.protocol.json.JsonUtils;
+import java.util.ArrayList;
+import java.util.List;
+
+/** A small deployment of the users' platform: a store, engines and a plain service. */
+public final class FleetStandIn implements AutoCloseable {
+
+  /** The key of the only client account. */
+  public static final String KEY = "key-1";
+
+  /** The host of all routes. */
+  public static final String HOST = "fleet.example";
+
+  /** The model of the engines. */
+  public static final String MODEL = "model";
+
+  private static final int REPLICA_SIZE = 3;
+
+  private final StoreStandIn store = new StoreStandIn();
+  private final List<TargetStandIn> engines = new ArrayList<>();
+  private final List<TargetStandIn> desks = new ArrayList<>();
+  private long version;
+
+  /**
+   * Starts a deployment.
+   *
+   * @param engineCount the number of engines
+   * @param deskCount the number of targets of the plain service
+   */
+  public FleetStandIn(int engineCount, int deskCount) {
+    for (int i = 0; i < engineCount; i++) {
+      engines.add(new TargetStandIn(store, "engine-" + i, "models", "a", true));
+    }
+    for (int i = 0; i < deskCount; i++) {
+      desks.add(new TargetStandIn(store, "desk-" + i, "desk", "a", false));
+    }
+    accept(List.of(KEY));
+  }
+
+  /**
+   * Accepts a new version of the configuration.
+   *
+   * @param keys the keys of the client account, not null
+   */
+  public void accept(List<String> keys) {
+    version += 3;
+    ObjectNode node = JsonUtils.getMapper().createObjectNode();
+    node.put("version", version);
+    ArrayNode routes = node.putArray("routes");
+    addRoute(routes, "/chat/", "streaming", "models").put("resumable", true);
+    addRoute(routes, "/orders/", "non_idempotent", "desk").put("max_attempts", 1);
+    addRoute(routes, "/lookups/", "idempotent", "desk");
+    ArrayNode services = node.putArray("services");
+    services.addObject().put("name", "desk").put("max_connections", 100);
+    addEngine(services.addObject().put("name", "models").put("max_connections", 400));
+    node.putObject("limits")
+        .put("max_header_bytes", 16384)
+        .put("max_body_bytes", 65536)
+        .put("header_timeout_ms", 3000)
+        .put("idle_timeout_ms", 15000);
+    ObjectNode account = node.putArray("tenants").addObject().put("name", "account-1");
+    ArrayNode list = account.putArray("api_keys");
+    keys.forEach(list::add);
+    store.put("op", "config", JsonUtils.toText(node));
+  }
+
+  private static ObjectNode addRoute(ArrayNode routes, String prefix, String type, String service) {
+    return routes
+        .addObject()
+        .put("name", "r" + routes.size())
+        .put("host", HOST)
+        .put("prefix", prefix)
+        .put("type", type)
+        .put("timeout_ms", 4000)
+        .put("target_latency_ms", 200)
+        .put("priority", 1)
+        .put("service", service)
+        .put("max_attempts", 2)
+        .put("public", false);
+  }
+
+  private static void addEngine(ObjectNode service) {
+    ObjectNode engine = service.putObject("engine");
+    engine.put("slots", 18).put("step_ms", 6.0).put("per_seq_ms", 0.1).put("stride", 6);
+    engine.put("read_per_s", 56000).put("chunk", 2048).put("report_lag_ms", 0);
+    engine.put("loads_per_s", 100).put("loads_at_once", 8);
+    ObjectNode model = engine.putArray("models").addObject();
+    model.put("name", MODEL).put("size", REPLICA_SIZE).put("share", 1.0).put("pace", 1.0);
+    model.put("load_s", 0.1).put("warmup_s", 0.1);
+  }
+
+  /**
+   * Gets the store.
+   *
+   * @return the store, never null
+   */
+  public StoreStandIn getStore() {
+    return store;
+  }
+
+  /**
+   * Gets the engines.
+   *
+   * @return the engines, never null
+   */
+  public List<TargetStandIn> getEngines() {
+    return List.copyOf(engines);
+  }
+
+  /**
+   * Gets the targets of the plain service.
+   *
+   * @return the targets, never null
+   */
+  public List<TargetStandIn> getDesks() {
+    return List.copyOf(desks);
+  }
+
+  @Override
+  public void close() {
+    engines.forEach(TargetStandIn::close);
+    desks.forEach(TargetStandIn::close);
+    store.close();
+  }
+}
