--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/TrafficServer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/TrafficServer.java
@@ -18,10 +18,13 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
@@ -75,6 +78,7 @@
   private final PrometheusMeterRegistry metrics;
   private final AtomicInteger inFlight;
   private final EventLog log = new EventLog("entry");
+  private final Map<String, Timer> timers = new ConcurrentHashMap<>();
   private volatile boolean isDraining;
   private List<DisposableServer> servers = List.of();
 
@@ -135,7 +139,7 @@
     servers = List.of(traffic, readiness, scrape);
   }
 
-  private static HttpServer newServer(java.net.InetSocketAddress listen) {
+  private static HttpServer newServer(InetSocketAddress listen) {
     return HttpServer.create().bindAddress(() -> listen);
   }
 
@@ -188,12 +192,18 @@
   }
 
   private void record(HttpServerResponse response, String end, long nanos) {
-    Timer.builder("fireflyshed.requests")
-        .tag("status", String.valueOf(response.status().code()))
+    String status = String.valueOf(response.status().code());
+    timers
+        .computeIfAbsent(status + " " + end, key -> newTimer(status, end))
+        .record(Duration.ofNanos(nanos));
+  }
+
+  private Timer newTimer(String status, String end) {
+    return Timer.builder("fireflyshed.requests")
+        .tag("status", status)
         .tag("end", end)
         .publishPercentileHistogram()
-        .register(metrics)
-        .record(Duration.ofNanos(nanos));
+        .register(metrics);
   }
 
   private Mono<Void> serve(
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/Main.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/Main.java
@@ -42,9 +42,19 @@
     Logging.configure(LogFormat.TEXT, Level.WARN);
     List<Command> commands =
         ServiceLoader.load(Command.class).stream().map(ServiceLoader.Provider::get).toList();
-    int code =
-        new Main(commands, System.getenv(), System.out, System.err).run(Arrays.asList(arguments));
-    System.exit(code);
+    System.exit(run(commands, arguments));
+  }
+
+  /**
+   * Runs one of some commands.
+   *
+   * @param commands the commands, not null
+   * @param arguments the arguments, not null
+   * @return the exit code
+   */
+  public static int run(List<Command> commands, String[] arguments) {
+    Main main = new Main(commands, System.getenv(), System.out, System.err);
+    return main.run(Arrays.asList(arguments));
   }
 
   int run(List<String> arguments) {
