--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/EngineState.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/EngineState.java
@@ -16,6 +16,7 @@
  */
 final class EngineState {
 
+  /** The reports in a row that fail before an engine counts as lost. */
   private static final int LOST_FAILURES = 2;
 
   private Target target;
@@ -29,6 +30,7 @@
   private boolean isReportDue = true;
   private boolean isOrdered;
   private boolean isUncertain;
+  private boolean isSuspect;
   private long askedNanos;
   private long effectNanos = Long.MIN_VALUE;
 
@@ -107,6 +109,7 @@
 
   void onReport(EngineReport newReport) {
     isAsked = false;
+    isSuspect = false;
     failures = 0;
     boolean isNewLife = report == null || newReport.startMillis() != report.startMillis();
     boolean isStale = effectNanos != Long.MIN_VALUE && askedNanos - effectNanos < 0;
@@ -127,7 +130,7 @@
 
   void onNoReport() {
     isAsked = false;
-    failures++;
+    failures = isSuspect ? LOST_FAILURES : failures + 1;
     isReportDue = isReportDue || failures < LOST_FAILURES;
   }
 
@@ -158,7 +161,8 @@
     isOrdered = false;
     isReportDue = true;
     effectNanos = nowNanos + reportLag.toNanos();
-    if (reply == OrderReply.BEGUN) {
+    boolean hasLeft = reply == OrderReply.HOLDS && order instanceof EngineOrder.Leave;
+    if (reply == OrderReply.BEGUN || hasLeft) {
       orderSequence++;
       applyEffect(order);
     } else {
@@ -189,6 +193,12 @@
     isReportDue = true;
   }
 
+  /** Takes in a sign that the engine may be lost; one failed report then proves it. */
+  void suspect() {
+    isSuspect = true;
+    isReportDue = true;
+  }
+
   boolean isReportDue(Duration interval, long nowNanos) {
     boolean isEffectShown = effectNanos == Long.MIN_VALUE || nowNanos - effectNanos >= 0;
     if (isAsked || isOrdered || !isEffectShown) {
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/FormationPlanner.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/FormationPlanner.java
@@ -17,11 +17,13 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /**
  * Decides which orders the engines of one service in one zone get.
@@ -41,12 +43,22 @@
   /** The generations that one epoch of the coordinator may use; the epoch is the higher part. */
   private static final long GENERATIONS_PER_EPOCH = 1_000_000;
 
+  /** The time by which a replica that opens may be late before it is told again. */
+  private static final Duration OPEN_MARGIN = Duration.ofMillis(300);
+
+  /** The share that a model without work counts with. */
+  private static final double MIN_SHARE = 0.01;
+
+  /** A model with this many times the coverage of another gives engines up for it. */
+  private static final double IMBALANCE = 1.8;
+
   private final FormationSettings settings;
   private final EngineProfile profile;
   private final LoadBudget loads;
   private long lastNewNanos;
   private final Map<InstanceId, EngineState> engines = new LinkedHashMap<>();
   private final Map<ReplicaId, ReplicaState> replicas = new LinkedHashMap<>();
+  private Map<String, Integer> replicasElsewhere = Map.of();
   private long nextGeneration;
   private boolean isFenced;
 
@@ -86,6 +98,16 @@
     loads.setUnlimited(isFree);
   }
 
+  /**
+   * Takes in how many replicas of each model serve in other zones, which serve this zone's callers
+   * too.
+   *
+   * @param replicas the numbers by model, not null
+   */
+  public void setReplicasElsewhere(Map<String, Integer> replicas) {
+    replicasElsewhere = Map.copyOf(replicas);
+  }
+
   /**
    * Takes in the engines that the registry lists.
    *
@@ -156,7 +178,7 @@
 
   private void onMembership(InstanceId id, Membership membership, long nowNanos) {
     Optional<ModelProfile> model = getModel(membership.getModel());
-    if (model.isEmpty()) {
+    if (model.isEmpty() || ReplicaNameUtils.isSpare(membership.replica())) {
       return;
     }
     replicas
@@ -189,7 +211,7 @@
         replica.getMembers().stream()
             .map(this::getEngine)
             .flatMap(Optional::stream)
-            .forEach(EngineState::requestReport);
+            .forEach(EngineState::suspect);
       }
     }
   }
@@ -318,7 +340,12 @@
       dissolve(replica, head, "the replica took too long to form", orders);
       return;
     }
+    long opening = profile.openTime().plus(profile.reportLag()).plus(OPEN_MARGIN).toNanos();
+    if (replica.isOpening(nowNanos, opening)) {
+      return;
+    }
     if (head.isOrderable() && isWholeAndReady(replica)) {
+      replica.setOpenOrdered(nowNanos);
       order(head, newOpen(replica), "all members are ready", orders);
     }
   }
@@ -358,11 +385,7 @@
         replica.getMembers().stream()
             .filter(id -> getEngine(id).filter(EngineState::isLeaving).isPresent())
             .findFirst();
-    if (leaving.isPresent() && head.isOrderable()) {
-      EngineOrder close = new EngineOrder.Close(replica.getId(), replica.getGeneration());
-      order(head, close, "member " + leaving.get() + " leaves", orders);
-      replica.setStage(ReplicaState.Stage.CLOSING);
-    }
+    leaving.ifPresent(id -> close(replica, "member " + id + " leaves", orders));
   }
 
   private void advanceClosing(ReplicaState replica, EngineState head, List<FormationOrder> orders) {
@@ -430,7 +453,8 @@
     if (!engine.isOrderable() || engine.isLeaving()) {
       return false;
     }
-    Optional<Membership> membership = engine.getMembership();
+    Optional<Membership> membership =
+        engine.getMembership().filter(m -> !ReplicaNameUtils.isSpare(m.replica()));
     if (membership.isEmpty()) {
       return replicas.values().stream()
           .noneMatch(r -> r.isLive() && r.getMembers().contains(engine.getTarget().id()));
@@ -470,13 +494,26 @@
     if (!isSettled(nowNanos)) {
       return;
     }
+    for (String domain : getDomains()) {
+      if (!isChanging(domain)) {
+        rebalance(domain, domains.getOrDefault(domain, List.of()), nowNanos, orders);
+      }
+    }
     for (Map.Entry<String, List<EngineState>> entry : domains.entrySet()) {
       if (!isChanging(entry.getKey())) {
-        stageSpares(entry.getKey(), entry.getValue(), nowNanos, orders);
+        List<EngineState> spares = entry.getValue();
+        readySpares(entry.getKey(), spares, nowNanos, orders);
+        orders.forEach(o -> spares.removeIf(e -> e.getTarget() == o.target()));
       }
     }
   }
 
+  private Set<String> getDomains() {
+    Set<String> domains = new LinkedHashSet<>();
+    engines.values().stream().filter(EngineState::isKnown).forEach(e -> domains.add(e.getDomain()));
+    return domains;
+  }
+
   private void formDomain(List<EngineState> free, long nowNanos, List<FormationOrder> orders) {
     while (true) {
       Optional<Candidate> best = chooseCandidate(free, isSettled(nowNanos));
@@ -514,7 +551,8 @@
               .map(m -> replicas.get(m.replica()))
               .filter(r -> !r.isLive())
               .isPresent();
-      if (!engine.isLeaving() && (isEnding || !engine.isOrderable())) {
+      boolean isWaited = isEnding || !engine.isOrderable();
+      if (!engine.isLeaving() && isWaited && !isFree(engine)) {
         return true;
       }
     }
@@ -570,17 +608,24 @@
   /** Gets the engines in live replicas of each model, by the model's share of the work. */
   private Map<String, Double> getCoverage() {
     Map<String, Double> coverage = new HashMap<>();
-    profile.models().forEach(m -> coverage.put(m.name(), 0.0));
+    for (ModelProfile model : profile.models()) {
+      int elsewhere = replicasElsewhere.getOrDefault(model.name(), 0);
+      coverage.put(model.name(), elsewhere * getWeight(model));
+    }
     for (ReplicaState replica : replicas.values()) {
       if (replica.isLive()) {
         getModel(replica.getModel())
-            .ifPresent(
-                m -> coverage.merge(m.name(), m.size() / Math.max(m.share(), 0.01), Double::sum));
+            .ifPresent(m -> coverage.merge(m.name(), getWeight(m), Double::sum));
       }
     }
     return coverage;
   }
 
+  /** Gets what one replica adds to the coverage of its model. */
+  private static double getWeight(ModelProfile model) {
+    return model.size() / Math.max(model.share(), MIN_SHARE);
+  }
+
   private Candidate newCandidate(ModelProfile model, List<EngineState> free) {
     List<EngineState> sorted = new ArrayList<>(free);
     sorted.sort(
@@ -614,32 +659,110 @@
         && !engine.getStagedModels().contains(model.name());
   }
 
-  /** Lets spares hold the models of their domain, that of the largest replicas first. */
-  private void stageSpares(
+  /**
+   * Keeps spares ready for the models of their domain, that of the largest replicas first, since it
+   * loses members most often.
+   */
+  private void readySpares(
       String domain, List<EngineState> spares, long nowNanos, List<FormationOrder> orders) {
-    List<EngineState> idle = new ArrayList<>();
-    Set<String> held = new HashSet<>();
-    for (EngineState spare : spares) {
-      Set<String> staged = spare.getStagedModels();
-      if (spare.isBusy() || staged.stream().anyMatch(m -> isWanted(m, domain) && held.add(m))) {
-        continue;
-      }
-      idle.add(spare);
-    }
+    List<EngineState> idle = new ArrayList<>(spares);
     List<ModelProfile> wanted =
         profile.models().stream()
-            .filter(m -> isWanted(m.name(), domain) && !held.contains(m.name()))
-            .sorted((a, b) -> Integer.compare(b.size(), a.size()))
+            .filter(m -> isWanted(m.name(), domain))
+            .sorted(Comparator.comparingInt(ModelProfile::size).reversed())
+            .limit(spares.size())
             .toList();
-    for (int i = 0; i < wanted.size() && i < idle.size(); i++) {
-      if (!loads.isAllowed(1, nowNanos)) {
-        return;
+    for (ModelProfile model : wanted) {
+      if (idle.removeIf(isFirst(e -> e.getLastModel().equals(model.name())))) {
+        continue;
+      }
+      Optional<EngineState> best =
+          idle.stream()
+              .filter(e -> !e.isBusy())
+              .min(Comparator.comparing(e -> getJoinTime(e, model)));
+      if (best.isPresent()) {
+        idle.remove(best.get());
+        ready(best.get(), model, nowNanos, orders);
       }
-      loads.begin(1, nowNanos);
-      order(idle.get(i), new EngineOrder.Stage(wanted.get(i).name()), "hold as a spare", orders);
     }
   }
 
+  /** Makes a filter that matches at most one element. */
+  private static Predicate<EngineState> isFirst(Predicate<EngineState> filter) {
+    boolean[] isFound = new boolean[1];
+    return e -> !isFound[0] && (isFound[0] = filter.test(e));
+  }
+
+  private void ready(
+      EngineState spare, ModelProfile model, long nowNanos, List<FormationOrder> orders) {
+    int cold = isCold(spare, model) ? 1 : 0;
+    if (!loads.isAllowed(cold, nowNanos)) {
+      return;
+    }
+    loads.begin(cold, nowNanos);
+    long generation = nextGeneration++;
+    ReplicaId id = ReplicaNameUtils.newSpareId(model.name(), generation);
+    List<InstanceId> self = List.of(spare.getTarget().id());
+    EngineOrder join = new EngineOrder.Join(id, generation, model.name(), self);
+    order(spare, join, "keep as a spare", orders);
+  }
+
+  /**
+   * Moves engines of a domain from a model that has far more than its share to the one that has
+   * least: loads the model beside the work that goes on, then closes what must give way.
+   */
+  private void rebalance(
+      String domain, List<EngineState> free, long nowNanos, List<FormationOrder> orders) {
+    Map<String, Double> coverage = getCoverage();
+    ModelProfile needy = getNeediest(coverage).orElseThrow();
+    List<EngineState> pool = new ArrayList<>(free);
+    List<ReplicaState> givers = new ArrayList<>();
+    for (ReplicaState replica : replicas.values()) {
+      boolean isRich =
+          replica.getStage() == ReplicaState.Stage.SERVING
+              && !replica.getModel().equals(needy.name())
+              && coverage.getOrDefault(replica.getModel(), 0.0)
+                  > IMBALANCE * coverage.get(needy.name());
+      if (pool.size() < needy.size() && isRich && isIn(replica, domain)) {
+        givers.add(replica);
+        replica.getMembers().stream()
+            .map(this::getEngine)
+            .flatMap(Optional::stream)
+            .filter(e -> !e.isLeaving() && e.isOrderable())
+            .forEach(pool::add);
+      }
+    }
+    if (givers.isEmpty() || pool.size() < needy.size()) {
+      return;
+    }
+    Candidate candidate = newCandidate(needy, pool);
+    if (candidate.loads() == 0) {
+      givers.forEach(r -> close(r, "model " + needy.name() + " lacks replicas", orders));
+      return;
+    }
+    for (EngineState member : candidate.members()) {
+      if (isCold(member, needy) && !member.isBusy() && loads.isAllowed(1, nowNanos)) {
+        loads.begin(1, nowNanos);
+        EngineOrder stage = new EngineOrder.Stage(needy.name());
+        order(member, stage, "model " + needy.name() + " lacks replicas", orders);
+      }
+    }
+  }
+
+  private void close(ReplicaState replica, String reason, List<FormationOrder> orders) {
+    EngineState head = getEngine(replica.getHead()).orElseThrow();
+    if (head.isOrderable()) {
+      order(head, new EngineOrder.Close(replica.getId(), replica.getGeneration()), reason, orders);
+      replica.setStage(ReplicaState.Stage.CLOSING);
+    }
+  }
+
+  private boolean isIn(ReplicaState replica, String domain) {
+    return getEngine(replica.getHead())
+        .filter(e -> e.isKnown() && e.getDomain().equals(domain))
+        .isPresent();
+  }
+
   /** Tests whether a live replica of a model has members in a domain. */
   private boolean isWanted(String model, String domain) {
     return replicas.values().stream()
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/ReplicaState.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/ReplicaState.java
@@ -27,6 +27,7 @@
   private final long startNanos;
   private final List<InstanceId> members;
   private Stage stage;
+  private long openOrderNanos = Long.MIN_VALUE;
 
   /** Creates a replica that this planner forms. */
   ReplicaState(ReplicaId id, long generation, List<InstanceId> members, long nowNanos) {
@@ -88,6 +89,15 @@
     return startNanos;
   }
 
+  /** Tests whether the head was told to serve a moment ago, so that it may still open. */
+  boolean isOpening(long nowNanos, long openNanos) {
+    return openOrderNanos != Long.MIN_VALUE && nowNanos - openOrderNanos < openNanos;
+  }
+
+  void setOpenOrdered(long nowNanos) {
+    openOrderNanos = nowNanos;
+  }
+
   boolean isLive() {
     return stage == Stage.FORMING || stage == Stage.SERVING;
   }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/PlacementSettings.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/PlacementSettings.java
@@ -45,8 +45,8 @@
     return new PlacementSettings(
         6,
         3,
-        Duration.ofMillis(700),
-        Duration.ofMillis(1200),
+        Duration.ofMillis(500),
+        Duration.ofMillis(1000),
         Duration.ofMillis(2500),
         Duration.ofSeconds(6),
         0.03);
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/ReturnSchedule.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/ReturnSchedule.java
@@ -14,9 +14,6 @@
   /** The weight of a new gap between two ends in their mean. */
   private static final double GAP_WEIGHT = 0.1;
 
-  /** The time to come back while no pace is known. */
-  static final Duration DEFAULT_WAIT = Duration.ofMillis(500);
-
   /** The shortest time to come back, about the time of two passes of a replica. */
   static final Duration MIN_WAIT = Duration.ofMillis(150);
 
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetPlacer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetPlacer.java
@@ -25,6 +25,9 @@
   /** The targets may be this much slower than the fastest before they count as more loaded. */
   private static final double SLOWNESS_TOLERANCE = 1.3;
 
+  /** The time to come back if no target serves: about that in which a replica is repaired. */
+  private static final Duration NO_TARGET_WAIT = Duration.ofMillis(2000);
+
   private final PlacementSettings settings;
   private final AvailabilityZone zone;
   private final UniformRandomProvider random;
@@ -68,7 +71,7 @@
       }
     }
     if (usable.isEmpty()) {
-      return new Placement.Refuse("no target serves", ReturnSchedule.DEFAULT_WAIT);
+      return new Placement.Refuse("no target serves", NO_TARGET_WAIT);
     }
     double fastest = usable.stream().mapToDouble(this::getGap).filter(g -> g > 0).min().orElse(0);
     Target best = null;
--- a/fireflyshed-core/src/main/java/io/fireflyshed/state/replica/ReplicaNameUtils.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/state/replica/ReplicaNameUtils.java
@@ -12,6 +12,8 @@
 
   private static final char SEPARATOR = '.';
 
+  private static final String SPARE = "spare-";
+
   private ReplicaNameUtils() {}
 
   /**
@@ -25,6 +27,28 @@
     return new ReplicaId(Objects.requireNonNull(model, "model") + SEPARATOR + generation);
   }
 
+  /**
+   * Makes the name under which a spare engine is kept ready for a model. A spare is the only member
+   * and never serves, but it joins a replica of the model much sooner than an idle engine.
+   *
+   * @param model the model, not null
+   * @param generation the generation at which the spare was made
+   * @return the name, never null
+   */
+  public static ReplicaId newSpareId(String model, long generation) {
+    return new ReplicaId(Objects.requireNonNull(model, "model") + SEPARATOR + SPARE + generation);
+  }
+
+  /**
+   * Tests whether a name is that of a spare engine.
+   *
+   * @param id the name, not null
+   * @return true if it was made by {@link #newSpareId}
+   */
+  public static boolean isSpare(ReplicaId id) {
+    return id.value().startsWith(SPARE, id.value().lastIndexOf(SEPARATOR) + 1);
+  }
+
   /**
    * Reads the model from a name.
    *
--- a/fireflyshed-core/src/main/java/io/fireflyshed/state/traffic/EngineProfile.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/state/traffic/EngineProfile.java
@@ -16,6 +16,7 @@
  * @param usualAnswerTokens the mean number of tokens of an answer, at least 1
  * @param loadsPerSecond the loads from the shared store that may begin in a second, positive
  * @param loadsAtOnce the loads that run at full speed beside each other, at least 1
+ * @param openTime the time in which a replica opens, not null
  * @param reportLag the age of what a report says, not null
  * @param models the models, not null
  */
@@ -29,6 +30,7 @@
     int usualAnswerTokens,
     double loadsPerSecond,
     int loadsAtOnce,
+    Duration openTime,
     Duration reportLag,
     List<ModelProfile> models) {
 
@@ -36,6 +38,7 @@
   public EngineProfile {
     Objects.requireNonNull(step, "step");
     Objects.requireNonNull(stepPerSequence, "stepPerSequence");
+    Objects.requireNonNull(openTime, "openTime");
     Objects.requireNonNull(reportLag, "reportLag");
     models = List.copyOf(models);
     if (slots < 1 || stepsPerPass < 1 || !(readTokensPerSecond > 0) || !(loadsPerSecond > 0)) {
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/formation/FormationController.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/formation/FormationController.java
@@ -19,6 +19,7 @@
 import io.fireflyshed.state.traffic.TrafficConfiguration;
 import io.fireflyshed.transport.control.LeaseStore;
 import io.fireflyshed.transport.log.EventLog;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -202,10 +203,19 @@
             s ->
                 new FormationPlanner(
                     settings, profile, grant.get().epoch(), areLoadsFree.getAsBoolean(), now));
-    List<Target> own =
-        targets.get().stream()
-            .filter(t -> t.service().equals(service) && t.zone().equals(zone))
-            .toList();
+    List<Target> own = new ArrayList<>();
+    Map<String, Integer> elsewhere = new HashMap<>();
+    for (Target target : targets.get()) {
+      if (!target.service().equals(service)) {
+        continue;
+      }
+      if (target.zone().equals(zone)) {
+        own.add(target);
+      } else if (target.isOpenHead()) {
+        elsewhere.merge(target.membership().orElseThrow().getModel(), 1, Integer::sum);
+      }
+    }
+    planner.setReplicasElsewhere(elsewhere);
     planner.onTargets(own, now);
     planner.setLoadsFree(areLoadsFree.getAsBoolean());
     planner.takeDueReports(now).forEach(t -> ask(planner, t));
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/registry/ConfigurationWatcher.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/registry/ConfigurationWatcher.java
@@ -25,7 +25,7 @@
 public final class ConfigurationWatcher {
 
   /** The longest wait for a change; the age of the knowledge grows meanwhile. */
-  private static final Duration WAIT = Duration.ofMillis(1000);
+  private static final Duration WAIT = Duration.ofMillis(1800);
 
   /** The pause after a reading that failed. */
   private static final Duration RETRY = Duration.ofMillis(150);
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/FormationPlannerTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/FormationPlannerTest.java
@@ -35,11 +35,11 @@
     @Test
     public void sparesHoldTheModelsOfTheirDomain() {
       FormationSimulation simulation = newSettled(1);
-      List<String> staged = new ArrayList<>();
+      List<String> held = new ArrayList<>();
       simulation.engines.values().stream()
-          .filter(e -> e.membership == null)
-          .forEach(e -> staged.addAll(e.staged));
-      assertEquals(Set.copyOf(staged), Set.of("large", "small"));
+          .filter(e -> e.members.size() == 1)
+          .forEach(e -> held.add(e.lastModel));
+      assertEquals(Set.copyOf(held), Set.of("large", "small"));
     }
 
     @Test
@@ -59,10 +59,10 @@
   public static class Repair {
 
     @Test
-    public void memberThatIsLostIsReplacedByTheSpareWithinFourSeconds() {
+    public void memberThatIsLostIsReplacedByTheSpareWithinTwoSeconds() {
       FormationSimulation simulation = newSettled(1);
       simulation.findMember(FormationSimulation.LARGE, false).isAlive = false;
-      simulation.run(Duration.ofSeconds(4));
+      simulation.run(Duration.ofSeconds(2));
       assertEquals(simulation.countWhole(FormationSimulation.LARGE), 1);
       assertEquals(simulation.violations, List.of());
     }
@@ -96,6 +96,19 @@
       assertEquals(simulation.violations, List.of());
     }
 
+    @Test
+    public void modelWithoutReplicasTakesEnginesFromTheOther() {
+      FormationSimulation simulation = newSettled(1);
+      for (int i = 0; i < 3; i++) {
+        simulation.findMember(FormationSimulation.LARGE, false).isAlive = false;
+        simulation.run(Duration.ofSeconds(1));
+      }
+      assertEquals(simulation.countWhole(FormationSimulation.LARGE), 0);
+      simulation.run(Duration.ofSeconds(40));
+      assertEquals(simulation.countWhole(FormationSimulation.LARGE), 1);
+      assertEquals(simulation.violations, List.of());
+    }
+
     @Test
     public void engineThatSwallowedAnOrderIsNotOrderedOnAnOldReport() {
       FormationSimulation simulation = newSettled(2);
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/FormationSimulation.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/FormationSimulation.java
@@ -64,6 +64,7 @@
             150,
             100,
             8,
+            Duration.ofMillis(300),
             Duration.ofMillis(LAG_MILLIS),
             List.of(LARGE, SMALL));
     for (int d = 0; d < domains; d++) {
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/SimulatedEngine.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/SimulatedEngine.java
@@ -128,7 +128,8 @@
       return OrderReply.CONFLICT;
     }
     OrderReply reply = apply(order, models, nowMillis);
-    if (reply == OrderReply.BEGUN) {
+    boolean hasLeft = reply == OrderReply.HOLDS && order instanceof EngineOrder.Leave;
+    if (reply == OrderReply.BEGUN || hasLeft) {
       sequence++;
     }
     record(nowMillis);
@@ -165,13 +166,13 @@
     }
     EngineOrder.Leave leave = (EngineOrder.Leave) order;
     if (!isIn(leave.replica().value(), leave.generation())) {
-      return OrderReply.HOLDS;
+      return OrderReply.CONFLICT;
     }
     membership = null;
     members = List.of();
     readyAt = Long.MAX_VALUE;
     openAt = Long.MAX_VALUE;
-    return OrderReply.BEGUN;
+    return OrderReply.HOLDS;
   }
 
   private OrderReply join(EngineOrder.Join join, List<ModelProfile> models, long nowMillis) {
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
@@ -49,7 +49,7 @@
   /** Two renewals may fail before the lease runs out. */
   private static final Duration LEASE_RENEWAL = Duration.ofMillis(800);
 
-  private static final Duration LEASE_WATCH = Duration.ofMillis(1000);
+  private static final Duration LEASE_WATCH = Duration.ofMillis(1250);
   private static final double CLOCK_DRIFT = 0.02;
 
   /** What a request may take from the check of its key to its start at a target. */
