--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/FormationOrder.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/FormationOrder.java
@@ -21,4 +21,9 @@
     Objects.requireNonNull(order, "order");
     Objects.requireNonNull(reason, "reason");
   }
+
+  /** Creates the next order of an engine. */
+  static FormationOrder of(EngineState engine, EngineOrder order, String reason) {
+    return new FormationOrder(engine.getTarget(), order, engine.getOrderSequence(), reason);
+  }
 }
