--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/Forwarder.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/Forwarder.java
@@ -24,6 +24,8 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
+import reactor.core.Disposable;
+import reactor.core.Disposables;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
@@ -58,6 +60,7 @@
   private final MonotonicClock clock;
   private final Consumer<InstanceId> onStalled;
   private final EventLog log = new EventLog("forward");
+  private Disposable check = Disposables.disposed();
   private final Map<Object, Sinks.Empty<Void>> cuts = new ConcurrentHashMap<>();
 
   /**
@@ -88,11 +91,17 @@
     this.onStalled = onStalled;
   }
 
-  /** Starts to look for streams that stand still; runs as long as the process. */
+  /** Starts to look for streams that stand still. */
   public void start() {
-    Flux.interval(STALL_CHECK)
-        .onBackpressureDrop()
-        .subscribe(tick -> cutStalled(), e -> log.error("stall check ended", e));
+    check =
+        Flux.interval(STALL_CHECK)
+            .onBackpressureDrop()
+            .subscribe(tick -> cutStalled(), e -> log.error("stall check ended", e));
+  }
+
+  /** Ends the look for streams that stand still. */
+  public void stop() {
+    check.dispose();
   }
 
   private void cutStalled() {
--- /dev/null
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/placement/StallDetectorTest.java
@@ -0,0 +1,64 @@
+package io.fireflyshed.coordination.placement;
+
+import static org.testng.Assert.assertEquals;
+
+import io.fireflyshed.state.instance.InstanceId;
+import java.time.Duration;
+import java.util.List;
+import org.testng.annotations.Test;
+
+/** Tests {@link StallDetector}. */
+public class StallDetectorTest {
+
+  private static final InstanceId TARGET = new InstanceId("t");
+  private final PlacementSettings settings = PlacementSettings.ofDefaults();
+
+  private static long millis(long millis) {
+    return Duration.ofMillis(millis).toNanos();
+  }
+
+  @Test
+  public void allStreamsOfATargetThatStandsStillAreGivenUp() {
+    StallDetector detector = new StallDetector(settings);
+    detector.start("one", TARGET, 0);
+    detector.start("two", TARGET, 0);
+    detector.onEvent("one", millis(100));
+    long limit = settings.eventStall().toMillis();
+    assertEquals(detector.findStalls(millis(100 + limit)), List.of());
+    assertEquals(detector.findStalls(millis(101 + limit)).size(), 2);
+  }
+
+  @Test
+  public void requestThatWaitsBehindOthersIsNotGivenUp() {
+    StallDetector detector = new StallDetector(settings);
+    detector.start("waiting", TARGET, 0);
+    detector.start("running", TARGET, 0);
+    for (long now = 100; now < 2000; now += 100) {
+      detector.onEvent("running", millis(now));
+      assertEquals(detector.findStalls(millis(now + 50)), List.of(), "at " + now);
+    }
+  }
+
+  @Test
+  public void streamThatIsSilentAloneHasADeadConnection() {
+    StallDetector detector = new StallDetector(settings);
+    detector.start("silent", TARGET, 0);
+    detector.start("running", TARGET, 0);
+    for (long now = 100; now <= settings.connectionStall().toMillis() + 100; now += 100) {
+      detector.onEvent("running", millis(now));
+    }
+    List<StallDetector.Stall> stalls =
+        detector.findStalls(settings.connectionStall().plusMillis(101).toNanos());
+    assertEquals(stalls, List.of(new StallDetector.Stall("silent", TARGET, false)));
+  }
+
+  @Test
+  public void endedStreamsAreForgotten() {
+    StallDetector detector = new StallDetector(settings);
+    detector.start("one", TARGET, 0);
+    detector.onEvent("one", millis(10));
+    detector.end("one");
+    detector.start("later", TARGET, millis(60_000));
+    assertEquals(detector.findStalls(millis(60_100)), List.of());
+  }
+}
--- /dev/null
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/placement/TargetPlacerTest.java
@@ -0,0 +1,170 @@
+package io.fireflyshed.coordination.placement;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.fireflyshed.state.instance.AvailabilityZone;
+import io.fireflyshed.state.instance.InstanceId;
+import io.fireflyshed.state.replica.ServiceName;
+import io.fireflyshed.state.target.Target;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Set;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests {@link TargetPlacer} with loads in virtual time. */
+public class TargetPlacerTest {
+
+  private static final String POOL = "model";
+  private static final int SLOTS = 18;
+  private static final PlacementSettings SETTINGS = PlacementSettings.ofDefaults();
+  private TargetPlacer placer;
+  private List<Target> targets;
+  private UniformRandomProvider random;
+
+  /** Creates a placer and four targets. */
+  @BeforeMethod
+  public void setUp() {
+    random = RandomSource.XO_RO_SHI_RO_128_PP.create(1);
+    placer = new TargetPlacer(SETTINGS, new AvailabilityZone("a"), random);
+    targets = new ArrayList<>();
+    for (int i = 0; i < 4; i++) {
+      targets.add(newTarget("t" + i, "a"));
+    }
+  }
+
+  private static Target newTarget(String id, String zone) {
+    return new Target(
+        new InstanceId(id),
+        new ServiceName("s"),
+        InetSocketAddress.createUnresolved("127.0.0.1", 1),
+        new AvailabilityZone(zone),
+        false,
+        SLOTS,
+        1,
+        Optional.empty());
+  }
+
+  private static long millis(long millis) {
+    return Duration.ofMillis(millis).toNanos();
+  }
+
+  private Placement place(long nowMillis) {
+    return placer.place(POOL, targets, Set.of(), true, millis(nowMillis));
+  }
+
+  /** One request that ends at a time. */
+  private record Ending(long millis, InstanceId target) {}
+
+  /** Chooses the target of the next request. */
+  private interface Policy {
+    Target choose(int number, long nowMillis);
+  }
+
+  /** Plays requests of random length and gets the mean difference between the targets' loads. */
+  private double play(Policy policy) {
+    UniformRandomProvider lengths = RandomSource.XO_RO_SHI_RO_128_PP.create(7);
+    PriorityQueue<Ending> running =
+        new PriorityQueue<>((a, b) -> Long.compare(a.millis(), b.millis()));
+    Map<InstanceId, Integer> inFlight = new HashMap<>();
+    targets.forEach(t -> inFlight.put(t.id(), 0));
+    double sum = 0;
+    int requests = 800;
+    for (int i = 0; i < requests; i++) {
+      long now = i * 25L;
+      while (!running.isEmpty() && running.peek().millis() <= now) {
+        Ending ending = running.poll();
+        placer.onEnd(POOL, ending.target(), millis(now));
+        inFlight.merge(ending.target(), -1, Integer::sum);
+      }
+      Target target = policy.choose(i, now);
+      placer.onStart(target.id());
+      inFlight.merge(target.id(), 1, Integer::sum);
+      running.add(new Ending(now + 100 + lengths.nextInt(2000), target.id()));
+      sum += Collections.max(inFlight.values()) - Collections.min(inFlight.values());
+    }
+    return sum / requests;
+  }
+
+  @Test
+  public void requestsOfDifferentLengthAreSpreadBetterThanInTurn() {
+    double inTurn = play((i, now) -> targets.get(i % targets.size()));
+    setUp();
+    double placed = play((i, now) -> ((Placement.Send) place(now)).target());
+    assertTrue(placed < inTurn / 2, placed + " against " + inTurn + " in turn");
+  }
+
+  @Test
+  public void burstBeyondTheRoomIsRefusedAtOnceAndReturnsSpread() {
+    int room = targets.size() * (SLOTS + SETTINGS.queueAllowance());
+    List<Duration> waits = new ArrayList<>();
+    for (int i = 0; i < room + 20; i++) {
+      Placement placement = place(0);
+      if (placement instanceof Placement.Send send) {
+        placer.onStart(send.target().id());
+      } else {
+        waits.add(((Placement.Refuse) placement).retryAfter());
+      }
+    }
+    assertEquals(waits.size(), 20);
+    for (int i = 1; i < 8; i++) {
+      assertTrue(waits.get(i).compareTo(waits.get(i - 1)) > 0, "wait " + i);
+    }
+    assertTrue(waits.get(19).compareTo(ReturnSchedule.MAX_WAIT) <= 0);
+  }
+
+  @Test
+  public void loadThatOthersCauseIsLearntFromAnswers() {
+    placer.onLoad(targets.get(0).id(), 17, SLOTS);
+    for (int i = 0; i < 12; i++) {
+      Target target = ((Placement.Send) place(0)).target();
+      assertTrue(!target.id().value().equals("t0"));
+      placer.onStart(target.id());
+    }
+  }
+
+  @Test
+  public void targetThatStoodStillIsLeftOutUntilItIsHeardOf() {
+    targets.subList(1, 4).clear();
+    placer.suspect(targets.get(0).id(), 0);
+    assertTrue(place(100) instanceof Placement.Refuse);
+    placer.onProgress(targets.get(0).id(), Duration.ofMillis(50), millis(200));
+    assertTrue(place(200) instanceof Placement.Send);
+  }
+
+  @Test
+  public void slowTargetGetsFewer() {
+    for (int i = 0; i < 40; i++) {
+      placer.onProgress(targets.get(0).id(), Duration.ofMillis(600), millis(i));
+      for (int t = 1; t < 4; t++) {
+        placer.onProgress(targets.get(t).id(), Duration.ofMillis(50), millis(i));
+      }
+    }
+    int slow = 0;
+    for (int i = 0; i < 40; i++) {
+      Target target = ((Placement.Send) place(100)).target();
+      placer.onStart(target.id());
+      slow += target.id().value().equals("t0") ? 1 : 0;
+    }
+    assertTrue(slow <= 2, slow + " requests went to the slow target");
+  }
+
+  @Test
+  public void ownZoneIsPreferredWhileLoadsAreAlike() {
+    targets.set(0, newTarget("t0", "b"));
+    for (int i = 0; i < 3; i++) {
+      Target target = ((Placement.Send) place(0)).target();
+      assertEquals(target.zone().value(), "a");
+    }
+  }
+}
--- /dev/null
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/protocol/traffic/EventSplitterTest.java
@@ -0,0 +1,54 @@
+package io.fireflyshed.protocol.traffic;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+import org.testng.annotations.Test;
+
+/** Tests {@link EventSplitter}. */
+public class EventSplitterTest {
+
+  private static final String STREAM =
+      "id: 1\ndata: a\n\nversion: 3\nid: 2\r\ndata: b\r\n\r\n: comment\n\ndata: c\n\n";
+
+  private static byte[] bytes(String text) {
+    return text.getBytes(StandardCharsets.UTF_8);
+  }
+
+  @Test
+  public void eventsKeepTheirBytesHoweverTheyAreCut() {
+    for (int size = 1; size <= STREAM.length(); size++) {
+      EventSplitter splitter = new EventSplitter();
+      List<EventSplitter.RawEvent> events = new ArrayList<>();
+      for (int i = 0; i < STREAM.length(); i += size) {
+        String part = STREAM.substring(i, Math.min(STREAM.length(), i + size));
+        events.addAll(splitter.split(bytes(part)));
+      }
+      StringBuilder joined = new StringBuilder();
+      events.forEach(e -> joined.append(new String(e.bytes(), StandardCharsets.UTF_8)));
+      assertEquals(joined.toString(), STREAM, "pieces of " + size);
+      assertEquals(events.size(), 4);
+      assertEquals(events.get(0).id(), OptionalLong.of(1));
+      assertEquals(events.get(1).id(), OptionalLong.of(2));
+      assertEquals(events.get(3).id(), OptionalLong.empty());
+      assertTrue(splitter.isBetweenEvents());
+    }
+  }
+
+  @Test
+  public void partOfAnEventIsHeldBack() {
+    EventSplitter splitter = new EventSplitter();
+    assertEquals(splitter.split(bytes("id: 1\ndata: a\n")).size(), 0);
+    assertFalse(splitter.isBetweenEvents());
+  }
+
+  @Test(expectedExceptions = IllegalArgumentException.class)
+  public void endlessEventIsRefused() {
+    new EventSplitter().split(new byte[EventSplitter.MAX_EVENT_BYTES + 1]);
+  }
+}
--- /dev/null
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/RequestGateTest.java
@@ -0,0 +1,112 @@
+package io.fireflyshed.transport.forward;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.fireflyshed.protocol.traffic.TrafficRequest;
+import io.fireflyshed.state.replica.ServiceName;
+import io.fireflyshed.state.traffic.ClientAccount;
+import io.fireflyshed.state.traffic.ClientLimits;
+import io.fireflyshed.state.traffic.RequestKind;
+import io.fireflyshed.state.traffic.Route;
+import io.fireflyshed.state.traffic.RouteTable;
+import io.fireflyshed.state.traffic.ServiceShare;
+import io.fireflyshed.state.traffic.TrafficConfiguration;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests {@link RequestGate}. */
+public class RequestGateTest {
+
+  private Optional<TrafficConfiguration> configuration;
+  private Duration age;
+  private final RequestGate gate =
+      new RequestGate(() -> configuration, () -> age, Duration.ofMillis(4500));
+
+  /** Accepts a configuration. */
+  @BeforeMethod
+  public void setUp() {
+    configuration = Optional.of(newConfiguration());
+    age = Duration.ZERO;
+  }
+
+  private static TrafficConfiguration newConfiguration() {
+    RouteTable routes = new RouteTable(List.of(newRoute("/a/", false), newRoute("/p/", true)));
+    return new TrafficConfiguration(
+        7,
+        routes,
+        Map.of(),
+        Map.of("key", new ClientAccount("account", 1)),
+        true,
+        new ClientLimits(1, 1, Duration.ofSeconds(1), Duration.ofSeconds(1)));
+  }
+
+  private static Route newRoute(String prefix, boolean isPublic) {
+    return new Route(
+        prefix,
+        "h",
+        prefix,
+        RequestKind.IDEMPOTENT,
+        Duration.ofSeconds(1),
+        Duration.ofMillis(100),
+        1,
+        List.of(new ServiceShare(new ServiceName("s"), 1)),
+        1,
+        isPublic,
+        false);
+  }
+
+  private RequestGate.Verdict decide(String path, String key) {
+    return gate.decide(
+        new TrafficRequest(
+            "id",
+            HttpMethod.GET,
+            path,
+            "h",
+            new DefaultHttpHeaders(),
+            Optional.ofNullable(key),
+            Optional.empty(),
+            Optional.empty(),
+            OptionalLong.empty()));
+  }
+
+  private static int getStatus(RequestGate.Verdict verdict) {
+    return ((RequestGate.Verdict.Deny) verdict).status();
+  }
+
+  @Test
+  public void keyNamesTheAccount() {
+    RequestGate.Verdict.Allow allow = (RequestGate.Verdict.Allow) decide("/a/x", "key");
+    assertEquals(allow.account().map(ClientAccount::name), Optional.of("account"));
+    assertEquals(allow.version(), 7);
+  }
+
+  @Test
+  public void unknownKeysAndRoutesAreDenied() {
+    assertEquals(getStatus(decide("/a/x", "other")), 401);
+    assertEquals(getStatus(decide("/a/x", null)), 401);
+    assertEquals(getStatus(decide("/b/x", "key")), 404);
+  }
+
+  @Test
+  public void keysAreNotAcceptedOnOldKnowledgeButPublicRoutesServe() {
+    age = Duration.ofMillis(4501);
+    assertEquals(getStatus(decide("/a/x", "key")), 503);
+    assertEquals(getStatus(decide("/a/x", "other")), 503, "an old list can't deny a new key");
+    assertTrue(decide("/p/x", null) instanceof RequestGate.Verdict.Allow);
+    assertEquals(getStatus(decide("/b/x", "key")), 404);
+  }
+
+  @Test
+  public void withoutAConfigurationNothingIsDeniedForGood() {
+    configuration = Optional.empty();
+    assertEquals(getStatus(decide("/a/x", "key")), 503);
+  }
+}
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
@@ -41,7 +41,7 @@
 import org.apache.commons.rng.simple.RandomSource;
 
 /** One entry process on the users' platform: its parts and their threads. */
-public final class PlatformEntry {
+public final class PlatformEntry implements AutoCloseable {
 
   /** The length of a coordinator's lease: repair stops for this long when its holder dies. */
   private static final Duration LEASE_LENGTH = Duration.ofMillis(2500);
@@ -75,6 +75,7 @@
   private final PrometheusMeterRegistry metrics =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
   private final HttpCaller caller = new HttpCaller("platform");
+  private final TargetCaller targetCaller;
   private final TargetPlacer placer;
   private final TargetFollower targets;
   private final ConfigurationWatcher configuration;
@@ -95,6 +96,7 @@
     WireHeaders codec = new WireHeaders();
     StoreClient store = new StoreClient(caller, settings.store());
     PlacementSettings placement = PlacementSettings.ofDefaults();
+    targetCaller = new TargetCaller(codec);
     placer = new TargetPlacer(placement, settings.zone(), random);
     targets =
         new TargetFollower(new StoreTargetRegistry(store), control, clock, this::onTargetsChanged);
@@ -106,7 +108,7 @@
             targets,
             placer,
             new StallDetector(placement),
-            new TargetCaller(codec),
+            targetCaller,
             newBudget(settings),
             clock,
             formation::onStalled);
@@ -181,4 +183,14 @@
     int left = server.shutdown().join();
     log.info("stopped", "in_flight", left);
   }
+
+  /** Ends everything at once, without waiting for requests. */
+  @Override
+  public void close() {
+    control.shutdownNow();
+    forwarder.stop();
+    server.close();
+    targetCaller.close();
+    caller.close();
+  }
 }
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/RehearseCommand.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/RehearseCommand.java
@@ -114,7 +114,7 @@
     }
   }
 
-  private static PlatformSettings newSettings(FleetStandIn fleet) {
+  static PlatformSettings newSettings(FleetStandIn fleet) {
     return new PlatformSettings(
         "entry-1",
         new AvailabilityZone("a"),
--- /dev/null
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/PlatformEntryTest.java
@@ -0,0 +1,232 @@
+package io.fireflyshed.daemon.platform;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import io.fireflyshed.platform.PlatformSettings;
+import io.fireflyshed.standins.fleet.FleetStandIn;
+import io.fireflyshed.standins.fleet.StoreFault;
+import io.fireflyshed.standins.fleet.TargetFault;
+import io.fireflyshed.standins.fleet.TargetStandIn;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests {@link PlatformEntry} from a caller to the targets, over sockets. */
+public class PlatformEntryTest {
+
+  private static final Duration PATIENCE = Duration.ofSeconds(20);
+  private static final String ALL_EVENTS =
+      "id: 1\ndata: token 1\n\nid: 2\ndata: token 2\n\nid: 3\ndata: token 3\n\n"
+          + "id: 4\ndata: token 4\n\nid: 5\ndata: token 5\n\n";
+
+  static {
+    System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host");
+  }
+
+  private final HttpClient client = HttpClient.newBuilder().build();
+  private final AtomicInteger ids = new AtomicInteger();
+  private FleetStandIn fleet;
+  private PlatformSettings settings;
+  private PlatformEntry entry;
+
+  /** Starts an entry before two replicas and two targets of a plain service. */
+  @BeforeMethod
+  public void setUp() throws Exception {
+    fleet = new FleetStandIn(6, 2);
+    settings = RehearseCommand.newSettings(fleet);
+    entry = new PlatformEntry(settings);
+    entry.start();
+    await(() -> send("/lookups/x", FleetStandIn.KEY).statusCode() == 200);
+  }
+
+  /** Stops everything. */
+  @AfterMethod(alwaysRun = true)
+  public void tearDown() {
+    entry.close();
+    fleet.close();
+  }
+
+  private void await(BooleanSupplier condition) throws InterruptedException {
+    long end = System.nanoTime() + PATIENCE.toNanos();
+    while (!condition.getAsBoolean()) {
+      assertTrue(System.nanoTime() - end < 0, "the condition was not met in time");
+      Thread.sleep(20);
+    }
+  }
+
+  private void awaitReplicas(int count) throws InterruptedException {
+    await(() -> countHeads() == count);
+    await(() -> send("/chat/x", FleetStandIn.KEY).statusCode() == 200);
+  }
+
+  private long countHeads() {
+    return fleet.getEngines().stream().filter(TargetStandIn::isOpenHead).count();
+  }
+
+  private TargetStandIn getHead() {
+    return fleet.getEngines().stream().filter(TargetStandIn::isOpenHead).findFirst().orElseThrow();
+  }
+
+  private HttpRequest newRequest(String path, String key) {
+    HttpRequest.Builder builder =
+        HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + settings.listen().getPort() + path))
+            .header("Host", FleetStandIn.HOST)
+            .header("X-Attempt-Id", "a" + ids.incrementAndGet())
+            .header("X-Deadline-Ms", "3000")
+            .header("Authorization", "Bearer " + key);
+    if (path.startsWith("/chat")) {
+      builder.header("X-Model", FleetStandIn.MODEL).header("X-Token-Usage", "10,5");
+    }
+    return path.startsWith("/lookups")
+        ? builder.GET().build()
+        : builder.POST(HttpRequest.BodyPublishers.ofString("body")).build();
+  }
+
+  private HttpResponse<String> send(String path, String key) {
+    try {
+      return client.send(newRequest(path, key), HttpResponse.BodyHandlers.ofString());
+    } catch (IOException e) {
+      throw new IllegalStateException("the entry closed the connection", e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private long countRuns(List<TargetStandIn> targets) {
+    return targets.stream().mapToLong(t -> t.getRuns().size()).sum();
+  }
+
+  @Test
+  public void answerIsTheTargetsOwn() {
+    HttpResponse<String> reply = send("/orders/x?y=%20z", FleetStandIn.KEY);
+    assertEquals(reply.statusCode(), 200);
+    assertEquals(reply.body(), "/orders/x?y=%20z|body");
+    assertTrue(reply.headers().firstValue("X-Replica-Signature").isPresent());
+  }
+
+  @Test
+  public void streamIsResumedAfterTheLastWholeEvent() throws Exception {
+    awaitReplicas(2);
+    TargetStandIn head = getHead();
+    head.setFault(TargetFault.BREAKS_OFF);
+    for (int i = 0; i < 6; i++) {
+      HttpResponse<String> reply = send("/chat/x", FleetStandIn.KEY);
+      assertEquals(reply.body(), ALL_EVENTS);
+      assertEquals(reply.statusCode(), 200);
+    }
+    assertFalse(head.getRuns().isEmpty(), "the replica that breaks off was used");
+  }
+
+  @Test
+  public void streamThatStandsStillIsResumedElsewhere() throws Exception {
+    awaitReplicas(2);
+    TargetStandIn head = getHead();
+    head.setFault(TargetFault.STANDS_STILL);
+    for (int i = 0; i < 4; i++) {
+      assertEquals(send("/chat/x", FleetStandIn.KEY).body(), ALL_EVENTS);
+    }
+  }
+
+  @Test
+  public void orderWhoseAnswerIsLostRunsOnce() {
+    fleet.getDesks().forEach(d -> d.setFault(TargetFault.ANSWER_LOST));
+    long before = countRuns(fleet.getDesks());
+    HttpResponse<String> reply = send("/orders/x", FleetStandIn.KEY);
+    assertEquals(reply.statusCode(), 504);
+    assertEquals(countRuns(fleet.getDesks()) - before, 1);
+  }
+
+  @Test
+  public void orderThatIsRefusedHasNotRun() {
+    fleet.getDesks().forEach(d -> d.setFault(TargetFault.FULL));
+    long before = countRuns(fleet.getDesks());
+    HttpResponse<String> reply = send("/orders/x", FleetStandIn.KEY);
+    assertEquals(reply.statusCode(), 503);
+    assertTrue(reply.headers().firstValue("Retry-After").isPresent());
+    assertEquals(countRuns(fleet.getDesks()), before);
+  }
+
+  @Test
+  public void answerToAnotherRequestIsNotPassedOn() {
+    fleet.getDesks().forEach(d -> d.setFault(TargetFault.OTHER_ANSWER));
+    assertEquals(send("/orders/x", FleetStandIn.KEY).statusCode(), 502);
+    assertEquals(send("/lookups/x", FleetStandIn.KEY).statusCode(), 502);
+  }
+
+  @Test
+  public void lookupThatFailsIsTriedElsewhere() {
+    fleet.getDesks().get(0).setFault(TargetFault.ERROR);
+    for (int i = 0; i < 4; i++) {
+      assertEquals(send("/lookups/x", FleetStandIn.KEY).statusCode(), 200);
+    }
+  }
+
+  @Test
+  public void failureOfTheTargetIsPassedOnAsItIs() {
+    fleet.getDesks().forEach(d -> d.setFault(TargetFault.ERROR));
+    HttpResponse<String> reply = send("/orders/x", FleetStandIn.KEY);
+    assertEquals(reply.statusCode(), 500);
+    assertTrue(reply.headers().firstValue("X-Replica-Signature").isPresent());
+  }
+
+  @Test
+  public void takenKeyStopsInTime() throws Exception {
+    fleet.accept(List.of("key-2"));
+    await(() -> send("/lookups/x", "key-2").statusCode() == 200);
+    assertEquals(send("/lookups/x", FleetStandIn.KEY).statusCode(), 401);
+  }
+
+  @Test
+  public void keysAreRefusedWhileTheStoreIsSilentForLong() throws Exception {
+    fleet.getStore().setFault(StoreFault.SILENT);
+    Thread.sleep(settings.maxKeyAge().toMillis());
+    assertEquals(send("/lookups/x", FleetStandIn.KEY).statusCode(), 503);
+    fleet.getStore().setFault(StoreFault.NONE);
+    await(() -> send("/lookups/x", FleetStandIn.KEY).statusCode() == 200);
+  }
+
+  @Test
+  public void changeIsSeenAfterTheHistoryWasDropped() throws Exception {
+    fleet.accept(List.of("key-3"));
+    fleet.getStore().setFault(StoreFault.HISTORY_DROPPED);
+    await(() -> send("/lookups/x", "key-3").statusCode() == 200);
+  }
+
+  @Test
+  public void lostMemberIsReplacedBySpare() throws Exception {
+    awaitReplicas(2);
+    TargetStandIn head = getHead();
+    head.setFault(TargetFault.SILENT);
+    fleet.getStore().put("servers", head.getId(), null);
+    fleet.addEngine();
+    await(() -> countHeads() == 2);
+    assertFalse(head.isOpenHead());
+  }
+
+  @Test
+  public void stopLetsStreamsEndAndRefusesNone() throws Exception {
+    awaitReplicas(2);
+    CompletableFuture<HttpResponse<String>> stream =
+        client.sendAsync(
+            newRequest("/chat/x", FleetStandIn.KEY), HttpResponse.BodyHandlers.ofString());
+    CompletableFuture<Void> stop = CompletableFuture.runAsync(entry::stop);
+    Thread.sleep(500);
+    assertEquals(send("/lookups/x", FleetStandIn.KEY).statusCode(), 200);
+    assertEquals(stream.get(PATIENCE.toSeconds(), TimeUnit.SECONDS).body(), ALL_EVENTS);
+    stop.get(PATIENCE.toSeconds(), TimeUnit.SECONDS);
+  }
+}
--- a/fireflyshed-standins/src/main/java/io/fireflyshed/standins/fleet/FleetStandIn.java
+++ b/fireflyshed-standins/src/main/java/io/fireflyshed/standins/fleet/FleetStandIn.java
@@ -33,7 +33,7 @@
    */
   public FleetStandIn(int engineCount, int deskCount) {
     for (int i = 0; i < engineCount; i++) {
-      engines.add(new TargetStandIn(store, "engine-" + i, "models", "a", true));
+      addEngine();
     }
     for (int i = 0; i < deskCount; i++) {
       desks.add(new TargetStandIn(store, "desk-" + i, "desk", "a", false));
@@ -41,6 +41,11 @@
     accept(List.of(KEY));
   }
 
+  /** Adds an empty engine. */
+  public void addEngine() {
+    engines.add(new TargetStandIn(store, "engine-" + engines.size(), "models", "a", true));
+  }
+
   /**
    * Accepts a new version of the configuration.
    *
@@ -56,7 +61,7 @@
     addRoute(routes, "/lookups/", "idempotent", "desk");
     ArrayNode services = node.putArray("services");
     services.addObject().put("name", "desk").put("max_connections", 100);
-    addEngine(services.addObject().put("name", "models").put("max_connections", 400));
+    addProfile(services.addObject().put("name", "models").put("max_connections", 400));
     node.putObject("limits")
         .put("max_header_bytes", 16384)
         .put("max_body_bytes", 65536)
@@ -83,7 +88,7 @@
         .put("public", false);
   }
 
-  private static void addEngine(ObjectNode service) {
+  private static void addProfile(ObjectNode service) {
     ObjectNode engine = service.putObject("engine");
     engine.put("slots", 18).put("step_ms", 6.0).put("per_seq_ms", 0.1).put("stride", 6);
     engine.put("read_per_s", 56000).put("chunk", 2048).put("report_lag_ms", 0);
--- a/fireflyshed-standins/src/main/java/io/fireflyshed/standins/fleet/TargetStandIn.java
+++ b/fireflyshed-standins/src/main/java/io/fireflyshed/standins/fleet/TargetStandIn.java
@@ -75,6 +75,17 @@
     this.fault = fault;
   }
 
+  /**
+   * Tests whether the target is the head of a replica that serves.
+   *
+   * @return true if it takes requests
+   */
+  public synchronized boolean isOpenHead() {
+    return fault != TargetFault.SILENT
+        && group != null
+        && group.path("state").asText().equals("open");
+  }
+
   /**
    * Lists the ids of the requests that the target ran.
    *
@@ -183,8 +194,7 @@
 
   private Publisher<Void> serve(
       HttpServerRequest request, HttpServerResponse response, String body) {
-    boolean isOpen = group != null && group.path("state").asText().equals("open");
-    if (fault == TargetFault.FULL || isEngine && !isOpen) {
+    if (fault == TargetFault.FULL || isEngine && !isOpenHead()) {
       return response.status(UNAVAILABLE).header("X-Not-Executed", "1").send();
     }
     String attempt = request.requestHeaders().get("X-Attempt-Id");
