--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/FormationPlanner.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/FormationPlanner.java
@@ -132,7 +132,12 @@
 
   private Duration getInterval(EngineState engine) {
     Optional<Membership> membership = engine.getMembership();
-    if (membership.isEmpty() || engine.isLost()) {
+    boolean isReadySpare =
+        membership
+            .filter(m -> ReplicaNameUtils.isSpare(m.replica()))
+            .filter(m -> m.phase() == MembershipPhase.READY)
+            .isPresent();
+    if (membership.isEmpty() || engine.isLost() || isReadySpare) {
       return settings.spareInterval();
     }
     ReplicaState replica = state.findReplica(membership.get().replica());
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/registry/TargetFollower.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/registry/TargetFollower.java
@@ -32,7 +32,7 @@
    * The pause between two readings. Targets write every second or so; a shorter pause shows changes
    * of replicas sooner and costs a call to the platform each.
    */
-  private static final Duration INTERVAL = Duration.ofMillis(400);
+  private static final Duration INTERVAL = Duration.ofMillis(500);
 
   /** The pause after a reading that failed. */
   private static final Duration RETRY = Duration.ofMillis(200);
--- a/fireflyshed-daemon/src/main/resources/META-INF/services/io.fireflyshed.daemon.command.Command
+++ b/fireflyshed-daemon/src/main/resources/META-INF/services/io.fireflyshed.daemon.command.Command
@@ -14,3 +14,4 @@
 io.fireflyshed.daemon.command.UndrainCommand
 io.fireflyshed.daemon.platform.PlatformEntryCommand
 io.fireflyshed.daemon.platform.RehearseCommand
+io.fireflyshed.daemon.command.ExplainCommand
