--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/FormationPlanner.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/FormationPlanner.java
@@ -1,6 +1,7 @@
 package io.fireflyshed.coordination.formation;
 
 import io.fireflyshed.state.instance.InstanceId;
+import io.fireflyshed.state.replica.ReplicaNameUtils;
 import io.fireflyshed.state.target.EngineOrder;
 import io.fireflyshed.state.target.EngineReport;
 import io.fireflyshed.state.target.Membership;
