Keep unlisted members that answer, wait for the needy model, repeat joins that took no effect

Orders that got no answer dissolved whole replicas that were forming. Change: an engine that is not listed but answers stays a member, not a head; free engines are kept for the model that needs them most if the domain can give it enough; a join that took no effect is repeated within the same life.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/EngineState.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/EngineState.java
@@ -64,8 +64,12 @@
     }
   }
 
-  void setListed(boolean isListed) {
-    this.isListed = isListed;
+  /** Takes in that the registry lists the engine no more; it may be lost or only out of touch. */
+  void setUnlisted() {
+    if (isListed) {
+      suspect();
+    }
+    isListed = false;
   }
 
   boolean isListed() {
@@ -84,6 +88,11 @@
     return orderSequence;
   }
 
+  /** Gets the start of the engine's life as its last report told it. */
+  long getStartMillis() {
+    return report.startMillis();
+  }
+
   String getDomain() {
     return report.domain().value();
   }
@@ -139,8 +148,9 @@
     return failures >= LOST_FAILURES;
   }
 
+  /** Tests whether the engine announced that it leaves. */
   boolean isLeaving() {
-    return target.isLeaving() || !isListed;
+    return target.isLeaving();
   }
 
   /** Tests whether enough is known of the engine to give it an order. */
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/FormationPlanner.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/FormationPlanner.java
@@ -11,10 +11,12 @@
 import io.fireflyshed.state.traffic.EngineProfile;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * Decides which orders the engines of one service in one zone get.
@@ -98,20 +100,25 @@
    * @param nowNanos the reading of the monotonic clock
    */
   public void onTargets(List<Target> listed, long nowNanos) {
-    state.getEngines().forEach(e -> e.setListed(false));
+    Set<InstanceId> ids = new HashSet<>();
     for (Target target : listed) {
-      EngineState engine = state.getEngine(target.id()).orElse(null);
-      if (engine == null) {
+      ids.add(target.id());
+      Optional<EngineState> known = state.getEngine(target.id());
+      if (known.isEmpty()) {
         state.add(target);
         lastNewNanos = nowNanos;
-      } else {
-        boolean isNews = !engine.getTarget().equals(target) || !engine.isListed();
-        engine.setTarget(target);
-        if (isNews && !target.membership().equals(engine.getMembership())) {
-          engine.requestReport();
-        }
+        continue;
+      }
+      EngineState engine = known.get();
+      boolean isNews = !engine.getTarget().equals(target) || !engine.isListed();
+      engine.setTarget(target);
+      if (isNews && !target.membership().equals(engine.getMembership())) {
+        engine.requestReport();
       }
     }
+    state.getEngines().stream()
+        .filter(e -> !ids.contains(e.getTarget().id()))
+        .forEach(EngineState::setUnlisted);
   }
 
   /**
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/ReplicaAllocator.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/ReplicaAllocator.java
@@ -30,6 +30,12 @@
   /** A model with this many times the coverage of another gives engines up for it. */
   private static final double IMBALANCE = 1.8;
 
+  /** The same if engines of the domain are free that no model can use alone. */
+  private static final double IMBALANCE_WITH_FREE = 1.2;
+
+  /** The free engines of a domain beyond its usual spares, which make a change worth more. */
+  private static final int MANY_FREE = 3;
+
   private final FormationSettings settings;
   private final EngineProfile profile;
   private final FormationState state;
@@ -92,7 +98,8 @@
         return;
       }
       boolean isQuick = best.get().time().compareTo(settings.quick()) <= 0;
-      if (!isQuick && state.isChanging(free.get(0).getDomain())) {
+      String domain = free.get(0).getDomain();
+      if (!isQuick && (state.isChanging(domain) || isBetterKept(best.get(), free, domain))) {
         return;
       }
       Candidate candidate = best.get();
@@ -100,7 +107,11 @@
       long generation = state.takeGeneration();
       ReplicaId id = ReplicaNameUtils.newId(candidate.model().name(), generation);
       List<InstanceId> members = candidate.members().stream().map(e -> e.getTarget().id()).toList();
-      state.add(new ReplicaState(id, generation, members, nowNanos));
+      ReplicaState replica = new ReplicaState(id, generation, members, nowNanos);
+      candidate
+          .members()
+          .forEach(e -> replica.rememberStart(e.getTarget().id(), e.getStartMillis()));
+      state.add(replica);
       EngineOrder join = new EngineOrder.Join(id, generation, candidate.model().name(), members);
       String reason = "form in " + candidate.time().toMillis() + " ms";
       candidate.members().forEach(e -> orders.add(FormationOrder.of(e, join, reason)));
@@ -108,6 +119,26 @@
     }
   }
 
+  /**
+   * Tests whether free engines should wait for the model that needs them most rather than load
+   * another one now: together with replicas of the domain that can give way they are enough.
+   */
+  private boolean isBetterKept(Candidate candidate, List<EngineState> free, String domain) {
+    Map<String, Double> coverage = getCoverage();
+    ModelProfile needy = getNeediest(coverage).orElseThrow();
+    double ratio = coverage.get(candidate.model().name()) / coverage.get(needy.name());
+    return !candidate.model().name().equals(needy.name())
+        && ratio > IMBALANCE_WITH_FREE
+        && free.size() + countGiven(needy, domain) >= needy.size();
+  }
+
+  private int countGiven(ModelProfile needy, String domain) {
+    return state.getReplicas().stream()
+        .filter(r -> r.isLive() && !r.getModel().equals(needy.name()) && state.isIn(r, domain))
+        .mapToInt(r -> r.getMembers().size())
+        .sum();
+  }
+
   /** A replica that could be formed. */
   private record Candidate(
       ModelProfile model, List<EngineState> members, Duration time, int loads) {}
@@ -179,14 +210,13 @@
   private Candidate newCandidate(ModelProfile model, List<EngineState> free) {
     List<EngineState> sorted = new ArrayList<>(free);
     sorted.sort(
-        (a, b) -> {
-          int byTime = getJoinTime(a, model).compareTo(getJoinTime(b, model));
-          return byTime != 0
-              ? byTime
-              : Integer.compare(getOtherUse(a, model), getOtherUse(b, model));
-        });
+        Comparator.comparing((EngineState e) -> getJoinTime(e, model))
+            .thenComparing(e -> !e.isListed())
+            .thenComparing(e -> getOtherUse(e, model)));
     List<EngineState> members = new ArrayList<>(sorted.subList(0, model.size()));
     Duration time = getJoinTime(members.get(members.size() - 1), model);
+    // Entries find a replica by its head, so the head must be listed.
+    members.sort(Comparator.comparing(e -> !e.isListed()));
     int cold = (int) members.stream().filter(e -> isCold(e, model)).count();
     return new Candidate(model, members, time, cold);
   }
@@ -267,12 +297,13 @@
     ModelProfile needy = getNeediest(coverage).orElseThrow();
     List<EngineState> pool = new ArrayList<>(free);
     List<ReplicaState> givers = new ArrayList<>();
+    double imbalance = free.size() >= MANY_FREE ? IMBALANCE_WITH_FREE : IMBALANCE;
     for (ReplicaState replica : state.getReplicas()) {
       boolean isRich =
           replica.getStage() == ReplicaState.Stage.SERVING
               && !replica.getModel().equals(needy.name())
               && coverage.getOrDefault(replica.getModel(), 0.0)
-                  > IMBALANCE * coverage.get(needy.name());
+                  > imbalance * coverage.get(needy.name());
       if (pool.size() < needy.size() && isRich && state.isIn(replica, domain)) {
         givers.add(replica);
         replica.getMembers().stream()
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/ReplicaMaintainer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/ReplicaMaintainer.java
@@ -1,6 +1,7 @@
 package io.fireflyshed.coordination.formation;
 
 import io.fireflyshed.state.instance.InstanceId;
+import io.fireflyshed.state.replica.ReplicaNameUtils;
 import io.fireflyshed.state.target.EngineOrder;
 import io.fireflyshed.state.target.Membership;
 import io.fireflyshed.state.target.MembershipPhase;
@@ -35,7 +36,11 @@
     }
     Optional<Membership> membership = engine.getMembership().filter(replica::isSame);
     if (membership.isEmpty()) {
-      if (replica.getStage() != ReplicaState.Stage.FORMING || isJoinOver(engine)) {
+      if (replica.getStage() != ReplicaState.Stage.FORMING) {
+        replica.setStage(ReplicaState.Stage.DISSOLVING);
+      } else if (canJoinAgain(replica, engine)) {
+        joinAgain(replica, engine, orders);
+      } else if (engine.isOrderable()) {
         replica.setStage(ReplicaState.Stage.DISSOLVING);
       }
       return;
@@ -62,9 +67,24 @@
     }
   }
 
-  /** Tests whether the state of an engine after its join is known. */
-  private static boolean isJoinOver(EngineState engine) {
-    return engine.isOrderable();
+  /** Tests whether an engine took no join to a replica that this planner forms, and may still. */
+  private static boolean canJoinAgain(ReplicaState replica, EngineState engine) {
+    boolean isElsewhere =
+        engine.getMembership().filter(m -> !ReplicaNameUtils.isSpare(m.replica())).isPresent();
+    return engine.isOrderable()
+        && !isElsewhere
+        && replica.isSameLife(engine.getTarget().id(), engine.getStartMillis());
+  }
+
+  /**
+   * Repeats a join that took no effect. If the first one is only late, the order sequence makes one
+   * of the two void, as long as the engine has not started anew and counts from zero.
+   */
+  private void joinAgain(ReplicaState replica, EngineState engine, List<FormationOrder> orders) {
+    EngineOrder join =
+        new EngineOrder.Join(
+            replica.getId(), replica.getGeneration(), replica.getModel(), replica.getMembers());
+    orders.add(FormationOrder.of(engine, join, "the join took no effect"));
   }
 
   private void advanceForming(
@@ -79,6 +99,11 @@
       dissolve(replica, head, defect.get(), orders);
       return;
     }
+    replica.getMembers().stream()
+        .map(state::getEngine)
+        .flatMap(Optional::stream)
+        .filter(e -> canJoinAgain(replica, e))
+        .forEach(e -> joinAgain(replica, e, orders));
     if (nowNanos - replica.getStartNanos() > settings.formTimeout().toNanos()) {
       dissolve(replica, head, "the replica took too long to form", orders);
       return;
@@ -135,7 +160,11 @@
         replica.getMembers().stream()
             .filter(id -> state.getEngine(id).filter(EngineState::isLeaving).isPresent())
             .findFirst();
-    leaving.ifPresent(id -> close(replica, "member " + id + " leaves", orders));
+    if (leaving.isPresent()) {
+      close(replica, "member " + leaving.get() + " leaves", orders);
+    } else if (!head.isListed()) {
+      close(replica, "the head is not listed, so no entry sends requests", orders);
+    }
   }
 
   private void advanceClosing(ReplicaState replica, EngineState head, List<FormationOrder> orders) {
@@ -161,7 +190,8 @@
         return Optional.of("member " + id + " leaves");
       }
       boolean isIn = member.getMembership().filter(replica::isSame).isPresent();
-      if (!isIn && (!isForming || isJoinOver(member)) && member.isKnown()) {
+      boolean isExpected = isForming && (!member.isOrderable() || canJoinAgain(replica, member));
+      if (!isIn && !isExpected && member.isKnown()) {
         return Optional.of("member " + id + " is no longer in the replica");
       }
     }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/ReplicaState.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/ReplicaState.java
@@ -5,7 +5,9 @@
 import io.fireflyshed.state.replica.ReplicaNameUtils;
 import io.fireflyshed.state.target.Membership;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
 /** What the planner knows of one generation of a replica. Not thread safe. */
 final class ReplicaState {
@@ -26,6 +28,7 @@
   private final long generation;
   private final long startNanos;
   private final List<InstanceId> members;
+  private final Map<InstanceId, Long> starts = new HashMap<>();
   private Stage stage;
   private long openOrderNanos = Long.MIN_VALUE;
 
@@ -50,6 +53,16 @@
     return found;
   }
 
+  /** Remembers in which life a member was told to join. */
+  void rememberStart(InstanceId member, long startMillis) {
+    starts.put(member, startMillis);
+  }
+
+  /** Tests whether a member still is in the life in which it was told to join. */
+  boolean isSameLife(InstanceId member, long startMillis) {
+    return starts.getOrDefault(member, startMillis - 1) == startMillis;
+  }
+
   void onFound(InstanceId member, int rank) {
     if (rank >= 0 && rank < members.size() && members.get(rank) == null) {
       members.set(rank, member);
