Count a report only if it is of the life that the registry lists

A fabric domain came back with new ids at the old addresses. The old ids were kept since unlisted engines that answer stay members, and the new engines answered the reports for them; a replica of three counted one engine under two ids and opened without a member. Change: a report of another life than the listed one counts as none, and a member is ready only at its own rank. The new test fails before and passes after.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/EngineState.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/EngineState.java
@@ -116,7 +116,16 @@
     askedNanos = nowNanos;
   }
 
+  /**
+   * Takes in a report. The address of an engine may have passed to another one, which answers for
+   * it; only a report of the life that the registry lists is the engine's own.
+   */
   void onReport(EngineReport newReport) {
+    boolean isOther = target.startMillis() != 0 && newReport.startMillis() != target.startMillis();
+    if (isOther) {
+      onNoReport();
+      return;
+    }
     isAsked = false;
     isSuspect = false;
     failures = 0;
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/ReplicaMaintainer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/ReplicaMaintainer.java
@@ -126,14 +126,15 @@
   }
 
   private boolean isWholeAndReady(ReplicaState replica) {
-    for (InstanceId id : replica.getMembers()) {
+    for (int rank = 0; rank < replica.getMembers().size(); rank++) {
+      int expected = rank;
       boolean isReady =
           state
-              .getEngine(id)
+              .getEngine(replica.getMembers().get(rank))
               .filter(e -> !e.isLost())
               .flatMap(EngineState::getMembership)
               .filter(replica::isSame)
-              .filter(m -> m.phase() == MembershipPhase.READY)
+              .filter(m -> m.phase() == MembershipPhase.READY && m.rank() == expected)
               .isPresent();
       if (!isReady) {
         return false;
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/FormationPlannerTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/FormationPlannerTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import io.fireflyshed.state.target.Target;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -96,6 +97,24 @@
       assertEquals(simulation.violations, List.of());
     }
 
+    @Test
+    public void engineAtTheAddressOfAnotherDoesNotAnswerForIt() {
+      FormationSimulation simulation = new FormationSimulation(1, 0);
+      FormationPlanner planner = simulation.planner;
+      List<SimulatedEngine> engines =
+          List.of(simulation.add("a", "d"), simulation.add("b", "d"), simulation.add("c", "d"));
+      List<Target> targets = engines.stream().map(SimulatedEngine::toTarget).toList();
+      planner.onTargets(targets, 0);
+      SimulatedEngine other = new SimulatedEngine("new-c", "d");
+      other.restart(1);
+      planner.onTargets(targets.subList(0, 2), 1);
+      planner.takeDueReports(1);
+      planner.onReport(engines.get(0).id, engines.get(0).report(0, 0), 2);
+      planner.onReport(engines.get(1).id, engines.get(1).report(0, 0), 2);
+      planner.onReport(engines.get(2).id, other.report(2, 0), 2);
+      assertEquals(planner.plan(SETTLE.toNanos()), List.of());
+    }
+
     @Test
     public void modelWithoutReplicasTakesEnginesFromTheOther() {
       FormationSimulation simulation = newSettled(1);
