Count loads of weights from the first request on; keep the wire's names out of the rehearsal

Cause, by reading: the entry never took note of a first request, so in its first life the loads that may begin in a window were not limited. The caller of the rehearsal moved to the stand-ins.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/TrafficServer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/TrafficServer.java
@@ -79,6 +79,7 @@
   private final AtomicInteger inFlight;
   private final EventLog log = new EventLog("entry");
   private final Map<String, Timer> timers = new ConcurrentHashMap<>();
+  private volatile boolean hasRequests;
   private volatile boolean isDraining;
   private List<DisposableServer> servers = List.of();
 
@@ -143,6 +144,15 @@
     return HttpServer.create().bindAddress(() -> listen);
   }
 
+  /**
+   * Tests whether a caller's request has come since the start.
+   *
+   * @return true from the first request on
+   */
+  public boolean hasRequests() {
+    return hasRequests;
+  }
+
   /**
    * Shuts down without cutting requests off: answers not ready, goes on serving until the balancer
    * has noticed, waits for the requests in flight and closes.
@@ -181,6 +191,7 @@
 
   private Publisher<Void> handle(HttpServerRequest request, HttpServerResponse response) {
     long arrivalNanos = clock.nanoTime();
+    hasRequests = true;
     response.keepAlive(!isDraining);
     inFlight.incrementAndGet();
     return Mono.defer(() -> serve(request, response, arrivalNanos))
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
@@ -83,7 +83,6 @@
   private final Forwarder forwarder;
   private final TrafficServer server;
   private final EventLog log = new EventLog("entry");
-  private volatile boolean hasServed;
 
   /**
    * Creates an entry that does nothing until it is started.
@@ -136,7 +135,7 @@
         targets::getAll,
         configuration::get,
         FormationSettings.of(settings.loadWindow(), settings.zones()),
-        () -> settings.isFirstStart() && !hasServed,
+        this::areLoadsFree,
         control,
         clock);
   }
@@ -167,6 +166,11 @@
     server.start();
   }
 
+  /** Tests whether loads of weights aren't counted yet, as before a deployment's first request. */
+  boolean areLoadsFree() {
+    return settings.isFirstStart() && !server.hasRequests();
+  }
+
   private boolean isReady() {
     return configuration.get().isPresent() && targets.isRead();
   }
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/RehearseCommand.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/RehearseCommand.java
@@ -5,22 +5,17 @@
 import io.fireflyshed.daemon.settings.Setting;
 import io.fireflyshed.daemon.settings.SettingValues;
 import io.fireflyshed.platform.PlatformSettings;
+import io.fireflyshed.standins.fleet.FleetCaller;
 import io.fireflyshed.standins.fleet.FleetStandIn;
 import io.fireflyshed.state.instance.AvailabilityZone;
-import io.netty.buffer.Unpooled;
-import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import reactor.core.publisher.Flux;
-import reactor.core.publisher.Mono;
-import reactor.netty.http.client.HttpClient;
 
 /**
  * Runs an entry against stand-ins and sends it requests of each kind.
@@ -63,12 +58,12 @@
       PlatformSettings settings = newSettings(fleet);
       PlatformEntry entry = new PlatformEntry(settings);
       entry.start();
-      HttpClient client = HttpClient.create().host("127.0.0.1").port(settings.listen().getPort());
-      boolean isServing = awaitServing(client);
+      FleetCaller caller = new FleetCaller(settings.listen());
+      boolean isServing = awaitServing(caller);
       Long served =
           Flux.range(0, values.get(REQUESTS))
               .delayElements(PAUSE)
-              .flatMap(i -> send(client, i), PARALLEL)
+              .flatMap(i -> caller.send(i), PARALLEL)
               .filter(status -> status == OK)
               .count()
               .block();
@@ -77,9 +72,9 @@
     }
   }
 
-  private static boolean awaitServing(HttpClient client) throws InterruptedException {
+  private static boolean awaitServing(FleetCaller caller) throws InterruptedException {
     for (int i = 0; i < READY_TRIES; i++) {
-      if (send(client, -i * 3).block() == OK) {
+      if (caller.send(-i * FleetCaller.KINDS).block() == OK) {
         return true;
       }
       Thread.sleep(READY_PAUSE.toMillis());
@@ -87,33 +82,6 @@
     return false;
   }
 
-  private static Mono<Integer> send(HttpClient client, int number) {
-    String path = List.of("/chat/x", "/orders/x", "/lookups/x").get(Math.floorMod(number, 3));
-    HttpMethod method = path.startsWith("/lookups") ? HttpMethod.GET : HttpMethod.POST;
-    HttpClient.RequestSender sender =
-        client.headers(h -> addHeaders(h, number, path)).request(method).uri(path);
-    HttpClient.ResponseReceiver<?> receiver =
-        method.equals(HttpMethod.GET)
-            ? sender
-            : sender.send(
-                Mono.fromSupplier(() -> Unpooled.copiedBuffer("{}", StandardCharsets.UTF_8)));
-    return receiver
-        .responseSingle(
-            (r, body) -> body.asString().defaultIfEmpty("").thenReturn(r.status().code()))
-        .onErrorReturn(0);
-  }
-
-  private static void addHeaders(HttpHeaders headers, int number, String path) {
-    headers.set("Host", FleetStandIn.HOST);
-    headers.set("X-Attempt-Id", "r" + number);
-    headers.set("X-Deadline-Ms", "2000");
-    headers.set("Authorization", "Bearer " + FleetStandIn.KEY);
-    if (path.startsWith("/chat")) {
-      headers.set("X-Model", FleetStandIn.MODEL);
-      headers.set("X-Token-Usage", "100,30");
-    }
-  }
-
   static PlatformSettings newSettings(FleetStandIn fleet) {
     return new PlatformSettings(
         "entry-1",
--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/PlatformEntryTest.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/PlatformEntryTest.java
@@ -110,6 +110,14 @@
     return targets.stream().mapToLong(t -> t.getRuns().size()).sum();
   }
 
+  @Test
+  public void loadsAreCountedFromTheFirstRequestOn() {
+    assertFalse(entry.areLoadsFree());
+    try (PlatformEntry fresh = new PlatformEntry(RehearseCommand.newSettings(fleet))) {
+      assertTrue(fresh.areLoadsFree());
+    }
+  }
+
   @Test
   public void answerIsTheTargetsOwn() {
     HttpResponse<String> reply = send("/orders/x?y=%20z", FleetStandIn.KEY);
