Remove what nothing reads from the estimate of a target's load and the engine's profile

The time of the last progress stood beside the stall detector's own, and the step of a replica had no caller; a comment named the wrong mean. Behaviour unchanged.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetLoad.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetLoad.java
@@ -6,7 +6,7 @@
  */
 final class TargetLoad {
 
-  /** The weight of a new sample in the mean time to the first event. */
+  /** The weight of a new sample in the mean gap between two events. */
   private static final double SAMPLE_WEIGHT = 0.2;
 
   private static final double NANOS_PER_MILLI = 1e6;
@@ -16,7 +16,6 @@
   private int endedSince;
   private int inFlight;
   private int slots;
-  private long lastProgressNanos = Long.MIN_VALUE;
   private long suspectUntilNanos = Long.MIN_VALUE;
   private double gapMillis;
 
@@ -38,8 +37,7 @@
   }
 
   /** Takes in an event of a stream that came some time after the event before it. */
-  void onProgress(long nowNanos, long gapNanos) {
-    lastProgressNanos = nowNanos;
+  void onProgress(long gapNanos) {
     suspectUntilNanos = Long.MIN_VALUE;
     double sample = gapNanos / NANOS_PER_MILLI;
     gapMillis = gapMillis == 0 ? sample : gapMillis + SAMPLE_WEIGHT * (sample - gapMillis);
@@ -57,10 +55,6 @@
     return inFlight;
   }
 
-  long getLastProgressNanos() {
-    return lastProgressNanos;
-  }
-
   double getGapMillis() {
     return gapMillis;
   }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetPlacer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetPlacer.java
@@ -148,10 +148,9 @@
    *
    * @param target the target, not null
    * @param gap the time since the event before, not null
-   * @param nowNanos the reading of the monotonic clock
    */
-  public synchronized void onProgress(InstanceId target, Duration gap, long nowNanos) {
-    getLoad(target).onProgress(nowNanos, gap.toNanos());
+  public synchronized void onProgress(InstanceId target, Duration gap) {
+    getLoad(target).onProgress(gap.toNanos());
   }
 
   /**
--- a/fireflyshed-core/src/main/java/io/fireflyshed/state/traffic/EngineProfile.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/state/traffic/EngineProfile.java
@@ -45,14 +45,4 @@
       throw new IllegalArgumentException("slots, steps, reading and loads must be positive");
     }
   }
-
-  /**
-   * Gets the time in which a replica writes the usual number of tokens for each running request.
-   *
-   * @param running the number of running requests
-   * @return the time of one token step with this many requests, never null
-   */
-  public Duration getStep(int running) {
-    return step.plus(stepPerSequence.multipliedBy(running));
-  }
 }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/Forwarder.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/Forwarder.java
@@ -325,7 +325,7 @@
       long now = clock.nanoTime();
       long gap = stalls.onEvent(key, now);
       if (gap >= 0) {
-        placer.onProgress(target.id(), Duration.ofNanos(gap), now);
+        placer.onProgress(target.id(), Duration.ofNanos(gap));
       }
     }
 
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/placement/TargetPlacerTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/placement/TargetPlacerTest.java
@@ -138,16 +138,16 @@
     targets.subList(1, 4).clear();
     placer.suspect(targets.get(0).id(), 0);
     assertTrue(place(100) instanceof Placement.Refuse);
-    placer.onProgress(targets.get(0).id(), Duration.ofMillis(50), millis(200));
+    placer.onProgress(targets.get(0).id(), Duration.ofMillis(50));
     assertTrue(place(200) instanceof Placement.Send);
   }
 
   @Test
   public void slowTargetGetsFewer() {
     for (int i = 0; i < 40; i++) {
-      placer.onProgress(targets.get(0).id(), Duration.ofMillis(600), millis(i));
+      placer.onProgress(targets.get(0).id(), Duration.ofMillis(600));
       for (int t = 1; t < 4; t++) {
-        placer.onProgress(targets.get(t).id(), Duration.ofMillis(50), millis(i));
+        placer.onProgress(targets.get(t).id(), Duration.ofMillis(50));
       }
     }
     int slow = 0;
