Give each engine one order a pass; keep spares while a domain is rebalanced

Cause: a pass that staged the needy model on free engines, or closed a replica for it, could also let the same engine join as a spare, or be opened. Both orders name the same order sequence, so the engine refused the second. A spare that then joined for the other model in the next pass lost the weights just staged.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/FormationPlanner.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/FormationPlanner.java
@@ -235,14 +235,14 @@
     if (isFenced) {
       return List.of();
     }
-    List<FormationOrder> orders = new ArrayList<>();
+    OrderBatch orders = new OrderBatch();
     state.getReplicas().forEach(r -> maintainer.advance(r, nowNanos, orders));
     state.clean();
     allocator.form(isSettled(nowNanos), nowNanos, orders);
-    for (FormationOrder order : orders) {
+    for (FormationOrder order : orders.getOrders()) {
       state.getEngine(order.target().id()).ifPresent(EngineState::onOrderSent);
     }
-    return orders;
+    return orders.getOrders();
   }
 
   /** Tests whether the list of engines has settled, so that what is free is known. */
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/ReplicaAllocator.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/ReplicaAllocator.java
@@ -10,7 +10,6 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -60,12 +59,10 @@
   }
 
   /** Forms replicas of the free engines of each domain and stages models on those left over. */
-  void form(boolean isSettled, long nowNanos, List<FormationOrder> orders) {
+  void form(boolean isSettled, long nowNanos, OrderBatch orders) {
     Map<String, List<EngineState>> domains = new LinkedHashMap<>();
-    Set<InstanceId> ordered = new HashSet<>();
-    orders.forEach(o -> ordered.add(o.target().id()));
     for (EngineState engine : state.getEngines()) {
-      if (!ordered.contains(engine.getTarget().id()) && state.isFree(engine)) {
+      if (!orders.isOrdered(engine.getTarget().id()) && state.isFree(engine)) {
         String domain = engine.getDomain();
         domains.computeIfAbsent(domain, d -> new ArrayList<>()).add(engine);
       }
@@ -77,21 +74,20 @@
       return;
     }
     for (String domain : state.getDomains()) {
-      if (!state.isChanging(domain)) {
-        rebalance(domain, domains.getOrDefault(domain, List.of()), nowNanos, orders);
+      if (state.isChanging(domain)) {
+        continue;
       }
-    }
-    for (Map.Entry<String, List<EngineState>> entry : domains.entrySet()) {
-      if (!state.isChanging(entry.getKey())) {
-        List<EngineState> spares = entry.getValue();
-        readySpares(entry.getKey(), spares, nowNanos, orders);
-        orders.forEach(o -> spares.removeIf(e -> e.getTarget() == o.target()));
+      List<EngineState> free = domains.getOrDefault(domain, List.of());
+      // A spare that joined for the other model would lose the weights that it is given here.
+      boolean isMoving = rebalance(domain, free, nowNanos, orders);
+      if (!isMoving) {
+        readySpares(domain, free, nowNanos, orders);
       }
     }
   }
 
   private void formDomain(
-      List<EngineState> free, boolean isSettled, long nowNanos, List<FormationOrder> orders) {
+      List<EngineState> free, boolean isSettled, long nowNanos, OrderBatch orders) {
     while (true) {
       Optional<Candidate> best = chooseCandidate(free, isSettled);
       if (best.isEmpty() || !loads.isAllowed(best.get().loads(), nowNanos)) {
@@ -244,7 +240,7 @@
    * loses members most often.
    */
   private void readySpares(
-      String domain, List<EngineState> spares, long nowNanos, List<FormationOrder> orders) {
+      String domain, List<EngineState> spares, long nowNanos, OrderBatch orders) {
     List<EngineState> idle = new ArrayList<>(spares);
     List<ModelProfile> wanted =
         profile.models().stream()
@@ -273,8 +269,7 @@
     return e -> !isFound[0] && (isFound[0] = filter.test(e));
   }
 
-  private void ready(
-      EngineState spare, ModelProfile model, long nowNanos, List<FormationOrder> orders) {
+  private void ready(EngineState spare, ModelProfile model, long nowNanos, OrderBatch orders) {
     int cold = isCold(spare, model) ? 1 : 0;
     if (!loads.isAllowed(cold, nowNanos)) {
       return;
@@ -290,9 +285,11 @@
   /**
    * Moves engines of a domain from a model that has far more than its share to the one that has
    * least: loads the model beside the work that goes on, then closes what must give way.
+   *
+   * @return whether engines of the domain are moved
    */
-  private void rebalance(
-      String domain, List<EngineState> free, long nowNanos, List<FormationOrder> orders) {
+  private boolean rebalance(
+      String domain, List<EngineState> free, long nowNanos, OrderBatch orders) {
     Map<String, Double> coverage = getCoverage();
     ModelProfile needy = getNeediest(coverage).orElseThrow();
     List<EngineState> pool = new ArrayList<>(free);
@@ -301,6 +298,7 @@
     for (ReplicaState replica : state.getReplicas()) {
       boolean isRich =
           replica.getStage() == ReplicaState.Stage.SERVING
+              && !orders.isOrdered(replica.getHead())
               && !replica.getModel().equals(needy.name())
               && coverage.getOrDefault(replica.getModel(), 0.0)
                   > imbalance * coverage.get(needy.name());
@@ -310,16 +308,17 @@
             .map(state::getEngine)
             .flatMap(Optional::stream)
             .filter(e -> !e.isLeaving() && e.isOrderable())
+            .filter(e -> !orders.isOrdered(e.getTarget().id()))
             .forEach(pool::add);
       }
     }
     if (givers.isEmpty() || pool.size() < needy.size()) {
-      return;
+      return false;
     }
     Candidate candidate = newCandidate(needy, pool);
     if (candidate.loads() == 0) {
       givers.forEach(r -> maintainer.close(r, "model " + needy.name() + " lacks replicas", orders));
-      return;
+      return true;
     }
     for (EngineState member : candidate.members()) {
       if (isCold(member, needy) && !member.isBusy() && loads.isAllowed(1, nowNanos)) {
@@ -328,5 +327,6 @@
         orders.add(FormationOrder.of(member, stage, "model " + needy.name() + " lacks replicas"));
       }
     }
+    return true;
   }
 }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/ReplicaMaintainer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/ReplicaMaintainer.java
@@ -5,7 +5,6 @@
 import io.fireflyshed.state.target.Membership;
 import io.fireflyshed.state.target.MembershipPhase;
 import java.time.Duration;
-import java.util.List;
 import java.util.Optional;
 
 /** Opens replicas whose members are ready and ends those that lost one. Not thread safe. */
@@ -23,7 +22,7 @@
   }
 
   /** Moves a replica on: opens it when it is ready, ends it when it lost a member. */
-  void advance(ReplicaState replica, long nowNanos, List<FormationOrder> orders) {
+  void advance(ReplicaState replica, long nowNanos, OrderBatch orders) {
     Optional<EngineState> head = state.getEngine(replica.getHead());
     if (head.isEmpty() || head.get().isLost()) {
       releaseSurvivors(replica, orders);
@@ -54,7 +53,7 @@
   }
 
   /** Lets the members of a replica whose head is lost leave, which stops a head that lives on. */
-  private void releaseSurvivors(ReplicaState replica, List<FormationOrder> orders) {
+  private void releaseSurvivors(ReplicaState replica, OrderBatch orders) {
     replica.setStage(ReplicaState.Stage.DISSOLVING);
     for (InstanceId id : replica.getMembers()) {
       Optional<EngineState> member = state.getEngine(id).filter(EngineState::isOrderable);
@@ -77,7 +76,7 @@
    * Repeats a join that took no effect. If the first one is only late, the order sequence makes one
    * of the two void, as long as the engine has not started anew and counts from zero.
    */
-  private void joinAgain(ReplicaState replica, EngineState engine, List<FormationOrder> orders) {
+  private void joinAgain(ReplicaState replica, EngineState engine, OrderBatch orders) {
     EngineOrder join =
         new EngineOrder.Join(
             replica.getId(), replica.getGeneration(), replica.getModel(), replica.getMembers());
@@ -85,7 +84,7 @@
   }
 
   private void advanceForming(
-      ReplicaState replica, EngineState head, long nowNanos, List<FormationOrder> orders) {
+      ReplicaState replica, EngineState head, long nowNanos, OrderBatch orders) {
     if (replica.getStage() == ReplicaState.Stage.CLOSING
         || replica.getStage() == ReplicaState.Stage.DISSOLVING) {
       dissolve(replica, head, "the replica is closed", orders);
@@ -143,7 +142,7 @@
     return !replica.getMembers().isEmpty();
   }
 
-  private void advanceServing(ReplicaState replica, EngineState head, List<FormationOrder> orders) {
+  private void advanceServing(ReplicaState replica, EngineState head, OrderBatch orders) {
     if (replica.getStage() == ReplicaState.Stage.DISSOLVING) {
       dissolve(replica, head, "the replica is dissolved", orders);
       return;
@@ -165,7 +164,7 @@
     }
   }
 
-  private void advanceClosing(ReplicaState replica, EngineState head, List<FormationOrder> orders) {
+  private void advanceClosing(ReplicaState replica, EngineState head, OrderBatch orders) {
     replica.setStage(ReplicaState.Stage.CLOSING);
     findDefect(replica, false).ifPresent(defect -> dissolve(replica, head, defect, orders));
   }
@@ -196,8 +195,7 @@
     return Optional.empty();
   }
 
-  private void dissolve(
-      ReplicaState replica, EngineState head, String reason, List<FormationOrder> orders) {
+  private void dissolve(ReplicaState replica, EngineState head, String reason, OrderBatch orders) {
     replica.setStage(ReplicaState.Stage.DISSOLVING);
     if (head.isOrderable()) {
       EngineOrder leave = new EngineOrder.Leave(replica.getId(), replica.getGeneration());
@@ -205,7 +203,7 @@
     }
   }
 
-  void close(ReplicaState replica, String reason, List<FormationOrder> orders) {
+  void close(ReplicaState replica, String reason, OrderBatch orders) {
     EngineState head = state.getEngine(replica.getHead()).orElseThrow();
     if (head.isOrderable()) {
       EngineOrder order = new EngineOrder.Close(replica.getId(), replica.getGeneration());
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/FormationPlannerTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/FormationPlannerTest.java
@@ -201,7 +201,7 @@
           .forEach(e -> e.restart(simulation.nowMillis));
       simulation.engines.values().forEach(e -> e.isLeaving = false);
       simulation.run(Duration.ofSeconds(90));
-      assertEquals(simulation.violations, List.of(), "seed " + seed);
+      assertTrue(simulation.violations.isEmpty(), "seed " + seed + ": " + simulation.violations);
       long whole =
           simulation.countWhole(FormationSimulation.LARGE)
               + simulation.countWhole(FormationSimulation.SMALL);
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/FormationSimulation.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/FormationSimulation.java
@@ -112,7 +112,20 @@
     FormationPlanner current = planner;
     current.onTargets(listed, nanos());
     current.takeDueReports(nanos()).forEach(t -> ask(current, t.id()));
-    current.plan(nanos()).forEach(o -> give(current, epoch, o));
+    List<FormationOrder> orders = current.plan(nanos());
+    checkSingle(orders);
+    orders.forEach(o -> give(current, epoch, o));
+  }
+
+  /** Checks that a plan gives each engine at most one order. */
+  private void checkSingle(List<FormationOrder> orders) {
+    Map<InstanceId, FormationOrder> ordered = new HashMap<>();
+    for (FormationOrder order : orders) {
+      FormationOrder other = ordered.put(order.target().id(), order);
+      if (other != null) {
+        violations.add(nowMillis + " ms: two orders at once: " + other + ", " + order);
+      }
+    }
   }
 
   private void at(long millis, Runnable event) {
