--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/Forwarder.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/Forwarder.java
@@ -55,7 +55,7 @@
   private final TargetView view;
   private final TargetPlacer placer;
   private final StallDetector stalls;
-  private final TargetCaller caller;
+  private final TargetClient client;
   private final RetryBudget budget;
   private final MonotonicClock clock;
   private final Consumer<InstanceId> onStalled;
@@ -69,7 +69,7 @@
    * @param view lists the targets, not null
    * @param placer chooses targets, not null
    * @param stalls finds streams that stand still, not null
-   * @param caller talks to targets, not null
+   * @param client talks to targets, not null
    * @param budget bounds the repeats, not null
    * @param clock the clock of this process, not null
    * @param onStalled is told of targets that stand still, not null
@@ -78,14 +78,14 @@
       TargetView view,
       TargetPlacer placer,
       StallDetector stalls,
-      TargetCaller caller,
+      TargetClient client,
       RetryBudget budget,
       MonotonicClock clock,
       Consumer<InstanceId> onStalled) {
     this.view = view;
     this.placer = placer;
     this.stalls = stalls;
-    this.caller = caller;
+    this.client = client;
     this.budget = budget;
     this.clock = clock;
     this.onStalled = onStalled;
@@ -214,7 +214,7 @@
           lastEventId.orElse(-1),
           "configuration",
           forward.configurationVersion());
-      Flux<AnswerPart> parts = caller.call(target, forward, left, lastEventId);
+      Flux<AnswerPart> parts = client.call(target, forward, left, lastEventId);
       Flux<AnswerPart> answer = isStream ? stream(target, parts) : collect(target, parts);
       return answer
           .doFinally(signal -> placer.onEnd(forward.getPool(), target.id(), clock.nanoTime()))
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/TargetCaller.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/TargetCaller.java
@@ -22,13 +22,13 @@
 import reactor.netty.resources.ConnectionProvider;
 
 /**
- * Sends one request to one target. Thread safe.
+ * Calls targets over HTTP. Thread safe.
  *
  * <p>Cancelling an answer closes its connection, which makes the target stop its work. Requests
  * that must not run twice get a connection of their own: on a kept connection the target may close
  * it while the request is on its way, and then it is not known whether the request ran.
  */
-public final class TargetCaller implements AutoCloseable {
+public final class TargetCaller implements TargetClient, AutoCloseable {
 
   private static final String STEP = "forward";
 
@@ -71,15 +71,7 @@
         .option(ChannelOption.TCP_NODELAY, true);
   }
 
-  /**
-   * Sends a request.
-   *
-   * @param target the target, not null
-   * @param forward the request, not null
-   * @param left the time that the target is given, not null
-   * @param lastEventId the event after which a stream goes on, not null
-   * @return the head and the pieces of the answer; it fails with an {@link AttemptException}
-   */
+  @Override
   public Flux<AnswerPart> call(
       Target target, ForwardRequest forward, Duration left, OptionalLong lastEventId) {
     TrafficRequest request = forward.request();
