--- /dev/null
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/registry/ManualScheduler.java
@@ -0,0 +1,130 @@
+package io.fireflyshed.transport.registry;
+
+import io.fireflyshed.state.clock.ManualClock;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.AbstractExecutorService;
+import java.util.concurrent.Callable;
+import java.util.concurrent.Delayed;
+import java.util.concurrent.FutureTask;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+
+/** Runs a control thread's tasks on the test's thread, when the manual clock has reached them. */
+final class ManualScheduler extends AbstractExecutorService implements ScheduledExecutorService {
+
+  /** A task that is due at a reading of the clock. */
+  private final class Task extends FutureTask<Object> implements ScheduledFuture<Object> {
+    private final long dueNanos;
+
+    Task(Runnable command, long dueNanos) {
+      super(command, null);
+      this.dueNanos = dueNanos;
+    }
+
+    @Override
+    public long getDelay(TimeUnit unit) {
+      return unit.convert(dueNanos - clock.nanoTime(), TimeUnit.NANOSECONDS);
+    }
+
+    @Override
+    public int compareTo(Delayed other) {
+      return Long.compare(getDelay(TimeUnit.NANOSECONDS), other.getDelay(TimeUnit.NANOSECONDS));
+    }
+  }
+
+  private static final Duration STEP = Duration.ofMillis(1);
+
+  private final ManualClock clock;
+  private final Queue<Runnable> ready = new ArrayDeque<>();
+  private final List<Task> waiting = new ArrayList<>();
+
+  ManualScheduler(ManualClock clock) {
+    this.clock = clock;
+  }
+
+  /** Runs all that is due now and what follows from it. */
+  void runDue() {
+    while (true) {
+      List<Task> due =
+          waiting.stream().filter(t -> t.getDelay(TimeUnit.NANOSECONDS) <= 0).sorted().toList();
+      waiting.removeAll(due);
+      ready.addAll(due);
+      Runnable next = ready.poll();
+      if (next == null) {
+        return;
+      }
+      next.run();
+    }
+  }
+
+  /** Moves the clock on and runs what becomes due. */
+  void advance(Duration time) {
+    for (long millis = 0; millis < time.toMillis(); millis++) {
+      clock.advance(STEP);
+      runDue();
+    }
+  }
+
+  @Override
+  public void execute(Runnable command) {
+    ready.add(command);
+  }
+
+  @Override
+  public ScheduledFuture<?> schedule(Runnable command, long delay, TimeUnit unit) {
+    Task task = new Task(command, clock.nanoTime() + unit.toNanos(delay));
+    waiting.add(task);
+    return task;
+  }
+
+  @Override
+  public <V> ScheduledFuture<V> schedule(Callable<V> callable, long delay, TimeUnit unit) {
+    throw new UnsupportedOperationException();
+  }
+
+  @Override
+  public ScheduledFuture<?> scheduleAtFixedRate(
+      Runnable command, long initialDelay, long period, TimeUnit unit) {
+    throw new UnsupportedOperationException();
+  }
+
+  @Override
+  public ScheduledFuture<?> scheduleWithFixedDelay(
+      Runnable command, long initialDelay, long delay, TimeUnit unit) {
+    throw new UnsupportedOperationException();
+  }
+
+  @Override
+  public void shutdown() {
+    shutdownNow();
+  }
+
+  @Override
+  public List<Runnable> shutdownNow() {
+    Collection<Runnable> left = new ArrayList<>(ready);
+    ready.clear();
+    waiting.clear();
+    return List.copyOf(left);
+  }
+
+  @Override
+  public boolean isShutdown() {
+    return false;
+  }
+
+  @Override
+  public boolean isTerminated() {
+    return false;
+  }
+
+  @Override
+  public boolean awaitTermination(long timeout, TimeUnit unit) {
+    return true;
+  }
+}
