Count requests by the monotonic clock, so that a step of the time of day ends none

Cause, by reading: the forwarder and the check for streams that stand still used the clock that takes a step of the time of day as a suspension. A step of 2 s forward made all streams of an entry count as standing still, their targets as suspect for 6 s, and requests as out of time. Leases and the age of knowledge keep that clock: there a step only makes them seem older.

--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/FormationPlannerTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/FormationPlannerTest.java
@@ -3,6 +3,8 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import io.fireflyshed.state.target.EngineOrder;
+import io.fireflyshed.state.target.OrderReply;
 import io.fireflyshed.state.target.Target;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -150,6 +152,22 @@
       assertEquals(simulation.countWhole(FormationSimulation.LARGE), 2);
     }
 
+    @Test
+    public void refusedFenceEndsTheTerm() {
+      FormationSimulation simulation = newSettled(1);
+      simulation.findMember(FormationSimulation.LARGE, false).isAlive = false;
+      SimulatedEngine head = simulation.findMember(FormationSimulation.LARGE, true);
+      simulation.planner.onOrdered(
+          head.id,
+          new EngineOrder.Leave(head.membership.replica(), head.membership.generation()),
+          OrderReply.FENCED,
+          simulation.nowMillis);
+      int joins = simulation.joins;
+      simulation.run(Duration.ofSeconds(10));
+      assertTrue(simulation.planner.isFenced());
+      assertEquals(simulation.joins, joins);
+    }
+
     @Test
     public void successorFinishesWhatIsHalfFormed() {
       FormationSimulation simulation = new FormationSimulation(1, 1);
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
@@ -68,8 +68,14 @@
   private static final double BUDGET_RATIO_PART = 0.8;
 
   private final PlatformSettings settings;
+
+  /** The clock of requests: a step of the wall clock must not end those in flight. */
+  private final MonotonicClock trafficClock = MonotonicClock.system();
+
+  /** The clock of leases and of the age of knowledge, which go on while the machine stands. */
   private final MonotonicClock clock =
       new SuspendAwareClock(MonotonicClock.system(), System::currentTimeMillis);
+
   private final ScheduledExecutorService control =
       Executors.newSingleThreadScheduledExecutor(r -> new Thread(r, "control"));
   private final PrometheusMeterRegistry metrics =
@@ -109,7 +115,7 @@
             new StallDetector(placement),
             targetCaller,
             newBudget(settings),
-            clock,
+            trafficClock,
             formation::onStalled);
     server =
         new TrafficServer(
@@ -120,7 +126,7 @@
             () -> configuration.get().map(TrafficConfiguration::limits),
             forwarder,
             random,
-            clock,
+            trafficClock,
             this::isReady,
             metrics);
   }
