--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/FormationPlannerTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/FormationPlannerTest.java
@@ -130,6 +130,16 @@
       assertEquals(simulation.violations, List.of());
     }
 
+    @Test
+    public void ordersRestOnReportsThatShowTheOrdersBefore() {
+      FormationSimulation simulation = newSettled(2);
+      for (int i = 0; i < 8; i++) {
+        simulation.findMember(FormationSimulation.LARGE, i % 2 == 0).restart(simulation.nowMillis);
+        simulation.run(Duration.ofSeconds(6));
+      }
+      assertEquals(simulation.conflicts, 0, "orders that were refused");
+    }
+
     @Test
     public void engineThatSwallowedAnOrderIsNotOrderedOnAnOldReport() {
       FormationSimulation simulation = newSettled(2);
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/FormationSimulation.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/FormationSimulation.java
@@ -48,6 +48,7 @@
   long epoch;
   long nowMillis;
   int joins;
+  int conflicts;
   private final TreeMap<Long, List<Runnable>> events = new TreeMap<>();
   private final Map<String, Set<InstanceId>> everReady = new HashMap<>();
 
@@ -171,6 +172,9 @@
     List<InstanceId> membersBefore = engine.members;
     OrderReply reply =
         engine.take(order.order(), token, order.orderSequence(), profile.models(), nowMillis);
+    if (reply == OrderReply.CONFLICT) {
+      conflicts++;
+    }
     if (reply == OrderReply.BEGUN && order.order() instanceof EngineOrder.Join && before != null) {
       checkTaken(engine, before, membersBefore);
     }
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwardSchedule.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwardSchedule.java
@@ -85,16 +85,6 @@
       return isComplete || error != null || isCancelled;
     }
 
-    String getBody() {
-      StringBuilder body = new StringBuilder();
-      for (AnswerPart part : parts) {
-        if (part instanceof AnswerPart.Piece piece) {
-          body.append(new String(piece.bytes(), StandardCharsets.UTF_8));
-        }
-      }
-      return body.toString();
-    }
-
     /** Gets the status of the answer, or 0 if none came. */
     int getStatus() {
       return parts.isEmpty() ? 0 : ((AnswerPart.Head) parts.get(0)).answer().status();
@@ -277,10 +267,16 @@
     int cut = isBroken ? random.nextInt(parts.size()) : parts.size();
     Flux<AnswerPart> sent =
         Flux.fromIterable(parts.subList(0, cut)).concatMap(p -> pause().thenReturn(p));
-    return isBroken ? sent.concatWith(newBreak()) : sent;
+    return isBroken ? sent.concatWith(newBreak(parts.subList(0, cut))) : sent;
   }
 
-  private Flux<AnswerPart> newBreak() {
+  /** Breaks an answer off; a stream may also just end within an event. */
+  private Flux<AnswerPart> newBreak(List<AnswerPart> sent) {
+    String text = getText(sent);
+    boolean isWithinEvent = text.startsWith("id") && !text.endsWith("\n\n");
+    if (isWithinEvent && random.nextBoolean()) {
+      return Flux.empty();
+    }
     return random.nextBoolean() ? Flux.never() : Flux.error(newError(Outcome.UNKNOWN));
   }
 
@@ -350,6 +346,16 @@
     return pieces;
   }
 
+  private static String getText(List<AnswerPart> parts) {
+    StringBuilder text = new StringBuilder();
+    for (AnswerPart part : parts) {
+      if (part instanceof AnswerPart.Piece piece) {
+        text.append(new String(piece.bytes(), StandardCharsets.UTF_8));
+      }
+    }
+    return text.toString();
+  }
+
   private void check(String id, Caller caller) {
     if (!caller.isEnded()) {
       violations.add(id + " got neither the end nor an error");
@@ -389,7 +395,7 @@
       }
       return;
     }
-    String body = caller.getBody();
+    String body = getText(caller.parts);
     if (caller.getStatus() != 200) {
       if (!body.equals("failed")) {
         violations.add(id + " got a mixed failure: " + body);
