Leave out targets that can't be reached; send few requests to those that often fail

The placer learnt nothing from a failed connection. Change: a target that no connection reached is left out for 1 s, doubling up to 6 s, until it answers; the share of failed attempts, forgotten in seconds, counts as load. If none is left, the caller is told when the next one is tried.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/PlacementSettings.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/PlacementSettings.java
@@ -17,6 +17,8 @@
  *     its connection is taken to be dead
  * @param suspicion the time for which a target that stood still gets no requests, unless it is
  *     heard of again
+ * @param unreachable the time for which a target that no connection reached gets no requests; it
+ *     doubles with each further failure up to {@code suspicion}
  * @param zonePenalty the load that a target in another zone counts for more, as a part of its slots
  */
 public record PlacementSettings(
@@ -26,6 +28,7 @@
     Duration firstEventStall,
     Duration connectionStall,
     Duration suspicion,
+    Duration unreachable,
     double zonePenalty) {
 
   /** Checks the parts of the record. */
@@ -34,6 +37,7 @@
     Objects.requireNonNull(firstEventStall, "firstEventStall");
     Objects.requireNonNull(connectionStall, "connectionStall");
     Objects.requireNonNull(suspicion, "suspicion");
+    Objects.requireNonNull(unreachable, "unreachable");
   }
 
   /**
@@ -49,6 +53,7 @@
         Duration.ofMillis(1000),
         Duration.ofMillis(2500),
         Duration.ofSeconds(6),
+        Duration.ofSeconds(1),
         0.03);
   }
 }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetPlacer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetPlacer.java
@@ -16,15 +16,19 @@
  * Sends each request to the target that is expected to begin it first, or refuses it at once.
  *
  * <p>A target's load is what its last answer told, corrected by this entry's own requests since.
- * Targets that stood still are left out until they are heard of again or a time has passed. A
- * request is refused when every target is so full that it would wait long, since a caller that is
- * told when to come back is served better than one that waits and is refused then. Thread safe.
+ * Targets that stood still or can't be reached are left out until they are heard of again or a time
+ * has passed, and those whose attempts often fail get few requests until they recover. A request is
+ * refused when every target is so full that it would wait long, since a caller that is told when to
+ * come back is served better than one that waits and is refused then. Thread safe.
  */
 public final class TargetPlacer {
 
   /** The targets may be this much slower than the fastest before they count as more loaded. */
   private static final double SLOWNESS_TOLERANCE = 1.3;
 
+  /** What a target whose attempts all fail counts as loaded for more, as a part of its slots. */
+  private static final double FAILURE_PENALTY = 2;
+
   /** The time to come back if no target serves: about that in which a replica is repaired. */
   private static final Duration NO_TARGET_WAIT = Duration.ofMillis(2000);
 
@@ -65,13 +69,18 @@
       boolean isQueueing,
       long nowNanos) {
     List<Target> usable = new ArrayList<>();
+    long wait = NO_TARGET_WAIT.toNanos();
     for (Target candidate : candidates) {
-      if (!excluded.contains(candidate.id()) && !getLoad(candidate.id()).isSuspect(nowNanos)) {
+      TargetLoad load = getLoad(candidate.id());
+      if (load.isSuspect(nowNanos)) {
+        wait = Math.min(wait, load.getSuspectNanos(nowNanos));
+      } else if (!excluded.contains(candidate.id())) {
         usable.add(candidate);
       }
     }
     if (usable.isEmpty()) {
-      return new Placement.Refuse("no target serves", NO_TARGET_WAIT);
+      Duration retryAfter = Duration.ofNanos(Math.max(wait, ReturnSchedule.MIN_WAIT.toNanos()));
+      return new Placement.Refuse("no target serves", retryAfter);
     }
     double fastest = usable.stream().mapToDouble(this::getGap).filter(g -> g > 0).min().orElse(0);
     Target best = null;
@@ -81,7 +90,7 @@
       if (load.getRequests() >= getCapacity(candidate, load, isQueueing)) {
         continue;
       }
-      double cost = getCost(candidate, load, fastest) + random.nextDouble() * 1e-3;
+      double cost = getCost(candidate, load, fastest, nowNanos) + random.nextDouble() * 1e-3;
       if (cost < bestCost) {
         bestCost = cost;
         best = candidate;
@@ -100,11 +109,12 @@
         : slots * (1 + settings.plainQueueAllowance());
   }
 
-  private double getCost(Target target, TargetLoad load, double fastest) {
+  private double getCost(Target target, TargetLoad load, double fastest, long nowNanos) {
     double slowness = fastest > 0 ? getGap(target) / (fastest * SLOWNESS_TOLERANCE) : 1;
     double part = (load.getRequests() + 1.0) / load.getSlots(target.slots());
     double penalty = target.zone().equals(zone) ? 0 : settings.zonePenalty();
-    return part * Math.max(1, slowness) + penalty;
+    double failures = FAILURE_PENALTY * load.getFailureRate(nowNanos);
+    return part * Math.max(1, slowness) + penalty + failures;
   }
 
   private double getGap(Target target) {
@@ -163,6 +173,27 @@
     getLoad(target).suspectUntil(nowNanos + settings.suspicion().toNanos());
   }
 
+  /**
+   * Takes in that no connection to a target came about.
+   *
+   * @param target the target, not null
+   * @param nowNanos the reading of the monotonic clock
+   */
+  public synchronized void onUnreachable(InstanceId target, long nowNanos) {
+    getLoad(target).onUnreachable(nowNanos, settings.unreachable(), settings.suspicion());
+  }
+
+  /**
+   * Takes in how an attempt ended that the target may have run.
+   *
+   * @param target the target, not null
+   * @param isSuccess whether its answer was whole and no failure
+   * @param nowNanos the reading of the monotonic clock
+   */
+  public synchronized void onResult(InstanceId target, boolean isSuccess, long nowNanos) {
+    getLoad(target).onResult(isSuccess, nowNanos);
+  }
+
   /**
    * Forgets targets that are gone.
    *
@@ -182,7 +213,7 @@
     if (load != null && load.getInFlight() == 0) {
       loads.remove(target);
     } else if (load != null) {
-      load.suspectUntil(Long.MIN_VALUE);
+      load.forgetFailures();
     }
   }
 
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/Forwarder.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/Forwarder.java
@@ -3,6 +3,7 @@
 import io.fireflyshed.coordination.attempt.AttemptException;
 import io.fireflyshed.coordination.attempt.Outcome;
 import io.fireflyshed.coordination.attempt.TargetLostException;
+import io.fireflyshed.coordination.attempt.TargetUnreachableException;
 import io.fireflyshed.coordination.placement.Placement;
 import io.fireflyshed.coordination.placement.StallDetector;
 import io.fireflyshed.coordination.placement.TargetPlacer;
@@ -239,6 +240,7 @@
       TargetAnswer answer = ((AnswerPart.Head) whole.get(0)).answer();
       onAnswer(target, answer);
       if (answer.isSuccess() || !forward.route().isRepeatable()) {
+        placer.onResult(target.id(), answer.isSuccess(), clock.nanoTime());
         return Flux.fromIterable(whole);
       }
       failure = whole;
@@ -340,6 +342,7 @@
       if (!splitter.isBetweenEvents()) {
         return Flux.error(newLost(target, "the stream ends within an event"));
       }
+      placer.onResult(target.id(), true, clock.nanoTime());
       if (!isHeadSent) {
         isHeadSent = true;
         return Flux.just(head[0]);
@@ -359,6 +362,7 @@
       } else {
         runs++;
       }
+      learn(target, error);
       boolean isAllowed =
           isNotRun
               ? notRun <= MAX_NOT_RUN
@@ -387,6 +391,14 @@
               STEP, target.id().value(), error.getMessage(), outcome, RETRY_AFTER_FAILURE, false));
     }
 
+    private void learn(Target target, AttemptException error) {
+      if (error instanceof TargetUnreachableException) {
+        placer.onUnreachable(target.id(), clock.nanoTime());
+      } else if (error.getOutcome() != Outcome.NOT_RUN) {
+        placer.onResult(target.id(), false, clock.nanoTime());
+      }
+    }
+
     private ForwardException newTimeout() {
       Outcome known = tried.isEmpty() ? Outcome.NOT_RUN : outcome.join(Outcome.UNKNOWN);
       log.info("out of time", "request", id, "tried", tried, "outcome", known);
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/TargetCaller.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/TargetCaller.java
@@ -2,6 +2,7 @@
 
 import io.fireflyshed.coordination.attempt.AttemptException;
 import io.fireflyshed.coordination.attempt.Outcome;
+import io.fireflyshed.coordination.attempt.TargetUnreachableException;
 import io.fireflyshed.protocol.traffic.TargetAnswer;
 import io.fireflyshed.protocol.traffic.TrafficCodec;
 import io.fireflyshed.protocol.traffic.TrafficRequest;
@@ -11,6 +12,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import java.net.ConnectException;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -138,6 +140,9 @@
     }
     Outcome outcome = handOver.isGivenUp() ? Outcome.NOT_RUN : Outcome.UNKNOWN;
     String message = error.getClass().getSimpleName() + ": " + error.getMessage();
+    if (outcome == Outcome.NOT_RUN && error instanceof ConnectException) {
+      return new TargetUnreachableException(STEP, peer, message, error);
+    }
     return new AttemptException(STEP, peer, outcome, message, error);
   }
 
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/placement/TargetPlacerTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/placement/TargetPlacerTest.java
@@ -142,6 +142,60 @@
     assertTrue(place(200) instanceof Placement.Send);
   }
 
+  @Test
+  public void targetThatCannotBeReachedIsLeftOutForLongerEachTime() {
+    InstanceId id = targets.get(0).id();
+    targets.subList(1, 4).clear();
+    placer.onUnreachable(id, millis(0));
+    placer.onUnreachable(id, millis(300));
+    assertTrue(place(900) instanceof Placement.Refuse);
+    assertTrue(place(1100) instanceof Placement.Send);
+    placer.onUnreachable(id, millis(1500));
+    assertTrue(place(3400) instanceof Placement.Refuse);
+    assertTrue(place(3600) instanceof Placement.Send);
+  }
+
+  @Test
+  public void answerEndsTheCountOfFailedConnections() {
+    InstanceId id = targets.get(0).id();
+    targets.subList(1, 4).clear();
+    placer.onUnreachable(id, millis(0));
+    placer.onLoad(id, 1, SLOTS);
+    placer.onUnreachable(id, millis(2000));
+    assertTrue(place(3100) instanceof Placement.Send);
+  }
+
+  @Test
+  public void callerComesBackWhenTheNextTargetIsTried() {
+    targets.forEach(t -> placer.onUnreachable(t.id(), millis(0)));
+    assertEquals(((Placement.Refuse) place(600)).retryAfter(), Duration.ofMillis(400));
+    assertEquals(((Placement.Refuse) place(950)).retryAfter(), ReturnSchedule.MIN_WAIT);
+  }
+
+  /** Plays requests of which one target fails some, and gets the part that it received. */
+  private double playGrey(long fromMillis, int requests, double failures) {
+    int received = 0;
+    for (int i = 0; i < requests; i++) {
+      long now = fromMillis + i * 25L;
+      Target target = ((Placement.Send) place(now)).target();
+      boolean isGrey = target == targets.get(0);
+      received += isGrey ? 1 : 0;
+      boolean isSuccess = !isGrey || random.nextDouble() >= failures;
+      placer.onResult(target.id(), isSuccess, millis(now));
+    }
+    return received / (double) requests;
+  }
+
+  @Test
+  public void targetThatFailsPartOfItsRequestsGetsFewUntilItRecovers() {
+    double healthy = playGrey(0, 400, 0);
+    double grey = playGrey(10_000, 400, 0.45);
+    double recovered = playGrey(30_000, 400, 0);
+    assertTrue(healthy > 0.2, "healthy: " + healthy);
+    assertTrue(grey < 0.05, "grey: " + grey);
+    assertTrue(recovered > 0.2, "recovered: " + recovered);
+  }
+
   @Test
   public void slowTargetGetsFewer() {
     for (int i = 0; i < 40; i++) {
