Try the next target without the budget of repeats if none was reached

A connection that did not come about reaches no target, so it is no repeat that the deployment's budget counts. Also: Retry-After is written in the same form in every locale.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/Forwarder.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/Forwarder.java
@@ -367,7 +367,9 @@
           isNotRun
               ? notRun <= MAX_NOT_RUN
               : forward.route().isRepeatable() && runs < forward.route().maxAttempts();
-      boolean isRetried = isAllowed && budget.tryRetry();
+      // What reached no target is no repeat that a target would have to bear.
+      boolean isFree = error instanceof TargetUnreachableException;
+      boolean isRetried = isAllowed && (isFree || budget.tryRetry());
       log.info(
           "attempt broke",
           "request",
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/TrafficServer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/TrafficServer.java
@@ -21,6 +21,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -333,7 +334,7 @@
             wait ->
                 response.header(
                     HttpHeaderNames.RETRY_AFTER,
-                    String.format("%.3f", wait.toNanos() / NANOS_PER_SECOND)));
+                    String.format(Locale.ROOT, "%.3f", wait.toNanos() / NANOS_PER_SECOND)));
     return response.sendString(Mono.just(verdict.reason() + "\n")).then();
   }
 }
