explain: leave out the beliefs of entries that did not have the request

Lines on a target of the request still come from all entries, since its coordinator may be any of them.

--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/command/ExplainCommand.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/command/ExplainCommand.java
@@ -109,9 +109,14 @@
   /** Selects the request's lines, and before each the last lines that formed its belief. */
   private static List<Line> select(List<Line> lines, String request) {
     Set<String> targets = new HashSet<>();
+    Set<String> entries = new HashSet<>();
     lines.stream()
-        .filter(l -> l.isOf(request) && l.fields().has("target"))
-        .forEach(l -> targets.add(l.fields().path("target").asText()));
+        .filter(l -> l.isOf(request))
+        .forEach(
+            l -> {
+              entries.add(l.source());
+              targets.add(l.fields().path("target").asText());
+            });
     int first = -1;
     int last = -1;
     for (int i = 0; i < lines.size(); i++) {
@@ -124,24 +129,27 @@
     Set<String> seenBefore = new HashSet<>();
     for (int i = first - 1; i >= 0 && first > 0; i--) {
       Line line = lines.get(i);
-      if (isBelief(line, targets) && seenBefore.add(line.source() + line.getEvent())) {
+      if (isBelief(line, entries, targets) && seenBefore.add(line.source() + line.getEvent())) {
         selected.add(0, line);
       }
     }
     for (int i = Math.max(0, first); i <= last; i++) {
       Line line = lines.get(i);
-      if (line.isOf(request) || isBelief(line, targets)) {
+      if (line.isOf(request) || isBelief(line, entries, targets)) {
         selected.add(line);
       }
     }
     return first < 0 ? List.of() : selected;
   }
 
-  private static boolean isBelief(Line line, Set<String> targets) {
+  /** Tests for a belief of an entry that had the request, or of any entry on one of its targets. */
+  private static boolean isBelief(Line line, Set<String> entries, Set<String> targets) {
     if (!BELIEFS.contains(line.getEvent())) {
       return false;
     }
     JsonNode target = line.fields().path("target");
-    return target.isMissingNode() || targets.contains(target.asText());
+    return target.isMissingNode()
+        ? entries.contains(line.source())
+        : targets.contains(target.asText());
   }
 }
