--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/Forwarder.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/Forwarder.java
@@ -50,6 +50,12 @@
   private static final int PATIENCE = 3;
 
   private static final Duration RETRY_AFTER_FAILURE = Duration.ofMillis(300);
+
+  /**
+   * The time to come back while the targets aren't known yet; a reading takes some milliseconds.
+   */
+  private static final Duration RETRY_AFTER_START = Duration.ofMillis(200);
+
   private static final Duration STALL_CHECK = Duration.ofMillis(50);
   private static final String STEP = "forward";
 
@@ -163,6 +169,9 @@
       if (left.compareTo(MIN_LEFT) < 0) {
         return Flux.error(newTimeout());
       }
+      if (!view.isRead()) {
+        return refuse(new Placement.Refuse("the targets are not known yet", RETRY_AFTER_START), 0);
+      }
       boolean isModel = forward.request().prompt().isPresent();
       List<Target> candidates =
           isModel
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/TargetView.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/TargetView.java
@@ -7,6 +7,13 @@
 /** Lists the targets that may get requests now. Implementations are thread safe. */
 public interface TargetView {
 
+  /**
+   * Tests whether the targets are known at all, which they aren't yet just after a start.
+   *
+   * @return true after the first reading
+   */
+  boolean isRead();
+
   /**
    * Lists the targets of a plain service that don't leave.
    *
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/registry/TargetFollower.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/registry/TargetFollower.java
@@ -168,11 +168,7 @@
         .collect(Collectors.joining(" "));
   }
 
-  /**
-   * Tests whether the registry was read at all.
-   *
-   * @return true after the first reading
-   */
+  @Override
   public boolean isRead() {
     return isRead;
   }
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwardSchedule.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwardSchedule.java
@@ -128,6 +128,11 @@
     }
     TargetView view =
         new TargetView() {
+          @Override
+          public boolean isRead() {
+            return true;
+          }
+
           @Override
           public List<Target> getTargets(ServiceName service) {
             return targets;
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwarderTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwarderTest.java
@@ -47,12 +47,14 @@
   private final Map<String, AttemptException> errors = new HashMap<>();
   private final List<String> called = new ArrayList<>();
   private Forwarder forwarder;
+  private boolean isRead;
 
   /** Creates a forwarder before three targets of its own zone, without any budget for repeats. */
   @BeforeMethod
   public void setUp() {
     errors.clear();
     called.clear();
+    isRead = true;
     forwarder = newForwarder(0);
   }
 
@@ -60,6 +62,11 @@
     List<Target> targets = List.of(newTarget("one"), newTarget("two"), newTarget("three"));
     TargetView view =
         new TargetView() {
+          @Override
+          public boolean isRead() {
+            return isRead;
+          }
+
           @Override
           public List<Target> getTargets(ServiceName service) {
             return targets;
@@ -192,6 +199,14 @@
     assertTrue(error.getRetryAfter().compareTo(Duration.ofSeconds(1)) <= 0);
   }
 
+  @Test
+  public void callerComesBackSoonWhileTheTargetsAreNotKnownYet() {
+    isRead = false;
+    ForwardException error = expectThrows(ForwardException.class, this::forward);
+    assertEquals(error.getOutcome(), Outcome.NOT_RUN);
+    assertEquals(error.getRetryAfter(), Duration.ofMillis(200));
+  }
+
   @Test
   public void rejectionsDrawOnTheBudget() {
     AttemptException rejected =
