--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/order/OrderScheduleTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/order/OrderScheduleTest.java
@@ -1,9 +1,7 @@
 package io.fireflyshed.coordination.order;
 
-import static org.testng.Assert.assertTrue;
-
 import io.fireflyshed.coordination.order.OrderSchedule.Defect;
-import java.util.List;
+import io.fireflyshed.faults.ScheduleRuns;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -11,8 +9,6 @@
 public class OrderScheduleTest {
 
   private static final String SEED_PROPERTY = "orderSeed";
-  private static final String COMMAND =
-      "mvn -pl fireflyshed-core test -Dtest=OrderScheduleTest -DorderSeed=";
   private static final int SCHEDULES = 8000;
   private static final int DEFECT_SCHEDULES = 300;
 
@@ -21,14 +17,11 @@
 
     @Test
     public void keepsItsPromisesInEverySchedule() {
-      Long only = Long.getLong(SEED_PROPERTY);
-      long first = only == null ? 1 : only;
-      long last = only == null ? SCHEDULES : only;
-      for (long seed = first; seed <= last; seed++) {
-        List<String> violations = new OrderSchedule(seed, Defect.NONE).run();
-        assertTrue(
-            violations.isEmpty(), "seed " + seed + ": " + violations + "; " + COMMAND + seed);
-      }
+      ScheduleRuns.assertNoViolation(
+          OrderScheduleTest.class,
+          SEED_PROPERTY,
+          SCHEDULES,
+          seed -> new OrderSchedule(seed, Defect.NONE).run());
     }
   }
 
@@ -46,12 +39,8 @@
 
     @Test(dataProvider = "defects")
     public void noticesDefect(Defect defect, String expected) {
-      int noticed = 0;
-      for (long seed = 1; seed <= DEFECT_SCHEDULES; seed++) {
-        List<String> violations = new OrderSchedule(seed, defect).run();
-        noticed += violations.stream().anyMatch(v -> v.contains(expected)) ? 1 : 0;
-      }
-      assertTrue(noticed > 0, defect + " was not noticed in " + DEFECT_SCHEDULES + " schedules");
+      ScheduleRuns.assertNoticed(
+          defect, expected, DEFECT_SCHEDULES, seed -> new OrderSchedule(seed, defect).run());
     }
   }
 }
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/entry/CompletionScheduleTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/entry/CompletionScheduleTest.java
@@ -1,9 +1,7 @@
 package io.fireflyshed.transport.entry;
 
-import static org.testng.Assert.assertTrue;
-
+import io.fireflyshed.faults.ScheduleRuns;
 import io.fireflyshed.transport.entry.CompletionSchedule.Defect;
-import java.util.List;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -11,20 +9,16 @@
 public class CompletionScheduleTest {
 
   private static final String SEED_PROPERTY = "streamSeed";
-  private static final String COMMAND =
-      "mvn -pl fireflyshed-core test -Dtest=CompletionScheduleTest -DstreamSeed=";
   private static final int SCHEDULES = 6000;
   private static final int DEFECT_SCHEDULES = 200;
 
   @Test
   public void keepsItsPromisesInEverySchedule() {
-    Long only = Long.getLong(SEED_PROPERTY);
-    long first = only == null ? 1 : only;
-    long last = only == null ? SCHEDULES : only;
-    for (long seed = first; seed <= last; seed++) {
-      List<String> violations = new CompletionSchedule(seed, Defect.NONE).run();
-      assertTrue(violations.isEmpty(), "seed " + seed + ": " + violations + "; " + COMMAND + seed);
-    }
+    ScheduleRuns.assertNoViolation(
+        CompletionScheduleTest.class,
+        SEED_PROPERTY,
+        SCHEDULES,
+        seed -> new CompletionSchedule(seed, Defect.NONE).run());
   }
 
   /** Gets the deliberate mistakes and what the checks say of them. */
@@ -39,11 +33,7 @@
 
   @Test(dataProvider = "defects")
   public void noticesDefect(Defect defect, String expected) {
-    int noticed = 0;
-    for (long seed = 1; seed <= DEFECT_SCHEDULES; seed++) {
-      List<String> violations = new CompletionSchedule(seed, defect).run();
-      noticed += violations.stream().anyMatch(v -> v.contains(expected)) ? 1 : 0;
-    }
-    assertTrue(noticed > 0, defect + " was not noticed in " + DEFECT_SCHEDULES + " schedules");
+    ScheduleRuns.assertNoticed(
+        defect, expected, DEFECT_SCHEDULES, seed -> new CompletionSchedule(seed, defect).run());
   }
 }
--- /dev/null
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwardFixtures.java
@@ -0,0 +1,113 @@
+package io.fireflyshed.transport.forward;
+
+import io.fireflyshed.protocol.traffic.PromptDescriptor;
+import io.fireflyshed.protocol.traffic.TargetAnswer;
+import io.fireflyshed.protocol.traffic.TrafficRequest;
+import io.fireflyshed.state.instance.AvailabilityZone;
+import io.fireflyshed.state.instance.InstanceId;
+import io.fireflyshed.state.replica.ServiceName;
+import io.fireflyshed.state.target.Target;
+import io.fireflyshed.state.traffic.RequestKind;
+import io.fireflyshed.state.traffic.Route;
+import io.fireflyshed.state.traffic.ServiceShare;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.BooleanSupplier;
+
+/** Makes the targets, routes, requests and answers of the tests of forwarding. */
+final class ForwardFixtures {
+
+  static final ServiceName SERVICE = new ServiceName("cards");
+  static final AvailabilityZone ZONE = new AvailabilityZone("a");
+  static final int MAX_ATTEMPTS = 2;
+  private static final int SLOTS = 8;
+  private static final String MODEL = "m";
+
+  private ForwardFixtures() {}
+
+  static Target newTarget(String id) {
+    return new Target(
+        new InstanceId(id),
+        SERVICE,
+        InetSocketAddress.createUnresolved("127.0.0.1", 1),
+        ZONE,
+        false,
+        SLOTS,
+        1,
+        Optional.empty());
+  }
+
+  /** Makes a view in which all targets serve the model, too. */
+  static TargetView newView(List<Target> targets, BooleanSupplier isRead) {
+    return new TargetView() {
+      @Override
+      public boolean isRead() {
+        return isRead.getAsBoolean();
+      }
+
+      @Override
+      public List<Target> getTargets(ServiceName service) {
+        return targets;
+      }
+
+      @Override
+      public List<Target> getHeads(ServiceName service, String model) {
+        return targets;
+      }
+    };
+  }
+
+  static Route newRoute(RequestKind kind, boolean isResumable, Duration timeout) {
+    return new Route(
+        "r",
+        "h",
+        "/r/",
+        kind,
+        timeout,
+        Duration.ofMillis(300),
+        1,
+        List.of(new ServiceShare(SERVICE, 1)),
+        MAX_ATTEMPTS,
+        true,
+        isResumable);
+  }
+
+  static ForwardRequest newForward(String id, Route route, long arrivalNanos) {
+    boolean isStream = route.kind() == RequestKind.STREAM;
+    TrafficRequest request =
+        new TrafficRequest(
+            id,
+            HttpMethod.POST,
+            "/r/x",
+            "h",
+            new DefaultHttpHeaders(),
+            Optional.empty(),
+            Optional.empty(),
+            isStream ? Optional.of(new PromptDescriptor(MODEL, 10, 10)) : Optional.empty(),
+            OptionalLong.empty());
+    return new ForwardRequest(
+        request, new byte[0], route, SERVICE, Optional.empty(), 1, arrivalNanos, route.timeout());
+  }
+
+  static AnswerPart newHead(String id, int status) {
+    return new AnswerPart.Head(
+        new TargetAnswer(
+            status,
+            new DefaultHttpHeaders(),
+            Optional.of(id),
+            true,
+            false,
+            false,
+            Optional.empty()));
+  }
+
+  static AnswerPart newPiece(String text) {
+    return new AnswerPart.Piece(text.getBytes(StandardCharsets.UTF_8));
+  }
+}
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwardSchedule.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwardSchedule.java
@@ -6,19 +6,9 @@
 import io.fireflyshed.coordination.placement.StallDetector;
 import io.fireflyshed.coordination.placement.TargetPlacer;
 import io.fireflyshed.coordination.retry.RetryBudget;
-import io.fireflyshed.protocol.traffic.PromptDescriptor;
-import io.fireflyshed.protocol.traffic.TargetAnswer;
-import io.fireflyshed.protocol.traffic.TrafficRequest;
-import io.fireflyshed.state.instance.AvailabilityZone;
-import io.fireflyshed.state.instance.InstanceId;
-import io.fireflyshed.state.replica.ServiceName;
 import io.fireflyshed.state.target.Target;
 import io.fireflyshed.state.traffic.RequestKind;
 import io.fireflyshed.state.traffic.Route;
-import io.fireflyshed.state.traffic.ServiceShare;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
-import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -26,7 +16,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -53,12 +42,9 @@
     RESUMED_TOO_LATE
   }
 
-  private static final ServiceName SERVICE = new ServiceName("cards");
-  private static final String MODEL = "m";
   private static final int TARGETS = 4;
   private static final int REQUESTS = 4;
   private static final int MAX_EVENTS = 8;
-  private static final int MAX_ATTEMPTS = 2;
   private static final Duration LIMIT = Duration.ofSeconds(4);
 
   /** An answer is due this long after the limit at the latest, as timers may fire late. */
@@ -124,28 +110,11 @@
     PlacementSettings placement = PlacementSettings.ofDefaults();
     List<Target> targets = new ArrayList<>();
     for (int i = 0; i < TARGETS; i++) {
-      targets.add(newTarget(i));
+      targets.add(ForwardFixtures.newTarget("t" + i));
     }
-    TargetView view =
-        new TargetView() {
-          @Override
-          public boolean isRead() {
-            return true;
-          }
-
-          @Override
-          public List<Target> getTargets(ServiceName service) {
-            return targets;
-          }
-
-          @Override
-          public List<Target> getHeads(ServiceName service, String model) {
-            return targets;
-          }
-        };
     return new Forwarder(
-        view,
-        new TargetPlacer(placement, new AvailabilityZone("a"), random),
+        ForwardFixtures.newView(targets, () -> true),
+        new TargetPlacer(placement, ForwardFixtures.ZONE, random),
         new StallDetector(placement),
         this::call,
         new RetryBudget(0.2, 10, 10),
@@ -153,18 +122,6 @@
         stalled -> {});
   }
 
-  private static Target newTarget(int number) {
-    return new Target(
-        new InstanceId("t" + number),
-        SERVICE,
-        InetSocketAddress.createUnresolved("127.0.0.1", 1 + number),
-        new AvailabilityZone("a"),
-        false,
-        8,
-        1,
-        Optional.empty());
-  }
-
   private long nanos() {
     return time.now(TimeUnit.NANOSECONDS);
   }
@@ -176,7 +133,7 @@
     callers.put(id, caller);
     Disposable answer =
         forwarder
-            .forward(newForward(id, caller))
+            .forward(ForwardFixtures.newForward(id, caller.route, nanos()))
             .subscribe(
                 caller.parts::add,
                 e -> {
@@ -202,36 +159,11 @@
   }
 
   private Route newRoute(RequestKind kind, boolean isResumable) {
-    boolean isMistaken = defect == Defect.ALL_REPEATABLE && kind == RequestKind.ONE_TIME;
-    return new Route(
-        "r",
-        "h",
-        "/r/",
-        isMistaken ? RequestKind.IDEMPOTENT : kind,
-        LIMIT,
-        Duration.ofMillis(300),
-        1,
-        List.of(new ServiceShare(SERVICE, 1)),
-        MAX_ATTEMPTS,
-        true,
-        isResumable || defect == Defect.ALL_REPEATABLE);
-  }
-
-  private ForwardRequest newForward(String id, Caller caller) {
-    boolean isStream = caller.route.kind() == RequestKind.STREAM;
-    TrafficRequest request =
-        new TrafficRequest(
-            id,
-            HttpMethod.POST,
-            "/r/x",
-            "h",
-            new DefaultHttpHeaders(),
-            Optional.empty(),
-            Optional.empty(),
-            isStream ? Optional.of(new PromptDescriptor(MODEL, 10, 10)) : Optional.empty(),
-            OptionalLong.empty());
-    return new ForwardRequest(
-        request, new byte[0], caller.route, SERVICE, Optional.empty(), 1, nanos(), LIMIT);
+    boolean isMistaken = defect == Defect.ALL_REPEATABLE;
+    return ForwardFixtures.newRoute(
+        isMistaken && kind == RequestKind.ONE_TIME ? RequestKind.IDEMPOTENT : kind,
+        isMistaken || isResumable,
+        LIMIT);
   }
 
   /** Plays a target: computes the answer, counts the run and fails at any step. */
@@ -263,10 +195,12 @@
       return Flux.never();
     }
     if (fault == 4) {
-      return pause().thenMany(Flux.just(newHead(id, 500), newPiece("failed")));
+      return pause()
+          .thenMany(
+              Flux.just(ForwardFixtures.newHead(id, 500), ForwardFixtures.newPiece("failed")));
     }
     List<AnswerPart> parts = new ArrayList<>();
-    parts.add(newHead(id, 200));
+    parts.add(ForwardFixtures.newHead(id, 200));
     parts.addAll(chop(newBody(id, caller, lastEventId)));
     boolean isBroken = fault < 8;
     int cut = isBroken ? random.nextInt(parts.size()) : parts.size();
@@ -294,22 +228,6 @@
     return new AttemptException("forward", "target", told, "broken", null);
   }
 
-  private static AnswerPart newHead(String id, int status) {
-    return new AnswerPart.Head(
-        new TargetAnswer(
-            status,
-            new DefaultHttpHeaders(),
-            Optional.of(id),
-            true,
-            false,
-            false,
-            Optional.empty()));
-  }
-
-  private static AnswerPart newPiece(String text) {
-    return new AnswerPart.Piece(text.getBytes(StandardCharsets.UTF_8));
-  }
-
   /** Gets what a target sends, which may repeat events before those asked for. */
   private String newBody(String id, Caller caller, OptionalLong lastEventId) {
     if (caller.route.kind() != RequestKind.STREAM) {
@@ -379,7 +297,7 @@
     boolean isOnce =
         caller.route.kind() == RequestKind.ONE_TIME
             || caller.route.kind() == RequestKind.STREAM && !caller.route.isResumable();
-    int most = isOnce || defect == Defect.ALL_REPEATABLE ? 1 : MAX_ATTEMPTS;
+    int most = isOnce || defect == Defect.ALL_REPEATABLE ? 1 : ForwardFixtures.MAX_ATTEMPTS;
     if (caller.runs > most) {
       violations.add(id + " ran too often: " + caller.runs);
     }
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwarderTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwarderTest.java
@@ -11,27 +11,16 @@
 import io.fireflyshed.coordination.placement.StallDetector;
 import io.fireflyshed.coordination.placement.TargetPlacer;
 import io.fireflyshed.coordination.retry.RetryBudget;
-import io.fireflyshed.protocol.traffic.TargetAnswer;
-import io.fireflyshed.protocol.traffic.TrafficRequest;
 import io.fireflyshed.state.clock.MonotonicClock;
-import io.fireflyshed.state.instance.AvailabilityZone;
-import io.fireflyshed.state.instance.InstanceId;
-import io.fireflyshed.state.replica.ServiceName;
 import io.fireflyshed.state.target.Target;
 import io.fireflyshed.state.traffic.RequestKind;
 import io.fireflyshed.state.traffic.Route;
-import io.fireflyshed.state.traffic.ServiceShare;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
-import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.OptionalLong;
 import org.apache.commons.rng.simple.RandomSource;
 import org.testng.annotations.BeforeMethod;
@@ -41,7 +30,6 @@
 /** Tests what {@link Forwarder} learns from one attempt for the next. */
 public class ForwarderTest {
 
-  private static final ServiceName SERVICE = new ServiceName("desk");
   private static final String BODY = "done";
 
   private final Map<String, AttemptException> errors = new HashMap<>();
@@ -59,29 +47,16 @@
   }
 
   private Forwarder newForwarder(int budget) {
-    List<Target> targets = List.of(newTarget("one"), newTarget("two"), newTarget("three"));
-    TargetView view =
-        new TargetView() {
-          @Override
-          public boolean isRead() {
-            return isRead;
-          }
-
-          @Override
-          public List<Target> getTargets(ServiceName service) {
-            return targets;
-          }
-
-          @Override
-          public List<Target> getHeads(ServiceName service, String model) {
-            return List.of();
-          }
-        };
+    List<Target> targets =
+        List.of(
+            ForwardFixtures.newTarget("one"),
+            ForwardFixtures.newTarget("two"),
+            ForwardFixtures.newTarget("three"));
     PlacementSettings placement = PlacementSettings.ofDefaults();
     return new Forwarder(
-        view,
+        ForwardFixtures.newView(targets, () -> isRead),
         new TargetPlacer(
-            placement, new AvailabilityZone("a"), RandomSource.XO_RO_SHI_RO_128_PP.create(1)),
+            placement, ForwardFixtures.ZONE, RandomSource.XO_RO_SHI_RO_128_PP.create(1)),
         new StallDetector(placement),
         this::call,
         new RetryBudget(0, 10, budget),
@@ -89,18 +64,6 @@
         stalled -> {});
   }
 
-  private static Target newTarget(String id) {
-    return new Target(
-        new InstanceId(id),
-        SERVICE,
-        InetSocketAddress.createUnresolved("127.0.0.1", 1),
-        new AvailabilityZone("a"),
-        false,
-        6,
-        1,
-        Optional.empty());
-  }
-
   private Flux<AnswerPart> call(
       Target target, ForwardRequest forward, Duration left, OptionalLong lastEventId) {
     called.add(target.id().value());
@@ -108,56 +71,15 @@
     if (error != null) {
       return Flux.error(error);
     }
-    TargetAnswer answer =
-        new TargetAnswer(
-            200,
-            new DefaultHttpHeaders(),
-            Optional.of(forward.request().id()),
-            true,
-            false,
-            false,
-            Optional.empty());
     return Flux.just(
-        new AnswerPart.Head(answer), new AnswerPart.Piece(BODY.getBytes(StandardCharsets.UTF_8)));
+        ForwardFixtures.newHead(forward.request().id(), 200), ForwardFixtures.newPiece(BODY));
   }
 
   /** Forwards a one-time request and gets the parts of its answer. */
   private List<AnswerPart> forward() {
-    Route route =
-        new Route(
-            "r",
-            "h",
-            "/r/",
-            RequestKind.ONE_TIME,
-            Duration.ofSeconds(1),
-            Duration.ofMillis(100),
-            1,
-            List.of(new ServiceShare(SERVICE, 1)),
-            2,
-            true,
-            false);
-    TrafficRequest request =
-        new TrafficRequest(
-            "id",
-            HttpMethod.POST,
-            "/r/x",
-            "h",
-            new DefaultHttpHeaders(),
-            Optional.empty(),
-            Optional.empty(),
-            Optional.empty(),
-            OptionalLong.empty());
+    Route route = ForwardFixtures.newRoute(RequestKind.ONE_TIME, false, Duration.ofSeconds(1));
     return forwarder
-        .forward(
-            new ForwardRequest(
-                request,
-                new byte[0],
-                route,
-                SERVICE,
-                Optional.empty(),
-                1,
-                System.nanoTime(),
-                Duration.ofSeconds(1)))
+        .forward(ForwardFixtures.newForward("id", route, System.nanoTime()))
         .collectList()
         .block();
   }
