--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwardSchedule.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwardSchedule.java
@@ -42,6 +42,33 @@
     RESUMED_TOO_LATE
   }
 
+  /** What a target does with an attempt. */
+  private enum Fault {
+    REFUSED,
+    LOST_ON_THE_WAY,
+    ANSWER_LOST,
+    SILENT,
+    FAILED,
+    BROKEN_OFF,
+    NONE
+  }
+
+  /** The faults in the frequency in which they come. */
+  private static final List<Fault> FAULTS =
+      List.of(
+          Fault.REFUSED,
+          Fault.LOST_ON_THE_WAY,
+          Fault.ANSWER_LOST,
+          Fault.SILENT,
+          Fault.FAILED,
+          Fault.BROKEN_OFF,
+          Fault.BROKEN_OFF,
+          Fault.BROKEN_OFF,
+          Fault.NONE,
+          Fault.NONE,
+          Fault.NONE,
+          Fault.NONE);
+
   private static final int TARGETS = 4;
   private static final int REQUESTS = 4;
   private static final int MAX_EVENTS = 8;
@@ -180,29 +207,27 @@
   }
 
   private Flux<AnswerPart> newAttempt(String id, Caller caller, OptionalLong lastEventId) {
-    int fault = random.nextInt(12);
-    if (fault == 0) {
-      return pause().thenMany(Flux.error(newError(Outcome.NOT_RUN)));
-    }
-    if (fault == 1) {
-      return pause().thenMany(Flux.error(newError(Outcome.UNKNOWN)));
-    }
-    caller.runs++;
-    if (fault == 2) {
-      return pause().thenMany(Flux.error(newError(Outcome.UNKNOWN)));
-    }
-    if (fault == 3) {
-      return Flux.never();
-    }
-    if (fault == 4) {
-      return pause()
-          .thenMany(
-              Flux.just(ForwardFixtures.newHead(id, 500), ForwardFixtures.newPiece("failed")));
+    Fault fault = FAULTS.get(random.nextInt(FAULTS.size()));
+    if (fault != Fault.REFUSED && fault != Fault.LOST_ON_THE_WAY) {
+      caller.runs++;
     }
+    return switch (fault) {
+      case REFUSED -> pause().thenMany(Flux.error(newError(Outcome.NOT_RUN)));
+      case LOST_ON_THE_WAY, ANSWER_LOST -> pause().thenMany(Flux.error(newError(Outcome.UNKNOWN)));
+      case SILENT -> Flux.never();
+      case FAILED ->
+          pause()
+              .thenMany(
+                  Flux.just(ForwardFixtures.newHead(id, 500), ForwardFixtures.newPiece("failed")));
+      case BROKEN_OFF, NONE -> answer(id, caller, lastEventId, fault == Fault.BROKEN_OFF);
+    };
+  }
+
+  private Flux<AnswerPart> answer(
+      String id, Caller caller, OptionalLong lastEventId, boolean isBroken) {
     List<AnswerPart> parts = new ArrayList<>();
     parts.add(ForwardFixtures.newHead(id, 200));
     parts.addAll(chop(newBody(id, caller, lastEventId)));
-    boolean isBroken = fault < 8;
     int cut = isBroken ? random.nextInt(parts.size()) : parts.size();
     Flux<AnswerPart> sent =
         Flux.fromIterable(parts.subList(0, cut)).concatMap(p -> pause().thenReturn(p));
