Let the generations of replicas outlive the planner, so that none is used twice

Each time a new planner began to count generations at the epoch's first again, so two replicas could bear one name and generation, and lower generations than engines had seen were refused, which ended the term. Ruled out: engines refuse all of it by themselves.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/FormationPlanner.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/FormationPlanner.java
@@ -33,9 +33,6 @@
  */
 public final class FormationPlanner {
 
-  /** The generations that one epoch of the coordinator may use; the epoch is the higher part. */
-  private static final long GENERATIONS_PER_EPOCH = 1_000_000;
-
   private final FormationSettings settings;
   private final EngineProfile profile;
   private final LoadBudget loads;
@@ -51,6 +48,7 @@
    * @param settings the times and limits, not null
    * @param profile the engines and models of the service, not null
    * @param epoch the epoch of the coordinator's lease, which is the fencing token
+   * @param generations the generations of this process, not null
    * @param isFirst whether no coordinator came before, so that no loads can have begun
    * @param nowNanos the reading of the monotonic clock
    */
@@ -58,13 +56,15 @@
       FormationSettings settings,
       EngineProfile profile,
       long epoch,
+      GenerationCounter generations,
       boolean isFirst,
       long nowNanos) {
     this.settings = Objects.requireNonNull(settings, "settings");
     this.profile = Objects.requireNonNull(profile, "profile");
     this.lastNewNanos = nowNanos;
     this.loads = new LoadBudget(settings.loadWindow());
-    this.state = new FormationState(profile, epoch * GENERATIONS_PER_EPOCH + 1);
+    generations.begin(epoch);
+    this.state = new FormationState(profile, generations);
     this.maintainer = new ReplicaMaintainer(settings, state);
     this.allocator = new ReplicaAllocator(settings, state, maintainer, loads);
     double window = settings.loadWindow().toNanos() / 1e9;
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/FormationState.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/FormationState.java
@@ -22,11 +22,11 @@
   private final EngineProfile profile;
   private final Map<InstanceId, EngineState> engines = new LinkedHashMap<>();
   private final Map<ReplicaId, ReplicaState> replicas = new LinkedHashMap<>();
-  private long nextGeneration;
+  private final GenerationCounter generations;
 
-  FormationState(EngineProfile profile, long firstGeneration) {
+  FormationState(EngineProfile profile, GenerationCounter generations) {
     this.profile = profile;
-    this.nextGeneration = firstGeneration;
+    this.generations = generations;
   }
 
   EngineProfile getProfile() {
@@ -55,7 +55,7 @@
   }
 
   long takeGeneration() {
-    return nextGeneration++;
+    return generations.take();
   }
 
   void add(Target target) {
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/formation/FormationController.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/formation/FormationController.java
@@ -3,6 +3,7 @@
 import io.fireflyshed.coordination.formation.FormationOrder;
 import io.fireflyshed.coordination.formation.FormationPlanner;
 import io.fireflyshed.coordination.formation.FormationSettings;
+import io.fireflyshed.coordination.formation.GenerationCounter;
 import io.fireflyshed.coordination.lease.LeaseAction;
 import io.fireflyshed.coordination.lease.LeaseGrant;
 import io.fireflyshed.coordination.lease.ZoneLease;
@@ -53,6 +54,7 @@
   private final MonotonicClock clock;
   private final EventLog log = new EventLog("formation");
   private final Map<ServiceName, FormationPlanner> planners = new HashMap<>();
+  private final GenerationCounter generations = new GenerationCounter();
   private Optional<LeaseGrant> grant = Optional.empty();
 
   /**
@@ -202,7 +204,12 @@
             service,
             s ->
                 new FormationPlanner(
-                    settings, profile, grant.get().epoch(), areLoadsFree.getAsBoolean(), now));
+                    settings,
+                    profile,
+                    grant.get().epoch(),
+                    generations,
+                    areLoadsFree.getAsBoolean(),
+                    now));
     List<Target> own = new ArrayList<>();
     Map<String, Integer> elsewhere = new HashMap<>();
     for (Target target : targets.get()) {
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/SimulatedEngine.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/SimulatedEngine.java
@@ -179,6 +179,9 @@
     if (join.generation() < highestGeneration) {
       return OrderReply.FENCED;
     }
+    if (isIn(join.replica().value(), join.generation()) && !members.equals(join.members())) {
+      return OrderReply.FENCED;
+    }
     highestGeneration = join.generation();
     ModelProfile model = getModel(models, join.model());
     long millis =
