--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/FormationPlannerTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/FormationPlannerTest.java
@@ -10,6 +10,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import java.util.stream.LongStream;
+import java.util.stream.Stream;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -194,6 +196,8 @@
   public static class Faults {
 
     private static final int SEEDS = 60;
+    private static final int KINDS_WITHOUT_LAPSES = 6;
+    private static final int KINDS = 7;
 
     /**
      * Seeds that failed once: an engine that was planned for a forming replica but still reported a
@@ -212,37 +216,33 @@
     /** Gets the seeds. */
     @DataProvider
     public static Object[][] seeds() {
-      List<Object[]> seeds = new ArrayList<>();
-      for (long seed = 1; seed <= SEEDS; seed++) {
-        seeds.add(new Object[] {seed});
-      }
-      REGRESSIONS.forEach(seed -> seeds.add(new Object[] {seed}));
-      return seeds.toArray(Object[][]::new);
+      return newSeeds(REGRESSIONS);
     }
 
     /** Gets the seeds for faults that include lapses of the lease. */
     @DataProvider
     public static Object[][] lapseSeeds() {
-      List<Object[]> seeds = new ArrayList<>();
-      for (long seed = 1; seed <= SEEDS; seed++) {
-        seeds.add(new Object[] {seed});
-      }
-      LAPSE_REGRESSIONS.stream()
-          .filter(seed -> seed > SEEDS)
-          .forEach(seed -> seeds.add(new Object[] {seed}));
-      return seeds.toArray(Object[][]::new);
+      return newSeeds(LAPSE_REGRESSIONS);
+    }
+
+    private static Object[][] newSeeds(List<Long> regressions) {
+      return Stream.concat(LongStream.rangeClosed(1, SEEDS).boxed(), regressions.stream())
+          .distinct()
+          .map(seed -> new Object[] {seed})
+          .toArray(Object[][]::new);
     }
 
     @Test(dataProvider = "seeds")
     public void replicasStayWholeAndEnginesInOne(long seed) {
-      play(seed, 6);
+      play(seed, KINDS_WITHOUT_LAPSES);
     }
 
     @Test(dataProvider = "lapseSeeds")
     public void leaseThatLapsedAndWasRenewedBreaksNothing(long seed) {
-      play(seed, 7);
+      play(seed, KINDS);
     }
 
+    /** Plays the first kinds of faults: the sixth is a successor, the seventh a lapse. */
     private static void play(long seed, int kinds) {
       FormationSimulation simulation = new FormationSimulation(seed, 2);
       simulation.lostAnswers = 0.1;
