Remove what nothing reads on the platform's path; give twin checks one place

Unread: the leaving mark of an answer, which was decoded for each request; the age and the read mark of the target directory; the stall time of the platform's settings; the key age of the traffic server's settings. Twice: the test for a lost history, the look-up of an engine's replica (four times), the filling of the load window, the test for a target's own failure. Behaviour is unchanged; the tests keep their assertions.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/directory/TargetDirectory.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/directory/TargetDirectory.java
@@ -129,25 +129,6 @@
     return version;
   }
 
-  /**
-   * Tests whether the registry was read at all.
-   *
-   * @return true after the first reading
-   */
-  public boolean isRead() {
-    return isRead;
-  }
-
-  /**
-   * Gets the time since the last reading.
-   *
-   * @param nowNanos the reading of the monotonic clock
-   * @return the age, never null
-   */
-  public Duration getAge(long nowNanos) {
-    return Duration.ofNanos(nowNanos - lastReadNanos);
-  }
-
   /**
    * Lists the targets.
    *
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/FormationPlanner.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/FormationPlanner.java
@@ -148,8 +148,11 @@
     if (membership.isEmpty() || engine.isLost() || isReadySpare) {
       return settings.spareInterval();
     }
-    ReplicaState replica = state.findReplica(membership.get().replica());
-    boolean isSteady = replica != null && replica.getStage() == ReplicaState.Stage.SERVING;
+    boolean isSteady =
+        state
+            .findReplica(engine)
+            .filter(r -> r.getStage() == ReplicaState.Stage.SERVING)
+            .isPresent();
     boolean isHeadOpening =
         membership.get().isHead() && membership.get().phase() != MembershipPhase.OPEN;
     return isSteady && !isHeadOpening ? settings.openInterval() : settings.formingInterval();
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/FormationState.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/FormationState.java
@@ -41,17 +41,14 @@
     return replicas.values();
   }
 
-  ReplicaState findReplica(ReplicaId id) {
-    return replicas.get(id);
+  /** Finds the kept replica that an engine is in by its membership. */
+  Optional<ReplicaState> findReplica(EngineState engine) {
+    return engine.getMembership().map(m -> replicas.get(m.replica()));
   }
 
   /** Tests whether an engine reports to be in a replica that is kept. */
   boolean isInLiveReplica(EngineState engine) {
-    return engine
-        .getMembership()
-        .map(m -> replicas.get(m.replica()))
-        .filter(ReplicaState::isLive)
-        .isPresent();
+    return findReplica(engine).filter(ReplicaState::isLive).isPresent();
   }
 
   long takeGeneration() {
@@ -128,14 +125,9 @@
     if (membership.isEmpty()) {
       return true;
     }
-    ReplicaState replica = replicas.get(membership.get().replica());
-    if (replica == null) {
-      return getModel(membership.get().getModel()).isEmpty();
-    }
-    if (replica.isLive() || replica.getStage() == ReplicaState.Stage.CLOSING) {
-      return false;
-    }
-    return isHeadOut(replica);
+    return findReplica(engine)
+        .map(r -> r.getStage() == ReplicaState.Stage.DISSOLVING && isHeadOut(r))
+        .orElseGet(() -> getModel(membership.get().getModel()).isEmpty());
   }
 
   /** Tests whether the head of a dissolved replica reported that it left. */
@@ -154,12 +146,7 @@
       if (!engine.isKnown() || !engine.getDomain().equals(domain) || engine.isLost()) {
         continue;
       }
-      boolean isEnding =
-          engine
-              .getMembership()
-              .map(m -> replicas.get(m.replica()))
-              .filter(r -> !r.isLive())
-              .isPresent();
+      boolean isEnding = findReplica(engine).filter(r -> !r.isLive()).isPresent();
       boolean isWaited = isEnding || !engine.isOrderable();
       if (!engine.isLeaving() && isWaited && !isFree(engine)) {
         return true;
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/LoadBudget.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/LoadBudget.java
@@ -32,9 +32,7 @@
 
   /** Counts as many loads as the window allows, as a predecessor may have begun. */
   void fill(long nowNanos) {
-    for (int i = 0; i < limit; i++) {
-      begun.add(nowNanos);
-    }
+    begin(limit, nowNanos);
   }
 
   boolean isAllowed(int loads, long nowNanos) {
--- a/fireflyshed-core/src/main/java/io/fireflyshed/protocol/traffic/TargetAnswer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/protocol/traffic/TargetAnswer.java
@@ -12,7 +12,6 @@
  * @param requestId the id of the request that the target answers, not null
  * @param isSigned whether the answer bears the target's signature
  * @param isNotRun whether the target says that it did not run the request
- * @param isLeaving whether the target closes the connection after the answer
  * @param load the load of the target, not null
  */
 public record TargetAnswer(
@@ -21,7 +20,6 @@
     Optional<String> requestId,
     boolean isSigned,
     boolean isNotRun,
-    boolean isLeaving,
     Optional<LoadSample> load) {
 
   private static final int OK = 200;
--- a/fireflyshed-core/src/main/java/io/fireflyshed/state/error/HistoryLostException.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/state/error/HistoryLostException.java
@@ -14,4 +14,15 @@
   public HistoryLostException(String step, String peer) {
     super(step, peer, "the history of changes was dropped", null);
   }
+
+  /**
+   * Tests whether a failed reading must be followed by a reading of all.
+   *
+   * @param error the failure, which futures may have wrapped, not null
+   * @return true if it is or was caused by a lost history
+   */
+  public static boolean isIn(Throwable error) {
+    return error instanceof HistoryLostException
+        || error.getCause() instanceof HistoryLostException;
+  }
 }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/Forwarder.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/Forwarder.java
@@ -184,8 +184,13 @@
       return attempt(((Placement.Send) placement).target(), left);
     }
 
+    /** Tests whether a target's own failure is at hand and may still be the answer. */
+    private boolean hasFailure() {
+      return !failure.isEmpty() && !isHeadSent;
+    }
+
     private Flux<AnswerPart> refuse(Placement.Refuse refuse, int candidates) {
-      if (!failure.isEmpty() && !isHeadSent) {
+      if (hasFailure()) {
         return Flux.fromIterable(failure);
       }
       log.info(
@@ -394,7 +399,7 @@
       if (isRetried) {
         return next();
       }
-      if (!failure.isEmpty() && !isHeadSent) {
+      if (hasFailure()) {
         return Flux.fromIterable(failure);
       }
       return Flux.error(
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/TrafficServerSettings.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/TrafficServerSettings.java
@@ -11,7 +11,6 @@
  * @param readinessListen the address at which the balancer asks for readiness, not null
  * @param readinessPath the path of that question, not null
  * @param metricsListen the address at which the metrics are served, not null
- * @param maxKeyAge the age of the configuration up to which keys are accepted, not null
  * @param drainDelay the time after the signal to stop for which new requests still come, not null
  * @param drainTimeout the longest time for requests in flight after the signal, not null
  */
@@ -20,7 +19,6 @@
     InetSocketAddress readinessListen,
     String readinessPath,
     InetSocketAddress metricsListen,
-    Duration maxKeyAge,
     Duration drainDelay,
     Duration drainTimeout) {
 
@@ -30,7 +28,6 @@
     Objects.requireNonNull(readinessListen, "readinessListen");
     Objects.requireNonNull(readinessPath, "readinessPath");
     Objects.requireNonNull(metricsListen, "metricsListen");
-    Objects.requireNonNull(maxKeyAge, "maxKeyAge");
     Objects.requireNonNull(drainDelay, "drainDelay");
     Objects.requireNonNull(drainTimeout, "drainTimeout");
   }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/registry/ConfigurationWatcher.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/registry/ConfigurationWatcher.java
@@ -132,7 +132,7 @@
   }
 
   private void onFailure(Throwable error) {
-    if (error instanceof HistoryLostException || error.getCause() instanceof HistoryLostException) {
+    if (HistoryLostException.isIn(error)) {
       log.info("history lost, reading all", "source_version", sourceVersion);
       isWhole = true;
       control.execute(this::read);
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/registry/TargetFollower.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/registry/TargetFollower.java
@@ -98,7 +98,7 @@
       schedule(INTERVAL);
       return;
     }
-    if (isHistoryLost(error)) {
+    if (HistoryLostException.isIn(error)) {
       log.info("history lost, reading all targets", "version", directory.getVersion());
       isWhole = true;
       schedule(Duration.ZERO);
@@ -112,11 +112,6 @@
     schedule(RETRY);
   }
 
-  private static boolean isHistoryLost(Throwable error) {
-    return error instanceof HistoryLostException
-        || error.getCause() instanceof HistoryLostException;
-  }
-
   private void schedule(Duration pause) {
     control.schedule(this::read, pause.toMillis(), TimeUnit.MILLISECONDS);
   }
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwardFixtures.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwardFixtures.java
@@ -98,13 +98,7 @@
   static AnswerPart newHead(String id, int status) {
     return new AnswerPart.Head(
         new TargetAnswer(
-            status,
-            new DefaultHttpHeaders(),
-            Optional.of(id),
-            true,
-            false,
-            false,
-            Optional.empty()));
+            status, new DefaultHttpHeaders(), Optional.of(id), true, false, Optional.empty()));
   }
 
   static AnswerPart newPiece(String text) {
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
@@ -157,7 +157,6 @@
         settings.readinessListen(),
         PlatformSettings.READINESS_PATH,
         settings.metricsListen(),
-        settings.maxKeyAge(),
         DRAIN_DELAY,
         settings.grace().minus(DRAIN_DELAY).minus(EXIT_MARGIN));
   }
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/RehearseCommand.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/RehearseCommand.java
@@ -94,7 +94,6 @@
         fleet.getStore().getAddress(),
         Duration.ofSeconds(5),
         Duration.ofSeconds(8),
-        Duration.ofSeconds(5),
         0.2,
         100,
         Duration.ofSeconds(5));
