Count requests, attempts and retries by service, and log what decided each retry

Neither logs nor metrics told whether a failed attempt was repeated by the budget, for free, or not at all for want of budget, nor for which service. The line "attempt failed" now names the service and the verdict; counters of requests, attempts and failures by verdict are served with the other metrics, so that the repeats of all entries can be summed although each keeps only its last log lines.

No decision changes: the verdict is the former condition written out. Test: metricsTellChargedRetriesFromFreeAndRefusedOnes.

--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/ForwardMetrics.java
@@ -0,0 +1,39 @@
+package io.fireflyshed.transport.forward;
+
+import io.fireflyshed.state.replica.ServiceName;
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Tags;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** Counts the requests, attempts and retries at each service. Thread safe. */
+final class ForwardMetrics {
+
+  private final MeterRegistry registry;
+  private final Map<String, Counter> counters = new ConcurrentHashMap<>();
+
+  ForwardMetrics(MeterRegistry registry) {
+    this.registry = registry;
+  }
+
+  void recordRequest(ServiceName service) {
+    getCounter("fireflyshed.forward.requests", Tags.of("service", service.value())).increment();
+  }
+
+  void recordAttempt(ServiceName service) {
+    getCounter("fireflyshed.forward.attempts", Tags.of("service", service.value())).increment();
+  }
+
+  void recordFailure(ServiceName service, RetryVerdict verdict) {
+    String retry = verdict.name().toLowerCase(Locale.ROOT);
+    getCounter("fireflyshed.forward.failures", Tags.of("service", service.value(), "retry", retry))
+        .increment();
+  }
+
+  private Counter getCounter(String name, Tags tags) {
+    return counters.computeIfAbsent(
+        name + tags, key -> Counter.builder(name).tags(tags).register(registry));
+  }
+}
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/Forwarder.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/Forwarder.java
@@ -16,6 +16,7 @@
 import io.fireflyshed.state.traffic.RequestKind;
 import io.fireflyshed.transport.entry.StreamUtils;
 import io.fireflyshed.transport.log.EventLog;
+import io.micrometer.core.instrument.MeterRegistry;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -69,6 +70,7 @@
   private final RetryBudget retryBudget;
   private final MonotonicClock clock;
   private final Consumer<InstanceId> stallListener;
+  private final ForwardMetrics metrics;
   private final EventLog log = new EventLog("forward");
   private Disposable stallCheck = Disposables.disposed();
   private final Map<Object, Sinks.Empty<Void>> cancelSignals = new ConcurrentHashMap<>();
@@ -83,6 +85,7 @@
    * @param retryBudget limits the retries, not null
    * @param clock the monotonic clock of this process, not null
    * @param stallListener is notified of targets whose streams have all stalled, not null
+   * @param registry registers the counters of requests, attempts and retries, not null
    */
   public Forwarder(
       TargetView targetView,
@@ -91,7 +94,8 @@
       TargetClient client,
       RetryBudget retryBudget,
       MonotonicClock clock,
-      Consumer<InstanceId> stallListener) {
+      Consumer<InstanceId> stallListener,
+      MeterRegistry registry) {
     this.targetView = targetView;
     this.placer = placer;
     this.stallDetector = stallDetector;
@@ -99,6 +103,7 @@
     this.retryBudget = retryBudget;
     this.clock = clock;
     this.stallListener = stallListener;
+    this.metrics = new ForwardMetrics(registry);
   }
 
   /** Starts the periodic check for stalled streams. */
@@ -143,6 +148,7 @@
     return Flux.defer(
         () -> {
           retryBudget.onRequest();
+          metrics.recordRequest(routed.service());
           AttemptSequence attempts = new AttemptSequence(routed);
           Duration remaining = routed.getRemainingTime(clock.nanoTime());
           return StreamUtils.failOn(
@@ -228,6 +234,7 @@
     private Flux<ResponsePart> send(Target target, Duration remaining) {
       triedTargets.add(target.id());
       placer.onStart(target.id());
+      metrics.recordAttempt(routed.service());
       log.info(
           "sent",
           "request",
@@ -388,24 +395,20 @@
     /** Starts the next attempt if a retry is allowed, otherwise fails the request. */
     private Flux<ResponsePart> handleFailure(Target target, AttemptException error) {
       outcome = outcome.join(error.getOutcome());
-      boolean isNotRun = error.getOutcome() == Outcome.NOT_RUN;
-      if (isNotRun) {
+      if (error.getOutcome() == Outcome.NOT_RUN) {
         notRunAttempts++;
       } else {
         possibleRuns++;
       }
       recordFailure(target, error);
-      boolean isAllowed =
-          isNotRun
-              ? notRunAttempts <= MAX_NOT_RUN_RETRIES
-              : routed.route().isRetryable() && possibleRuns < routed.route().maxAttempts();
-      // An attempt that reached no target put no load on one, so its retry costs no budget.
-      boolean isFree = error instanceof TargetUnreachableException;
-      boolean isRetried = isAllowed && (isFree || retryBudget.tryRetry());
+      RetryVerdict verdict = decideRetry(error);
+      metrics.recordFailure(routed.service(), verdict);
       log.info(
           "attempt failed",
           "request",
           id,
+          "service",
+          routed.service(),
           "target",
           target.id(),
           "error",
@@ -413,8 +416,10 @@
           "outcome",
           error.getOutcome(),
           "retried",
-          isRetried);
-      if (isRetried) {
+          verdict.isRetried(),
+          "retry",
+          verdict);
+      if (verdict.isRetried()) {
         return startNext();
       }
       if (hasErrorResponse()) {
@@ -425,6 +430,25 @@
               STEP, target.id().value(), error.getMessage(), outcome, RETRY_AFTER_FAILURE, false));
     }
 
+    private RetryVerdict decideRetry(AttemptException error) {
+      boolean isNotRun = error.getOutcome() == Outcome.NOT_RUN;
+      if (!isNotRun && !routed.route().isRetryable()) {
+        return RetryVerdict.NOT_REPEATABLE;
+      }
+      boolean isAllowed =
+          isNotRun
+              ? notRunAttempts <= MAX_NOT_RUN_RETRIES
+              : possibleRuns < routed.route().maxAttempts();
+      if (!isAllowed) {
+        return RetryVerdict.TOO_MANY_ATTEMPTS;
+      }
+      // An attempt that reached no target put no load on one, so its retry costs no budget.
+      if (error instanceof TargetUnreachableException) {
+        return RetryVerdict.FREE;
+      }
+      return retryBudget.tryRetry() ? RetryVerdict.CHARGED : RetryVerdict.NO_BUDGET;
+    }
+
     private void recordFailure(Target target, AttemptException error) {
       if (error instanceof TargetUnreachableException) {
         placer.onUnreachable(target.id(), clock.nanoTime());
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwardSchedule.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwardSchedule.java
@@ -9,6 +9,7 @@
 import io.fireflyshed.state.target.Target;
 import io.fireflyshed.state.traffic.RequestKind;
 import io.fireflyshed.state.traffic.Route;
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -146,7 +147,8 @@
         this::send,
         new RetryBudget(0.2, 10, 10),
         this::nanoTime,
-        stalledTarget -> {});
+        stalledTarget -> {},
+        new SimpleMeterRegistry());
   }
 
   private long nanoTime() {
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwarderTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwarderTest.java
@@ -15,6 +15,7 @@
 import io.fireflyshed.state.target.Target;
 import io.fireflyshed.state.traffic.RequestKind;
 import io.fireflyshed.state.traffic.Route;
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -34,6 +35,7 @@
 
   private final Map<String, AttemptException> errors = new HashMap<>();
   private final List<String> triedTargets = new ArrayList<>();
+  private SimpleMeterRegistry registry;
   private Forwarder forwarder;
   private boolean isRead;
 
@@ -43,6 +45,7 @@
     errors.clear();
     triedTargets.clear();
     isRead = true;
+    registry = new SimpleMeterRegistry();
     forwarder = newForwarder(0);
   }
 
@@ -61,7 +64,8 @@
         this::send,
         new RetryBudget(0, 10, initialRetries),
         MonotonicClock.system(),
-        stalledTarget -> {});
+        stalledTarget -> {},
+        registry);
   }
 
   private Flux<ResponsePart> send(
@@ -143,6 +147,28 @@
     assertEquals(triedTargets.size(), 3);
   }
 
+  private double countFailures(String verdict) {
+    return registry.get("fireflyshed.forward.failures").tag("retry", verdict).counter().count();
+  }
+
+  @Test
+  public void metricsTellChargedRetriesFromFreeAndRefusedOnes() {
+    forwarder = newForwarder(1);
+    AttemptException rejected =
+        new AttemptException("forward", "peer", Outcome.NOT_RUN, "full", null);
+    failWith(newUnreachableException(), "one");
+    failWith(rejected, "two", "three");
+    for (int i = 0; i < 3; i++) {
+      expectThrows(ForwardException.class, this::forward);
+    }
+    assertEquals(countFailures("free"), 1.0);
+    assertEquals(countFailures("charged"), 1.0);
+    assertTrue(countFailures("no_budget") >= 2);
+    assertEquals(registry.get("fireflyshed.forward.requests").counter().count(), 3.0);
+    assertEquals(
+        registry.get("fireflyshed.forward.attempts").counter().count(), triedTargets.size());
+  }
+
   @Test
   public void nonIdempotentRequestIsNotRetriedIfItMayHaveRun() {
     forwarder = newForwarder(10);
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
@@ -116,7 +116,8 @@
             targetCaller,
             newRetryBudget(settings),
             trafficClock,
-            formation::onStalled);
+            formation::onStalled,
+            metrics);
     server =
         new TrafficServer(
             newServerSettings(settings),
