--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
@@ -150,7 +150,7 @@
         clock);
   }
 
-  private static RetryBudget newRetryBudget(PlatformSettings settings) {
+  static RetryBudget newRetryBudget(PlatformSettings settings) {
     double balance = Math.max(1, settings.repeatSlack() / (double) RETRY_BUDGET_ENTRIES);
     return new RetryBudget(settings.repeatRatio() * RETRY_RATIO_FACTOR, balance, balance);
   }
