Divide the slack of the retry budget by the entries that run, for each service

What callers saw: on deployments of 59 and 68 entries targets got up to a third more attempts than requests while replicas were being lost, and again after a restart of all processes; the deployment allows a fifth and 302.

Cause: each process held a twelfth of the deployment's slack, a constant meant for nine entries, so that 59 entries held 4.9 times the slack. The balance was saved up in quiet times on top of the ratio, a restart renewed it, and one balance paid for all services, although the budget is counted for each.

Class of fault: a part of a whole that a process takes by a constant number of parts, or anew at each start.

Change: the budget counts requests and retries of a service in the platform's window and saves up nothing, so that fractions add up whatever the number of processes. The slack is divided by the entries of the zone, which register in the store; a new process takes a quarter of its share until it is settled. The budget of the command `serve` is the same class, with a fixed allowance by process; no bound of a deployment is set there.

Before: DeploymentRetryBudgetTest failed in 8 of 12 cases (268 retries of 59 entries where 162.8 are allowed, 152 at one service where 151.2 are, 650 of 300 entries where 201 are).

PlatformEntryTest.failedLookupIsRetriedAtAnotherTarget waits until the entry has counted itself: five requests alone no longer allow a retry in the first second of a process. ManualScheduler moves beside ManualClock, since the tests of two modules use it.

--- a/fireflyshed-bench/src/main/java/io/fireflyshed/bench/relay/FixedEntry.java
+++ b/fireflyshed-bench/src/main/java/io/fireflyshed/bench/relay/FixedEntry.java
@@ -71,7 +71,7 @@
             tracer,
             clock,
             StreamSettings.ofDefaults(),
-            RetryPolicy.ofDefaults(RandomSource.XO_RO_SHI_RO_128_PP.create()),
+            RetryPolicy.ofDefaults(clock, RandomSource.XO_RO_SHI_RO_128_PP.create()),
             new PoisonGuard(
                 new PoisonList(PoisonSettings.ofDefaults()),
                 new LonePeerBus(new PeerId("bench")),
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/directory/package-info.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/directory/package-info.java
@@ -1,2 +1,2 @@
-/** Tracks the targets that the registry lists, also across outages of the registry. */
+/** Tracks the registered targets and entries, also across outages of the platform. */
 package io.fireflyshed.coordination.directory;
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/retry/RetryPolicy.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/retry/RetryPolicy.java
@@ -2,6 +2,7 @@
 
 import io.fireflyshed.coordination.attempt.Outcome;
 import io.fireflyshed.coordination.retry.RetryDecision.StopReason;
+import io.fireflyshed.state.clock.MonotonicClock;
 import java.time.Duration;
 import java.util.Objects;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -14,8 +15,7 @@
  * Brooker, "Exponential Backoff and Jitter", 2015).
  *
  * <pre>{@code
- * RetryPolicy policy =
- *     new RetryPolicy(RetrySettings.ofDefaults(), new RetryBudget(0.2, 100, 10), random);
+ * RetryPolicy policy = RetryPolicy.ofDefaults(MonotonicClock.system(), random);
  * RetryDecision next = policy.decide(Outcome.UNKNOWN, false, 1, Duration.ofSeconds(5));
  * // Stop(NOT_REPEATABLE)
  * }</pre>
@@ -23,12 +23,16 @@
 public final class RetryPolicy {
 
   private static final double BUDGET_RATIO = 0.2;
-  private static final double BUDGET_MAX_BALANCE = 500;
-  private static final double BUDGET_INITIAL_BALANCE = 100;
+  private static final Duration BUDGET_WINDOW = Duration.ofSeconds(10);
+
+  /** The retries that a process may make in a window even if it has few requests. */
+  private static final double BUDGET_ALLOWANCE = 100;
+
   private static final int MAX_DOUBLINGS = 20;
 
   private final RetrySettings settings;
   private final RetryBudget budget;
+  private final MonotonicClock clock;
   private final UniformRandomProvider random;
 
   /**
@@ -36,28 +40,35 @@
    *
    * @param settings the limits, not null
    * @param budget the retry budget shared by all requests of this process, not null
+   * @param clock the monotonic clock of this process, not null
    * @param random the source of the random waits; used by this policy only, not null
    */
-  public RetryPolicy(RetrySettings settings, RetryBudget budget, UniformRandomProvider random) {
+  public RetryPolicy(
+      RetrySettings settings,
+      RetryBudget budget,
+      MonotonicClock clock,
+      UniformRandomProvider random) {
     this.settings = Objects.requireNonNull(settings, "settings");
     this.budget = Objects.requireNonNull(budget, "budget");
+    this.clock = Objects.requireNonNull(clock, "clock");
     this.random = Objects.requireNonNull(random, "random");
   }
 
   /**
    * Creates a policy with the default settings and a budget of its own.
    *
+   * @param clock the monotonic clock of this process, not null
    * @param random the source of the random waits; used by this policy only, not null
    * @return the policy, never null
    */
-  public static RetryPolicy ofDefaults(UniformRandomProvider random) {
-    RetryBudget budget = new RetryBudget(BUDGET_RATIO, BUDGET_MAX_BALANCE, BUDGET_INITIAL_BALANCE);
-    return new RetryPolicy(RetrySettings.ofDefaults(), budget, random);
+  public static RetryPolicy ofDefaults(MonotonicClock clock, UniformRandomProvider random) {
+    RetryBudget budget = new RetryBudget(BUDGET_RATIO, BUDGET_WINDOW, () -> BUDGET_ALLOWANCE);
+    return new RetryPolicy(RetrySettings.ofDefaults(), budget, clock, random);
   }
 
   /** Records the start of a request; not called for a retry. */
   public void onRequest() {
-    budget.onRequest();
+    budget.onRequest(clock.nanoTime());
   }
 
   /**
@@ -82,7 +93,7 @@
     if (delay.compareTo(remaining) >= 0) {
       return new RetryDecision.Stop(StopReason.NO_TIME);
     }
-    return budget.tryRetry()
+    return budget.tryRetry(clock.nanoTime())
         ? new RetryDecision.Retry(delay)
         : new RetryDecision.Stop(StopReason.NO_BUDGET);
   }
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/retry/ServiceRetryBudgets.java
@@ -0,0 +1,59 @@
+package io.fireflyshed.coordination.retry;
+
+import io.fireflyshed.state.replica.ServiceName;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.DoubleSupplier;
+
+/**
+ * Holds a retry budget for each service, so that the requests of one service don't pay for retries
+ * at another. Thread safe.
+ */
+public final class ServiceRetryBudgets {
+
+  private final double ratio;
+  private final Duration window;
+  private final DoubleSupplier allowance;
+  private final Map<ServiceName, RetryBudget> budgets = new ConcurrentHashMap<>();
+
+  /**
+   * Creates a holder without budgets.
+   *
+   * @param ratio the fraction of the requests of a window that may be retried, 0 to 1
+   * @param window the length of the window, at least a millisecond, not null
+   * @param allowance supplies the number of retries that a window allows each service in addition,
+   *     0 or more, not null
+   */
+  public ServiceRetryBudgets(double ratio, Duration window, DoubleSupplier allowance) {
+    this.ratio = ratio;
+    this.window = Objects.requireNonNull(window, "window");
+    this.allowance = Objects.requireNonNull(allowance, "allowance");
+  }
+
+  /**
+   * Records the start of a request; not called for a retry.
+   *
+   * @param service the service that is to run the request, not null
+   * @param nowNanos the current reading of the monotonic clock
+   */
+  public void onRequest(ServiceName service, long nowNanos) {
+    getBudget(service).onRequest(nowNanos);
+  }
+
+  /**
+   * Records a retry if the budget of the service suffices.
+   *
+   * @param service the service that is to run the request, not null
+   * @param nowNanos the current reading of the monotonic clock
+   * @return whether the retry may start
+   */
+  public boolean tryRetry(ServiceName service, long nowNanos) {
+    return getBudget(service).tryRetry(nowNanos);
+  }
+
+  private RetryBudget getBudget(ServiceName service) {
+    return budgets.computeIfAbsent(service, s -> new RetryBudget(ratio, window, allowance));
+  }
+}
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/registry/ManualScheduler.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/state/clock/ManualScheduler.java
@@ -1,6 +1,5 @@
-package io.fireflyshed.transport.registry;
+package io.fireflyshed.state.clock;
 
-import io.fireflyshed.state.clock.ManualClock;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -15,8 +14,12 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 
-/** Runs scheduled tasks on the thread of the test once a {@link ManualClock} reaches their time. */
-final class ManualScheduler extends AbstractExecutorService implements ScheduledExecutorService {
+/**
+ * Runs scheduled tasks on the calling thread once a {@link ManualClock} reaches their time, for
+ * tests and benchmarks. Not thread safe.
+ */
+public final class ManualScheduler extends AbstractExecutorService
+    implements ScheduledExecutorService {
 
   /** Represents a task that is due at a reading of the clock. */
   private final class Task extends FutureTask<Object> implements ScheduledFuture<Object> {
@@ -44,12 +47,17 @@
   private final Queue<Runnable> readyTasks = new ArrayDeque<>();
   private final List<Task> waitingTasks = new ArrayList<>();
 
-  ManualScheduler(ManualClock clock) {
+  /**
+   * Creates a scheduler without tasks.
+   *
+   * @param clock the clock, not null
+   */
+  public ManualScheduler(ManualClock clock) {
     this.clock = clock;
   }
 
   /** Runs all tasks that are due now, including those that they submit. */
-  void runDue() {
+  public void runDue() {
     while (true) {
       List<Task> due =
           waitingTasks.stream()
@@ -66,8 +74,12 @@
     }
   }
 
-  /** Advances the clock in small steps and runs the tasks that become due. */
-  void advance(Duration time) {
+  /**
+   * Advances the clock in small steps and runs the tasks that become due.
+   *
+   * @param time the time by which to advance, not null
+   */
+  public void advance(Duration time) {
     for (long millis = 0; millis < time.toMillis(); millis++) {
       clock.advance(STEP);
       runDue();
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/Forwarder.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/Forwarder.java
@@ -7,7 +7,7 @@
 import io.fireflyshed.coordination.placement.Placement;
 import io.fireflyshed.coordination.placement.StallDetector;
 import io.fireflyshed.coordination.placement.TargetPlacer;
-import io.fireflyshed.coordination.retry.RetryBudget;
+import io.fireflyshed.coordination.retry.ServiceRetryBudgets;
 import io.fireflyshed.protocol.traffic.EventSplitter;
 import io.fireflyshed.protocol.traffic.TargetAnswer;
 import io.fireflyshed.state.clock.MonotonicClock;
@@ -38,8 +38,8 @@
  *
  * <p>A request that a target did not run is sent to another target immediately. A request that may
  * have run is sent to another target only if it may be retried. A broken stream is resumed after
- * its last complete event, within the same response to the caller. All retries draw on one retry
- * budget. Thread safe.
+ * its last complete event, within the same response to the caller. All retries draw on the retry
+ * budget of the service. Thread safe.
  */
 public final class Forwarder {
 
@@ -67,7 +67,7 @@
   private final TargetPlacer placer;
   private final StallDetector stallDetector;
   private final TargetClient client;
-  private final RetryBudget retryBudget;
+  private final ServiceRetryBudgets retryBudgets;
   private final MonotonicClock clock;
   private final Consumer<InstanceId> stallListener;
   private final ForwardMetrics metrics;
@@ -82,7 +82,7 @@
    * @param placer selects targets, not null
    * @param stallDetector detects stalled streams, not null
    * @param client sends requests to targets, not null
-   * @param retryBudget limits the retries, not null
+   * @param retryBudgets limits the retries at each service, not null
    * @param clock the monotonic clock of this process, not null
    * @param stallListener is notified of targets whose streams have all stalled, not null
    * @param registry registers the counters of requests, attempts and retries, not null
@@ -92,7 +92,7 @@
       TargetPlacer placer,
       StallDetector stallDetector,
       TargetClient client,
-      RetryBudget retryBudget,
+      ServiceRetryBudgets retryBudgets,
       MonotonicClock clock,
       Consumer<InstanceId> stallListener,
       MeterRegistry registry) {
@@ -100,7 +100,7 @@
     this.placer = placer;
     this.stallDetector = stallDetector;
     this.client = client;
-    this.retryBudget = retryBudget;
+    this.retryBudgets = retryBudgets;
     this.clock = clock;
     this.stallListener = stallListener;
     this.metrics = new ForwardMetrics(registry);
@@ -147,7 +147,7 @@
   public Flux<ResponsePart> forward(RoutedRequest routed) {
     return Flux.defer(
         () -> {
-          retryBudget.onRequest();
+          retryBudgets.onRequest(routed.service(), clock.nanoTime());
           metrics.recordRequest(routed.service());
           AttemptSequence attempts = new AttemptSequence(routed);
           Duration remaining = routed.getRemainingTime(clock.nanoTime());
@@ -446,7 +446,9 @@
       if (error instanceof TargetUnreachableException) {
         return RetryVerdict.FREE;
       }
-      return retryBudget.tryRetry() ? RetryVerdict.CHARGED : RetryVerdict.NO_BUDGET;
+      return retryBudgets.tryRetry(routed.service(), clock.nanoTime())
+          ? RetryVerdict.CHARGED
+          : RetryVerdict.NO_BUDGET;
     }
 
     private void recordFailure(Target target, AttemptException error) {
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/registry/EntryRegistrar.java
@@ -0,0 +1,171 @@
+package io.fireflyshed.transport.registry;
+
+import io.fireflyshed.coordination.directory.EntryDirectory;
+import io.fireflyshed.coordination.retry.RetryAllowance;
+import io.fireflyshed.state.clock.MonotonicClock;
+import io.fireflyshed.state.instance.AvailabilityZone;
+import io.fireflyshed.state.table.Condition;
+import io.fireflyshed.state.table.Row;
+import io.fireflyshed.state.table.RowKey;
+import io.fireflyshed.state.table.TableService;
+import io.fireflyshed.state.table.Transaction;
+import io.fireflyshed.state.table.Write;
+import io.fireflyshed.transport.log.EventLog;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.apache.commons.rng.UniformRandomProvider;
+
+/**
+ * Registers this entry in the table service and counts the entries of its availability zone, which
+ * divide what the deployment allows all of them together.
+ *
+ * <p>All steps run on the control thread.
+ */
+public final class EntryRegistrar {
+
+  /** The delay between two reads of the entries. */
+  public static final Duration READ_INTERVAL = Duration.ofSeconds(10);
+
+  /** The age of a count after which it is no longer used; one read may fail. */
+  public static final Duration MAX_COUNT_AGE = Duration.ofSeconds(25);
+
+  private static final Duration WRITE_INTERVAL = Duration.ofSeconds(30);
+
+  /** The time without a change after which an entry no longer counts; one write may fail. */
+  private static final Duration EXPIRY = Duration.ofSeconds(75);
+
+  private static final Duration RETENTION = Duration.ofMinutes(10);
+
+  /** Spreads the registrations of entries that start at the same time. */
+  private static final Duration MAX_START_DELAY = Duration.ofSeconds(1);
+
+  private static final Duration RETRY_DELAY = Duration.ofSeconds(2);
+  private static final String TABLE = "entries";
+
+  private final TableService table;
+  private final String keyPrefix;
+  private final RowKey key;
+  private final RetryAllowance allowance;
+  private final ScheduledExecutorService control;
+  private final MonotonicClock clock;
+  private final UniformRandomProvider random;
+  private final EntryDirectory directory = new EntryDirectory(EXPIRY, RETENTION);
+  private final EventLog log = new EventLog("entries");
+  private long writeNanos;
+  private boolean isWritten;
+  private boolean isTableLost;
+  private int count = -1;
+
+  /**
+   * Creates a registrar.
+   *
+   * @param table the table service, not null
+   * @param zone the availability zone of this entry, not null
+   * @param entry the name of this entry, which a later process on the same instance keeps, not null
+   * @param allowance is told the number of entries, not null
+   * @param control the executor of the control thread, not null
+   * @param clock the clock of this process, which includes suspended time, not null
+   * @param random spreads the start of many entries, not null
+   */
+  public EntryRegistrar(
+      TableService table,
+      AvailabilityZone zone,
+      String entry,
+      RetryAllowance allowance,
+      ScheduledExecutorService control,
+      MonotonicClock clock,
+      UniformRandomProvider random) {
+    this.table = table;
+    this.keyPrefix = zone + "/";
+    this.key = new RowKey(TABLE, keyPrefix + entry);
+    this.allowance = allowance;
+    this.control = control;
+    this.clock = clock;
+    this.random = random;
+  }
+
+  /** Starts to register and to count. */
+  public void start() {
+    schedule(Duration.ofNanos(random.nextLong(MAX_START_DELAY.toNanos())));
+  }
+
+  private void schedule(Duration delay) {
+    control.schedule(this::refresh, delay.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  private void refresh() {
+    long now = clock.nanoTime();
+    boolean isWriteDue = !isWritten || now - writeNanos >= WRITE_INTERVAL.toNanos();
+    CompletableFuture<?> written =
+        isWriteDue ? write(now) : CompletableFuture.completedFuture(null);
+    written
+        .thenComposeAsync(w -> readEntries(), control)
+        .whenCompleteAsync((r, e) -> onRefreshed(e), control);
+  }
+
+  private CompletableFuture<Void> write(long now) {
+    Transaction transaction = new Transaction(List.of(), List.of(Write.ofPut(key, key.key())));
+    return table
+        .commit(transaction)
+        .thenAcceptAsync(
+            result -> {
+              isWritten = true;
+              writeNanos = now;
+              allowance.onRegistered(clock.nanoTime());
+            },
+            control);
+  }
+
+  private CompletableFuture<Void> readEntries() {
+    long sentNanos = clock.nanoTime();
+    return table.scan(TABLE, keyPrefix).thenAcceptAsync(rows -> onRead(rows, sentNanos), control);
+  }
+
+  private void onRead(List<Row> rows, long sentNanos) {
+    long now = clock.nanoTime();
+    directory.apply(rows, now);
+    int live = directory.isLive(key, now) ? directory.countLive(now) : 0;
+    allowance.onCounted(live, sentNanos);
+    if (live != count) {
+      log.info("entries counted", "count", live, "before", count);
+      count = live;
+    }
+    deleteAbandoned(now);
+  }
+
+  private void deleteAbandoned(long now) {
+    for (Map.Entry<RowKey, Long> row : directory.getAbandoned(now).entrySet()) {
+      Transaction transaction =
+          new Transaction(
+              List.of(new Condition(row.getKey(), row.getValue())),
+              List.of(Write.ofDelete(row.getKey())));
+      table
+          .commit(transaction)
+          .whenComplete(
+              (result, error) ->
+                  log.info(
+                      "abandoned entry deleted",
+                      "entry",
+                      row.getKey().key(),
+                      "error",
+                      String.valueOf(error)));
+    }
+  }
+
+  private void onRefreshed(Throwable error) {
+    if (error == null) {
+      isTableLost = false;
+      schedule(READ_INTERVAL);
+      return;
+    }
+    if (!isTableLost) {
+      log.warn("entries not read", "count", count, "error", error.getMessage());
+    }
+    isTableLost = true;
+    schedule(RETRY_DELAY);
+  }
+}
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/entry/CompletionRunnerTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/entry/CompletionRunnerTest.java
@@ -121,7 +121,8 @@
             new RequestTracer(OpenTelemetry.noop()),
             () -> time.now(TimeUnit.NANOSECONDS),
             StreamSettings.of(MAX_RUN_TIME),
-            RetryPolicy.ofDefaults(RandomSource.XO_RO_SHI_RO_128_PP.create(1)),
+            RetryPolicy.ofDefaults(
+                () -> time.now(TimeUnit.NANOSECONDS), RandomSource.XO_RO_SHI_RO_128_PP.create(1)),
             new PoisonGuard(
                 new PoisonList(PoisonSettings.ofDefaults()),
                 new LonePeerBus(new PeerId("p")),
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/entry/CompletionSchedule.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/entry/CompletionSchedule.java
@@ -119,7 +119,9 @@
               new RequestTracer(OpenTelemetry.noop()),
               () -> time.now(TimeUnit.NANOSECONDS),
               StreamSettings.ofDefaults(),
-              RetryPolicy.ofDefaults(RandomSource.XO_RO_SHI_RO_128_PP.create(random.nextLong())),
+              RetryPolicy.ofDefaults(
+                  () -> time.now(TimeUnit.NANOSECONDS),
+                  RandomSource.XO_RO_SHI_RO_128_PP.create(random.nextLong())),
               new PoisonGuard(
                   new PoisonList(PoisonSettings.ofDefaults()),
                   new LonePeerBus(new PeerId("p")),
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwardSchedule.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwardSchedule.java
@@ -5,7 +5,7 @@
 import io.fireflyshed.coordination.placement.PlacementSettings;
 import io.fireflyshed.coordination.placement.StallDetector;
 import io.fireflyshed.coordination.placement.TargetPlacer;
-import io.fireflyshed.coordination.retry.RetryBudget;
+import io.fireflyshed.coordination.retry.ServiceRetryBudgets;
 import io.fireflyshed.state.target.Target;
 import io.fireflyshed.state.traffic.RequestKind;
 import io.fireflyshed.state.traffic.Route;
@@ -145,7 +145,7 @@
         new TargetPlacer(placement, ForwardFixtures.ZONE, random),
         new StallDetector(placement),
         this::send,
-        new RetryBudget(0.2, 10, 10),
+        new ServiceRetryBudgets(0.2, Duration.ofSeconds(10), () -> 10),
         this::nanoTime,
         stalledTarget -> {},
         new SimpleMeterRegistry());
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwarderTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwarderTest.java
@@ -10,7 +10,7 @@
 import io.fireflyshed.coordination.placement.PlacementSettings;
 import io.fireflyshed.coordination.placement.StallDetector;
 import io.fireflyshed.coordination.placement.TargetPlacer;
-import io.fireflyshed.coordination.retry.RetryBudget;
+import io.fireflyshed.coordination.retry.ServiceRetryBudgets;
 import io.fireflyshed.state.clock.MonotonicClock;
 import io.fireflyshed.state.target.Target;
 import io.fireflyshed.state.traffic.RequestKind;
@@ -49,7 +49,7 @@
     forwarder = newForwarder(0);
   }
 
-  private Forwarder newForwarder(int initialRetries) {
+  private Forwarder newForwarder(int maxRetries) {
     List<Target> targets =
         List.of(
             ForwardFixtures.newTarget("one"),
@@ -62,7 +62,7 @@
             placement, ForwardFixtures.ZONE, RandomSource.XO_RO_SHI_RO_128_PP.create(1)),
         new StallDetector(placement),
         this::send,
-        new RetryBudget(0, 10, initialRetries),
+        new ServiceRetryBudgets(0, Duration.ofSeconds(10), () -> maxRetries),
         MonotonicClock.system(),
         stalledTarget -> {},
         registry);
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/registry/ConfigurationWatcherTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/registry/ConfigurationWatcherTest.java
@@ -5,6 +5,7 @@
 import static org.testng.Assert.assertTrue;
 
 import io.fireflyshed.state.clock.ManualClock;
+import io.fireflyshed.state.clock.ManualScheduler;
 import io.fireflyshed.state.error.HistoryLostException;
 import io.fireflyshed.state.traffic.ClientLimits;
 import io.fireflyshed.state.traffic.ConfigurationReadResult;
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/entry/EntryDaemon.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/entry/EntryDaemon.java
@@ -245,7 +245,7 @@
             tracer,
             clock,
             StreamSettings.of(settings.traffic().limits().concurrencyTerms().hold()),
-            RetryPolicy.ofDefaults(RandomSource.XO_RO_SHI_RO_128_PP.create()),
+            RetryPolicy.ofDefaults(clock, RandomSource.XO_RO_SHI_RO_128_PP.create()),
             new PoisonGuard(new PoisonList(PoisonSettings.ofDefaults()), peers.getBus(), clock));
     CompletionHandler completions =
         new CompletionHandler(settings.entry(), accounts, control, admission, runner, tracer);
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
@@ -6,7 +6,8 @@
 import io.fireflyshed.coordination.placement.PlacementSettings;
 import io.fireflyshed.coordination.placement.StallDetector;
 import io.fireflyshed.coordination.placement.TargetPlacer;
-import io.fireflyshed.coordination.retry.RetryBudget;
+import io.fireflyshed.coordination.retry.RetryAllowance;
+import io.fireflyshed.coordination.retry.ServiceRetryBudgets;
 import io.fireflyshed.platform.HttpEngineControl;
 import io.fireflyshed.platform.PlatformSettings;
 import io.fireflyshed.platform.StoreClient;
@@ -29,6 +30,7 @@
 import io.fireflyshed.transport.http.HttpCaller;
 import io.fireflyshed.transport.log.EventLog;
 import io.fireflyshed.transport.registry.ConfigurationWatcher;
+import io.fireflyshed.transport.registry.EntryRegistrar;
 import io.fireflyshed.transport.registry.TargetFollower;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
@@ -36,6 +38,7 @@
 import java.util.Set;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.function.DoubleSupplier;
 import java.util.stream.Collectors;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
@@ -61,11 +64,8 @@
   /** The time left for the process to exit before it is killed. */
   private static final Duration EXIT_MARGIN = Duration.ofMillis(600);
 
-  /** The number of entries that share the deployment's retry slack, with room for more entries. */
-  private static final int RETRY_BUDGET_ENTRIES = 12;
-
-  /** The used fraction of the allowed retry ratio, since requests are counted slightly late. */
-  private static final double RETRY_RATIO_FACTOR = 0.8;
+  /** The used fraction of the allowed retries, since targets count them slightly later. */
+  private static final double RETRY_MARGIN_FACTOR = 0.9;
 
   private final PlatformSettings settings;
 
@@ -85,6 +85,7 @@
   private final TargetPlacer placer;
   private final TargetFollower targets;
   private final ConfigurationWatcher configuration;
+  private final EntryRegistrar registrar;
   private final FormationController formation;
   private final Forwarder forwarder;
   private final TrafficServer server;
@@ -108,13 +109,19 @@
     configuration =
         new ConfigurationWatcher(new StoreConfigurationSource(store), control, clock, c -> {});
     formation = newFormation(store, random);
+    RetryAllowance allowance = newRetryAllowance(settings);
+    DoubleSupplier retryAllowance = () -> allowance.get(clock.nanoTime());
+    metrics.gauge("fireflyshed.retry.allowance", retryAllowance, DoubleSupplier::getAsDouble);
+    registrar =
+        new EntryRegistrar(
+            store, settings.zone(), settings.node(), allowance, control, clock, random);
     forwarder =
         new Forwarder(
             targets,
             placer,
             new StallDetector(placement),
             targetCaller,
-            newRetryBudget(settings),
+            newRetryBudgets(settings, retryAllowance),
             trafficClock,
             formation::onStalled,
             metrics);
@@ -150,9 +157,19 @@
         clock);
   }
 
-  static RetryBudget newRetryBudget(PlatformSettings settings) {
-    double balance = Math.max(1, settings.repeatSlack() / (double) RETRY_BUDGET_ENTRIES);
-    return new RetryBudget(settings.repeatRatio() * RETRY_RATIO_FACTOR, balance, balance);
+  static RetryAllowance newRetryAllowance(PlatformSettings settings) {
+    Duration window = settings.repeatWindow();
+    Duration readInterval = EntryRegistrar.READ_INTERVAL;
+    return new RetryAllowance(
+        settings.repeatSlack() * RETRY_MARGIN_FACTOR,
+        settings.zones(),
+        window.compareTo(readInterval) > 0 ? window : readInterval,
+        EntryRegistrar.MAX_COUNT_AGE);
+  }
+
+  static ServiceRetryBudgets newRetryBudgets(PlatformSettings settings, DoubleSupplier allowance) {
+    return new ServiceRetryBudgets(
+        settings.repeatRatio() * RETRY_MARGIN_FACTOR, settings.repeatWindow(), allowance);
   }
 
   private static TrafficServerSettings newServerSettings(PlatformSettings settings) {
@@ -171,6 +188,7 @@
     configuration.start();
     targets.start();
     formation.start();
+    registrar.start();
     forwarder.start();
     server.start();
   }
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/RehearseCommand.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/RehearseCommand.java
@@ -97,6 +97,7 @@
         Duration.ofSeconds(8),
         0.2,
         100,
+        Duration.ofSeconds(10),
         Duration.ofSeconds(5));
   }
 
--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/DeploymentRetryBudgetTest.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/DeploymentRetryBudgetTest.java
@@ -2,11 +2,16 @@
 
 import static org.testng.Assert.assertTrue;
 
-import io.fireflyshed.coordination.retry.RetryBudget;
+import io.fireflyshed.coordination.retry.RetryAllowance;
+import io.fireflyshed.coordination.retry.ServiceRetryBudgets;
 import io.fireflyshed.platform.PlatformSettings;
+import io.fireflyshed.standins.platform.InMemoryTableService;
+import io.fireflyshed.standins.platform.StoreFault;
 import io.fireflyshed.state.clock.ManualClock;
+import io.fireflyshed.state.clock.ManualScheduler;
 import io.fireflyshed.state.instance.AvailabilityZone;
 import io.fireflyshed.state.replica.ServiceName;
+import io.fireflyshed.transport.registry.EntryRegistrar;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -16,6 +21,7 @@
 import java.util.Set;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -58,6 +64,11 @@
       return sum;
     }
 
+    /** Returns the fraction of the allowed retries that the last window has. */
+    double getUsedFraction() {
+      return sum(retries, STEPS) / (RETRY_RATIO * sum(requests, STEPS) + RETRY_SLACK);
+    }
+
     /** Returns the first window with more retries than allowed, or an empty text. */
     String findViolation() {
       for (int end = 1; end <= STEPS; end++) {
@@ -76,24 +87,32 @@
 
   /** One entry, whose process may be replaced. */
   private final class Entry {
+    private final String name;
+    private final AvailabilityZone zone;
     private final double weight;
-    private RetryBudget budget;
+    private ManualScheduler control;
+    private ServiceRetryBudgets budgets;
 
-    Entry(double weight) {
+    Entry(int number, double weight) {
+      this.name = "entry-" + number;
+      this.zone = new AvailabilityZone("zone-" + number % ZONES);
       this.weight = weight;
       restart();
     }
 
     void restart() {
-      budget = PlatformEntry.newRetryBudget(SETTINGS);
+      RetryAllowance allowance = PlatformEntry.newRetryAllowance(SETTINGS);
+      budgets = PlatformEntry.newRetryBudgets(SETTINGS, () -> allowance.get(clock.nanoTime()));
+      control = new ManualScheduler(clock);
+      new EntryRegistrar(table, zone, name, allowance, control, clock, random).start();
     }
 
     void onRequest(ServiceName service) {
-      budget.onRequest();
+      budgets.onRequest(service, clock.nanoTime());
     }
 
     boolean tryRetry(ServiceName service) {
-      return budget.tryRetry();
+      return budgets.tryRetry(service, clock.nanoTime());
     }
   }
 
@@ -111,13 +130,23 @@
           Duration.ofSeconds(8),
           RETRY_RATIO,
           RETRY_SLACK,
+          Duration.ofSeconds(10),
           Duration.ofSeconds(5));
 
   private static InetSocketAddress newAddress() {
     return InetSocketAddress.createUnresolved("127.0.0.1", 1);
   }
 
-  private final ManualClock clock = new ManualClock();
+  private ManualClock clock;
+  private InMemoryTableService table;
+  private UniformRandomProvider random;
+  private List<Integer> tableDownSteps;
+
+  /** Sets up a table service without outages. */
+  @BeforeMethod
+  public void setUp() {
+    tableDownSteps = List.of(STEPS, STEPS);
+  }
 
   /** Provides numbers of entries, from a small deployment to several zones of many entries. */
   @DataProvider
@@ -135,33 +164,34 @@
    */
   private Map<ServiceName, Counts> play(
       int entryCount, Set<ServiceName> failingServices, Set<Integer> restartSteps) {
-    UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(entryCount);
+    random = RandomSource.XO_RO_SHI_RO_128_PP.create(entryCount);
+    clock = new ManualClock();
+    table = new InMemoryTableService();
     List<Entry> entries = new ArrayList<>();
     for (int i = 0; i < entryCount; i++) {
-      entries.add(new Entry(random.nextDouble() * 2));
+      entries.add(new Entry(i, random.nextDouble() * 2));
     }
     Map<ServiceName, Counts> counts = new HashMap<>();
     REQUEST_RATES.keySet().forEach(s -> counts.put(s, new Counts()));
     for (int step = 0; step < STEPS; step++) {
       clock.advance(STEP);
+      boolean isTableDown = step >= tableDownSteps.get(0) && step < tableDownSteps.get(1);
+      table.setFault(isTableDown ? StoreFault.DOWN : StoreFault.NONE);
       for (Entry entry : entries) {
         if (restartSteps.contains(step) && random.nextInt(5) > 0) {
           entry.restart();
         }
+        entry.control.runDue();
         if (step >= FIRST_REQUEST_STEP) {
-          playStep(entry, step, failingServices, counts, random);
+          playStep(entry, step, failingServices, counts);
         }
       }
     }
     return counts;
   }
 
-  private static void playStep(
-      Entry entry,
-      int step,
-      Set<ServiceName> failingServices,
-      Map<ServiceName, Counts> counts,
-      UniformRandomProvider random) {
+  private void playStep(
+      Entry entry, int step, Set<ServiceName> failingServices, Map<ServiceName, Counts> counts) {
     for (ServiceName service : REQUEST_RATES.keySet()) {
       double expected = REQUEST_RATES.get(service) * entry.weight * STEP.toMillis() / 1000;
       int arrivals = (int) expected + (random.nextDouble() < expected % 1 ? 1 : 0);
@@ -197,4 +227,16 @@
   public void restartedEntriesDoNotRenewTheBudget(int entryCount) {
     assertWithinBudget(play(entryCount, REQUEST_RATES.keySet(), Set.of(250, 300, 420, 424)));
   }
+
+  @Test(dataProvider = "entryCounts")
+  public void retriesStayWithinTheBudgetWhileTheTableServiceIsDown(int entryCount) {
+    tableDownSteps = List.of(100, 400);
+    assertWithinBudget(play(entryCount, REQUEST_RATES.keySet(), Set.of(250, 300, 424)));
+  }
+
+  @Test(dataProvider = "entryCounts")
+  public void mostOfTheBudgetCanBeUsed(int entryCount) {
+    play(entryCount, REQUEST_RATES.keySet(), Set.of())
+        .forEach((s, c) -> assertTrue(c.getUsedFraction() > 0.5, s + ": " + c.getUsedFraction()));
+  }
 }
--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/PlatformEntryTest.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/PlatformEntryTest.java
@@ -182,8 +182,28 @@
     assertEquals(send("/lookups/x", FleetStandIn.KEY).statusCode(), 502);
   }
 
+  private boolean isRetryAllowed() {
+    URI uri = URI.create("http://127.0.0.1:" + settings.metricsListen().getPort() + "/metrics");
+    try {
+      String metrics =
+          client
+              .send(HttpRequest.newBuilder(uri).build(), HttpResponse.BodyHandlers.ofString())
+              .body();
+      return metrics
+          .lines()
+          .filter(line -> line.startsWith("fireflyshed_retry_allowance "))
+          .anyMatch(line -> Double.parseDouble(line.split(" ")[1]) >= 1);
+    } catch (IOException e) {
+      throw new IllegalStateException("the request for the metrics failed", e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IllegalStateException(e);
+    }
+  }
+
   @Test
-  public void failedLookupIsRetriedAtAnotherTarget() {
+  public void failedLookupIsRetriedAtAnotherTarget() throws Exception {
+    await(this::isRetryAllowed);
     fleet.getDesks().get(0).setFault(TargetFault.ERROR);
     for (int i = 0; i < 4; i++) {
       assertEquals(send("/lookups/x", FleetStandIn.KEY).statusCode(), 200);
