Charge the retry budget only for a retry that has a target

What callers saw: nothing by itself; the budget was spent on retries that were not made, so that later ones were refused.

Cause: the forwarder charged the budget first and chose the target afterwards. Change: the target is chosen first; a failed attempt without another target ends with the verdict NO_TARGET and costs nothing. Test: failedAttemptWithoutAnotherTargetConsumesNoRetryBudget; before, the second request made one attempt where its budget allowed two.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/Forwarder.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/Forwarder.java
@@ -22,6 +22,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -152,7 +153,7 @@
           AttemptSequence attempts = new AttemptSequence(routed);
           Duration remaining = routed.getRemainingTime(clock.nanoTime());
           return StreamUtils.failOn(
-              attempts.startNext(), Mono.delay(remaining), attempts::newTimeoutException);
+              attempts.start(), Mono.delay(remaining), attempts::newTimeoutException);
         });
   }
 
@@ -177,28 +178,37 @@
       this.lastEventId = routed.request().lastEventId();
     }
 
-    Flux<ResponsePart> startNext() {
+    Flux<ResponsePart> start() {
+      return proceed(placeNext());
+    }
+
+    private Placement placeNext() {
       long now = clock.nanoTime();
-      Duration remaining = routed.getRemainingTime(now);
-      if (remaining.compareTo(MIN_ATTEMPT_TIME) < 0) {
-        return Flux.error(newTimeoutException());
-      }
       if (!targetView.isRead()) {
-        return refuse(
-            new Placement.Refuse("the list of targets has not been read yet", RETRY_AFTER_NOT_READ),
-            0);
+        return new Placement.Refuse(
+            "the list of targets has not been read yet", RETRY_AFTER_NOT_READ);
       }
-      boolean isGeneration = routed.request().prompt().isPresent();
-      List<Target> candidates =
-          isGeneration
-              ? targetView.getHeads(routed.service(), routed.getPool())
-              : targetView.getTargets(routed.service());
-      Placement placement =
-          placer.place(routed.getPool(), candidates, triedTargets, isGeneration, now);
-      if (placement instanceof Placement.Refuse refusal) {
-        return refuse(refusal, candidates.size());
+      return placer.place(routed.getPool(), getCandidates(), triedTargets, isGeneration(), now);
+    }
+
+    private boolean isGeneration() {
+      return routed.request().prompt().isPresent();
+    }
+
+    private List<Target> getCandidates() {
+      return isGeneration()
+          ? targetView.getHeads(routed.service(), routed.getPool())
+          : targetView.getTargets(routed.service());
+    }
+
+    private Flux<ResponsePart> proceed(Placement placement) {
+      Duration remaining = routed.getRemainingTime(clock.nanoTime());
+      if (remaining.compareTo(MIN_ATTEMPT_TIME) < 0) {
+        return Flux.error(newTimeoutException());
       }
-      return send(((Placement.Send) placement).target(), remaining);
+      return placement instanceof Placement.Refuse refusal
+          ? refuse(refusal)
+          : send(((Placement.Send) placement).target(), remaining);
     }
 
     /** Tests whether a target returned an error response that can still be sent to the caller. */
@@ -206,7 +216,7 @@
       return !errorResponse.isEmpty() && !isHeadSent;
     }
 
-    private Flux<ResponsePart> refuse(Placement.Refuse refusal, int candidateCount) {
+    private Flux<ResponsePart> refuse(Placement.Refuse refusal) {
       if (hasErrorResponse()) {
         return Flux.fromIterable(errorResponse);
       }
@@ -219,7 +229,7 @@
           "pool",
           routed.getPool(),
           "targets",
-          candidateCount,
+          getCandidates().size(),
           "tried",
           triedTargets,
           "outcome",
@@ -401,7 +411,9 @@
         possibleRuns++;
       }
       recordFailure(target, error);
-      RetryVerdict verdict = decideRetry(error);
+      Optional<Placement> next =
+          isRepeatable(error) && isAttemptLeft(error) ? Optional.of(placeNext()) : Optional.empty();
+      RetryVerdict verdict = decideRetry(error, next);
       metrics.recordFailure(routed.service(), verdict);
       log.info(
           "attempt failed",
@@ -419,8 +431,8 @@
           verdict.isRetried(),
           "retry",
           verdict);
-      if (verdict.isRetried()) {
-        return startNext();
+      if (verdict.isRetried() || verdict == RetryVerdict.NO_TARGET) {
+        return proceed(next.orElseThrow());
       }
       if (hasErrorResponse()) {
         return Flux.fromIterable(errorResponse);
@@ -430,17 +442,22 @@
               STEP, target.id().value(), error.getMessage(), outcome, RETRY_AFTER_FAILURE, false));
     }
 
-    private RetryVerdict decideRetry(AttemptException error) {
-      boolean isNotRun = error.getOutcome() == Outcome.NOT_RUN;
-      if (!isNotRun && !routed.route().isRetryable()) {
-        return RetryVerdict.NOT_REPEATABLE;
+    private boolean isRepeatable(AttemptException error) {
+      return error.getOutcome() == Outcome.NOT_RUN || routed.route().isRetryable();
+    }
+
+    private boolean isAttemptLeft(AttemptException error) {
+      return error.getOutcome() == Outcome.NOT_RUN
+          ? notRunAttempts <= MAX_NOT_RUN_RETRIES
+          : possibleRuns < routed.route().maxAttempts();
+    }
+
+    private RetryVerdict decideRetry(AttemptException error, Optional<Placement> next) {
+      if (next.isEmpty()) {
+        return isRepeatable(error) ? RetryVerdict.TOO_MANY_ATTEMPTS : RetryVerdict.NOT_REPEATABLE;
       }
-      boolean isAllowed =
-          isNotRun
-              ? notRunAttempts <= MAX_NOT_RUN_RETRIES
-              : possibleRuns < routed.route().maxAttempts();
-      if (!isAllowed) {
-        return RetryVerdict.TOO_MANY_ATTEMPTS;
+      if (next.get() instanceof Placement.Refuse) {
+        return RetryVerdict.NO_TARGET;
       }
       // An attempt that reached no target put no load on one, so its retry costs no budget.
       if (error instanceof TargetUnreachableException) {
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwarderTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwarderTest.java
@@ -35,6 +35,7 @@
 
   private final Map<String, AttemptException> errors = new HashMap<>();
   private final List<String> triedTargets = new ArrayList<>();
+  private final List<Target> targets = new ArrayList<>();
   private SimpleMeterRegistry registry;
   private Forwarder forwarder;
   private boolean isRead;
@@ -45,16 +46,19 @@
     errors.clear();
     triedTargets.clear();
     isRead = true;
+    targets.clear();
+    addTargets("one", "two", "three");
     registry = new SimpleMeterRegistry();
     forwarder = newForwarder(0);
   }
 
+  private void addTargets(String... ids) {
+    for (String id : ids) {
+      targets.add(ForwardFixtures.newTarget(id));
+    }
+  }
+
   private Forwarder newForwarder(int maxRetries) {
-    List<Target> targets =
-        List.of(
-            ForwardFixtures.newTarget("one"),
-            ForwardFixtures.newTarget("two"),
-            ForwardFixtures.newTarget("three"));
     PlacementSettings placement = PlacementSettings.ofDefaults();
     return new Forwarder(
         ForwardFixtures.newView(targets, () -> isRead),
@@ -147,6 +151,24 @@
     assertEquals(triedTargets.size(), 3);
   }
 
+  @Test
+  public void failedAttemptWithoutAnotherTargetConsumesNoRetryBudget() {
+    forwarder = newForwarder(1);
+    failWith(
+        new AttemptException("forward", "peer", Outcome.NOT_RUN, "full", null),
+        "one",
+        "two",
+        "three");
+    targets.clear();
+    addTargets("one");
+    expectThrows(ForwardException.class, this::forward);
+    assertEquals(countFailures("no_target"), 1.0);
+    addTargets("two", "three");
+    triedTargets.clear();
+    expectThrows(ForwardException.class, this::forward);
+    assertEquals(triedTargets.size(), 2);
+  }
+
   private double countFailures(String verdict) {
     return registry.get("fireflyshed.forward.failures").tag("retry", verdict).counter().count();
   }
