Leave half of the retry budget to attempts that broke off

Cause: the budget made no difference between a rejected attempt, whose caller can be told when to come back, and one that broke off. Change: retries of attempts that did not run may use up half of the budget.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/retry/RetryBudget.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/retry/RetryBudget.java
@@ -73,7 +73,19 @@
    * @param nowNanos the current reading of the monotonic clock
    * @return whether the retry may start
    */
-  public synchronized boolean tryRetry(long nowNanos) {
+  public boolean tryRetry(long nowNanos) {
+    return tryRetry(1, nowNanos);
+  }
+
+  /**
+   * Records a retry if a part of the budget suffices, which leaves the rest to other retries.
+   *
+   * @param usableFraction the fraction of the budget that all retries together may use up for this
+   *     one to start, 0 to 1
+   * @param nowNanos the current reading of the monotonic clock
+   * @return whether the retry may start
+   */
+  public synchronized boolean tryRetry(double usableFraction, long nowNanos) {
     advance(nowNanos);
     int requestCount = 0;
     int retryCount = 0;
@@ -82,7 +94,8 @@
       retryCount += retries[slot];
       requestCount += i < INTERVALS ? requests[slot] : 0;
     }
-    if (retryCount + 1 > ratio * requestCount + allowance.getAsDouble()) {
+    double allowed = ratio * requestCount + allowance.getAsDouble();
+    if (retryCount + 1 > usableFraction * allowed) {
       return false;
     }
     retries[getSlot(interval)]++;
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/retry/ServiceRetryBudgets.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/retry/ServiceRetryBudgets.java
@@ -1,5 +1,6 @@
 package io.fireflyshed.coordination.retry;
 
+import io.fireflyshed.coordination.attempt.Outcome;
 import io.fireflyshed.state.replica.ServiceName;
 import java.time.Duration;
 import java.util.Map;
@@ -13,6 +14,12 @@
  */
 public final class ServiceRetryBudgets {
 
+  /**
+   * The fraction of a budget that retries of attempts that did not run may use up. Their callers
+   * can be asked to come back, while the response of an attempt that broke off is lost.
+   */
+  private static final double NOT_RUN_FRACTION = 0.5;
+
   private final double ratio;
   private final Duration window;
   private final DoubleSupplier allowance;
@@ -46,11 +53,13 @@
    * Records a retry if the budget of the service suffices.
    *
    * @param service the service that is to run the request, not null
+   * @param outcome the outcome of the failed attempt, not null
    * @param nowNanos the current reading of the monotonic clock
    * @return whether the retry may start
    */
-  public boolean tryRetry(ServiceName service, long nowNanos) {
-    return getBudget(service).tryRetry(nowNanos);
+  public boolean tryRetry(ServiceName service, Outcome outcome, long nowNanos) {
+    double usableFraction = outcome == Outcome.NOT_RUN ? NOT_RUN_FRACTION : 1;
+    return getBudget(service).tryRetry(usableFraction, nowNanos);
   }
 
   private RetryBudget getBudget(ServiceName service) {
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/Forwarder.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/Forwarder.java
@@ -463,7 +463,7 @@
       if (error instanceof TargetUnreachableException) {
         return RetryVerdict.FREE;
       }
-      return retryBudgets.tryRetry(routed.service(), clock.nanoTime())
+      return retryBudgets.tryRetry(routed.service(), error.getOutcome(), clock.nanoTime())
           ? RetryVerdict.CHARGED
           : RetryVerdict.NO_BUDGET;
     }
