Check every combination of failed attempts for uncharged arrivals, and entries that join

ForwarderTest.arrivalsBeyondTheFirstAreAllCharged plays the 64 combinations of success, no connection, rejection and loss at three targets: no arrival beyond the first is uncharged, so the hypothesis is out for the forwarder.

--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwarderTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwarderTest.java
@@ -15,6 +15,7 @@
 import io.fireflyshed.state.target.Target;
 import io.fireflyshed.state.traffic.RequestKind;
 import io.fireflyshed.state.traffic.Route;
+import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -25,6 +26,7 @@
 import java.util.OptionalLong;
 import org.apache.commons.rng.simple.RandomSource;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import reactor.core.publisher.Flux;
 
@@ -191,6 +193,46 @@
         registry.get("fireflyshed.forward.attempts").counter().count(), triedTargets.size());
   }
 
+  /** Provides every combination of the results of attempts at three targets. */
+  @DataProvider
+  public Object[][] attemptResults() {
+    List<AttemptException> results = new ArrayList<>();
+    results.add(null);
+    results.add(newUnreachableException());
+    results.add(new AttemptException("forward", "peer", Outcome.NOT_RUN, "full", null));
+    results.add(new AttemptException("forward", "peer", Outcome.UNKNOWN, "lost", null));
+    List<Object[]> combinations = new ArrayList<>();
+    for (AttemptException first : results) {
+      for (AttemptException second : results) {
+        for (AttemptException third : results) {
+          combinations.add(new Object[] {first, second, third});
+        }
+      }
+    }
+    return combinations.toArray(new Object[0][]);
+  }
+
+  @Test(dataProvider = "attemptResults")
+  public void arrivalsBeyondTheFirstAreAllCharged(
+      AttemptException first, AttemptException second, AttemptException third) {
+    forwarder = newForwarder(10);
+    errors.put("one", first);
+    errors.put("two", second);
+    errors.put("three", third);
+    Route route = ForwardFixtures.newRoute(RequestKind.IDEMPOTENT, false, Duration.ofSeconds(1));
+    forwarder
+        .forward(ForwardFixtures.newRequest("id", route, System.nanoTime()))
+        .onErrorComplete()
+        .blockLast();
+    long arrivals =
+        triedTargets.stream()
+            .filter(t -> !(errors.get(t) instanceof TargetUnreachableException))
+            .count();
+    Counter charged =
+        registry.find("fireflyshed.forward.failures").tag("retry", "charged").counter();
+    assertTrue(arrivals - 1 <= (charged == null ? 0 : charged.count()), triedTargets.toString());
+  }
+
   @Test
   public void nonIdempotentRequestIsNotRetriedIfItMayHaveRun() {
     forwarder = newForwarder(10);
--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/DeploymentRetryBudgetTest.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/DeploymentRetryBudgetTest.java
@@ -52,6 +52,23 @@
 
   private static final int STEPS = FIRST_REQUEST_STEP + 600;
 
+  private static final PlatformSettings SETTINGS =
+      new PlatformSettings(
+          "entry-1",
+          new AvailabilityZone("a"),
+          ZONES,
+          true,
+          newAddress(),
+          newAddress(),
+          newAddress(),
+          newAddress(),
+          Duration.ofSeconds(5),
+          Duration.ofSeconds(8),
+          RETRY_RATIO,
+          RETRY_SLACK,
+          Duration.ofSeconds(10),
+          Duration.ofSeconds(5));
+
   /** Counts the requests for a service and the retries at it in each step. */
   private static final class Counts {
     private final int[] requests = new int[STEPS];
@@ -117,36 +134,21 @@
     }
   }
 
-  private static final PlatformSettings SETTINGS =
-      new PlatformSettings(
-          "entry-1",
-          new AvailabilityZone("a"),
-          ZONES,
-          true,
-          newAddress(),
-          newAddress(),
-          newAddress(),
-          newAddress(),
-          Duration.ofSeconds(5),
-          Duration.ofSeconds(8),
-          RETRY_RATIO,
-          RETRY_SLACK,
-          Duration.ofSeconds(10),
-          Duration.ofSeconds(5));
-
-  private static InetSocketAddress newAddress() {
-    return InetSocketAddress.createUnresolved("127.0.0.1", 1);
-  }
-
   private ManualClock clock;
   private InMemoryTableService table;
   private UniformRandomProvider random;
   private List<Integer> tableDownSteps;
+  private int doublingStep;
 
-  /** Sets up a table service without outages. */
+  /** Sets up a table service without outages and a constant number of entries. */
   @BeforeMethod
   public void setUp() {
     tableDownSteps = List.of(STEPS, STEPS);
+    doublingStep = STEPS;
+  }
+
+  private static InetSocketAddress newAddress() {
+    return InetSocketAddress.createUnresolved("127.0.0.1", 1);
   }
 
   /** Provides numbers of entries, from a small deployment to several zones of many entries. */
@@ -169,13 +171,14 @@
     clock = new ManualClock();
     table = new InMemoryTableService();
     List<Entry> entries = new ArrayList<>();
-    for (int i = 0; i < entryCount; i++) {
-      entries.add(new Entry(i, random.nextDouble() * 2));
-    }
+    addEntries(entries, entryCount);
     Map<ServiceName, Counts> counts = new HashMap<>();
     REQUEST_RATES.keySet().forEach(s -> counts.put(s, new Counts()));
     for (int step = 0; step < STEPS; step++) {
       clock.advance(STEP);
+      if (step == doublingStep) {
+        addEntries(entries, entryCount);
+      }
       boolean isTableDown = step >= tableDownSteps.get(0) && step < tableDownSteps.get(1);
       table.setFault(isTableDown ? StoreFault.DOWN : StoreFault.NONE);
       for (Entry entry : entries) {
@@ -191,6 +194,12 @@
     return counts;
   }
 
+  private void addEntries(List<Entry> entries, int count) {
+    for (int i = 0; i < count; i++) {
+      entries.add(new Entry(entries.size(), random.nextDouble() * 2));
+    }
+  }
+
   private void playStep(
       Entry entry, int step, Set<ServiceName> failingServices, Map<ServiceName, Counts> counts) {
     for (ServiceName service : REQUEST_RATES.keySet()) {
@@ -229,6 +238,12 @@
     assertWithinBudget(play(entryCount, REQUEST_RATES.keySet(), Set.of(250, 300, 420, 424)));
   }
 
+  @Test(dataProvider = "entryCounts")
+  public void entriesThatJoinShareTheBudgetOfTheOthers(int entryCount) {
+    doublingStep = 305;
+    assertWithinBudget(play(entryCount, REQUEST_RATES.keySet(), Set.of()));
+  }
+
   @Test(dataProvider = "entryCounts")
   public void retriesStayWithinTheBudgetWhileTheTableServiceIsDown(int entryCount) {
     tableDownSteps = List.of(100, 400);
