Say what the log line about an abandoned entry reports, and reword the allowance

Found by reading the diff as a newcomer: the line said "deleted" also when the deletion had failed, and the description of the allowance needed a second reading.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/retry/RetryAllowance.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/retry/RetryAllowance.java
@@ -7,15 +7,15 @@
  * Calculates the share of one entry in the number of retries that all entries of a deployment
  * together may make in a window.
  *
- * <p>Each availability zone has an equal share, which its entries divide by their number. A new
- * process has only a part of its share that others leave unused, until it has been registered for a
- * settling time in which the other entries learn of it and its predecessor's retries leave the
- * window. It loses its share when the number of entries has not been confirmed for a while, since
- * more entries may have joined. Thread safe.
+ * <p>Each availability zone has an equal share, which its entries divide by their number. A process
+ * gets a small part of its entry's share at first and the rest once it has been registered for the
+ * settling time. By then the retries of its predecessor have left the window and the other entries
+ * have counted it. Settled processes leave that small part unused. A process has no share while the
+ * number of entries is unknown or too old, since more entries may have joined. Thread safe.
  */
 public final class RetryAllowance {
 
-  /** The fraction of each share that is left to processes that have not settled. */
+  /** The fraction of a share that only processes use that have not settled. */
   private static final double UNSETTLED_FRACTION = 0.25;
 
   private final double zoneShare;
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/registry/EntryRegistrar.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/registry/EntryRegistrar.java
@@ -38,6 +38,7 @@
   /** The time without a change after which an entry no longer counts; one write may fail. */
   private static final Duration EXPIRY = Duration.ofSeconds(75);
 
+  /** The time without a change after which the row of an entry is deleted. */
   private static final Duration RETENTION = Duration.ofMinutes(10);
 
   /** Spreads the registrations of entries that start at the same time. */
@@ -148,7 +149,7 @@
           .whenComplete(
               (result, error) ->
                   log.info(
-                      "abandoned entry deleted",
+                      "deletion of abandoned entry finished",
                       "entry",
                       row.getKey().key(),
                       "error",
