--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/DeploymentRetryBudgetTest.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/DeploymentRetryBudgetTest.java
@@ -26,10 +26,7 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-/**
- * Plays the requests of a whole deployment in virtual time while targets fail, and checks the
- * retries of all its entries together against the retry budget of the deployment.
- */
+/** Checks the retries of all entries of a deployment together against its retry budget. */
 public class DeploymentRetryBudgetTest {
 
   private static final ServiceName MODEL_SERVICE = new ServiceName("cards");
