Log the request limits of targets and what is sent to limited ones

The limit is decoded from responses, rejected ones too; only a successful response without it lifts it. Requests are placed as before.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetLoad.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetLoad.java
@@ -1,6 +1,7 @@
 package io.fireflyshed.coordination.placement;
 
 import java.time.Duration;
+import java.util.OptionalDouble;
 
 /**
  * Estimates the load of one target from the load in its last answer and this entry's own requests
@@ -34,6 +35,7 @@
   private int connectFailures;
   private double failureRate;
   private long lastResultNanos;
+  private OptionalDouble requestLimit = OptionalDouble.empty();
 
   void onStart() {
     inFlight++;
@@ -92,6 +94,15 @@
     lastResultNanos = nowNanos;
   }
 
+  /** Returns the requests per second that the target takes, empty without a limit. */
+  OptionalDouble getRequestLimit() {
+    return requestLimit;
+  }
+
+  void setRequestLimit(OptionalDouble limit) {
+    requestLimit = limit;
+  }
+
   /** Returns the recent fraction of failed attempts, 0 to 1. */
   double getFailureRate(long nowNanos) {
     return failureRate == 0
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetPlacer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetPlacer.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.OptionalDouble;
 import java.util.Set;
 import org.apache.commons.rng.UniformRandomProvider;
 
@@ -160,6 +161,41 @@
     getLoad(target).onLoad(requests, slots);
   }
 
+  /**
+   * Records the limit that a target named in a response.
+   *
+   * @param target the target, not null
+   * @param limit the requests per second that the target takes from all entries together, empty for
+   *     no limit, not null
+   * @return whether the limit differs from the one known before
+   */
+  public synchronized boolean onRequestLimit(InstanceId target, OptionalDouble limit) {
+    TargetLoad load = getLoad(target);
+    boolean isChanged = !load.getRequestLimit().equals(limit);
+    load.setRequestLimit(limit);
+    return isChanged;
+  }
+
+  /**
+   * Gets the limit that a target named last.
+   *
+   * @param target the target, not null
+   * @return the requests per second that the target takes, empty without a limit, never null
+   */
+  public synchronized OptionalDouble getRequestLimit(InstanceId target) {
+    TargetLoad load = loads.get(target);
+    return load == null ? OptionalDouble.empty() : load.getRequestLimit();
+  }
+
+  /**
+   * Counts the targets that limit their requests.
+   *
+   * @return the number of targets
+   */
+  public synchronized long countLimitedTargets() {
+    return loads.values().stream().filter(l -> l.getRequestLimit().isPresent()).count();
+  }
+
   /**
    * Records an event of a stream, which shows that the target is not stalled.
    *
--- a/fireflyshed-core/src/main/java/io/fireflyshed/protocol/traffic/TargetAnswer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/protocol/traffic/TargetAnswer.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalDouble;
 
 /**
  * The head of the response of a target.
@@ -15,6 +16,8 @@
  * @param isSigned whether the response contains a signature of the target
  * @param isNotRun whether the target states that it did not run the request
  * @param load the load of the target, empty if the response does not report it, not null
+ * @param requestLimit the requests per second that the target takes from all entries together,
+ *     empty if it names no limit, not null
  */
 public record TargetAnswer(
     int status,
@@ -22,7 +25,8 @@
     Optional<String> requestId,
     boolean isSigned,
     boolean isNotRun,
-    Optional<LoadSample> load) {
+    Optional<LoadSample> load,
+    OptionalDouble requestLimit) {
 
   private static final int OK = 200;
   private static final int MULTIPLE_CHOICES = 300;
@@ -32,6 +36,7 @@
     Objects.requireNonNull(headers, "headers");
     Objects.requireNonNull(requestId, "requestId");
     Objects.requireNonNull(load, "load");
+    Objects.requireNonNull(requestLimit, "requestLimit");
   }
 
   /**
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/Forwarder.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/Forwarder.java
@@ -25,6 +25,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -278,7 +279,11 @@
           "after_event",
           lastEventId.orElse(-1),
           "configuration",
-          routed.configurationVersion());
+          routed.configurationVersion(),
+          "attempt",
+          triedTargets.size(),
+          "limit_per_s",
+          placer.getRequestLimit(target.id()).orElse(-1));
       Flux<ResponsePart> parts = client.send(target, routed, remaining, lastEventId);
       Flux<ResponsePart> response =
           isStream ? streamResponse(target, parts) : collectResponse(target, parts);
@@ -341,6 +346,21 @@
       response
           .load()
           .ifPresent(l -> placer.onLoad(target.id(), l.running() + l.waiting(), l.slots()));
+      recordRequestLimit(target, response);
+    }
+
+    /** Records the limit of a target; only a successful response without one lifts it. */
+    private void recordRequestLimit(Target target, TargetAnswer response) {
+      OptionalDouble limit = response.requestLimit();
+      if ((limit.isPresent() || response.isSuccess())
+          && placer.onRequestLimit(target.id(), limit)) {
+        log.info(
+            limit.isPresent() ? "target limits its requests" : "target lifted its limit",
+            "target",
+            target.id(),
+            "limit_per_s",
+            limit.orElse(-1));
+      }
     }
 
     /** Forwards the complete events of a stream; its head is held back until the first of them. */
@@ -547,6 +567,9 @@
     }
 
     private void recordFailure(Target target, AttemptException error) {
+      if (error instanceof RequestRejectedException rejection && !rejection.isMisdirected()) {
+        recordRequestLimit(target, rejection.getResponse());
+      }
       if (error instanceof TargetUnreachableException) {
         placer.onUnreachable(target.id(), clock.nanoTime());
       } else if (error.getOutcome() != Outcome.NOT_RUN) {
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/TargetCaller.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/TargetCaller.java
@@ -125,9 +125,7 @@
       TrafficRequest request, String peer, TargetAnswer response) {
     boolean isForOther = response.requestId().filter(id -> !id.equals(request.id())).isPresent();
     if (!isForOther && response.isNotRun()) {
-      String message =
-          "the target responded with status " + response.status() + " and did not run the request";
-      return Optional.of(new AttemptException(STEP, peer, Outcome.NOT_RUN, message, null));
+      return Optional.of(new RequestRejectedException(STEP, peer, response));
     }
     if (isForOther || response.requestId().isEmpty()) {
       String message = "the response is for request " + response.requestId().orElse("(none)");
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwardFixtures.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwardFixtures.java
@@ -19,6 +19,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.function.BooleanSupplier;
 
@@ -146,7 +147,14 @@
 
   static ResponsePart newHead(String id, int status, HttpHeaders headers) {
     return new ResponsePart.Head(
-        new TargetAnswer(status, headers, Optional.of(id), true, false, Optional.empty()));
+        new TargetAnswer(
+            status,
+            headers,
+            Optional.of(id),
+            true,
+            false,
+            Optional.empty(),
+            OptionalDouble.empty()));
   }
 
   static ResponsePart newBodyChunk(String text) {
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
@@ -112,6 +112,7 @@
     PlacementSettings placement = PlacementSettings.ofDefaults();
     targetCaller = new TargetCaller(codec);
     placer = new TargetPlacer(placement, settings.zone(), random);
+    metrics.gauge("fireflyshed.limited.targets", placer, TargetPlacer::countLimitedTargets);
     targets =
         new TargetFollower(
             new StoreTargetRegistry(store),
