Let entries take turns at targets that limit their requests

Callers saw nothing; a target in need that named a limit for all entries together got as many requests as before.

Cause: no part of an entry read the limit. A limited head answers as fast as before, so its load showed room. Class of the fault: a limit of the whole deployment that no process divides.

The limit is divided in time: the shared time, read from the store, is cut into slots of one request each, which zones and the entries of each zone own in turn. No window holds more than its slots and those of one second more, whatever the number of entries.

DeploymentRequestLimitTest failed in 9 of 12 cases before (18 requests in four seconds, 17 allowed) and passes in all 28 now.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/directory/EntryDirectory.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/directory/EntryDirectory.java
@@ -66,6 +66,20 @@
     return (int) sightings.keySet().stream().filter(k -> isLive(k, nowNanos)).count();
   }
 
+  /**
+   * Gets the rank of an entry among the live entries, in the order of their keys.
+   *
+   * @param key the row of the entry, not null
+   * @param nowNanos the current reading of the monotonic clock
+   * @return the number of live entries before it
+   */
+  public int getRank(RowKey key, long nowNanos) {
+    return (int)
+        sightings.keySet().stream()
+            .filter(k -> k.key().compareTo(key.key()) < 0 && isLive(k, nowNanos))
+            .count();
+  }
+
   /**
    * Tests whether an entry is live.
    *
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetPlacer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetPlacer.java
@@ -21,7 +21,8 @@
  * again or a time has passed. Targets whose attempts often fail get few requests until they
  * recover. A request is refused when every target is so full that it would wait long, since a
  * caller that is told when to retry is served better than one that waits and is refused in the end.
- * Thread safe.
+ * A target that limits the requests of all entries together gets requests only when it is this
+ * entry's turn. Thread safe.
  */
 public final class TargetPlacer {
 
@@ -33,12 +34,16 @@
   /** Load that is added if all attempts at a target fail, as a multiple of its slots. */
   private static final double FAILURE_PENALTY = 2;
 
+  /** Retry delay until this entry knows its position among all entries. */
+  private static final Duration UNKNOWN_SLOT_WAIT = Duration.ofSeconds(1);
+
   /** Retry delay if no target is available, about the time in which a replica is repaired. */
   private static final Duration NO_TARGET_RETRY_AFTER = Duration.ofMillis(2000);
 
   private final PlacementSettings settings;
   private final AvailabilityZone zone;
   private final UniformRandomProvider random;
+  private final EntrySchedule schedule;
   private final Map<InstanceId, TargetLoad> loads = new HashMap<>();
   private final Map<String, RetryAfterSchedule> retryAfterSchedules = new HashMap<>();
 
@@ -48,12 +53,17 @@
    * @param settings the limits, not null
    * @param zone the availability zone of this entry, not null
    * @param random breaks ties between targets of equal cost, not null
+   * @param schedule tells when this entry may use targets that limit their requests, not null
    */
   public TargetPlacer(
-      PlacementSettings settings, AvailabilityZone zone, UniformRandomProvider random) {
+      PlacementSettings settings,
+      AvailabilityZone zone,
+      UniformRandomProvider random,
+      EntrySchedule schedule) {
     this.settings = Objects.requireNonNull(settings, "settings");
     this.zone = Objects.requireNonNull(zone, "zone");
     this.random = Objects.requireNonNull(random, "random");
+    this.schedule = Objects.requireNonNull(schedule, "schedule");
   }
 
   /**
@@ -91,11 +101,17 @@
         usable.stream().mapToDouble(this::getMeanEventInterval).filter(g -> g > 0).min().orElse(0);
     Target best = null;
     double bestCost = Double.MAX_VALUE;
+    long limitWaitNanos = Long.MAX_VALUE;
     for (Target candidate : usable) {
       TargetLoad load = getLoad(candidate.id());
       if (load.getRequests() >= getCapacity(candidate, load, isModelPool)) {
         continue;
       }
+      long targetWaitNanos = getLimitWaitNanos(load);
+      limitWaitNanos = Math.min(limitWaitNanos, targetWaitNanos);
+      if (targetWaitNanos > 0) {
+        continue;
+      }
       double cost = getCost(candidate, load, fastest, nowNanos) + random.nextDouble() * 1e-3;
       if (cost < bestCost) {
         bestCost = cost;
@@ -103,12 +119,33 @@
       }
     }
     if (best == null) {
-      return new Placement.Refuse(
-          "all targets are at capacity", getRetryAfterSchedule(pool).next(nowNanos));
+      return refuse(pool, limitWaitNanos, nowNanos);
     }
     return new Placement.Send(best);
   }
 
+  private long getLimitWaitNanos(TargetLoad load) {
+    return load.getLimitWaitNanos(schedule).orElse(UNKNOWN_SLOT_WAIT.toNanos());
+  }
+
+  /**
+   * Refuses a request.
+   *
+   * @param limitWaitNanos the time until the request limit of a target with capacity admits the
+   *     next request, {@code Long.MAX_VALUE} if no target has capacity
+   */
+  private Placement refuse(String pool, long limitWaitNanos, long nowNanos) {
+    Duration capacityWait = getRetryAfterSchedule(pool).next(nowNanos);
+    if (limitWaitNanos == Long.MAX_VALUE) {
+      return new Placement.Refuse("all targets are at capacity", capacityWait);
+    }
+    // The caller may return to another entry, whose next slot is about as near.
+    long wait = Math.min(limitWaitNanos, RetryAfterSchedule.MAX_WAIT.toNanos());
+    return new Placement.Refuse(
+        "all targets with capacity are at their request limits",
+        Duration.ofNanos(Math.max(wait, capacityWait.toNanos())));
+  }
+
   private int getCapacity(Target target, TargetLoad load, boolean isModelPool) {
     int slots = load.getSlots(target.slots());
     return isModelPool
@@ -135,7 +172,9 @@
    * @param target the target, not null
    */
   public synchronized void onStart(InstanceId target) {
-    getLoad(target).onStart();
+    TargetLoad load = getLoad(target);
+    load.onStart();
+    load.useRequestSlot(schedule);
   }
 
   /**
@@ -171,9 +210,11 @@
    */
   public synchronized boolean onRequestLimit(InstanceId target, OptionalDouble limit) {
     TargetLoad load = getLoad(target);
-    boolean isChanged = !load.getRequestLimit().equals(limit);
-    load.setRequestLimit(limit);
-    return isChanged;
+    if (load.getRequestLimit().equals(limit)) {
+      return false;
+    }
+    load.setRequestLimit(target, limit);
+    return true;
   }
 
   /**
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/registry/EntryRegistrar.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/registry/EntryRegistrar.java
@@ -1,8 +1,10 @@
 package io.fireflyshed.transport.registry;
 
 import io.fireflyshed.coordination.directory.EntryDirectory;
+import io.fireflyshed.coordination.placement.EntrySchedule;
 import io.fireflyshed.coordination.retry.RetryAllowance;
 import io.fireflyshed.state.clock.MonotonicClock;
+import io.fireflyshed.state.clock.SharedTimeSource;
 import io.fireflyshed.state.instance.AvailabilityZone;
 import io.fireflyshed.state.table.Condition;
 import io.fireflyshed.state.table.Row;
@@ -21,7 +23,8 @@
 
 /**
  * Registers this entry in the table service and counts the entries of its availability zone, which
- * divide what the deployment allows all of them together.
+ * divide what the deployment allows all of them together. It also reads the shared time, by which
+ * the entries take turns.
  *
  * <p>All steps run on the control thread.
  */
@@ -44,13 +47,18 @@
   /** Spreads the registrations of entries that start at the same time. */
   private static final Duration MAX_START_DELAY = Duration.ofSeconds(1);
 
+  /** The delay between two readings of the shared time; clocks drift by some milliseconds in it. */
+  private static final Duration TIME_INTERVAL = Duration.ofSeconds(60);
+
   private static final Duration RETRY_DELAY = Duration.ofSeconds(2);
   private static final String TABLE = "entries";
 
   private final TableService table;
+  private final SharedTimeSource timeSource;
   private final String keyPrefix;
   private final RowKey key;
   private final RetryAllowance allowance;
+  private final EntrySchedule schedule;
   private final ScheduledExecutorService control;
   private final MonotonicClock clock;
   private final UniformRandomProvider random;
@@ -59,31 +67,39 @@
   private long writeNanos;
   private boolean isWritten;
   private boolean isTableLost;
+  private long timeNanos;
+  private boolean isTimeRead;
   private int count = -1;
 
   /**
    * Creates a registrar.
    *
    * @param table the table service, not null
+   * @param timeSource reads the shared time, not null
    * @param zone the availability zone of this entry, not null
    * @param entry the name of this entry, which a later process on the same instance keeps, not null
    * @param allowance is told the number of entries, not null
+   * @param schedule is told the rank of this entry and the shared time, not null
    * @param control the executor of the control thread, not null
    * @param clock the clock of this process, which includes suspended time, not null
    * @param random spreads the start of many entries, not null
    */
   public EntryRegistrar(
       TableService table,
+      SharedTimeSource timeSource,
       AvailabilityZone zone,
       String entry,
       RetryAllowance allowance,
+      EntrySchedule schedule,
       ScheduledExecutorService control,
       MonotonicClock clock,
       UniformRandomProvider random) {
     this.table = table;
+    this.timeSource = timeSource;
     this.keyPrefix = zone + "/";
     this.key = new RowKey(TABLE, keyPrefix + entry);
     this.allowance = allowance;
+    this.schedule = schedule;
     this.control = control;
     this.clock = clock;
     this.random = random;
@@ -105,6 +121,7 @@
         isWriteDue ? write(now) : CompletableFuture.completedFuture(null);
     written
         .thenComposeAsync(w -> readEntries(), control)
+        .thenComposeAsync(r -> readTime(), control)
         .whenCompleteAsync((r, e) -> onRefreshed(e), control);
   }
 
@@ -126,11 +143,30 @@
     return table.scan(TABLE, keyPrefix).thenAcceptAsync(rows -> onRead(rows, sentNanos), control);
   }
 
+  private CompletableFuture<Void> readTime() {
+    long sentNanos = clock.nanoTime();
+    if (isTimeRead && sentNanos - timeNanos < TIME_INTERVAL.toNanos()) {
+      return CompletableFuture.completedFuture(null);
+    }
+    return timeSource
+        .readTime()
+        .thenAccept(time -> schedule.onTimeRead(time, sentNanos, clock.nanoTime()))
+        .thenRunAsync(
+            () -> {
+              isTimeRead = true;
+              timeNanos = sentNanos;
+            },
+            control);
+  }
+
   private void onRead(List<Row> rows, long sentNanos) {
     long now = clock.nanoTime();
     directory.apply(rows, now);
     int live = directory.isLive(key, now) ? directory.countLive(now) : 0;
     allowance.onCounted(live, sentNanos);
+    if (live > 0) {
+      schedule.setRank(directory.getRank(key, now), live);
+    }
     if (live != count) {
       log.info("entries counted", "count", live, "before", count);
       count = live;
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/placement/TargetPlacerTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/placement/TargetPlacerTest.java
@@ -2,7 +2,9 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.fail;
 
+import io.fireflyshed.state.clock.ManualClock;
 import io.fireflyshed.state.instance.AvailabilityZone;
 import io.fireflyshed.state.instance.InstanceId;
 import io.fireflyshed.state.replica.ServiceName;
@@ -15,6 +17,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.PriorityQueue;
 import java.util.Set;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -31,12 +34,16 @@
   private TargetPlacer placer;
   private List<Target> targets;
   private UniformRandomProvider random;
+  private ManualClock clock;
+  private EntrySchedule schedule;
 
   /** Creates a placer and four targets. */
   @BeforeMethod
   public void setUp() {
     random = RandomSource.XO_RO_SHI_RO_128_PP.create(1);
-    placer = new TargetPlacer(SETTINGS, new AvailabilityZone("a"), random);
+    clock = new ManualClock();
+    schedule = new EntrySchedule(0, 1, clock);
+    placer = new TargetPlacer(SETTINGS, new AvailabilityZone("a"), random, schedule);
     targets = new ArrayList<>();
     for (int i = 0; i < 4; i++) {
       targets.add(newTarget("t" + i, "a"));
@@ -231,4 +238,54 @@
       assertEquals(target.zone().value(), "a");
     }
   }
+
+  private void limitAll(double requestsPerSecond) {
+    targets.forEach(t -> placer.onRequestLimit(t.id(), OptionalDouble.of(requestsPerSecond)));
+  }
+
+  @Test
+  public void limitedTargetsGetTheRequestsOfOneEntryInTurn() {
+    schedule.setRank(0, 4);
+    limitAll(2);
+    int sent = 0;
+    for (int i = 0; i < 1000; i++) {
+      clock.advance(Duration.ofMillis(20));
+      if (place(0) instanceof Placement.Send send) {
+        placer.onStart(send.target().id());
+        placer.onEnd(POOL, send.target().id(), 0);
+        sent++;
+      }
+    }
+    // A quarter of 2 requests a second at four targets in 20 seconds.
+    assertEquals(sent, 40, 4);
+  }
+
+  @Test
+  public void requestThatNoLimitAdmitsIsRefusedWithATimeToComeBack() {
+    schedule.setRank(0, 40);
+    limitAll(2);
+    for (int i = 0; i < 100; i++) {
+      clock.advance(Duration.ofMillis(20));
+      if (place(0) instanceof Placement.Refuse refusal) {
+        long wait = refusal.retryAfter().toMillis();
+        assertTrue(wait >= 150 && wait <= 1600, "retry after " + wait + " ms");
+        return;
+      }
+      targets.forEach(t -> placer.onStart(t.id()));
+    }
+    fail("no request was refused");
+  }
+
+  @Test
+  public void entryOfUnknownRankSendsNothingToLimitedTargets() {
+    limitAll(1000);
+    assertTrue(place(0) instanceof Placement.Refuse);
+  }
+
+  @Test
+  public void targetWithoutLimitIsUsedAgainAtOnce() {
+    limitAll(0);
+    targets.forEach(t -> placer.onRequestLimit(t.id(), OptionalDouble.empty()));
+    assertTrue(place(0) instanceof Placement.Send);
+  }
 }
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwardFixtures.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwardFixtures.java
@@ -1,9 +1,11 @@
 package io.fireflyshed.transport.forward;
 
+import io.fireflyshed.coordination.placement.EntrySchedule;
 import io.fireflyshed.coordination.poison.RequestFingerprints;
 import io.fireflyshed.protocol.traffic.PromptDescriptor;
 import io.fireflyshed.protocol.traffic.TargetAnswer;
 import io.fireflyshed.protocol.traffic.TrafficRequest;
+import io.fireflyshed.state.clock.MonotonicClock;
 import io.fireflyshed.state.instance.AvailabilityZone;
 import io.fireflyshed.state.instance.InstanceId;
 import io.fireflyshed.state.replica.ServiceName;
@@ -107,6 +109,13 @@
     return new FakeCrashGuard(Integer.MAX_VALUE);
   }
 
+  /** Creates a schedule of a deployment with a single entry. */
+  static EntrySchedule newSchedule() {
+    EntrySchedule schedule = new EntrySchedule(0, 1, MonotonicClock.system());
+    schedule.setRank(0, 1);
+    return schedule;
+  }
+
   static Route newRoute(RequestKind kind, boolean isResumable, Duration timeout) {
     return new Route(
         "r",
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwardSchedule.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwardSchedule.java
@@ -142,7 +142,7 @@
     }
     return new Forwarder(
         ForwardFixtures.newView(targets, () -> true),
-        new TargetPlacer(placement, ForwardFixtures.ZONE, random),
+        new TargetPlacer(placement, ForwardFixtures.ZONE, random, ForwardFixtures.newSchedule()),
         new StallDetector(placement),
         this::send,
         new ServiceRetryBudgets(0.2, Duration.ofSeconds(10), () -> 10),
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwarderTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwarderTest.java
@@ -12,7 +12,9 @@
 import io.fireflyshed.coordination.placement.StallDetector;
 import io.fireflyshed.coordination.placement.TargetPlacer;
 import io.fireflyshed.coordination.retry.ServiceRetryBudgets;
+import io.fireflyshed.protocol.traffic.TargetAnswer;
 import io.fireflyshed.state.clock.MonotonicClock;
+import io.fireflyshed.state.instance.InstanceId;
 import io.fireflyshed.state.target.Target;
 import io.fireflyshed.state.traffic.RequestKind;
 import io.fireflyshed.state.traffic.Route;
@@ -27,6 +29,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicLong;
 import org.apache.commons.rng.simple.RandomSource;
@@ -50,6 +54,7 @@
   private final List<Target> targets = new ArrayList<>();
   private SimpleMeterRegistry registry;
   private Forwarder forwarder;
+  private TargetPlacer placer;
   private ForwardFixtures.FakeCrashGuard crashGuard;
   private boolean isRead;
 
@@ -75,10 +80,15 @@
 
   private Forwarder newForwarder(int maxRetries) {
     PlacementSettings placement = PlacementSettings.ofDefaults();
+    placer =
+        new TargetPlacer(
+            placement,
+            ForwardFixtures.ZONE,
+            RandomSource.XO_RO_SHI_RO_128_PP.create(1),
+            ForwardFixtures.newSchedule());
     return new Forwarder(
         ForwardFixtures.newView(targets, () -> isRead),
-        new TargetPlacer(
-            placement, ForwardFixtures.ZONE, RandomSource.XO_RO_SHI_RO_128_PP.create(1)),
+        placer,
         new StallDetector(placement),
         this::send,
         new ServiceRetryBudgets(0, Duration.ofSeconds(10), () -> maxRetries),
@@ -378,4 +388,43 @@
     assertEquals(triedTargets.size(), 1);
     assertEquals(error.getOutcome(), Outcome.UNKNOWN);
   }
+
+  private static TargetAnswer newRejection(int status, double limit) {
+    return new TargetAnswer(
+        status,
+        new DefaultHttpHeaders(),
+        Optional.empty(),
+        false,
+        true,
+        Optional.empty(),
+        OptionalDouble.of(limit));
+  }
+
+  private OptionalDouble getRequestLimit(String target) {
+    return placer.getRequestLimit(new InstanceId(target));
+  }
+
+  @Test
+  public void rejectedRequestTellsTheLimitOfItsTarget() {
+    errors.put("one", new RequestRejectedException("forward", "one", newRejection(503, 2)));
+    failWith(newUnreachableException(), "two", "three");
+    expectThrows(ForwardException.class, this::forward);
+    assertEquals(getRequestLimit("one"), OptionalDouble.of(2));
+  }
+
+  @Test
+  public void misdirectedRequestTellsNoLimitOfItsTarget() {
+    errors.put("one", new RequestRejectedException("forward", "one", newRejection(421, 2)));
+    failWith(newUnreachableException(), "two", "three");
+    expectThrows(ForwardException.class, this::forward);
+    assertEquals(getRequestLimit("one"), OptionalDouble.empty());
+  }
+
+  @Test
+  public void successWithoutLimitLiftsTheLimitOfItsTarget() {
+    placer.onRequestLimit(new InstanceId("one"), OptionalDouble.of(1000));
+    failWith(newUnreachableException(), "two", "three");
+    forward();
+    assertEquals(getRequestLimit("one"), OptionalDouble.empty());
+  }
 }
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/registry/EntryRegistrarTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/registry/EntryRegistrarTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import io.fireflyshed.coordination.placement.EntrySchedule;
 import io.fireflyshed.coordination.retry.RetryAllowance;
 import io.fireflyshed.state.clock.ManualClock;
 import io.fireflyshed.state.clock.ManualScheduler;
@@ -89,9 +90,11 @@
     Process(String entry, AvailabilityZone zone) {
       new EntryRegistrar(
               table,
+              () -> CompletableFuture.completedFuture(Duration.ofNanos(clock.nanoTime())),
               zone,
               entry,
               allowance,
+              new EntrySchedule(0, 1, clock),
               control,
               clock,
               RandomSource.XO_RO_SHI_RO_128_PP.create(1))
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
@@ -3,6 +3,7 @@
 import io.fireflyshed.coordination.formation.FormationSettings;
 import io.fireflyshed.coordination.lease.LeaseTiming;
 import io.fireflyshed.coordination.lease.ZoneLease;
+import io.fireflyshed.coordination.placement.EntrySchedule;
 import io.fireflyshed.coordination.placement.PlacementSettings;
 import io.fireflyshed.coordination.placement.StallDetector;
 import io.fireflyshed.coordination.placement.TargetPlacer;
@@ -111,7 +112,8 @@
     StoreClient store = new StoreClient(storeCaller, settings.store());
     PlacementSettings placement = PlacementSettings.ofDefaults();
     targetCaller = new TargetCaller(codec);
-    placer = new TargetPlacer(placement, settings.zone(), random);
+    EntrySchedule schedule = new EntrySchedule(settings.zoneRank(), settings.zones(), clock);
+    placer = new TargetPlacer(placement, settings.zone(), random, schedule);
     metrics.gauge("fireflyshed.limited.targets", placer, TargetPlacer::countLimitedTargets);
     targets =
         new TargetFollower(
@@ -126,9 +128,7 @@
     RetryAllowance allowance = newRetryAllowance(settings);
     DoubleSupplier retryAllowance = () -> allowance.get(clock.nanoTime());
     metrics.gauge("fireflyshed.retry.allowance", retryAllowance, DoubleSupplier::getAsDouble);
-    registrar =
-        new EntryRegistrar(
-            store, settings.zone(), settings.node(), allowance, control, clock, random);
+    registrar = newRegistrar(store, allowance, schedule, random);
     crashReports = newCrashReports(store, random);
     forwarder =
         new Forwarder(
@@ -157,6 +157,23 @@
             metrics);
   }
 
+  private EntryRegistrar newRegistrar(
+      StoreClient store,
+      RetryAllowance allowance,
+      EntrySchedule schedule,
+      UniformRandomProvider random) {
+    return new EntryRegistrar(
+        store,
+        store,
+        settings.zone(),
+        settings.node(),
+        allowance,
+        schedule,
+        control,
+        clock,
+        random);
+  }
+
   private CrashReportExchange newCrashReports(StoreClient store, UniformRandomProvider random) {
     CrashSettings crashSettings = CrashSettings.ofDefaults();
     CrashLedger ledger = new CrashLedger(crashSettings);
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/RehearseCommand.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/RehearseCommand.java
@@ -87,6 +87,7 @@
     return new PlatformSettings(
         node,
         new AvailabilityZone("a"),
+        0,
         1,
         true,
         findFreeAddress(),
--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/DeploymentRequestLimitTest.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/DeploymentRequestLimitTest.java
@@ -2,14 +2,21 @@
 
 import static org.testng.Assert.assertTrue;
 
+import io.fireflyshed.coordination.placement.EntrySchedule;
 import io.fireflyshed.coordination.placement.Placement;
 import io.fireflyshed.coordination.placement.PlacementSettings;
 import io.fireflyshed.coordination.placement.TargetPlacer;
+import io.fireflyshed.coordination.retry.RetryAllowance;
+import io.fireflyshed.standins.platform.InMemoryTableService;
+import io.fireflyshed.standins.platform.StoreFault;
 import io.fireflyshed.state.clock.ManualClock;
+import io.fireflyshed.state.clock.ManualScheduler;
+import io.fireflyshed.state.clock.MonotonicClock;
 import io.fireflyshed.state.instance.AvailabilityZone;
 import io.fireflyshed.state.instance.InstanceId;
 import io.fireflyshed.state.replica.ServiceName;
 import io.fireflyshed.state.target.Target;
+import io.fireflyshed.transport.registry.EntryRegistrar;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -22,6 +29,7 @@
 import java.util.OptionalDouble;
 import java.util.PriorityQueue;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.testng.annotations.BeforeMethod;
@@ -62,8 +70,9 @@
   private static final double LIMIT_TOLERANCE = 1.5;
   private static final int EXTRA_REQUESTS = 5;
 
-  /** A response of a target, or the end of a request. */
-  private record Event(int step, Entry entry, InstanceId target, boolean isEnd) {}
+  /** A response of a target, or the end of a request, of one process of an entry. */
+  private record Event(
+      int step, Entry entry, TargetPlacer placer, InstanceId target, boolean isEnd) {}
 
   /** Counts what a limited target gets. */
   private static final class Arrivals {
@@ -108,18 +117,36 @@
 
   /** One entry, whose process may be replaced. */
   private final class Entry {
+    private final int number;
     private final AvailabilityZone zone;
     private final double weight;
+    private ManualScheduler control;
     private TargetPlacer placer;
 
     Entry(int number, double weight) {
+      this.number = number;
       this.zone = new AvailabilityZone("zone-" + number % ZONES);
       this.weight = weight;
       restart();
     }
 
     void restart() {
-      placer = new TargetPlacer(PlacementSettings.ofDefaults(), zone, random);
+      long origin = random.nextLong(Duration.ofDays(10).toNanos());
+      MonotonicClock entryClock = () -> clock.nanoTime() + origin;
+      EntrySchedule schedule = new EntrySchedule(number % ZONES, ZONES, entryClock);
+      placer = new TargetPlacer(PlacementSettings.ofDefaults(), zone, random, schedule);
+      control = new ManualScheduler(clock);
+      new EntryRegistrar(
+              table,
+              () -> CompletableFuture.completedFuture(Duration.ofNanos(clock.nanoTime())),
+              zone,
+              "entry-" + number,
+              new RetryAllowance(0, ZONES, Duration.ZERO, EntryRegistrar.MAX_COUNT_AGE),
+              schedule,
+              control,
+              entryClock,
+              random)
+          .start();
       arrivals.values().forEach(a -> a.toldSteps.remove(this));
     }
 
@@ -130,17 +157,22 @@
 
   private UniformRandomProvider random;
   private ManualClock clock;
+  private InMemoryTableService table;
   private List<Target> targets;
   private Set<InstanceId> limitedTargets;
   private Map<InstanceId, Arrivals> arrivals;
   private PriorityQueue<Event> events;
   private List<Duration> refusals;
   private Set<Integer> restartSteps;
+  private List<Integer> tableDownSteps;
+  private int doublingStep;
 
-  /** Sets up a deployment whose entries are not restarted. */
+  /** Sets up a deployment without restarts, outages or new entries. */
   @BeforeMethod
   public void setUp() {
     restartSteps = Set.of();
+    tableDownSteps = List.of(STEPS, STEPS);
+    doublingStep = STEPS;
   }
 
   /** Provides numbers of entries, from a small deployment to several zones of many entries. */
@@ -158,6 +190,7 @@
   private void play(int entryCount, double limitedFraction) {
     random = RandomSource.XO_RO_SHI_RO_128_PP.create(entryCount);
     clock = new ManualClock();
+    table = new InMemoryTableService();
     targets = new ArrayList<>();
     limitedTargets = new HashSet<>();
     arrivals = new HashMap<>();
@@ -168,15 +201,24 @@
       addTarget(i, i < limitedFraction * targetCount);
     }
     List<Entry> entries = new ArrayList<>();
-    for (int i = 0; i < entryCount; i++) {
-      entries.add(new Entry(i, 0.5 + random.nextDouble()));
-    }
+    addEntries(entries, entryCount);
     for (int step = 0; step < STEPS; step++) {
       clock.advance(STEP);
+      boolean isTableDown = step >= tableDownSteps.get(0) && step < tableDownSteps.get(1);
+      table.setFault(isTableDown ? StoreFault.DOWN : StoreFault.NONE);
+      if (step == doublingStep) {
+        addEntries(entries, entryCount);
+      }
       playStep(entries, step);
     }
   }
 
+  private void addEntries(List<Entry> entries, int count) {
+    for (int i = 0; i < count; i++) {
+      entries.add(new Entry(entries.size(), 0.5 + random.nextDouble()));
+    }
+  }
+
   private void addTarget(int number, boolean isLimited) {
     InstanceId id = new InstanceId("t" + number);
     targets.add(
@@ -203,6 +245,7 @@
       if (restartSteps.contains(step) && random.nextInt(3) > 0) {
         entry.restart();
       }
+      entry.control.runDue();
       if (step >= FIRST_REQUEST_STEP) {
         playRequests(entry, entries.size(), step);
       }
@@ -228,13 +271,13 @@
     Arrivals targetArrivals = arrivals.get(target);
     targetArrivals.add(entry, step);
     targetArrivals.running++;
-    events.add(new Event(step + FIRST_EVENT_STEPS, entry, target, false));
-    events.add(new Event(step + DURATION_STEPS, entry, target, true));
+    events.add(new Event(step + FIRST_EVENT_STEPS, entry, entry.placer, target, false));
+    events.add(new Event(step + DURATION_STEPS, entry, entry.placer, target, true));
   }
 
   private void playEvent(Event event, int step) {
     Arrivals targetArrivals = arrivals.get(event.target());
-    TargetPlacer placer = event.entry().placer;
+    TargetPlacer placer = event.placer();
     if (event.isEnd()) {
       targetArrivals.running--;
       placer.onEnd(POOL, event.target(), clock.nanoTime());
@@ -247,7 +290,7 @@
             && step < LAST_LIMIT_STEP;
     placer.onRequestLimit(
         event.target(), isLimited ? OptionalDouble.of(LIMIT) : OptionalDouble.empty());
-    if (isLimited) {
+    if (isLimited && placer == event.entry().placer) {
       targetArrivals.toldSteps.putIfAbsent(event.entry(), step);
     }
   }
@@ -277,4 +320,32 @@
     play(entryCount, 0.5);
     assertWithinLimits();
   }
+
+  @Test(dataProvider = "entryCounts")
+  public void entriesThatJoinTakeTheirTurns(int entryCount) {
+    doublingStep = 25 * STEPS_PER_SECOND;
+    play(entryCount, 0.5);
+    assertWithinLimits();
+  }
+
+  @Test(dataProvider = "entryCounts")
+  public void limitsHoldWhileTheTableServiceIsDown(int entryCount) {
+    tableDownSteps = List.of(18 * STEPS_PER_SECOND, 40 * STEPS_PER_SECOND);
+    play(entryCount, 0.5);
+    assertWithinLimits();
+  }
+
+  @Test(dataProvider = "entryCounts")
+  public void mostOfWhatTheLimitsAdmitIsUsed(int entryCount) {
+    play(entryCount, 1);
+    double used =
+        arrivals.values().stream().mapToDouble(Arrivals::getUsedFraction).average().orElseThrow();
+    assertTrue(used > 0.7, "used fraction " + used);
+  }
+
+  @Test(dataProvider = "entryCounts")
+  public void requestsThatNoLimitAdmitsAreToldWhenToComeBack(int entryCount) {
+    play(entryCount, 1);
+    assertTrue(refusals.stream().allMatch(r -> r.toMillis() >= 150 && r.toMillis() <= 1600));
+  }
 }
--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/DeploymentRetryBudgetTest.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/DeploymentRetryBudgetTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertTrue;
 
 import io.fireflyshed.coordination.attempt.Outcome;
+import io.fireflyshed.coordination.placement.EntrySchedule;
 import io.fireflyshed.coordination.retry.RetryAllowance;
 import io.fireflyshed.coordination.retry.ServiceRetryBudgets;
 import io.fireflyshed.platform.PlatformSettings;
@@ -20,6 +21,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.testng.annotations.BeforeMethod;
@@ -53,6 +55,7 @@
       new PlatformSettings(
           "entry-1",
           new AvailabilityZone("a"),
+          0,
           ZONES,
           true,
           newAddress(),
@@ -119,7 +122,18 @@
       RetryAllowance allowance = PlatformEntry.newRetryAllowance(SETTINGS);
       budgets = PlatformEntry.newRetryBudgets(SETTINGS, () -> allowance.get(clock.nanoTime()));
       control = new ManualScheduler(clock);
-      new EntryRegistrar(table, zone, name, allowance, control, clock, random).start();
+      EntrySchedule schedule = new EntrySchedule(0, ZONES, clock);
+      new EntryRegistrar(
+              table,
+              () -> CompletableFuture.completedFuture(Duration.ofNanos(clock.nanoTime())),
+              zone,
+              name,
+              allowance,
+              schedule,
+              control,
+              clock,
+              random)
+          .start();
     }
 
     void onRequest(ServiceName service) {
