Keep the limit of a target whose registration or limit changes

Cause: the limit was part of a target's load, which is reset when anything in the registration of the target changes, and dropped while it is unlisted. All entries see such a change at the same time, so all sent without a limit until their next response. A limit that differed from the one before began without used slots, and its slots lie at other times, so that an entry had a slot again.

The slots are kept apart from the load and for 60 s while a target is unlisted. An entry leaves the distance of a whole round between the slots that it uses.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/directory/EntryPosition.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/directory/EntryPosition.java
@@ -37,8 +37,16 @@
    * @return the first slot from that one on that this entry owns
    */
   public long getNextSlot(long slot) {
-    long period = (long) zones * entries;
     long first = (long) zones * entry + zone;
-    return slot + Math.floorMod(first - slot, period);
+    return slot + Math.floorMod(first - slot, getPeriod());
+  }
+
+  /**
+   * Gets the distance between two slots of this entry.
+   *
+   * @return the number of slots
+   */
+  public long getPeriod() {
+    return (long) zones * entries;
   }
 }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/RequestSlots.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/RequestSlots.java
@@ -1,7 +1,9 @@
 package io.fireflyshed.coordination.placement;
 
+import io.fireflyshed.coordination.directory.EntryPosition;
 import io.fireflyshed.state.instance.InstanceId;
 import java.time.Duration;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 
 /** Tracks the slots of one entry at one target that limits its requests. Not thread safe. */
@@ -11,53 +13,84 @@
    * The time for which an unused slot can still be used. All entries together send at most the
    * requests of a window and this time within the window.
    */
-  static final Duration SLOT_LIFETIME = Duration.ofSeconds(1);
+  private static final Duration SLOT_LIFETIME = Duration.ofSeconds(1);
 
   /** The longest slot, so that a target that takes no requests is still tried at times. */
   private static final Duration MAX_SLOT_LENGTH = Duration.ofSeconds(60);
 
   private static final double NANOS_PER_SECOND = 1e9;
 
-  private final long slotNanos;
+  private final EntrySchedule schedule;
 
   /** Shifts the slots, so that an entry doesn't own those of all targets at the same time. */
   private final long shift;
 
+  private OptionalDouble limit = OptionalDouble.empty();
+  private long toldNanos;
+
+  /** The start of the last used slot, or the time of the last request without a limit. */
   private long lastUsedNanos = Long.MIN_VALUE;
 
   /**
-   * Creates a tracker without used slots.
+   * Creates a tracker without a limit.
    *
    * @param target the target, not null
-   * @param requestsPerSecond the limit of the target, 0 or more
+   * @param schedule the schedule of this entry, not null
    */
-  RequestSlots(InstanceId target, double requestsPerSecond) {
-    long nanos = Math.round(NANOS_PER_SECOND / requestsPerSecond);
-    slotNanos = Math.max(1, Math.min(MAX_SLOT_LENGTH.toNanos(), nanos));
-    shift = target.value().hashCode();
+  RequestSlots(InstanceId target, EntrySchedule schedule) {
+    this.schedule = schedule;
+    this.shift = target.value().hashCode();
   }
 
-  /** Returns the time until this entry may send a request, 0 for now, empty if it is not known. */
-  OptionalLong getWaitNanos(EntrySchedule schedule) {
-    OptionalLong start = findSlot(schedule);
-    long now = schedule.getSharedNanos();
-    return start.isEmpty()
-        ? OptionalLong.empty()
-        : OptionalLong.of(Math.max(0, start.getAsLong() - now));
+  /** Returns the requests per second that the target takes, empty without a limit. */
+  OptionalDouble getLimit() {
+    return limit;
+  }
+
+  /** Records what the target said about its limit. */
+  void onLimit(OptionalDouble requestsPerSecond) {
+    limit = requestsPerSecond;
+    toldNanos = schedule.getSharedNanos();
   }
 
-  /** Uses a slot for a request that is sent now. */
-  void use(EntrySchedule schedule) {
-    lastUsedNanos = findSlot(schedule).orElse(lastUsedNanos);
+  /** Returns the time since the target last said whether it has a limit. */
+  Duration getAge() {
+    return Duration.ofNanos(schedule.getSharedNanos() - toldNanos);
+  }
+
+  /** Returns the time until the limit admits a request, 0 for now, empty if it is not known. */
+  OptionalLong getWaitNanos() {
+    if (limit.isEmpty()) {
+      return OptionalLong.of(0);
+    }
+    long now = schedule.getSharedNanos();
+    OptionalLong start = findSlot(now);
+    return start.isEmpty() ? start : OptionalLong.of(Math.max(0, start.getAsLong() - now));
   }
 
-  /** Returns the start of the first slot that is neither used nor too old. */
-  private OptionalLong findSlot(EntrySchedule schedule) {
+  /** Records a request that is sent now. */
+  void onSent() {
     long now = schedule.getSharedNanos();
-    long oldest = Math.max(now - SLOT_LIFETIME.toNanos(), Math.min(lastUsedNanos, now));
-    long next = Math.floorDiv(oldest, slotNanos) + 1;
-    return schedule.getPosition().stream()
-        .mapToLong(p -> (p.getNextSlot(next + shift) - shift) * slotNanos)
-        .findFirst();
+    lastUsedNanos = limit.isEmpty() ? now : findSlot(now).orElse(now);
+  }
+
+  /** Returns the start of the first slot of this entry that is neither used nor too old. */
+  private OptionalLong findSlot(long nowNanos) {
+    return schedule.getPosition().stream().mapToLong(p -> findSlot(p, nowNanos)).findFirst();
+  }
+
+  private long findSlot(EntryPosition position, long nowNanos) {
+    long slotNanos = getSlotNanos();
+    // A changed limit moves the slots; the distance keeps the entry from using two of one round.
+    long distance = (position.getPeriod() - 1) * slotNanos;
+    long lastNanos = Math.min(lastUsedNanos, nowNanos) + distance;
+    long oldestNanos = Math.max(nowNanos - SLOT_LIFETIME.toNanos(), lastNanos);
+    long next = Math.floorDiv(oldestNanos, slotNanos) + 1;
+    return (position.getNextSlot(next + shift) - shift) * slotNanos;
+  }
+
+  private long getSlotNanos() {
+    long nanos = Math.round(NANOS_PER_SECOND / limit.orElseThrow());
+    return Math.max(1, Math.min(MAX_SLOT_LENGTH.toNanos(), nanos));
   }
 }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetLoad.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetLoad.java
@@ -1,9 +1,6 @@
 package io.fireflyshed.coordination.placement;
 
-import io.fireflyshed.state.instance.InstanceId;
 import java.time.Duration;
-import java.util.OptionalDouble;
-import java.util.OptionalLong;
 
 /**
  * Estimates the load of one target from the load in its last answer and this entry's own requests
@@ -37,10 +34,6 @@
   private int connectFailures;
   private double failureRate;
   private long lastResultNanos;
-  private OptionalDouble requestLimit = OptionalDouble.empty();
-
-  /** The slots of this entry while the target limits its requests, otherwise null. */
-  private RequestSlots requestSlots;
 
   void onStart() {
     inFlight++;
@@ -99,27 +92,6 @@
     lastResultNanos = nowNanos;
   }
 
-  /** Returns the requests per second that the target takes, empty without a limit. */
-  OptionalDouble getRequestLimit() {
-    return requestLimit;
-  }
-
-  void setRequestLimit(InstanceId target, OptionalDouble limit) {
-    requestLimit = limit;
-    requestSlots = limit.isPresent() ? new RequestSlots(target, limit.getAsDouble()) : null;
-  }
-
-  /** Returns the time until the limit admits a request, empty if that is not known. */
-  OptionalLong getLimitWaitNanos(EntrySchedule schedule) {
-    return requestSlots == null ? OptionalLong.of(0) : requestSlots.getWaitNanos(schedule);
-  }
-
-  void useRequestSlot(EntrySchedule schedule) {
-    if (requestSlots != null) {
-      requestSlots.use(schedule);
-    }
-  }
-
   /** Returns the recent fraction of failed attempts, 0 to 1. */
   double getFailureRate(long nowNanos) {
     return failureRate == 0
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetPlacer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetPlacer.java
@@ -34,6 +34,9 @@
   /** Load that is added if all attempts at a target fail, as a multiple of its slots. */
   private static final double FAILURE_PENALTY = 2;
 
+  /** The time for which the request limit of an unlisted target is kept. */
+  private static final Duration LIMIT_RETENTION = Duration.ofSeconds(60);
+
   /** Retry delay until this entry knows its position among all entries. */
   private static final Duration UNKNOWN_SLOT_WAIT = Duration.ofSeconds(1);
 
@@ -45,6 +48,7 @@
   private final UniformRandomProvider random;
   private final EntrySchedule schedule;
   private final Map<InstanceId, TargetLoad> loads = new HashMap<>();
+  private final Map<InstanceId, RequestSlots> requestSlots = new HashMap<>();
   private final Map<String, RetryAfterSchedule> retryAfterSchedules = new HashMap<>();
 
   /**
@@ -107,7 +111,7 @@
       if (load.getRequests() >= getCapacity(candidate, load, isModelPool)) {
         continue;
       }
-      long targetWaitNanos = getLimitWaitNanos(load);
+      long targetWaitNanos = getLimitWaitNanos(candidate.id());
       limitWaitNanos = Math.min(limitWaitNanos, targetWaitNanos);
       if (targetWaitNanos > 0) {
         continue;
@@ -124,8 +128,9 @@
     return new Placement.Send(best);
   }
 
-  private long getLimitWaitNanos(TargetLoad load) {
-    return load.getLimitWaitNanos(schedule).orElse(UNKNOWN_SLOT_WAIT.toNanos());
+  private long getLimitWaitNanos(InstanceId target) {
+    RequestSlots slots = requestSlots.get(target);
+    return slots == null ? 0 : slots.getWaitNanos().orElse(UNKNOWN_SLOT_WAIT.toNanos());
   }
 
   /**
@@ -172,9 +177,11 @@
    * @param target the target, not null
    */
   public synchronized void onStart(InstanceId target) {
-    TargetLoad load = getLoad(target);
-    load.onStart();
-    load.useRequestSlot(schedule);
+    getLoad(target).onStart();
+    RequestSlots slots = requestSlots.get(target);
+    if (slots != null) {
+      slots.onSent();
+    }
   }
 
   /**
@@ -209,12 +216,17 @@
    * @return whether the limit differs from the one known before
    */
   public synchronized boolean onRequestLimit(InstanceId target, OptionalDouble limit) {
-    TargetLoad load = getLoad(target);
-    if (load.getRequestLimit().equals(limit)) {
+    RequestSlots slots = requestSlots.get(target);
+    if (slots == null && limit.isEmpty()) {
       return false;
     }
-    load.setRequestLimit(target, limit);
-    return true;
+    if (slots == null) {
+      slots = new RequestSlots(target, schedule);
+      requestSlots.put(target, slots);
+    }
+    boolean isChanged = !slots.getLimit().equals(limit);
+    slots.onLimit(limit);
+    return isChanged;
   }
 
   /**
@@ -224,8 +236,8 @@
    * @return the requests per second that the target takes, empty without a limit, never null
    */
   public synchronized OptionalDouble getRequestLimit(InstanceId target) {
-    TargetLoad load = loads.get(target);
-    return load == null ? OptionalDouble.empty() : load.getRequestLimit();
+    RequestSlots slots = requestSlots.get(target);
+    return slots == null ? OptionalDouble.empty() : slots.getLimit();
   }
 
   /**
@@ -234,7 +246,7 @@
    * @return the number of targets
    */
   public synchronized long countLimitedTargets() {
-    return loads.values().stream().filter(l -> l.getRequestLimit().isPresent()).count();
+    return requestSlots.values().stream().filter(s -> s.getLimit().isPresent()).count();
   }
 
   /**
@@ -280,16 +292,24 @@
   }
 
   /**
-   * Removes the state of targets that no longer exist and have no requests in flight.
+   * Removes the state of targets that no longer exist and have no requests in flight. Their request
+   * limits are kept for a while, since a target may be unlisted for a moment only.
    *
    * @param listed the targets that still exist, not null
    */
   public synchronized void retain(Set<InstanceId> listed) {
     loads.entrySet().removeIf(e -> e.getValue().getInFlight() == 0 && !listed.contains(e.getKey()));
+    requestSlots
+        .entrySet()
+        .removeIf(
+            e ->
+                e.getValue().getAge().compareTo(LIMIT_RETENTION) > 0
+                    && !listed.contains(e.getKey()));
   }
 
   /**
-   * Resets the state of a target that restarted.
+   * Resets the state of a target that restarted, except for its request limit, which holds until a
+   * response says otherwise.
    *
    * @param target the target, not null
    */
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/placement/TargetPlacerTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/placement/TargetPlacerTest.java
@@ -20,6 +20,7 @@
 import java.util.OptionalDouble;
 import java.util.PriorityQueue;
 import java.util.Set;
+import java.util.function.IntConsumer;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.testng.annotations.BeforeMethod;
@@ -247,17 +248,54 @@
   public void limitedTargetsGetTheRequestsOfOneEntryInTurn() {
     schedule.setRank(0, 4);
     limitAll(2);
+    // A quarter of 2 requests a second at four targets in 20 seconds.
+    assertEquals(countSentRequests(i -> {}), 40, 4);
+  }
+
+  /** Sends as many requests as the limits admit in 20 seconds, with a step before each attempt. */
+  private int countSentRequests(IntConsumer step) {
     int sent = 0;
     for (int i = 0; i < 1000; i++) {
       clock.advance(Duration.ofMillis(20));
+      step.accept(i);
       if (place(0) instanceof Placement.Send send) {
         placer.onStart(send.target().id());
         placer.onEnd(POOL, send.target().id(), 0);
         sent++;
       }
     }
-    // A quarter of 2 requests a second at four targets in 20 seconds.
-    assertEquals(sent, 40, 4);
+    return sent;
+  }
+
+  @Test
+  public void limitThatVariesWithEachResponseAdmitsNoMoreRequests() {
+    schedule.setRank(0, 4);
+    int sent = countSentRequests(i -> limitAll(i % 2 == 0 ? 2 : 2.1));
+    assertTrue(sent <= 46, sent + " requests sent");
+  }
+
+  @Test
+  public void targetWhoseRegistrationChangedKeepsItsLimit() {
+    schedule.setRank(0, 4);
+    limitAll(2);
+    int sent = countSentRequests(i -> targets.forEach(t -> placer.reset(t.id())));
+    assertTrue(sent <= 44, sent + " requests sent");
+  }
+
+  @Test
+  public void targetThatIsUnlistedForAMomentKeepsItsLimit() {
+    schedule.setRank(0, 4);
+    limitAll(2);
+    int sent = countSentRequests(i -> placer.retain(Set.of()));
+    assertTrue(sent <= 44, sent + " requests sent");
+  }
+
+  @Test
+  public void limitOfTargetThatIsGoneIsForgotten() {
+    limitAll(2);
+    clock.advance(Duration.ofMinutes(2));
+    placer.retain(Set.of());
+    assertEquals(placer.countLimitedTargets(), 0);
   }
 
   @Test
