--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/DeploymentRequestLimitTest.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/DeploymentRequestLimitTest.java
@@ -165,6 +165,7 @@
   private List<Duration> refusals;
   private Set<Integer> restartSteps;
   private List<Integer> tableDownSteps;
+  private List<Integer> cutSteps;
   private int doublingStep;
 
   /** Sets up a deployment without restarts, outages or new entries. */
@@ -172,13 +173,14 @@
   public void setUp() {
     restartSteps = Set.of();
     tableDownSteps = List.of(STEPS, STEPS);
+    cutSteps = List.of(STEPS, STEPS);
     doublingStep = STEPS;
   }
 
   /** Provides numbers of entries, from a small deployment to several zones of many entries. */
   @DataProvider
   public Object[][] entryCounts() {
-    return new Object[][] {{7}, {9}, {59}, {300}};
+    return new Object[][] {{7}, {9}, {59}, {68}, {300}};
   }
 
   /**
@@ -245,7 +247,10 @@
       if (restartSteps.contains(step) && random.nextInt(3) > 0) {
         entry.restart();
       }
-      entry.control.runDue();
+      boolean isCutOff = entry.number % 3 == 0 && step >= cutSteps.get(0) && step < cutSteps.get(1);
+      if (!isCutOff) {
+        entry.control.runDue();
+      }
       if (step >= FIRST_REQUEST_STEP) {
         playRequests(entry, entries.size(), step);
       }
@@ -335,6 +340,13 @@
     assertWithinLimits();
   }
 
+  @Test(dataProvider = "entryCounts")
+  public void limitsHoldWhileSomeEntriesAreCutOffFromTheTableService(int entryCount) {
+    cutSteps = List.of(18 * STEPS_PER_SECOND, 40 * STEPS_PER_SECOND);
+    play(entryCount, 0.5);
+    assertWithinLimits();
+  }
+
   @Test(dataProvider = "entryCounts")
   public void mostOfWhatTheLimitsAdmitIsUsed(int entryCount) {
     play(entryCount, 1);
