--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/DeploymentRequestLimitTest.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/DeploymentRequestLimitTest.java
@@ -30,6 +30,7 @@
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.IntToDoubleFunction;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.testng.annotations.BeforeMethod;
@@ -46,7 +47,7 @@
   /** The mean number of requests of all entries in a second for each target. */
   private static final double REQUESTS_PER_TARGET = 6;
 
-  private static final double LIMIT = 2;
+  private static final double DEFAULT_LIMIT = 2;
 
   private static final Duration STEP = Duration.ofMillis(10);
   private static final int STEPS_PER_SECOND = 100;
@@ -75,7 +76,7 @@
       int step, Entry entry, TargetPlacer placer, InstanceId target, boolean isEnd) {}
 
   /** Counts what a limited target gets. */
-  private static final class Arrivals {
+  private final class Arrivals {
     private final int[] all = new int[STEPS];
     private final int[] fromToldEntries = new int[STEPS];
     private final Map<Entry, Integer> toldSteps = new HashMap<>();
@@ -91,12 +92,14 @@
     /** Returns the first window with more requests than allowed, or an empty text. */
     String findViolation() {
       int count = 0;
-      double allowed = LIMIT_TOLERANCE * LIMIT * WINDOW_STEPS / STEPS_PER_SECOND + EXTRA_REQUESTS;
       int firstStep = FIRST_LIMIT_STEP + FIRST_EVENT_STEPS + ADAPTATION_STEPS;
       for (int step = firstStep; step < LAST_LIMIT_STEP; step++) {
         count += fromToldEntries[step];
         int left = step - WINDOW_STEPS;
         count -= left >= firstStep ? fromToldEntries[left] : 0;
+        double allowed =
+            LIMIT_TOLERANCE * getLargestLimit(left) * WINDOW_STEPS / STEPS_PER_SECOND
+                + EXTRA_REQUESTS;
         if (count > allowed) {
           return count + " requests, " + allowed + " allowed, in the window to step " + step;
         }
@@ -104,6 +107,13 @@
       return "";
     }
 
+    /** Returns the largest limit of a window and of the time to adapt before it. */
+    private double getLargestLimit(int windowStart) {
+      return Math.max(
+          limit.applyAsDouble(windowStart - ADAPTATION_STEPS),
+          limit.applyAsDouble(windowStart + WINDOW_STEPS));
+    }
+
     /** Returns the requests for each one that the limit takes, while it is in force. */
     double getUsedFraction() {
       int count = 0;
@@ -111,7 +121,7 @@
       for (int step = firstStep; step < LAST_LIMIT_STEP; step++) {
         count += all[step];
       }
-      return count / (LIMIT * (LAST_LIMIT_STEP - firstStep) / STEPS_PER_SECOND);
+      return count / (DEFAULT_LIMIT * (LAST_LIMIT_STEP - firstStep) / STEPS_PER_SECOND);
     }
   }
 
@@ -166,6 +176,7 @@
   private Set<Integer> restartSteps;
   private List<Integer> tableDownSteps;
   private List<Integer> cutSteps;
+  private IntToDoubleFunction limit;
   private int doublingStep;
 
   /** Sets up a deployment without restarts, outages or new entries. */
@@ -174,6 +185,7 @@
     restartSteps = Set.of();
     tableDownSteps = List.of(STEPS, STEPS);
     cutSteps = List.of(STEPS, STEPS);
+    limit = step -> DEFAULT_LIMIT;
     doublingStep = STEPS;
   }
 
@@ -189,7 +201,7 @@
    * @param entryCount the number of entries
    * @param limitedFraction the fraction of the targets that limit their requests
    */
-  private void play(int entryCount, double limitedFraction) {
+  void play(int entryCount, double limitedFraction) {
     random = RandomSource.XO_RO_SHI_RO_128_PP.create(entryCount);
     clock = new ManualClock();
     table = new InMemoryTableService();
@@ -294,13 +306,19 @@
             && step >= FIRST_LIMIT_STEP
             && step < LAST_LIMIT_STEP;
     placer.onRequestLimit(
-        event.target(), isLimited ? OptionalDouble.of(LIMIT) : OptionalDouble.empty());
+        event.target(),
+        isLimited ? OptionalDouble.of(limit.applyAsDouble(step)) : OptionalDouble.empty());
     if (isLimited && placer == event.entry().placer) {
       targetArrivals.toldSteps.putIfAbsent(event.entry(), step);
     }
   }
 
-  private void assertWithinLimits() {
+  /** Changes the limit of the targets while it is in force. */
+  void setLimits(double first, double second, int changeSecond) {
+    limit = step -> step < changeSecond * STEPS_PER_SECOND ? first : second;
+  }
+
+  void assertWithinLimits() {
     for (InstanceId target : limitedTargets) {
       String violation = arrivals.get(target).findViolation();
       assertTrue(violation.isEmpty(), target + ": " + violation);
@@ -347,6 +365,13 @@
     assertWithinLimits();
   }
 
+  @Test(dataProvider = "entryCounts")
+  public void requestsStayWithinALimitThatRises(int entryCount) {
+    setLimits(1, 3, 30);
+    play(entryCount, 0.5);
+    assertWithinLimits();
+  }
+
   @Test(dataProvider = "entryCounts")
   public void mostOfWhatTheLimitsAdmitIsUsed(int entryCount) {
     play(entryCount, 1);
