Let an odd registry entry cost nothing but itself

Operators of a similar system reported that one odd entry of another writer ended the processes that read the registry, or stopped them following it.

An exception while changes were applied ended the following of targets or of the configuration for good (TargetFollowerTest and ConfigurationWatcherTest, one test each, fail before). Deep nesting was rejected before.

The number of malformed entries is a metric, each is logged once while it lasts, and logged values are cut.

--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/state/address/package-info.java
@@ -0,0 +1,2 @@
+/** Network addresses as other systems write them. */
+package io.fireflyshed.state.address;
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/log/EventLog.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/log/EventLog.java
@@ -13,6 +13,9 @@
  */
 public final class EventLog {
 
+  /** Limits a value, in characters. */
+  private static final int MAX_VALUE_LENGTH = 2000;
+
   private final Logger logger;
 
   /**
@@ -62,8 +65,14 @@
     }
     LoggingEventBuilder line = logger.atLevel(level);
     for (int i = 0; i < fields.length; i += 2) {
-      line = line.addKeyValue(String.valueOf(fields[i]), String.valueOf(fields[i + 1]));
+      line = line.addKeyValue(String.valueOf(fields[i]), toText(fields[i + 1]));
     }
     line.log(event);
   }
+
+  /** Converts a value to a text of limited length, since it may come from another system. */
+  private static String toText(Object value) {
+    String text = String.valueOf(value);
+    return text.length() <= MAX_VALUE_LENGTH ? text : text.substring(0, MAX_VALUE_LENGTH) + "...";
+  }
 }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/registry/ConfigurationWatcher.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/registry/ConfigurationWatcher.java
@@ -100,10 +100,20 @@
 
   private void onRead(
       ConfigurationReadResult result, Throwable error, long sentNanos, boolean isFullRead) {
-    if (error != null) {
-      onFailure(error);
-      return;
+    Duration delay = RETRY_DELAY;
+    try {
+      delay = error == null ? handleResult(result, sentNanos, isFullRead) : handleFailure(error);
+    } catch (RuntimeException e) {
+      log.error("configuration not applied, starting full read", e);
+      isFullReadNeeded = true;
+    } finally {
+      control.schedule(this::read, delay.toMillis(), TimeUnit.MILLISECONDS);
     }
+  }
+
+  /** Handles the result of a read and returns the delay until the next one. */
+  private Duration handleResult(
+      ConfigurationReadResult result, long sentNanos, boolean isFullRead) {
     if (isSourceLost) {
       log.info("source regained", "source_version", result.sourceVersion());
     }
@@ -115,7 +125,7 @@
     }
     result.configuration().ifPresent(c -> accept(c, result.sourceVersion()));
     confirmedNanos = sentNanos;
-    control.execute(this::read);
+    return Duration.ZERO;
   }
 
   private void accept(TrafficConfiguration configuration, long readSourceVersion) {
@@ -134,17 +144,17 @@
     listener.accept(configuration);
   }
 
-  private void onFailure(Throwable error) {
+  /** Handles a failed read and returns the delay until the next one. */
+  private Duration handleFailure(Throwable error) {
     if (HistoryLostException.isIn(error)) {
       log.info("change history unavailable, starting full read", "source_version", sourceVersion);
       isFullReadNeeded = true;
-      control.execute(this::read);
-      return;
+      return Duration.ZERO;
     }
     if (!isSourceLost) {
       log.warn("source lost", "source_version", sourceVersion, "error", error.getMessage());
     }
     isSourceLost = true;
-    control.schedule(this::read, RETRY_DELAY.toMillis(), TimeUnit.MILLISECONDS);
+    return RETRY_DELAY;
   }
 }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/registry/EntryRows.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/registry/EntryRows.java
@@ -2,14 +2,13 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.fireflyshed.protocol.json.JsonUtils;
+import io.fireflyshed.state.address.AddressUtils;
 import io.fireflyshed.state.instance.AvailabilityZone;
 import io.fireflyshed.state.peer.EntryPeer;
 import io.fireflyshed.state.peer.PeerId;
 import io.fireflyshed.state.table.Row;
 import io.fireflyshed.state.table.RowKey;
 import io.fireflyshed.transport.log.EventLog;
-import io.netty.util.NetUtil;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -31,7 +30,6 @@
 final class EntryRows {
 
   private static final String ADDRESS = "address";
-  private static final int MAX_PORT = 65_535;
 
   /** Holds the last version of a row and when it was first seen. */
   private record Sighting(Row row, long changeNanos) {}
@@ -129,20 +127,6 @@
 
   private static InetSocketAddress decodeAddress(String value) {
     JsonNode node = JsonUtils.parse(value);
-    String text = node.path(ADDRESS).asText();
-    int colon = text.lastIndexOf(':');
-    if (colon < 1) {
-      throw new IllegalArgumentException("the address is missing or has no port");
-    }
-    int port = Integer.parseInt(text.substring(colon + 1));
-    if (port < 1 || port > MAX_PORT) {
-      throw new IllegalArgumentException("the port is out of range: " + port);
-    }
-    // Only addresses, since a lookup of a name would block the thread that connects.
-    InetAddress host = NetUtil.createInetAddressFromIpAddressString(text.substring(0, colon));
-    if (host == null) {
-      throw new IllegalArgumentException("the address is not an IP address");
-    }
-    return new InetSocketAddress(host, port);
+    return AddressUtils.parseIpv4(node.path(ADDRESS).asText());
   }
 }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/registry/TargetFollower.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/registry/TargetFollower.java
@@ -95,21 +95,34 @@
   }
 
   private void onRead(TargetChanges changes, Throwable error) {
-    if (error == null) {
-      if (isRegistryLost) {
-        log.info("registry regained", "version", changes.version());
-      }
-      isRegistryLost = false;
-      isFullReadNeeded = false;
-      apply(changes);
-      scheduleRead(READ_INTERVAL);
-      return;
+    Duration delay = RETRY_DELAY;
+    try {
+      delay = error == null ? handleChanges(changes) : handleFailure(error);
+    } catch (RuntimeException e) {
+      log.error("changes of targets not applied, starting full read", e);
+      isFullReadNeeded = true;
+    } finally {
+      scheduleRead(delay);
     }
+  }
+
+  /** Handles the result of a read and returns the delay until the next one. */
+  private Duration handleChanges(TargetChanges changes) {
+    if (isRegistryLost) {
+      log.info("registry regained", "version", changes.version());
+    }
+    isRegistryLost = false;
+    isFullReadNeeded = false;
+    apply(changes);
+    return READ_INTERVAL;
+  }
+
+  /** Handles a failed read and returns the delay until the next one. */
+  private Duration handleFailure(Throwable error) {
     if (HistoryLostException.isIn(error)) {
       log.info("change history unavailable, starting full read", "version", directory.getVersion());
       isFullReadNeeded = true;
-      scheduleRead(Duration.ZERO);
-      return;
+      return Duration.ZERO;
     }
     if (!isRegistryLost) {
       log.warn("registry lost", "version", directory.getVersion(), "error", error.getMessage());
@@ -117,7 +130,7 @@
     isRegistryLost = true;
     failureListener.run();
     publish(directory.expire(clock.nanoTime()));
-    scheduleRead(RETRY_DELAY);
+    return RETRY_DELAY;
   }
 
   private void scheduleRead(Duration delay) {
--- /dev/null
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/state/address/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of network addresses. */
+package io.fireflyshed.state.address;
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/registry/ConfigurationWatcherTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/registry/ConfigurationWatcherTest.java
@@ -18,6 +18,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -33,6 +34,7 @@
   ManualClock clock;
   ManualScheduler control;
   ConfigurationWatcher watcher;
+  Consumer<TrafficConfiguration> listener;
 
   /** Starts a watcher, whose first read remains pending. */
   @BeforeMethod
@@ -55,8 +57,8 @@
             return newRead(false, sourceVersion);
           }
         };
-    watcher =
-        new ConfigurationWatcher(source, control, clock, c -> acceptedVersions.add(c.version()));
+    listener = c -> acceptedVersions.add(c.version());
+    watcher = new ConfigurationWatcher(source, control, clock, c -> listener.accept(c));
     watcher.start();
     control.runDue();
   }
@@ -135,6 +137,20 @@
   /** Tests which read or wait follows a previous one. */
   public static class ReadTests extends ConfigurationWatcherTest {
 
+    @Test
+    public void configurationIsFollowedAfterAListenerFailed() {
+      listener =
+          configuration -> {
+            throw new IllegalStateException("listener failed");
+          };
+      completeRead(10, 3L);
+      listener = c -> acceptedVersions.add(c.version());
+      control.advance(Duration.ofMillis(200));
+      assertTrue(getLastRead().isFullRead());
+      completeRead(11, 4L);
+      assertEquals(acceptedVersions, List.of(4L));
+    }
+
     @Test
     public void waitWithoutChangeResetsTheAgeButKeepsTheVersion() {
       completeRead(10, 3L);
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/registry/TargetFollowerTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/registry/TargetFollowerTest.java
@@ -23,6 +23,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -40,6 +41,7 @@
 
   private final List<PendingRead> reads = new ArrayList<>();
   private ManualScheduler control;
+  private Consumer<Set<InstanceId>> listener;
   private TargetFollower follower;
   private long version;
 
@@ -62,7 +64,9 @@
             return newRead(false);
           }
         };
-    follower = new TargetFollower(registry, control, clock, changed -> {}, () -> {});
+    listener = changed -> {};
+    follower =
+        new TargetFollower(registry, control, clock, changed -> listener.accept(changed), () -> {});
     follower.start();
     control.runDue();
   }
@@ -141,6 +145,19 @@
     assertTrue(getLastRead().isFullRead());
   }
 
+  @Test
+  public void registryIsFollowedAfterAListenerFailed() {
+    listener =
+        changed -> {
+          throw new IllegalStateException("listener failed");
+        };
+    completeRead(newTarget("one", false, null));
+    listener = changed -> {};
+    assertTrue(getLastRead().isFullRead());
+    completeRead(newTarget("one", false, null), newTarget("two", false, null));
+    assertEquals(Set.copyOf(getTargetIds()), Set.of("one", "two"));
+  }
+
   @Test
   public void targetsRemainDuringAnOutageOfTheRegistry() {
     completeRead(newTarget("one", false, null));
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
@@ -133,7 +133,7 @@
     metrics.gauge("fireflyshed.limited.targets", placer, TargetPlacer::countLimitedTargets);
     targets =
         new TargetFollower(
-            new StoreTargetRegistry(store),
+            new StoreTargetRegistry(store, metrics),
             control,
             clock,
             this::onTargetsChanged,
