Take no repeated rejection for the response to the next request

Cause: a rejection without a request id counted as that of the request that waited.

Change: a rejection without an id counts only on a connection's first request. A connection that gets a response which no request waits for is closed.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/TargetCaller.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/TargetCaller.java
@@ -9,6 +9,7 @@
 import io.fireflyshed.protocol.traffic.TrafficRequest;
 import io.fireflyshed.state.target.Target;
 import io.fireflyshed.transport.http.HandOver;
+import io.fireflyshed.transport.http.SurplusResponseGuard;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -37,6 +38,7 @@
 
   private static final String STEP = "forward";
   private static final String INTERIM_RESPONSE_FILTER = "interimResponseFilter";
+  private static final String SURPLUS_RESPONSE_GUARD = "surplusResponseGuard";
 
   /** Keeps the connections of nine entries together well below what a target accepts. */
   private static final int MAX_CONNECTIONS_PER_TARGET = 48;
@@ -82,7 +84,11 @@
                     .addAfter(
                         NettyPipeline.HttpCodec,
                         INTERIM_RESPONSE_FILTER,
-                        new InterimResponseFilter()));
+                        new InterimResponseFilter())
+                    .addAfter(
+                        INTERIM_RESPONSE_FILTER,
+                        SURPLUS_RESPONSE_GUARD,
+                        new SurplusResponseGuard()));
   }
 
   @Override
@@ -120,7 +126,8 @@
       TrafficRequest request, String peer, HttpClientResponse httpResponse, Connection connection) {
     TargetAnswer response =
         codec.decodeAnswer(httpResponse.status().code(), httpResponse.responseHeaders());
-    Optional<AttemptException> error = validate(request, peer, response);
+    boolean isFirstRequest = SurplusResponseGuard.isFirstRequest(connection.channel());
+    Optional<AttemptException> error = validate(request, peer, response, isFirstRequest);
     if (error.isPresent()) {
       connection.dispose();
       return Flux.error(error.get());
@@ -130,14 +137,17 @@
     return Flux.concat(Mono.just(new ResponsePart.Head(response)), chunks);
   }
 
-  /** Returns an error unless the response is the target's own response to this request. */
+  /**
+   * Returns an error unless the response is the target's own response to this request. A rejection
+   * without an id may be that of an earlier request on the same connection.
+   */
   private static Optional<AttemptException> validate(
-      TrafficRequest request, String peer, TargetAnswer response) {
-    boolean isForOther = response.requestId().filter(id -> !id.equals(request.id())).isPresent();
-    if (!isForOther && response.isNotRun()) {
+      TrafficRequest request, String peer, TargetAnswer response, boolean isFirstRequest) {
+    boolean isOwn = response.requestId().map(id -> id.equals(request.id())).orElse(isFirstRequest);
+    if (isOwn && response.isNotRun()) {
       return Optional.of(new RequestRejectedException(STEP, peer, response));
     }
-    if (isForOther || response.requestId().isEmpty()) {
+    if (!isOwn || response.requestId().isEmpty()) {
       String message = "the response is for request " + response.requestId().orElse("(none)");
       return Optional.of(new AttemptException(STEP, peer, Outcome.UNKNOWN, message, null));
     }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/HttpCaller.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/HttpCaller.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.CompletableFuture;
 import reactor.core.publisher.Mono;
 import reactor.netty.ByteBufFlux;
+import reactor.netty.NettyPipeline;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.http.client.HttpClientResponse;
 import reactor.netty.resources.ConnectionProvider;
@@ -33,11 +34,13 @@
   /** Limits a response by default; the largest objects of the platform's store have half of it. */
   private static final int MAX_BODY_BYTES = 16 << 20;
 
+  private static final String SURPLUS_RESPONSE_GUARD = "surplusResponseGuard";
   private static final int NO_CONTENT = 204;
   private static final int CONNECT_TIMEOUT_MILLIS = 1000;
 
   private final ConnectionProvider connections;
   private final HttpClient client;
+  private final HttpClient unpooledClient;
   private final int maxBodyBytes;
 
   /**
@@ -64,10 +67,22 @@
             .pendingAcquireTimeout(ACQUIRE_TIMEOUT)
             .maxIdleTime(MAX_IDLE_TIME)
             .build();
-    client =
-        HttpClient.create(connections)
-            .disableRetry(true)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS);
+    client = configure(HttpClient.create(connections));
+    unpooledClient = configure(HttpClient.newConnection());
+  }
+
+  private static HttpClient configure(HttpClient client) {
+    return client
+        .disableRetry(true)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+        .doOnChannelInit(
+            (observer, channel, address) ->
+                channel
+                    .pipeline()
+                    .addAfter(
+                        NettyPipeline.HttpCodec,
+                        SURPLUS_RESPONSE_GUARD,
+                        new SurplusResponseGuard()));
   }
 
   /**
@@ -87,8 +102,23 @@
    *     the request was not sent and with {@link EffectUnknownException} otherwise
    */
   public CompletableFuture<HttpReply> send(HttpCall call) {
+    return send(client, call);
+  }
+
+  /**
+   * Sends a request on a connection of its own and reads the complete response. On a kept
+   * connection, a faulty peer may repeat its response to an earlier request.
+   *
+   * @param call the request, not null
+   * @return a future as that of {@link #send}
+   */
+  public CompletableFuture<HttpReply> sendOnNewConnection(HttpCall call) {
+    return send(unpooledClient, call);
+  }
+
+  private CompletableFuture<HttpReply> send(HttpClient sender, HttpCall call) {
     HandOver handOver = new HandOver();
-    return client
+    return sender
         .headers(headers -> call.headers().forEach(headers::set))
         .doOnRequest((request, connection) -> handOver.begin())
         .request(call.method())
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/SurplusResponseGuard.java
@@ -0,0 +1,70 @@
+package io.fireflyshed.transport.http;
+
+import io.fireflyshed.transport.log.EventLog;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPromise;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.AttributeKey;
+import io.netty.util.ReferenceCountUtil;
+
+/**
+ * Closes a client's connection on which the peer sends a response that no request waits for.
+ *
+ * <p>What follows on such a connection can't be assigned to requests reliably. A surplus response
+ * that arrives while the next request waits looks like its response; the receiver must recognize it
+ * by its contents, or rely on {@link #isFirstRequest}. Placed after the HTTP codec. Not thread
+ * safe; each connection has its own guard.
+ */
+public final class SurplusResponseGuard extends ChannelDuplexHandler {
+
+  private static final AttributeKey<Integer> REQUESTS =
+      AttributeKey.valueOf(SurplusResponseGuard.class, "requests");
+
+  private static final EventLog LOG = new EventLog("http");
+
+  private boolean isResponseDue;
+
+  /**
+   * Tests whether no request preceded the current one on its connection, so that no earlier
+   * response can be taken for its response.
+   *
+   * @param channel the connection, not null
+   * @return true if at most one request was sent on the connection
+   */
+  public static boolean isFirstRequest(Channel channel) {
+    Integer requests = channel.attr(REQUESTS).get();
+    return requests != null && requests <= 1;
+  }
+
+  @Override
+  public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+    if (message instanceof HttpRequest) {
+      isResponseDue = true;
+      Integer requests = context.channel().attr(REQUESTS).get();
+      context.channel().attr(REQUESTS).set(requests == null ? 1 : requests + 1);
+    }
+    context.write(message, promise);
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext context, Object message) {
+    if (!(message instanceof HttpObject)) {
+      context.fireChannelRead(message);
+      return;
+    }
+    if (!isResponseDue) {
+      ReferenceCountUtil.release(message);
+      if (context.channel().isActive()) {
+        LOG.warn("response without a request", "peer", context.channel().remoteAddress());
+        context.close();
+      }
+      return;
+    }
+    isResponseDue = !(message instanceof LastHttpContent);
+    context.fireChannelRead(message);
+  }
+}
--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/TargetResponseTest.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/TargetResponseTest.java
@@ -17,6 +17,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.testng.annotations.AfterMethod;
@@ -217,8 +218,15 @@
         }
         case "surplus-bytes" -> write("surplus");
         case "surplus-bytes-next" -> surplus.put(key, "surplus");
-        case "rejected-twice" ->
-            surplus.put(key, "HTTP/1.1 503 x\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+        case "rejected-twice" -> surplus.put(key, newRejection("503 x", ""));
+        case "rejects-503", "rejects-429", "rejects-421" ->
+            surplus.put(key, newRejection(kind.substring("rejects-".length()) + " x", ""));
+        case "rejects-own-503", "rejects-own-429", "rejects-own-421" ->
+            surplus.put(
+                key,
+                newRejection(
+                    kind.substring("rejects-own-".length()) + " x",
+                    "X-Attempt-Id: " + request.getHeader("x-attempt-id").orElse("") + "\r\n"));
         case "early" -> {
           pause();
           readBody(request, connection);
@@ -230,6 +238,15 @@
     }
   }
 
+  /** Creates a response that says that its request was not run. */
+  private static String newRejection(String status, String headers) {
+    return "HTTP/1.1 "
+        + status
+        + "\r\nX-Not-Executed: 1\r\n"
+        + headers
+        + "Content-Length: 0\r\n\r\n";
+  }
+
   /** Waits until the entry has handled what was sent before. */
   private static void pause() {
     try {
@@ -324,6 +341,32 @@
     assertTrue(successes >= 3 * (requests - 1), successes + " successes");
   }
 
+  /** Provides rejections of earlier requests that a target repeats before its next response. */
+  @DataProvider
+  public Object[][] repeatedRejections() {
+    List<Object[]> cases = new ArrayList<>();
+    for (String route : List.of("/lookups/", "/chat/", "/notes/", "/orders/")) {
+      for (String kind : List.of("503", "429", "421", "own-503", "own-429", "own-421")) {
+        cases.add(new Object[] {route, "rejects-" + kind});
+      }
+    }
+    return cases.toArray(new Object[0][]);
+  }
+
+  @Test(dataProvider = "repeatedRejections")
+  public void repeatedRejectionIsNotTakenForTheNextResponse(String route, String kind)
+      throws IOException {
+    for (int i = 0; i < 3; i++) {
+      assertTrue(send("POST", route + kind, SHORT_BODY).isSuccess());
+      RawCaller.Response next = send("POST", route + "plain", SHORT_BODY);
+      boolean isRun =
+          targets.get(0).getRequests().stream()
+              .anyMatch(r -> r.getHeader("x-attempt-id").equals(Optional.of("id-" + lastId)));
+      boolean isToldNotRun = List.of(408, 421, 429, 503).contains(next.status());
+      assertFalse(isRun && isToldNotRun, next.toString());
+    }
+  }
+
   private void assertOwn(RawCaller.Response response) {
     if (response.isSuccess()) {
       assertEquals(response.body(), "answer to id-" + lastId);
