Resume a stream only with events that continue it

Operators of a similar system reported error texts in the middle of streams, and broken streams that ended as if complete, where the next target answered with an error.

Cause: responses with an error status never reached callers after the head of a stream had been sent (tests of 404, 500, 502, 503 and of a target that closes after its head pass on the old code). But any 2xx response was taken as the continuation: a page of text was delivered piece by piece, an empty page ended the stream as complete, and events without ids or beyond the next one were passed on (TargetResponseTest.brokenStreamEndsIncompleteAfterItsLastEvent, these four cases fail before).

Change: the response that continues a stream must have the media type of the one that the caller has, must begin with an event with an id and, where the stream's ids are consecutive, with the next one. Otherwise the attempt failed.

After: all nine cases pass.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/protocol/traffic/TargetAnswer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/protocol/traffic/TargetAnswer.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import java.util.Locale;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalDouble;
@@ -50,6 +51,16 @@
         || headers.contains(HttpHeaderNames.TRANSFER_ENCODING);
   }
 
+  /**
+   * Gets the media type of the body.
+   *
+   * @return the type in lower case without parameters, empty if the response names none, never null
+   */
+  public Optional<String> getMediaType() {
+    return Optional.ofNullable(headers.get(HttpHeaderNames.CONTENT_TYPE))
+        .map(type -> type.split(";", 2)[0].trim().toLowerCase(Locale.ROOT));
+  }
+
   /**
    * Tests whether the status indicates success.
    *
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/StreamAttempt.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/StreamAttempt.java
@@ -7,6 +7,7 @@
 import io.fireflyshed.protocol.traffic.EventSplitter;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 
 /**
@@ -29,23 +30,51 @@
   private final String peer;
   private final EventSplitter splitter = new EventSplitter();
   private final List<ResponsePart> errorParts = new ArrayList<>();
+  private final boolean isResumption;
+  private final Optional<String> requiredMediaType;
+  private final OptionalLong requiredEventId;
   private ResponsePart.Head head;
   private OptionalLong lastEventId;
   private boolean isHeadSent;
+  private boolean isContinued;
   private int events;
   private int repeatedEvents;
 
   /**
-   * Creates an attempt.
+   * Creates an attempt whose head the caller gets.
    *
    * @param peer the target or entry that responds, not null
    * @param lastEventId the id of the last event that the caller has, empty for none, not null
-   * @param isHeadSent whether the caller has the head of the response
    */
-  StreamAttempt(String peer, OptionalLong lastEventId, boolean isHeadSent) {
+  StreamAttempt(String peer, OptionalLong lastEventId) {
+    this(peer, lastEventId, false, Optional.empty(), OptionalLong.empty());
+  }
+
+  private StreamAttempt(
+      String peer,
+      OptionalLong lastEventId,
+      boolean isResumption,
+      Optional<String> requiredMediaType,
+      OptionalLong requiredEventId) {
     this.peer = peer;
     this.lastEventId = lastEventId;
-    this.isHeadSent = isHeadSent;
+    this.isResumption = isResumption;
+    this.isHeadSent = isResumption;
+    this.requiredMediaType = requiredMediaType;
+    this.requiredEventId = requiredEventId;
+  }
+
+  /**
+   * Creates an attempt that continues a response of which the caller has the head.
+   *
+   * @param peer the target or entry that responds, not null
+   * @param lastEventId the id of the last event that the caller has, empty for none, not null
+   * @param mediaType the media type of the response, empty for none, not null
+   * @param nextEventId the id of the event that must come next, empty if any may, not null
+   */
+  static StreamAttempt ofResumption(
+      String peer, OptionalLong lastEventId, Optional<String> mediaType, OptionalLong nextEventId) {
+    return new StreamAttempt(peer, lastEventId, true, mediaType, nextEventId);
   }
 
   /** Adds a part of the response and returns what the caller should get now. */
@@ -54,6 +83,9 @@
       head = received;
       if (!received.response().isSuccess()) {
         errorParts.add(part);
+      } else if (isResumption && !received.response().getMediaType().equals(requiredMediaType)) {
+        throw newMismatchException(
+            "the media type changed to " + received.response().getMediaType().orElse("none"));
       }
       return List.of();
     }
@@ -69,6 +101,7 @@
         repeatedEvents += isRepeated ? 1 : 0;
       }
       if (!isRepeated) {
+        checkContinuation(event);
         addHead(deliveries);
         lastEventId = event.id().isPresent() ? event.id() : lastEventId;
         deliveries.add(new Delivery(new ResponsePart.BodyChunk(event.bytes()), event.id()));
@@ -77,6 +110,30 @@
     return deliveries;
   }
 
+  /**
+   * Checks that the first new event of a resumed stream follows the last one that was delivered.
+   */
+  private void checkContinuation(EventSplitter.RawEvent event) {
+    if (!isResumption || isContinued || event.isBlank()) {
+      return;
+    }
+    if (lastEventId.isPresent() && event.id().isEmpty()) {
+      throw newMismatchException("the resumed stream begins with an event without an id");
+    }
+    if (requiredEventId.isPresent() && !event.id().equals(requiredEventId)) {
+      throw newMismatchException(
+          "the resumed stream begins with event "
+              + event.id().getAsLong()
+              + " instead of "
+              + requiredEventId.getAsLong());
+    }
+    isContinued = true;
+  }
+
+  private AttemptException newMismatchException(String message) {
+    return new AttemptException(STEP, peer, Outcome.UNKNOWN, message, null);
+  }
+
   private List<EventSplitter.RawEvent> split(ResponsePart.BodyChunk chunk) {
     try {
       return splitter.split(chunk.bytes());
--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/TargetResponseTest.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/TargetResponseTest.java
@@ -34,6 +34,7 @@
   private static final Duration TIMEOUT = Duration.ofSeconds(20);
   private static final String HEAD = "HTTP/1.1 200 OK\r\n";
   private static final String EVENT = "id: 1\ndata: one\n\n";
+  private static final String TWO_EVENTS = EVENT + "id: 2\ndata: two\n\n";
   private static final int LONG_BODY_BYTES = 1_000_000;
   private static final byte[] SHORT_BODY = "body".getBytes(StandardCharsets.UTF_8);
 
@@ -135,6 +136,10 @@
       readBody(request, connection);
     }
     boolean isStream = path[1].equals("chat") || path[1].equals("notes");
+    if (path[1].equals("chat") && path[2].startsWith("resume-")) {
+      answerResumable(path[2].substring("resume-".length()), request, connection);
+      return;
+    }
     Answer answer = new Answer(request, connection, key, isStream);
     if (!answer.breakOff(path[2])) {
       answer.complete(path[2]);
@@ -238,6 +243,41 @@
     }
   }
 
+  /** Breaks off a stream after two events, and answers as the kind says when it is resumed. */
+  private static void answerResumable(String kind, RawTarget.Request request, Socket connection)
+      throws IOException {
+    String own =
+        "X-Attempt-Id: "
+            + request.getHeader("x-attempt-id").orElse("")
+            + "\r\nX-Replica-Signature:";
+    String head = HEAD + own + " s\r\nContent-Type: text/event-stream\r\n";
+    String page = "<p>one\n\n<p>two\n\n";
+    String pageHead = own + " s\r\nContent-Type: text/html\r\nContent-Length: ";
+    boolean isFirst = request.getHeader("last-event-id").isEmpty();
+    String response =
+        switch (isFirst ? "first" : kind) {
+          case "first" -> head + "Content-Length: 500\r\n\r\n" + TWO_EVENTS;
+          case "error" -> "HTTP/1.1 500 x\r\n" + pageHead + page.length() + "\r\n\r\n" + page;
+          case "not-found" -> "HTTP/1.1 404 x\r\n" + pageHead + page.length() + "\r\n\r\n" + page;
+          case "unsigned" -> "HTTP/1.1 502 x\r\nContent-Length: 4\r\n\r\nlost";
+          case "refusal" ->
+              newRejection("503 x", own.split("\r\n")[0] + "\r\nRetry-After: 0.1\r\n");
+          case "page" -> HEAD + pageHead + page.length() + "\r\n\r\n" + page;
+          case "empty-page" -> HEAD + pageHead + "0\r\n\r\n";
+          case "gap" -> head + "Content-Length: 14\r\n\r\nid: 9\ndata:9\n\n";
+          case "no-id" -> head + "Content-Length: 8\r\n\r\ndata:9\n\n";
+          case "head-only" -> head + "Content-Length: 50\r\n\r\n";
+          default -> throw new IllegalStateException("unknown kind " + kind);
+        };
+    RawTarget.write(connection, response);
+    if (isFirst) {
+      pause();
+    }
+    if (isFirst || kind.equals("head-only")) {
+      connection.close();
+    }
+  }
+
   /** Creates a response that says that its request was not run. */
   private static String newRejection(String status, String headers) {
     return "HTTP/1.1 "
@@ -298,6 +338,39 @@
     assertFalse(response.isSuccess(), response.toString());
   }
 
+  /** Provides responses of a target at which a broken stream can't go on. */
+  @DataProvider
+  public Object[][] failedResumptions() {
+    return new Object[][] {
+      {"error"},
+      {"not-found"},
+      {"unsigned"},
+      {"refusal"},
+      {"page"},
+      {"empty-page"},
+      {"gap"},
+      {"no-id"},
+      {"head-only"}
+    };
+  }
+
+  @Test(dataProvider = "failedResumptions")
+  public void brokenStreamEndsIncompleteAfterItsLastEvent(String kind) throws Exception {
+    startTarget("two");
+    Thread.sleep(800);
+    for (int i = 0; i < 3; i++) {
+      RawCaller.Response response = send("POST", "/chat/resume-" + kind, SHORT_BODY);
+      assertEquals(response.status(), 200);
+      assertEquals(response.body(), TWO_EVENTS);
+      assertFalse(response.isComplete(), "the stream looks complete");
+    }
+    assertTrue(
+        targets.stream()
+            .flatMap(t -> t.getRequests().stream())
+            .anyMatch(r -> r.getHeader("last-event-id").isPresent()),
+        "no stream was resumed");
+  }
+
   @Test
   public void responseThatEndsWithItsConnectionIsComplete() throws IOException {
     RawCaller.Response response = send("POST", "/orders/to-the-end", SHORT_BODY);
