Read each table once for all entries of an availability zone

Cause: each entry read the registry, the configuration and the crash reports by itself.

Change: the entries of a zone rank each other by rendezvous hashing. All ask the first one over the link of the relays; it reads a table after a question arrived and answers with what changed significantly, so heartbeats stay with the reader. The age of an answer counts from the question on the clock of the entry that asked, so a reader that freezes, lags or is cut off can't make anything look newer than it is. Without an answer within the interval and 400 ms the entry reads the store itself at once, and asks the next one in the ranking from then on. The link has a new protocol version; older entries are not asked.

--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/directory/ReaderSelector.java
@@ -0,0 +1,122 @@
+package io.fireflyshed.coordination.directory;
+
+import io.fireflyshed.state.instance.AvailabilityZone;
+import io.fireflyshed.state.peer.EntryPeer;
+import io.fireflyshed.state.peer.PeerId;
+import java.time.Duration;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+/**
+ * Selects the entry of an availability zone that reads the table service for the others.
+ *
+ * <p>All entries rank each other by the hashes of their names (rendezvous hashing), so that they
+ * agree without messages as far as they know the same entries, and the loss of one moves only its
+ * own load. An entry that failed is left out for a while, which doubles with each further failure.
+ * Not thread safe.
+ */
+public final class ReaderSelector {
+
+  /** The first pause of an entry that failed; some restarts end within it. */
+  static final Duration MIN_PAUSE = Duration.ofSeconds(2);
+
+  /** The longest pause, within which an entry that came back is used again. */
+  static final Duration MAX_PAUSE = Duration.ofSeconds(30);
+
+  private static final Comparator<PeerId> BY_RANK =
+      Comparator.comparingLong(ReaderSelector::getScore).thenComparing(PeerId::value);
+
+  /** Holds the end of the pause of an entry and its length. */
+  private record Pause(long endNanos, Duration length) {}
+
+  private final PeerId self;
+  private final AvailabilityZone zone;
+  private final Map<PeerId, Pause> pauses = new HashMap<>();
+
+  /**
+   * Creates a selector without failed entries.
+   *
+   * @param self this entry, not null
+   * @param zone the availability zone of this entry, not null
+   */
+  public ReaderSelector(PeerId self, AvailabilityZone zone) {
+    this.self = Objects.requireNonNull(self, "self");
+    this.zone = Objects.requireNonNull(zone, "zone");
+  }
+
+  /**
+   * Selects the entry to ask.
+   *
+   * @param entries the known entries of all availability zones, not null
+   * @param nowNanos the current time of the monotonic clock
+   * @return the entry, empty if this one must read the table service itself, never null
+   */
+  public Optional<EntryPeer> select(Collection<EntryPeer> entries, long nowNanos) {
+    List<EntryPeer> usable =
+        entries.stream()
+            .filter(e -> e.zone().equals(zone) && !e.id().equals(self))
+            .filter(e -> !isPaused(e.id(), nowNanos))
+            .toList();
+    return usable.stream()
+        .min(Comparator.comparing(EntryPeer::id, BY_RANK))
+        .filter(best -> BY_RANK.compare(best.id(), self) < 0);
+  }
+
+  private boolean isPaused(PeerId id, long nowNanos) {
+    Pause pause = pauses.get(id);
+    return pause != null && nowNanos - pause.endNanos() < 0;
+  }
+
+  /**
+   * Leaves out an entry that didn't answer or couldn't read.
+   *
+   * @param id the entry, not null
+   * @param nowNanos the current time of the monotonic clock
+   */
+  public void onFailure(PeerId id, long nowNanos) {
+    Pause before = pauses.get(id);
+    if (isPaused(id, nowNanos)) {
+      return;
+    }
+    Duration doubled = before == null ? MIN_PAUSE : before.length().multipliedBy(2);
+    Duration length = doubled.compareTo(MAX_PAUSE) < 0 ? doubled : MAX_PAUSE;
+    pauses.put(id, new Pause(nowNanos + length.toNanos(), length));
+  }
+
+  /**
+   * Forgets the failures of an entry that answered.
+   *
+   * @param id the entry, not null
+   */
+  public void onSuccess(PeerId id) {
+    pauses.remove(id);
+  }
+
+  /**
+   * Forgets the failures of entries that are no longer known.
+   *
+   * @param entries the known entries, not null
+   */
+  public void retain(Collection<EntryPeer> entries) {
+    Set<PeerId> known = entries.stream().map(EntryPeer::id).collect(Collectors.toSet());
+    pauses.keySet().retainAll(known);
+  }
+
+  /** Mixes the hash of a name, since those of similar names are close to each other. */
+  private static long getScore(PeerId id) {
+    long hash = 0xcbf29ce484222325L;
+    for (char c : id.value().toCharArray()) {
+      hash = (hash ^ c) * 0x100000001b3L;
+    }
+    hash = (hash ^ hash >>> 33) * 0xff51afd7ed558ccdL;
+    hash = (hash ^ hash >>> 33) * 0xc4ceb9fe1a85ec53L;
+    return hash ^ hash >>> 33;
+  }
+}
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/EntryRelay.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/EntryRelay.java
@@ -6,7 +6,9 @@
 import io.fireflyshed.state.clock.MonotonicClock;
 import io.fireflyshed.state.peer.EntryPeer;
 import io.fireflyshed.state.peer.PeerId;
-import io.fireflyshed.transport.forward.RelayOffer;
+import io.fireflyshed.state.table.RemoteTables;
+import io.fireflyshed.state.table.TableChanges;
+import io.fireflyshed.state.table.TableQuestion;
 import io.fireflyshed.transport.forward.RelayedRequest;
 import io.fireflyshed.transport.forward.RequestRelay;
 import io.fireflyshed.transport.forward.ResponsePart;
@@ -17,23 +19,21 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Function;
 import java.util.function.Supplier;
 import org.apache.commons.rng.UniformRandomProvider;
 import reactor.core.publisher.Flux;
 
 /**
- * Relays requests to other entries, and serves requests for them.
+ * Relays requests to other entries and asks them about tables, and does both for them.
  *
- * <p>It takes no part in the membership of entries: connections are opened when a request is
- * relayed and closed when they are idle, so that it sends nothing while no entry needs it. Thread
- * safe.
+ * <p>It takes no part in the membership of entries: connections are opened when they are needed and
+ * closed when they are idle. Thread safe.
  */
-public final class EntryRelay implements RequestRelay, PeerFrameReceiver, AutoCloseable {
+public final class EntryRelay
+    implements RequestRelay, RemoteTables, PeerFrameReceiver, AutoCloseable {
 
   /** Lets an entry start first; the classes of frames are loaded before they are needed. */
   private static final Duration WARM_UP_DELAY = Duration.ofSeconds(10);
@@ -44,16 +44,14 @@
   private final PeerConnections connections;
   private final RelayClient client;
   private final RelayServer server;
+  private final TableServer tableServer;
 
   /**
    * Creates a relay, which must be started to serve requests for others.
    *
    * @param settings the name, availability zone and address of this entry, not null
    * @param peers lists the known entries, not null; rows of this entry are ignored
-   * @param admission returns the retry delay of an offer that can't be placed now, empty if it can,
-   *     not null; it must not block
-   * @param forwarder forwards a request of another entry to targets, not null; it fails with a
-   *     {@link io.fireflyshed.transport.forward.ForwardException} and must not block
+   * @param services what this entry does for others, not null
    * @param clock the monotonic clock of this process, not null
    * @param random breaks ties between entries; used by one thread only, not null
    * @param registry registers the counters of relays and offers, not null
@@ -61,12 +59,11 @@
   public EntryRelay(
       PeerSettings settings,
       Supplier<List<EntryPeer>> peers,
-      Function<RelayOffer, Optional<Duration>> admission,
-      Function<RelayedRequest, Flux<ResponsePart>> forwarder,
+      EntryServices services,
       MonotonicClock clock,
       UniformRandomProvider random,
       MeterRegistry registry) {
-    this(settings, peers, () -> {}, admission, forwarder, clock, random, registry);
+    this(settings, peers, () -> {}, services, clock, random, registry);
   }
 
   /**
@@ -76,10 +73,7 @@
    * @param peers lists the known entries, not null; rows of this entry are ignored
    * @param refresh reads the list of entries again, not null; it may be called for each request, on
    *     any thread, and must not block
-   * @param admission returns the retry delay of an offer that can't be placed now, empty if it can,
-   *     not null; it must not block
-   * @param forwarder forwards a request of another entry to targets, not null; it fails with a
-   *     {@link io.fireflyshed.transport.forward.ForwardException} and must not block
+   * @param services what this entry does for others, not null
    * @param clock the monotonic clock of this process, not null
    * @param random breaks ties between entries; used by one thread only, not null
    * @param registry registers the counters of relays and offers, not null
@@ -88,21 +82,11 @@
       PeerSettings settings,
       Supplier<List<EntryPeer>> peers,
       Runnable refresh,
-      Function<RelayOffer, Optional<Duration>> admission,
-      Function<RelayedRequest, Flux<ResponsePart>> forwarder,
+      EntryServices services,
       MonotonicClock clock,
       UniformRandomProvider random,
       MeterRegistry registry) {
-    this(
-        settings,
-        RelayTiming.ofDefaults(),
-        peers,
-        refresh,
-        admission,
-        forwarder,
-        clock,
-        random,
-        registry);
+    this(settings, RelayTiming.ofDefaults(), peers, refresh, services, clock, random, registry);
   }
 
   /** Creates a relay with other times than the default. */
@@ -111,23 +95,24 @@
       RelayTiming timing,
       Supplier<List<EntryPeer>> peers,
       Runnable refresh,
-      Function<RelayOffer, Optional<Duration>> admission,
-      Function<RelayedRequest, Flux<ResponsePart>> forwarder,
+      EntryServices services,
       MonotonicClock clock,
       UniformRandomProvider random,
       MeterRegistry registry) {
     this.settings = Objects.requireNonNull(settings, "settings");
     this.peers = Objects.requireNonNull(peers, "peers");
     this.refresh = Objects.requireNonNull(refresh, "refresh");
-    Objects.requireNonNull(admission, "admission");
-    Objects.requireNonNull(forwarder, "forwarder");
+    Objects.requireNonNull(services, "services");
     Objects.requireNonNull(clock, "clock");
     RelayMetrics metrics = new RelayMetrics(Objects.requireNonNull(registry, "registry"));
     EventLog log = new EventLog("relay");
     connections = new PeerConnections(settings.self(), this);
     RelayPeerSelector selector = new RelayPeerSelector(settings.self(), settings.zone(), random);
     client = new RelayClient(connections, peers, refresh, selector, clock, timing, metrics, log);
-    server = new RelayServer(connections, admission, forwarder, clock, metrics, log);
+    server =
+        new RelayServer(
+            connections, services.admission(), services.forwarder(), clock, metrics, log);
+    tableServer = new TableServer(connections, services.tables(), log);
   }
 
   /**
@@ -148,6 +133,12 @@
     return client.relay(Objects.requireNonNull(request, "request"));
   }
 
+  @Override
+  public CompletableFuture<TableChanges> ask(
+      EntryPeer entry, TableQuestion question, Duration timeout) {
+    return client.ask(entry, Objects.requireNonNull(question, "question"), timeout);
+  }
+
   @Override
   public boolean isAvailable() {
     boolean isAvailable = peers.get().stream().anyMatch(peer -> !peer.id().equals(settings.self()));
@@ -214,6 +205,9 @@
     if (frame.getBodyCase() == PeerProto.Frame.BodyCase.PING) {
       connections.writeOrClose(channel, newAck(frame.getPing().getSequence()));
     }
+    if (frame.getBodyCase() == PeerProto.Frame.BodyCase.TABLE_QUESTION) {
+      tableServer.onQuestion(frame.getRequest(), frame.getTableQuestion(), channel);
+    }
     client.onFrame(frame, channel);
     server.onFrame(peer, frame, channel);
   }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/PeerChannelHandler.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/PeerChannelHandler.java
@@ -21,11 +21,14 @@
   static final int MIN_VERSION = 1;
 
   /** The newest protocol version that this process supports. */
-  static final int MAX_VERSION = 2;
+  static final int MAX_VERSION = 3;
 
   /** The oldest protocol version that has the frames of relays. */
   static final int RELAY_VERSION = 2;
 
+  /** The oldest protocol version that has questions about tables. */
+  static final int TABLE_VERSION = 3;
+
   private static final AttributeKey<Integer> VERSION = AttributeKey.valueOf("peer-version");
 
   private static final Logger LOG = LoggerFactory.getLogger(PeerChannelHandler.class);
@@ -47,8 +50,22 @@
    * @return false for an older peer and before its hello frame was accepted
    */
   static boolean isRelaySupported(Channel channel) {
+    return isSupported(channel, RELAY_VERSION);
+  }
+
+  /**
+   * Tests whether a peer answers questions about tables.
+   *
+   * @param channel the connection to the peer, not null
+   * @return false for an older peer and before its hello frame was accepted
+   */
+  static boolean isTableSupported(Channel channel) {
+    return isSupported(channel, TABLE_VERSION);
+  }
+
+  private static boolean isSupported(Channel channel, int minVersion) {
     Integer version = channel.attr(VERSION).get();
-    return version != null && version >= RELAY_VERSION;
+    return version != null && version >= minVersion;
   }
 
   @Override
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayClient.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayClient.java
@@ -6,6 +6,8 @@
 import io.fireflyshed.state.clock.MonotonicClock;
 import io.fireflyshed.state.peer.EntryPeer;
 import io.fireflyshed.state.peer.PeerId;
+import io.fireflyshed.state.table.TableChanges;
+import io.fireflyshed.state.table.TableQuestion;
 import io.fireflyshed.transport.forward.ForwardException;
 import io.fireflyshed.transport.forward.RelayedRequest;
 import io.fireflyshed.transport.forward.ResponsePart;
@@ -18,6 +20,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -129,6 +132,37 @@
     }
   }
 
+  /** Asks an entry for rows of a table. Thread safe. */
+  CompletableFuture<TableChanges> ask(EntryPeer peer, TableQuestion question, Duration timeout) {
+    CompletableFuture<TableChanges> answer = new CompletableFuture<>();
+    try {
+      connections.getExecutor().execute(() -> ask(peer, question, timeout, answer));
+    } catch (RejectedExecutionException e) {
+      answer.completeExceptionally(newRefusal("this entry has stopped"));
+    }
+    return answer;
+  }
+
+  private void ask(
+      EntryPeer peer,
+      TableQuestion question,
+      Duration timeout,
+      CompletableFuture<TableChanges> answer) {
+    RelayLink link = getLink(peer);
+    TableCall call = new TableCall(link, question, answer);
+    call.setTimer(
+        schedule(() -> onUnanswered(link, call), timeout.toMillis(), TimeUnit.MILLISECONDS));
+    if (link.isReady()) {
+      call.onLinkReady();
+    }
+  }
+
+  /** Gives up the question and the link, which may have fallen silent. */
+  private void onUnanswered(RelayLink link, TableCall call) {
+    call.onTimeout();
+    onSilent(link);
+  }
+
   /** Selects an entry and returns an open link to it, or null if no entry can be tried. */
   RelayLink selectLink(String pool, Set<PeerId> triedPeers) {
     return selector
@@ -256,7 +290,7 @@
       onLost(link, "is entry " + sender + " or doesn't support relays");
       return;
     }
-    link.getExchanges().forEach(RelayExchange::sendOffer);
+    link.getCalls().forEach(LinkCall::onLinkReady);
   }
 
   void onFrame(PeerProto.Frame frame, Channel channel) {
@@ -265,26 +299,16 @@
       return;
     }
     link.onReceived();
-    RelayExchange exchange = link.find(frame.getRequest());
-    if (exchange == null) {
-      return;
-    }
-    switch (frame.getBodyCase()) {
-      case RELAY_REPLY -> exchange.onReply(frame.getRelayReply());
-      case RELAY_HEAD -> exchange.onHead(frame.getRelayHead());
-      case RELAY_CHUNK -> exchange.onChunk(frame.getRelayChunk());
-      case RELAY_END -> exchange.onEnd(frame.getRelayEnd());
-      case RELAY_FAILURE -> exchange.onFailure(frame.getRelayFailure());
-      default -> {
-        // Other frames don't belong to a relay that this process started.
-      }
+    LinkCall call = link.find(frame.getRequest());
+    if (call != null) {
+      call.onFrame(frame);
     }
   }
 
   void onWritable(Channel channel) {
     RelayLink link = linksByChannel.get(channel);
     if (link != null) {
-      link.getExchanges().forEach(RelayExchange::onWritable);
+      link.getCalls().forEach(LinkCall::onWritable);
     }
   }
 
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayExchange.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayExchange.java
@@ -25,7 +25,7 @@
  * outcome is NOT_RUN; afterwards the request is sent again only if the entry states that it didn't
  * run. Used on the thread of the connections only, except {@link #onConsumed}.
  */
-final class RelayExchange {
+final class RelayExchange implements LinkCall {
 
   /** The number of entries to which a request is offered, of which most may refuse. */
   static final int MAX_OFFERS = RelayPeerSelector.MAX_OFFERS;
@@ -86,7 +86,8 @@
     this.startNanos = startNanos;
   }
 
-  boolean isSent() {
+  @Override
+  public boolean isSent() {
     return isSent;
   }
 
@@ -162,8 +163,12 @@
         || usedNanos <= request.remaining().toNanos() / OFFER_TIME_DIVISOR;
   }
 
-  /** Sends the offer once the link is ready. */
-  void sendOffer() {
+  @Override
+  public void onLinkReady() {
+    sendOffer();
+  }
+
+  private void sendOffer() {
     offerNanos = client.nanoTime();
     link.write(RelayFrameUtils.toOffer(id, request));
   }
@@ -194,7 +199,7 @@
     lastFailure = link.getPeer().id() + " " + reason;
   }
 
-  void onReply(PeerProto.RelayReply reply) {
+  private void onReply(PeerProto.RelayReply reply) {
     if (isSent) {
       return;
     }
@@ -222,26 +227,41 @@
     onWritable();
   }
 
+  @Override
+  public void onFrame(PeerProto.Frame frame) {
+    switch (frame.getBodyCase()) {
+      case RELAY_REPLY -> onReply(frame.getRelayReply());
+      case RELAY_HEAD -> onHead(frame.getRelayHead());
+      case RELAY_CHUNK -> onChunk(frame.getRelayChunk());
+      case RELAY_END -> onEnd(frame.getRelayEnd());
+      case RELAY_FAILURE -> onFailure(frame.getRelayFailure());
+      default -> {
+        // Other frames don't belong to a relay that this process started.
+      }
+    }
+  }
+
   /** Sends more of the body, as far as the connection takes it. */
-  void onWritable() {
+  @Override
+  public void onWritable() {
     while (!unsentBody.isEmpty() && link.isWritable()) {
       link.write(unsentBody.poll());
     }
   }
 
-  void onHead(PeerProto.RelayHead head) {
+  private void onHead(PeerProto.RelayHead head) {
     if (isNext(head.getSequence(), nextSequence == 0)) {
       sink.next(new ResponsePart.Head(RelayFrameUtils.fromHead(head)));
     }
   }
 
-  void onChunk(PeerProto.RelayChunk chunk) {
+  private void onChunk(PeerProto.RelayChunk chunk) {
     if (isNext(chunk.getSequence(), nextSequence > 0)) {
       sink.next(new ResponsePart.BodyChunk(chunk.getBytes().toByteArray()));
     }
   }
 
-  void onEnd(PeerProto.RelayEnd end) {
+  private void onEnd(PeerProto.RelayEnd end) {
     if (!isSent) {
       return;
     }
@@ -271,7 +291,7 @@
     fail(newException(getPeerText(), message, Outcome.UNKNOWN, false));
   }
 
-  void onFailure(PeerProto.RelayFailure failure) {
+  private void onFailure(PeerProto.RelayFailure failure) {
     if (!isSent) {
       return;
     }
@@ -289,8 +309,8 @@
     offerNext();
   }
 
-  /** Handles the end of the link, which has removed this exchange. */
-  void onLinkLost(String reason) {
+  @Override
+  public void onLinkLost(String reason) {
     if (isEnded) {
       return;
     }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayLink.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayLink.java
@@ -12,7 +12,7 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Holds one connection over which this process relays requests to an entry.
+ * Holds one connection over which this process relays requests to an entry and asks it questions.
  *
  * <p>While requests are in flight, the link is probed, since a connection may fall silent without a
  * reset. Used on the thread of the connections only.
@@ -25,7 +25,7 @@
   private final RelayTiming timing;
   private final Channel channel;
   private final ChannelFuture connected;
-  private final Map<Long, RelayExchange> exchanges = new LinkedHashMap<>();
+  private final Map<Long, LinkCall> calls = new LinkedHashMap<>();
   private long nextId = 1;
   private long receivedNanos;
   private boolean isReady;
@@ -63,28 +63,28 @@
     return isClosed;
   }
 
-  /** Adds an exchange, whose offer is sent now or once the link is ready, and returns its id. */
-  long add(RelayExchange exchange) {
+  /** Adds a call, whose first frame is sent now or once the link is ready, and returns its id. */
+  long add(LinkCall call) {
     long id = nextId++;
-    exchanges.put(id, exchange);
+    calls.put(id, call);
     return id;
   }
 
-  /** Removes an exchange that ended; closes the link if it is retired and was the last one. */
+  /** Removes a call that ended; closes the link if it is retired and this was the last one. */
   void remove(long id) {
-    exchanges.remove(id);
-    if (isRetired && exchanges.isEmpty()) {
+    calls.remove(id);
+    if (isRetired && calls.isEmpty()) {
       channel.close();
     }
   }
 
-  /** Returns the exchanges of this link, as a copy. */
-  List<RelayExchange> getExchanges() {
-    return List.copyOf(exchanges.values());
+  /** Returns the calls of this link, as a copy. */
+  List<LinkCall> getCalls() {
+    return List.copyOf(calls.values());
   }
 
-  RelayExchange find(long id) {
-    return exchanges.get(id);
+  LinkCall find(long id) {
+    return calls.get(id);
   }
 
   /** Returns whether the hello frame comes from the expected entry, which supports relays. */
@@ -95,22 +95,22 @@
   }
 
   /**
-   * Takes no more exchanges and closes the link as soon as no request is in flight on it. Offers
+   * Takes no more calls and closes the link as soon as no request is in flight on it. Offers
    * without an answer then move on, since they end with the link.
    */
   void retire() {
     isRetired = true;
-    if (exchanges.values().stream().noneMatch(RelayExchange::isSent)) {
+    if (calls.values().stream().noneMatch(LinkCall::isSent)) {
       channel.close();
     }
   }
 
-  /** Marks the link as closed and removes all its exchanges. */
-  List<RelayExchange> close() {
+  /** Marks the link as closed and removes all its calls. */
+  List<LinkCall> close() {
     isClosed = true;
     channel.close();
-    List<RelayExchange> ended = List.copyOf(exchanges.values());
-    exchanges.clear();
+    List<LinkCall> ended = List.copyOf(calls.values());
+    calls.clear();
     return ended;
   }
 
@@ -147,7 +147,7 @@
   }
 
   private void probe() {
-    if (isClosed || exchanges.values().stream().noneMatch(RelayExchange::isSent)) {
+    if (isClosed || calls.values().stream().noneMatch(LinkCall::isSent)) {
       isProbing = false;
     } else if (clock.nanoTime() - receivedNanos >= timing.maxSilence().toNanos()) {
       channel.close();
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/TableFrameUtils.java
@@ -0,0 +1,67 @@
+package io.fireflyshed.transport.peer;
+
+import io.fireflyshed.protocol.peer.generated.PeerProto;
+import io.fireflyshed.state.table.Row;
+import io.fireflyshed.state.table.RowKey;
+import io.fireflyshed.state.table.TableChanges;
+import io.fireflyshed.state.table.TableQuestion;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+/** Converts questions about tables and their answers to frames and back. */
+final class TableFrameUtils {
+
+  private TableFrameUtils() {}
+
+  static PeerProto.Frame toQuestion(long id, TableQuestion question) {
+    PeerProto.TableQuestion.Builder body =
+        PeerProto.TableQuestion.newBuilder()
+            .setTable(question.table())
+            .setVersion(question.version())
+            .setIsWhole(question.isWhole());
+    return PeerProto.Frame.newBuilder().setRequest(id).setTableQuestion(body).build();
+  }
+
+  static TableQuestion fromQuestion(PeerProto.TableQuestion message) {
+    return new TableQuestion(message.getTable(), message.getVersion(), message.getIsWhole());
+  }
+
+  static PeerProto.Frame toAnswer(long id, TableChanges changes) {
+    PeerProto.TableAnswer.Builder body =
+        PeerProto.TableAnswer.newBuilder()
+            .setIsRead(true)
+            .setVersion(changes.version())
+            .setRestoreCount(changes.restoreCount())
+            .setIsWhole(changes.isWhole());
+    for (Row row : changes.updated()) {
+      body.addUpdated(
+          PeerProto.TableRow.newBuilder()
+              .setKey(row.key().key())
+              .setVersion(row.version())
+              .setValue(row.value()));
+    }
+    changes.removed().forEach(key -> body.addRemoved(key.key()));
+    return PeerProto.Frame.newBuilder().setRequest(id).setTableAnswer(body).build();
+  }
+
+  static PeerProto.Frame toFailure(long id) {
+    return PeerProto.Frame.newBuilder()
+        .setRequest(id)
+        .setTableAnswer(PeerProto.TableAnswer.getDefaultInstance())
+        .build();
+  }
+
+  static TableChanges fromAnswer(String table, PeerProto.TableAnswer message) {
+    List<Row> updated =
+        message.getUpdatedList().stream()
+            .map(r -> new Row(new RowKey(table, r.getKey()), r.getVersion(), r.getValue()))
+            .toList();
+    Set<RowKey> removed =
+        message.getRemovedList().stream()
+            .map(key -> new RowKey(table, key))
+            .collect(Collectors.toSet());
+    return new TableChanges(
+        message.getVersion(), message.getRestoreCount(), message.getIsWhole(), updated, removed);
+  }
+}
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/poison/CrashReportExchange.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/poison/CrashReportExchange.java
@@ -49,7 +49,9 @@
  */
 public final class CrashReportExchange implements CrashGuard {
 
-  private static final String TABLE = "crashes";
+  /** The table of the reports. */
+  public static final String TABLE = "crashes";
+
   private static final String REPORT_PREFIX = "report/";
   private static final String REFUSAL_PREFIX = "refusal/";
 
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/registry/TargetFollower.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/registry/TargetFollower.java
@@ -29,12 +29,6 @@
  */
 public final class TargetFollower implements TargetView {
 
-  /**
-   * The delay between two reads. Targets write every second or so; a shorter delay detects changes
-   * of replicas sooner, at the cost of more calls to the platform.
-   */
-  private static final Duration READ_INTERVAL = Duration.ofMillis(500);
-
   /** The delay after a failed read. */
   private static final Duration RETRY_DELAY = Duration.ofMillis(200);
 
@@ -51,6 +45,7 @@
       List<Target> serving) {}
 
   private final TargetRegistry registry;
+  private final Duration readInterval;
   private final ScheduledExecutorService control;
   private final MonotonicClock clock;
   private final Consumer<Set<InstanceId>> listener;
@@ -66,6 +61,7 @@
    * Creates a follower.
    *
    * @param registry the registry, not null
+   * @param readInterval the delay between two reads, not null
    * @param control the executor of the control thread, not null
    * @param clock the monotonic clock of this process, not null
    * @param listener is notified of changed targets on the control thread, not null
@@ -73,11 +69,13 @@
    */
   public TargetFollower(
       TargetRegistry registry,
+      Duration readInterval,
       ScheduledExecutorService control,
       MonotonicClock clock,
       Consumer<Set<InstanceId>> listener,
       Runnable failureListener) {
     this.registry = registry;
+    this.readInterval = readInterval;
     this.control = control;
     this.clock = clock;
     this.listener = listener;
@@ -114,7 +112,7 @@
     isRegistryLost = false;
     isFullReadNeeded = false;
     apply(changes);
-    return READ_INTERVAL;
+    return readInterval;
   }
 
   /** Handles a failed read and returns the delay until the next one. */
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/peer/RelayEntry.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/peer/RelayEntry.java
@@ -6,6 +6,8 @@
 import io.fireflyshed.state.instance.AvailabilityZone;
 import io.fireflyshed.state.peer.EntryPeer;
 import io.fireflyshed.state.peer.PeerId;
+import io.fireflyshed.state.table.TableChanges;
+import io.fireflyshed.state.table.TableQuestion;
 import io.fireflyshed.transport.forward.ForwardException;
 import io.fireflyshed.transport.forward.RelayOffer;
 import io.fireflyshed.transport.forward.RelayedRequest;
@@ -16,6 +18,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
@@ -46,6 +49,8 @@
   final InetSocketAddress address;
   volatile Function<RelayOffer, Optional<Duration>> admission = o -> Optional.empty();
   volatile Function<RelayedRequest, Flux<ResponsePart>> forwarder = RelayEntry::answer;
+  volatile Function<TableQuestion, CompletableFuture<TableChanges>> tables =
+      question -> CompletableFuture.failedFuture(new IllegalStateException("no tables"));
 
   RelayEntry(String name) {
     id = new PeerId(name);
@@ -56,11 +61,13 @@
             TIMING,
             () -> peers,
             refreshes::incrementAndGet,
-            offer -> admission.apply(offer),
-            request -> {
-              requests.add(request);
-              return forwarder.apply(request);
-            },
+            new EntryServices(
+                offer -> admission.apply(offer),
+                request -> {
+                  requests.add(request);
+                  return forwarder.apply(request);
+                },
+                question -> tables.apply(question)),
             MonotonicClock.system(),
             RandomSource.XO_RO_SHI_RO_128_PP.create(SEED),
             metrics);
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/registry/TargetFollowerTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/registry/TargetFollowerTest.java
@@ -66,7 +66,13 @@
         };
     listener = changed -> {};
     follower =
-        new TargetFollower(registry, control, clock, changed -> listener.accept(changed), () -> {});
+        new TargetFollower(
+            registry,
+            Duration.ofMillis(500),
+            control,
+            clock,
+            changed -> listener.accept(changed),
+            () -> {});
     follower.start();
     control.runDue();
   }
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
@@ -1,5 +1,6 @@
 package io.fireflyshed.daemon.platform;
 
+import io.fireflyshed.coordination.directory.ReaderSelector;
 import io.fireflyshed.coordination.formation.FormationSettings;
 import io.fireflyshed.coordination.lease.LeaseTiming;
 import io.fireflyshed.coordination.lease.ZoneLease;
@@ -22,7 +23,11 @@
 import io.fireflyshed.state.clock.MonotonicClock;
 import io.fireflyshed.state.clock.SuspendAwareClock;
 import io.fireflyshed.state.instance.InstanceId;
+import io.fireflyshed.state.peer.EntryPeer;
 import io.fireflyshed.state.peer.PeerId;
+import io.fireflyshed.state.table.Row;
+import io.fireflyshed.state.table.TableChanges;
+import io.fireflyshed.state.table.TableQuestion;
 import io.fireflyshed.state.target.Target;
 import io.fireflyshed.state.traffic.TrafficConfiguration;
 import io.fireflyshed.transport.control.LeaseStore;
@@ -39,15 +44,20 @@
 import io.fireflyshed.transport.http.HttpCaller;
 import io.fireflyshed.transport.log.EventLog;
 import io.fireflyshed.transport.peer.EntryRelay;
+import io.fireflyshed.transport.peer.EntryServices;
 import io.fireflyshed.transport.peer.PeerSettings;
 import io.fireflyshed.transport.poison.CrashReportExchange;
 import io.fireflyshed.transport.registry.ConfigurationWatcher;
 import io.fireflyshed.transport.registry.EntryRegistrar;
+import io.fireflyshed.transport.registry.SharedTableFeed;
+import io.fireflyshed.transport.registry.SharedTableFeed.TableSettings;
 import io.fireflyshed.transport.registry.TargetFollower;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -85,6 +95,18 @@
   /** Limits the reports of engines, which have a few hundred bytes. */
   private static final int MAX_REPORT_BYTES = 256 << 10;
 
+  /** The shortest time between two reads of the targets for the entries of a zone. */
+  private static final Duration TARGETS_INTERVAL = Duration.ofMillis(400);
+
+  /** The shortest time between two reads of the configuration for the entries of a zone. */
+  private static final Duration CONFIGURATION_INTERVAL = Duration.ofMillis(400);
+
+  /** The shortest time between two reads of the crash reports for the entries of a zone. */
+  private static final Duration CRASH_REPORTS_INTERVAL = Duration.ofSeconds(1);
+
+  /** The delay between two questions for changed targets, which wait for the next read anyway. */
+  private static final Duration TARGETS_READ_DELAY = Duration.ofMillis(20);
+
   /** The used fraction of the allowed retries, since targets count them slightly later. */
   private static final double RETRY_MARGIN_FACTOR = 0.9;
 
@@ -105,6 +127,7 @@
   private final HttpCaller engineCaller = new HttpCaller("engines", MAX_REPORT_BYTES);
   private final TargetCaller targetCaller;
   private final TargetPlacer placer;
+  private final SharedTableFeed tables;
   private final TargetFollower targets;
   private final ConfigurationWatcher configuration;
   private final EntryRegistrar registrar;
@@ -131,15 +154,17 @@
     EntrySchedule schedule = new EntrySchedule(settings.zoneRank(), settings.zones(), clock);
     placer = new TargetPlacer(placement, settings.zone(), random, schedule);
     metrics.gauge("fireflyshed.limited.targets", placer, TargetPlacer::countLimitedTargets);
+    tables = newTables(store);
     targets =
         new TargetFollower(
-            new StoreTargetRegistry(store, metrics),
+            new StoreTargetRegistry(tables, metrics),
+            TARGETS_READ_DELAY,
             control,
             clock,
             this::onTargetsChanged,
             this::onRegistryFailed);
     configuration =
-        new ConfigurationWatcher(new StoreConfigurationSource(store), control, clock, c -> {});
+        new ConfigurationWatcher(new StoreConfigurationSource(tables), control, clock, c -> {});
     reachability = newReachability(random);
     formation = newFormation(store, random);
     RetryAllowance allowance = newRetryAllowance(settings);
@@ -177,6 +202,34 @@
             metrics);
   }
 
+  /** Creates the feed of the tables that one entry of each availability zone reads for all. */
+  private SharedTableFeed newTables(StoreClient store) {
+    return new SharedTableFeed(
+        store,
+        this::askEntry,
+        this::getAskableEntries,
+        new ReaderSelector(new PeerId(settings.node()), settings.zone()),
+        Map.of(
+            StoreTargetRegistry.TABLE,
+            new TableSettings(TARGETS_INTERVAL, StoreTargetRegistry::getDigest),
+            StoreConfigurationSource.TABLE,
+            new TableSettings(CONFIGURATION_INTERVAL, Row::value),
+            CrashReportExchange.TABLE,
+            new TableSettings(CRASH_REPORTS_INTERVAL, Row::value)),
+        control,
+        clock,
+        metrics);
+  }
+
+  private List<EntryPeer> getAskableEntries() {
+    return relay.isPresent() ? registrar.getPeers() : List.of();
+  }
+
+  private CompletableFuture<TableChanges> askEntry(
+      EntryPeer entry, TableQuestion question, Duration timeout) {
+    return relay.orElseThrow().ask(entry, question, timeout);
+  }
+
   private EntryRegistrar newRegistrar(
       StoreClient store,
       RetryAllowance allowance,
@@ -203,8 +256,10 @@
             new InetSocketAddress(address.getHostString(), address.getPort())),
         registrar::getPeers,
         registrar::refreshPeers,
-        this::getRelayRefusal,
-        request -> forwarder.forwardRelayed(request),
+        new EntryServices(
+            this::getRelayRefusal,
+            request -> forwarder.forwardRelayed(request),
+            question -> tables.answer(question)),
         trafficClock,
         RandomSource.XO_RO_SHI_RO_128_PP.create(),
         metrics);
@@ -233,7 +288,7 @@
     CrashLedger ledger = new CrashLedger(crashSettings);
     metrics.gauge("fireflyshed.refused.fingerprints", ledger, CrashLedger::countRefusals);
     return new CrashReportExchange(
-        store, store, settings.node(), ledger, crashSettings.settleTime(), control, clock, random);
+        store, tables, settings.node(), ledger, crashSettings.settleTime(), control, clock, random);
   }
 
   private FormationController newFormation(StoreClient store, UniformRandomProvider random) {
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/RelayRehearsal.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/RelayRehearsal.java
@@ -18,6 +18,7 @@
 import io.fireflyshed.transport.forward.RoutedRequest;
 import io.fireflyshed.transport.log.EventLog;
 import io.fireflyshed.transport.peer.EntryRelay;
+import io.fireflyshed.transport.peer.EntryServices;
 import io.fireflyshed.transport.peer.PeerSettings;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
@@ -76,8 +77,7 @@
     return new EntryRelay(
         new PeerSettings(new PeerId(name), ZONE, new InetSocketAddress("127.0.0.1", 0)),
         () -> peers,
-        offer -> Optional.empty(),
-        RelayRehearsal::answer,
+        EntryServices.ofRelay(offer -> Optional.empty(), RelayRehearsal::answer),
         MonotonicClock.system(),
         RandomSource.XO_RO_SHI_RO_128_PP.create(),
         metrics);
