Watch the lease of a zone through the entry that reads for all

Cause: each entry read the two rows of its zone's lease every 1.25 s, 76 reads a second with 95 entries, to see whether the coordinator still renews it.

Change: these reads go through the shared feed, whose answers are as new as the questions; the reads that tell the result of an entry's own attempt still go to the store directly.

Tested by the tests of leases, formation and PlatformEntryTest.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/lease/ZoneLease.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/lease/ZoneLease.java
@@ -109,6 +109,16 @@
     pendingNanos = nowNanos;
   }
 
+  /**
+   * Tests whether the rows must be read to learn the result of this process's own attempt, rather
+   * than to see whether another process still renews the lease.
+   *
+   * @return true from the start of a takeover or renewal until its result is known
+   */
+  public boolean isAttemptPending() {
+    return !pendingAttempt.isEmpty();
+  }
+
   /**
    * Handles the rows that a read returned.
    *
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/control/LeaseStore.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/control/LeaseStore.java
@@ -11,6 +11,7 @@
 import io.fireflyshed.state.table.Condition;
 import io.fireflyshed.state.table.Row;
 import io.fireflyshed.state.table.RowKey;
+import io.fireflyshed.state.table.TableFeed;
 import io.fireflyshed.state.table.TableService;
 import io.fireflyshed.state.table.Transaction;
 import io.fireflyshed.state.table.Write;
@@ -24,9 +25,11 @@
  */
 public final class LeaseStore {
 
-  private static final String LEASES = "leases";
+  /** The table of the leases of all availability zones. */
+  public static final String TABLE = "leases";
 
   private final TableService table;
+  private final Optional<TableFeed> feed;
   private final RowKey epochKey;
   private final RowKey renewalKey;
   private final String keyPrefix;
@@ -38,9 +41,25 @@
    * @param zone the availability zone, not null
    */
   public LeaseStore(TableService table, AvailabilityZone zone) {
+    this(table, Optional.empty(), zone);
+  }
+
+  /**
+   * Creates a store whose leases are watched through a feed, which may serve several processes.
+   *
+   * @param table the table service, not null
+   * @param feed reads the table of leases, not null
+   * @param zone the availability zone, not null
+   */
+  public LeaseStore(TableService table, TableFeed feed, AvailabilityZone zone) {
+    this(table, Optional.of(feed), zone);
+  }
+
+  private LeaseStore(TableService table, Optional<TableFeed> feed, AvailabilityZone zone) {
     this.table = table;
+    this.feed = feed;
     this.epochKey = getEpochKey(zone);
-    this.renewalKey = new RowKey(LEASES, zone + "/renewal");
+    this.renewalKey = new RowKey(TABLE, zone + "/renewal");
     this.keyPrefix = zone + "/";
   }
 
@@ -52,7 +71,7 @@
    * @return the key, never null
    */
   static RowKey getEpochKey(AvailabilityZone zone) {
-    return new RowKey(LEASES, zone + "/epoch");
+    return new RowKey(TABLE, zone + "/epoch");
   }
 
   /**
@@ -61,9 +80,22 @@
    * @return a future of the rows
    */
   public CompletableFuture<LeaseRows> read() {
-    return table
-        .scan(LEASES, keyPrefix)
-        .thenApply(rows -> new LeaseRows(findEntry(rows, epochKey), findEntry(rows, renewalKey)));
+    return table.scan(TABLE, keyPrefix).thenApply(this::toRows);
+  }
+
+  /**
+   * Reads both rows to see whether another process renews the lease. The rows may take longer than
+   * those of {@link #read} but are as new.
+   *
+   * @return a future of the rows
+   */
+  public CompletableFuture<LeaseRows> watch() {
+    return feed.map(f -> f.readAll(TABLE).thenApply(changes -> toRows(changes.updated())))
+        .orElseGet(this::read);
+  }
+
+  private LeaseRows toRows(List<Row> rows) {
+    return new LeaseRows(findEntry(rows, epochKey), findEntry(rows, renewalKey));
   }
 
   /**
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/formation/FormationController.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/formation/FormationController.java
@@ -168,8 +168,7 @@
 
   private void perform(LeaseAction action) {
     if (action instanceof LeaseAction.Read) {
-      store
-          .read()
+      (lease.isAttemptPending() ? store.read() : store.watch())
           .whenCompleteAsync(
               (rows, error) -> {
                 if (error == null) {
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
@@ -104,6 +104,9 @@
   /** The shortest time between two reads of the crash reports for the entries of a zone. */
   private static final Duration CRASH_REPORTS_INTERVAL = Duration.ofSeconds(1);
 
+  /** The shortest time between two reads of the leases for the entries of a zone. */
+  private static final Duration LEASES_INTERVAL = Duration.ofMillis(600);
+
   /** The delay between two questions for changed targets, which wait for the next read anyway. */
   private static final Duration TARGETS_READ_DELAY = Duration.ofMillis(20);
 
@@ -215,7 +218,9 @@
             StoreConfigurationSource.TABLE,
             new TableSettings(CONFIGURATION_INTERVAL, Row::value),
             CrashReportExchange.TABLE,
-            new TableSettings(CRASH_REPORTS_INTERVAL, Row::value)),
+            new TableSettings(CRASH_REPORTS_INTERVAL, Row::value),
+            LeaseStore.TABLE,
+            new TableSettings(LEASES_INTERVAL, Row::value)),
         control,
         clock,
         metrics);
@@ -297,7 +302,7 @@
     return new FormationController(
         settings.zone(),
         new ZoneLease(new PeerId(settings.node()), timing, random),
-        new LeaseStore(store, settings.zone()),
+        new LeaseStore(store, tables, settings.zone()),
         new HttpEngineControl(engineCaller),
         targets::getAll,
         configuration::get,
