Place requests by the load of all entries

Cause: an entry knew the load of a target from its own answers only.

Change: each entry tells its requests in flight and its rate of starts, by target, to one entry of its zone five times a second, over the link of the relays; that one joins them, asks the other zones for their sums and answers with the total. A placer uses a total that covers more than half of the known entries and is less than a second old, unless a response of the target is newer. Since a total is some 200 ms old, the least loaded target would draw the requests of all entries at once; LevelFiller assumes that the others have filled the least loaded targets to a common level meanwhile (Dahlin 2000).

--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/directory/ReaderSelector.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/directory/ReaderSelector.java
@@ -7,7 +7,6 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -15,7 +14,8 @@
 import java.util.stream.Collectors;
 
 /**
- * Selects the entry of an availability zone that reads the table service for the others.
+ * Selects the entry of an availability zone that reads the table service, or joins the loads, for
+ * the others.
  *
  * <p>All entries rank each other by the hashes of their names (rendezvous hashing), so that they
  * agree without messages as far as they know the same entries, and the loss of one moves only its
@@ -52,21 +52,30 @@
   }
 
   /**
-   * Selects the entry to ask.
+   * Selects the entry of this entry's availability zone to ask.
    *
    * @param entries the known entries of all availability zones, not null
    * @param nowNanos the current time of the monotonic clock
-   * @return the entry, empty if this one must read the table service itself, never null
+   * @return the entry, empty if this one must do the work itself, never null
    */
   public Optional<EntryPeer> select(Collection<EntryPeer> entries, long nowNanos) {
-    List<EntryPeer> usable =
-        entries.stream()
-            .filter(e -> e.zone().equals(zone) && !e.id().equals(self))
-            .filter(e -> !isPaused(e.id(), nowNanos))
-            .toList();
-    return usable.stream()
-        .min(Comparator.comparing(EntryPeer::id, BY_RANK))
-        .filter(best -> BY_RANK.compare(best.id(), self) < 0);
+    return selectOf(zone, entries, nowNanos).filter(best -> BY_RANK.compare(best.id(), self) < 0);
+  }
+
+  /**
+   * Selects the entry of an availability zone, other than this one, to ask.
+   *
+   * @param wanted the availability zone, not null
+   * @param entries the known entries of all availability zones, not null
+   * @param nowNanos the current time of the monotonic clock
+   * @return the entry, empty if none is known or usable, never null
+   */
+  public Optional<EntryPeer> selectOf(
+      AvailabilityZone wanted, Collection<EntryPeer> entries, long nowNanos) {
+    return entries.stream()
+        .filter(e -> e.zone().equals(wanted) && !e.id().equals(self))
+        .filter(e -> !isPaused(e.id(), nowNanos))
+        .min(Comparator.comparing(EntryPeer::id, BY_RANK));
   }
 
   private boolean isPaused(PeerId id, long nowNanos) {
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/FleetLoad.java
@@ -0,0 +1,74 @@
+package io.fireflyshed.coordination.placement;
+
+import io.fireflyshed.state.instance.InstanceId;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Objects;
+
+/**
+ * Holds the load that entries put on targets, as they told each other.
+ *
+ * @param loads the load by target, copied, not null; targets without requests may be left out
+ * @param entries the number of entries whose loads are included, 0 or more
+ */
+public record FleetLoad(Map<InstanceId, TargetRequests> loads, int entries) {
+
+  /** The load of no entry. */
+  public static final FleetLoad NONE = new FleetLoad(Map.of(), 0);
+
+  /**
+   * Holds the requests of some entries at one target.
+   *
+   * @param inFlight the requests in flight
+   * @param startsPerSecond the rate at which requests were started lately
+   */
+  public record TargetRequests(int inFlight, double startsPerSecond) {
+
+    /** Validates the components. */
+    public TargetRequests {
+      if (inFlight < 0 || !(startsPerSecond >= 0)) {
+        throw new IllegalArgumentException("negative load: " + inFlight + ", " + startsPerSecond);
+      }
+    }
+
+    private TargetRequests plus(TargetRequests other) {
+      return new TargetRequests(inFlight + other.inFlight, startsPerSecond + other.startsPerSecond);
+    }
+
+    private TargetRequests minus(TargetRequests other) {
+      return new TargetRequests(
+          Math.max(0, inFlight - other.inFlight),
+          Math.max(0, startsPerSecond - other.startsPerSecond));
+    }
+  }
+
+  /**
+   * Subtracts the load of entries that are among those of this load.
+   *
+   * @param part the load, not null
+   * @return the difference, in which nothing is negative, never null
+   */
+  public FleetLoad minus(FleetLoad part) {
+    Map<InstanceId, TargetRequests> difference = new HashMap<>(loads);
+    part.loads.forEach(
+        (target, load) -> difference.computeIfPresent(target, (t, sum) -> sum.minus(load)));
+    return new FleetLoad(difference, Math.max(0, entries - part.entries));
+  }
+
+  /** Copies the map. */
+  public FleetLoad {
+    loads = Map.copyOf(Objects.requireNonNull(loads, "loads"));
+  }
+
+  /**
+   * Adds the load of other entries.
+   *
+   * @param other the load, not null
+   * @return the sum, never null
+   */
+  public FleetLoad plus(FleetLoad other) {
+    Map<InstanceId, TargetRequests> sum = new HashMap<>(loads);
+    other.loads.forEach((target, load) -> sum.merge(target, load, TargetRequests::plus));
+    return new FleetLoad(sum, entries + other.entries);
+  }
+}
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetLoad.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetLoad.java
@@ -24,10 +24,16 @@
    */
   private static final int MAX_DOUBLINGS = 10;
 
+  private static final FleetLoad.TargetRequests NO_REQUESTS = new FleetLoad.TargetRequests(0, 0);
+
+  private boolean isReported;
+  private long reportedNanos;
   private int reportedRequests;
   private int startedSinceReport;
   private int endedSinceReport;
   private int inFlight;
+  private int startedSinceTold;
+  private FleetLoad.TargetRequests othersLoad = NO_REQUESTS;
   private int slots;
   private long suspectUntilNanos = Long.MIN_VALUE;
   private double meanEventIntervalMillis;
@@ -38,6 +44,7 @@
   void onStart() {
     inFlight++;
     startedSinceReport++;
+    startedSinceTold++;
   }
 
   void onEnd() {
@@ -45,7 +52,9 @@
     endedSinceReport++;
   }
 
-  void onLoad(int requests, int slots) {
+  void onLoad(int requests, int slots, long nowNanos) {
+    isReported = true;
+    reportedNanos = nowNanos;
     reportedRequests = requests;
     this.slots = slots;
     connectFailures = 0;
@@ -139,6 +148,39 @@
     return slots > 0 ? slots : Math.max(1, listedSlots);
   }
 
+  /**
+   * Returns this entry's own load on the target.
+   *
+   * @param seconds the time since the last call of this method
+   */
+  FleetLoad.TargetRequests takeOwnLoad(double seconds) {
+    int started = startedSinceTold;
+    startedSinceTold = 0;
+    return new FleetLoad.TargetRequests(inFlight, seconds > 0 ? started / seconds : 0);
+  }
+
+  /** Records the load that other entries put on the target. */
+  void setOthersLoad(FleetLoad.TargetRequests load) {
+    othersLoad = load == null ? NO_REQUESTS : load;
+  }
+
+  /** Returns the rate at which other entries send requests to the target, as they told last. */
+  double getOthersRate() {
+    return othersLoad.startsPerSecond();
+  }
+
+  /**
+   * Returns the estimated number of running and waiting requests by what the other entries told, or
+   * by a later response of the target.
+   *
+   * @param toldNanos the time of what the other entries told
+   */
+  int getFleetRequests(long toldNanos) {
+    return isReported && reportedNanos - toldNanos > 0
+        ? getRequests()
+        : othersLoad.inFlight() + inFlight;
+  }
+
   /** Returns the estimated number of running and waiting requests. */
   int getRequests() {
     return Math.max(inFlight, reportedRequests + startedSinceReport - endedSinceReport);
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetPlacer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetPlacer.java
@@ -34,6 +34,9 @@
   /** Load that is added if all attempts at a target fail, as a multiple of its slots. */
   private static final double FAILURE_PENALTY = 2;
 
+  /** The age from which the load that other entries told is no longer used. */
+  private static final Duration MAX_FLEET_LOAD_AGE = Duration.ofSeconds(1);
+
   /** The time for which the request limit of an unlisted target is kept. */
   private static final Duration LIMIT_RETENTION = Duration.ofSeconds(60);
 
@@ -48,6 +51,9 @@
   private final UniformRandomProvider random;
   private final EntrySchedule schedule;
   private final Map<InstanceId, TargetLoad> loads = new HashMap<>();
+  private boolean isFleetTold;
+  private long fleetNanos;
+  private long ownLoadNanos;
   private final Map<InstanceId, RequestSlots> requestSlots = new HashMap<>();
   private final Map<String, RetryAfterSchedule> retryAfterSchedules = new HashMap<>();
 
@@ -107,12 +113,15 @@
     }
     double fastest =
         usable.stream().mapToDouble(this::getMeanEventInterval).filter(g -> g > 0).min().orElse(0);
-    Target best = null;
-    double bestCost = Double.MAX_VALUE;
+    boolean isFleetKnown = isFleetLoadKnown(nowNanos);
+    List<LevelFiller.Option<Target>> options = new ArrayList<>();
+    double othersRate = 0;
     long limitWaitNanos = Long.MAX_VALUE;
     for (Target candidate : usable) {
       TargetLoad load = getLoad(candidate.id());
-      if (load.getRequests() >= getCapacity(candidate, load, isModelPool)) {
+      int requests = isFleetKnown ? load.getFleetRequests(fleetNanos) : load.getRequests();
+      othersRate += load.getOthersRate();
+      if (requests >= getCapacity(candidate, load, isModelPool)) {
         continue;
       }
       long targetWaitNanos = getLimitWaitNanos(candidate.id());
@@ -120,16 +129,18 @@
       if (targetWaitNanos > 0) {
         continue;
       }
-      double cost = getCost(candidate, load, fastest, nowNanos) + random.nextDouble() * 1e-3;
-      if (cost < bestCost) {
-        bestCost = cost;
-        best = candidate;
-      }
+      options.add(newOption(candidate, load, requests, fastest, nowNanos));
     }
-    if (best == null) {
+    if (options.isEmpty()) {
       return refuse(pool, limitWaitNanos, nowNanos);
     }
-    return new Placement.Send(best);
+    // The starts of other entries since they told their load.
+    double unseenStarts = isFleetKnown ? othersRate * (nowNanos - fleetNanos) / 1e9 : 0;
+    return new Placement.Send(LevelFiller.choose(options, unseenStarts, random));
+  }
+
+  private boolean isFleetLoadKnown(long nowNanos) {
+    return isFleetTold && nowNanos - fleetNanos < MAX_FLEET_LOAD_AGE.toNanos();
   }
 
   /**
@@ -184,13 +195,15 @@
         : slots * (1 + settings.maxQueuedPerSlot());
   }
 
-  private double getCost(Target target, TargetLoad load, double fastest, long nowNanos) {
+  private LevelFiller.Option<Target> newOption(
+      Target target, TargetLoad load, int requests, double fastest, long nowNanos) {
     double slowness =
         fastest > 0 ? getMeanEventInterval(target) / (fastest * SLOWNESS_TOLERANCE) : 1;
-    double utilization = (load.getRequests() + 1.0) / load.getSlots(target.slots());
+    double costOfRequest = Math.max(1, slowness) / load.getSlots(target.slots());
     double zonePenalty = target.zone().equals(zone) ? 0 : settings.zonePenalty();
     double failurePenalty = FAILURE_PENALTY * load.getFailureRate(nowNanos);
-    return utilization * Math.max(1, slowness) + zonePenalty + failurePenalty;
+    double cost = (requests + 1.0) * costOfRequest + zonePenalty + failurePenalty;
+    return new LevelFiller.Option<>(target, cost, costOfRequest);
   }
 
   private double getMeanEventInterval(Target target) {
@@ -228,9 +241,45 @@
    * @param target the target, not null
    * @param requests the running and waiting requests, including the answered one
    * @param slots the most requests that the target runs at the same time
+   * @param nowNanos the current time of the monotonic clock
+   */
+  public synchronized void onLoad(InstanceId target, int requests, int slots, long nowNanos) {
+    getLoad(target).onLoad(requests, slots, nowNanos);
+  }
+
+  /**
+   * Returns the load that this entry puts on targets, to tell other entries.
+   *
+   * @param nowNanos the current time of the monotonic clock
+   * @return the load, with the rates since the last call, never null
+   */
+  public synchronized FleetLoad getOwnLoad(long nowNanos) {
+    double seconds = ownLoadNanos == 0 ? 0 : (nowNanos - ownLoadNanos) / 1e9;
+    ownLoadNanos = nowNanos;
+    Map<InstanceId, FleetLoad.TargetRequests> own = new HashMap<>();
+    loads.forEach(
+        (target, load) -> {
+          FleetLoad.TargetRequests requests = load.takeOwnLoad(seconds);
+          if (requests.inFlight() > 0 || requests.startsPerSecond() > 0) {
+            own.put(target, requests);
+          }
+        });
+    return new FleetLoad(own, 1);
+  }
+
+  /**
+   * Records the load that all entries put on targets.
+   *
+   * @param total the load of all entries, not null
+   * @param own the part of this entry that the total contains, not null
+   * @param toldNanos the time of the load as a reading of the monotonic clock
    */
-  public synchronized void onLoad(InstanceId target, int requests, int slots) {
-    getLoad(target).onLoad(requests, slots);
+  public synchronized void onFleetLoad(FleetLoad total, FleetLoad own, long toldNanos) {
+    isFleetTold = true;
+    fleetNanos = toldNanos;
+    Map<InstanceId, FleetLoad.TargetRequests> others = total.minus(own).loads();
+    others.keySet().forEach(this::getLoad);
+    loads.forEach((target, load) -> load.setOthersLoad(others.get(target)));
   }
 
   /**
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptSequence.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptSequence.java
@@ -322,7 +322,15 @@
   private void recordLoad(Target target, TargetAnswer response) {
     response
         .load()
-        .ifPresent(l -> context.placer().onLoad(target.id(), l.running() + l.waiting(), l.slots()));
+        .ifPresent(
+            l ->
+                context
+                    .placer()
+                    .onLoad(
+                        target.id(),
+                        l.running() + l.waiting(),
+                        l.slots(),
+                        context.clock().nanoTime()));
     recordRequestLimit(target, response);
   }
 
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/EntryRelay.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/EntryRelay.java
@@ -1,6 +1,8 @@
 package io.fireflyshed.transport.peer;
 
 import com.google.protobuf.InvalidProtocolBufferException;
+import io.fireflyshed.coordination.placement.FleetLoad;
+import io.fireflyshed.coordination.placement.RemoteLoads;
 import io.fireflyshed.coordination.relay.RelayPeerSelector;
 import io.fireflyshed.protocol.peer.generated.PeerProto;
 import io.fireflyshed.state.clock.MonotonicClock;
@@ -33,7 +35,7 @@
  * closed when they are idle. Thread safe.
  */
 public final class EntryRelay
-    implements RequestRelay, RemoteTables, PeerFrameReceiver, AutoCloseable {
+    implements RequestRelay, RemoteTables, RemoteLoads, PeerFrameReceiver, AutoCloseable {
 
   /** Lets an entry start first; the classes of frames are loaded before they are needed. */
   private static final Duration WARM_UP_DELAY = Duration.ofSeconds(10);
@@ -44,7 +46,7 @@
   private final PeerConnections connections;
   private final RelayClient client;
   private final RelayServer server;
-  private final TableServer tableServer;
+  private final QuestionServer questionServer;
 
   /**
    * Creates a relay, which must be started to serve requests for others.
@@ -112,7 +114,7 @@
     server =
         new RelayServer(
             connections, services.admission(), services.forwarder(), clock, metrics, log);
-    tableServer = new TableServer(connections, services.tables(), log);
+    questionServer = new QuestionServer(connections, services, log);
   }
 
   /**
@@ -136,7 +138,28 @@
   @Override
   public CompletableFuture<TableChanges> ask(
       EntryPeer entry, TableQuestion question, Duration timeout) {
-    return client.ask(entry, Objects.requireNonNull(question, "question"), timeout);
+    Objects.requireNonNull(question, "question");
+    return client
+        .ask(
+            entry,
+            id -> TableFrameUtils.toQuestion(id, question),
+            PeerProto.Frame.BodyCase.TABLE_ANSWER,
+            timeout)
+        .thenApply(
+            frame -> TableFrameUtils.fromAnswer(entry.id(), question, frame.getTableAnswer()));
+  }
+
+  @Override
+  public CompletableFuture<FleetLoad> ask(
+      EntryPeer entry, FleetLoad own, boolean isZone, Duration timeout) {
+    Objects.requireNonNull(own, "own");
+    return client
+        .ask(
+            entry,
+            id -> LoadFrameUtils.toQuestion(id, own, isZone),
+            PeerProto.Frame.BodyCase.LOAD_ANSWER,
+            timeout)
+        .thenApply(frame -> LoadFrameUtils.fromAnswer(frame.getLoadAnswer()));
   }
 
   @Override
@@ -205,9 +228,7 @@
     if (frame.getBodyCase() == PeerProto.Frame.BodyCase.PING) {
       connections.writeOrClose(channel, newAck(frame.getPing().getSequence()));
     }
-    if (frame.getBodyCase() == PeerProto.Frame.BodyCase.TABLE_QUESTION) {
-      tableServer.onQuestion(frame.getRequest(), frame.getTableQuestion(), channel);
-    }
+    questionServer.onFrame(peer, frame, channel);
     client.onFrame(frame, channel);
     server.onFrame(peer, frame, channel);
   }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/EntryServices.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/EntryServices.java
@@ -1,5 +1,7 @@
 package io.fireflyshed.transport.peer;
 
+import io.fireflyshed.coordination.placement.FleetLoad;
+import io.fireflyshed.coordination.placement.LoadReport;
 import io.fireflyshed.state.error.NoEffectException;
 import io.fireflyshed.state.table.TableChanges;
 import io.fireflyshed.state.table.TableQuestion;
@@ -21,21 +23,24 @@
  * @param forwarder forwards a request of another entry to targets, not null; it fails with a {@link
  *     io.fireflyshed.transport.forward.ForwardException}
  * @param tables reads a table for another entry, not null
+ * @param loads takes the load of another entry and returns that of all, not null
  */
 public record EntryServices(
     Function<RelayOffer, Optional<Duration>> admission,
     Function<RelayedRequest, Flux<ResponsePart>> forwarder,
-    Function<TableQuestion, CompletableFuture<TableChanges>> tables) {
+    Function<TableQuestion, CompletableFuture<TableChanges>> tables,
+    Function<LoadReport, CompletableFuture<FleetLoad>> loads) {
 
   /** Validates the components. */
   public EntryServices {
     Objects.requireNonNull(admission, "admission");
     Objects.requireNonNull(forwarder, "forwarder");
     Objects.requireNonNull(tables, "tables");
+    Objects.requireNonNull(loads, "loads");
   }
 
   /**
-   * Creates the services of an entry that reads no tables for others.
+   * Creates the services of an entry that only forwards requests for others.
    *
    * @param admission returns the retry delay of an offer that can't be placed now, empty if it can,
    *     not null
@@ -50,6 +55,7 @@
         forwarder,
         question ->
             CompletableFuture.failedFuture(
-                new NoEffectException("read-table", "entry", "no tables are read", null)));
+                new NoEffectException("read-table", "entry", "no tables are read", null)),
+        report -> CompletableFuture.completedFuture(FleetLoad.NONE));
   }
 }
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/LoadFrameUtils.java
@@ -0,0 +1,60 @@
+package io.fireflyshed.transport.peer;
+
+import io.fireflyshed.coordination.placement.FleetLoad;
+import io.fireflyshed.coordination.placement.FleetLoad.TargetRequests;
+import io.fireflyshed.coordination.placement.LoadReport;
+import io.fireflyshed.protocol.peer.generated.PeerProto;
+import io.fireflyshed.state.instance.InstanceId;
+import io.fireflyshed.state.peer.PeerId;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Converts the loads that entries tell each other to frames and back.
+ *
+ * <p>Methods that read a frame throw an {@link IllegalArgumentException} if a field is invalid.
+ */
+final class LoadFrameUtils {
+
+  private LoadFrameUtils() {}
+
+  static PeerProto.Frame toQuestion(long id, FleetLoad own, boolean isZone) {
+    PeerProto.LoadQuestion.Builder body = PeerProto.LoadQuestion.newBuilder().setIsZone(isZone);
+    own.loads().forEach((target, load) -> body.addLoads(toMessage(target, load)));
+    return PeerProto.Frame.newBuilder().setRequest(id).setLoadQuestion(body).build();
+  }
+
+  static LoadReport fromQuestion(PeerId sender, PeerProto.LoadQuestion message) {
+    return new LoadReport(sender, fromMessages(message.getLoadsList(), 1), message.getIsZone());
+  }
+
+  static PeerProto.Frame toAnswer(long id, FleetLoad load) {
+    PeerProto.LoadAnswer.Builder body =
+        PeerProto.LoadAnswer.newBuilder().setEntries(load.entries());
+    load.loads().forEach((target, requests) -> body.addLoads(toMessage(target, requests)));
+    return PeerProto.Frame.newBuilder().setRequest(id).setLoadAnswer(body).build();
+  }
+
+  static FleetLoad fromAnswer(PeerProto.LoadAnswer message) {
+    return fromMessages(message.getLoadsList(), message.getEntries());
+  }
+
+  private static PeerProto.TargetLoad toMessage(InstanceId target, TargetRequests load) {
+    return PeerProto.TargetLoad.newBuilder()
+        .setTarget(target.value())
+        .setInFlight(load.inFlight())
+        .setStartsPerSecond((float) load.startsPerSecond())
+        .build();
+  }
+
+  private static FleetLoad fromMessages(List<PeerProto.TargetLoad> messages, int entries) {
+    Map<InstanceId, TargetRequests> loads = new HashMap<>();
+    for (PeerProto.TargetLoad message : messages) {
+      loads.put(
+          new InstanceId(message.getTarget()),
+          new TargetRequests(message.getInFlight(), message.getStartsPerSecond()));
+    }
+    return new FleetLoad(loads, entries);
+  }
+}
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/PeerChannelHandler.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/PeerChannelHandler.java
@@ -21,13 +21,13 @@
   static final int MIN_VERSION = 1;
 
   /** The newest protocol version that this process supports. */
-  static final int MAX_VERSION = 3;
+  static final int MAX_VERSION = 4;
 
   /** The oldest protocol version that has the frames of relays. */
   static final int RELAY_VERSION = 2;
 
-  /** The oldest protocol version that has questions about tables. */
-  static final int TABLE_VERSION = 3;
+  /** The oldest protocol version that has questions about tables and loads. */
+  static final int QUESTION_VERSION = 4;
 
   private static final AttributeKey<Integer> VERSION = AttributeKey.valueOf("peer-version");
 
@@ -54,13 +54,13 @@
   }
 
   /**
-   * Tests whether a peer answers questions about tables.
+   * Tests whether a peer answers questions about tables and loads.
    *
    * @param channel the connection to the peer, not null
    * @return false for an older peer and before its hello frame was accepted
    */
-  static boolean isTableSupported(Channel channel) {
-    return isSupported(channel, TABLE_VERSION);
+  static boolean areQuestionsSupported(Channel channel) {
+    return isSupported(channel, QUESTION_VERSION);
   }
 
   private static boolean isSupported(Channel channel, int minVersion) {
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayClient.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayClient.java
@@ -6,8 +6,6 @@
 import io.fireflyshed.state.clock.MonotonicClock;
 import io.fireflyshed.state.peer.EntryPeer;
 import io.fireflyshed.state.peer.PeerId;
-import io.fireflyshed.state.table.TableChanges;
-import io.fireflyshed.state.table.TableQuestion;
 import io.fireflyshed.transport.forward.ForwardException;
 import io.fireflyshed.transport.forward.RelayedRequest;
 import io.fireflyshed.transport.forward.ResponsePart;
@@ -23,6 +21,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongFunction;
 import java.util.function.Supplier;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.FluxSink;
@@ -132,35 +131,42 @@
     }
   }
 
-  /** Asks an entry for rows of a table. Thread safe. */
-  CompletableFuture<TableChanges> ask(EntryPeer peer, TableQuestion question, Duration timeout) {
-    CompletableFuture<TableChanges> answer = new CompletableFuture<>();
+  /**
+   * Asks an entry a question. Thread safe.
+   *
+   * @param peer the entry, not null
+   * @param question creates the frame of the question with the id of the call, not null
+   * @param answerCase the kind of frame that answers it, not null
+   * @param timeout the longest wait, not null
+   */
+  CompletableFuture<PeerProto.Frame> ask(
+      EntryPeer peer,
+      LongFunction<PeerProto.Frame> question,
+      PeerProto.Frame.BodyCase answerCase,
+      Duration timeout) {
+    CompletableFuture<PeerProto.Frame> answer = new CompletableFuture<>();
     try {
-      connections.getExecutor().execute(() -> ask(peer, question, timeout, answer));
+      connections
+          .getExecutor()
+          .execute(
+              () -> start(new QuestionCall(getLink(peer), question, answerCase, answer), timeout));
     } catch (RejectedExecutionException e) {
       answer.completeExceptionally(newRefusal("this entry has stopped"));
     }
     return answer;
   }
 
-  private void ask(
-      EntryPeer peer,
-      TableQuestion question,
-      Duration timeout,
-      CompletableFuture<TableChanges> answer) {
-    RelayLink link = getLink(peer);
-    TableCall call = new TableCall(link, question, answer);
-    call.setTimer(
-        schedule(() -> onUnanswered(link, call), timeout.toMillis(), TimeUnit.MILLISECONDS));
-    if (link.isReady()) {
+  private void start(QuestionCall call, Duration timeout) {
+    call.setTimer(schedule(() -> onUnanswered(call), timeout.toMillis(), TimeUnit.MILLISECONDS));
+    if (call.getLink().isReady()) {
       call.onLinkReady();
     }
   }
 
-  /** Gives up the question and the link, which may have fallen silent. */
-  private void onUnanswered(RelayLink link, TableCall call) {
+  /** Gives up a question and its link, which may have fallen silent. */
+  private void onUnanswered(QuestionCall call) {
     call.onTimeout();
-    onSilent(link);
+    onSilent(call.getLink());
   }
 
   /** Selects an entry and returns an open link to it, or null if no entry can be tried. */
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/TableFrameUtils.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/TableFrameUtils.java
@@ -1,6 +1,8 @@
 package io.fireflyshed.transport.peer;
 
 import io.fireflyshed.protocol.peer.generated.PeerProto;
+import io.fireflyshed.state.error.NoEffectException;
+import io.fireflyshed.state.peer.PeerId;
 import io.fireflyshed.state.table.Row;
 import io.fireflyshed.state.table.RowKey;
 import io.fireflyshed.state.table.TableChanges;
@@ -52,7 +54,18 @@
         .build();
   }
 
-  static TableChanges fromAnswer(String table, PeerProto.TableAnswer message) {
+  /**
+   * Converts the answer of an entry.
+   *
+   * @throws NoEffectException if the entry could not read the table
+   */
+  static TableChanges fromAnswer(
+      PeerId entry, TableQuestion question, PeerProto.TableAnswer message) {
+    String table = question.table();
+    if (!message.getIsRead()) {
+      throw new NoEffectException(
+          "read-table", entry.value(), "the entry can't read the table " + table, null);
+    }
     List<Row> updated =
         message.getUpdatedList().stream()
             .map(r -> new Row(new RowKey(table, r.getKey()), r.getVersion(), r.getValue()))
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/placement/TargetPlacerTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/placement/TargetPlacerTest.java
@@ -141,7 +141,7 @@
 
   @Test
   public void loadCausedByOtherEntriesIsLearnedFromAnswers() {
-    placer.onLoad(targets.get(0).id(), 17, SLOTS);
+    placer.onLoad(targets.get(0).id(), 17, SLOTS, 0);
     for (int i = 0; i < 12; i++) {
       Target target = ((Placement.Send) place(0)).target();
       assertTrue(!target.id().value().equals("t0"));
@@ -205,7 +205,7 @@
     InstanceId id = targets.get(0).id();
     targets.subList(1, 4).clear();
     placer.onUnreachable(id, millis(0));
-    placer.onLoad(id, 1, SLOTS);
+    placer.onLoad(id, 1, SLOTS, 0);
     placer.onUnreachable(id, millis(2000));
     assertTrue(place(3100) instanceof Placement.Send);
   }
@@ -374,7 +374,7 @@
   @Test
   public void refusalTellsUnreachableTargetsFromFullOnes() {
     makeUnreachable(targets.subList(0, 3));
-    placer.onLoad(targets.get(3).id(), 100, SLOTS);
+    placer.onLoad(targets.get(3).id(), 100, SLOTS, 0);
     assertEquals(getRefusalCause(Set.of()), Placement.Cause.AT_CAPACITY);
     makeUnreachable(targets);
     assertEquals(getRefusalCause(Set.of()), Placement.Cause.UNREACHABLE);
@@ -404,7 +404,7 @@
     assertTrue(placer.isPlaceable(targets, true, 0));
     makeUnreachable(targets.subList(0, 3));
     assertTrue(placer.isPlaceable(targets, true, 0));
-    placer.onLoad(targets.get(3).id(), 100, SLOTS);
+    placer.onLoad(targets.get(3).id(), 100, SLOTS, 0);
     assertFalse(placer.isPlaceable(targets, true, 0));
     assertFalse(placer.isPlaceable(List.of(), true, 0));
   }
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/RelayForwardingTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/RelayForwardingTest.java
@@ -259,7 +259,7 @@
 
   @Test
   public void requestIsNotRelayedIfTargetsAreFull() {
-    targets.forEach(t -> placer.onLoad(t.id(), 1000, 1));
+    targets.forEach(t -> placer.onLoad(t.id(), 1000, 1, 0));
     forwardInVain(RequestKind.NON_IDEMPOTENT);
     assertEquals(relay.requests, List.of());
   }
@@ -600,7 +600,7 @@
 
   @Test
   public void entryWhoseTargetsAreFullTakesNoRequestsOfOthers() {
-    targets.forEach(t -> placer.onLoad(t.id(), 1000, 1));
+    targets.forEach(t -> placer.onLoad(t.id(), 1000, 1, 0));
     assertFalse(canPlace());
     targets.clear();
     assertFalse(canPlace());
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/peer/RelayEntry.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/peer/RelayEntry.java
@@ -2,6 +2,8 @@
 
 import static org.testng.Assert.expectThrows;
 
+import io.fireflyshed.coordination.placement.FleetLoad;
+import io.fireflyshed.coordination.placement.LoadReport;
 import io.fireflyshed.state.clock.MonotonicClock;
 import io.fireflyshed.state.instance.AvailabilityZone;
 import io.fireflyshed.state.peer.EntryPeer;
@@ -49,6 +51,8 @@
   final InetSocketAddress address;
   volatile Function<RelayOffer, Optional<Duration>> admission = o -> Optional.empty();
   volatile Function<RelayedRequest, Flux<ResponsePart>> forwarder = RelayEntry::answer;
+  volatile Function<LoadReport, CompletableFuture<FleetLoad>> loads =
+      report -> CompletableFuture.completedFuture(FleetLoad.NONE);
   volatile Function<TableQuestion, CompletableFuture<TableChanges>> tables =
       question -> CompletableFuture.failedFuture(new IllegalStateException("no tables"));
 
@@ -67,7 +71,8 @@
                   requests.add(request);
                   return forwarder.apply(request);
                 },
-                question -> tables.apply(question)),
+                question -> tables.apply(question),
+                report -> loads.apply(report)),
             MonotonicClock.system(),
             RandomSource.XO_RO_SHI_RO_128_PP.create(SEED),
             metrics);
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
@@ -5,6 +5,7 @@
 import io.fireflyshed.coordination.lease.LeaseTiming;
 import io.fireflyshed.coordination.lease.ZoneLease;
 import io.fireflyshed.coordination.placement.EntrySchedule;
+import io.fireflyshed.coordination.placement.FleetLoad;
 import io.fireflyshed.coordination.placement.PlacementSettings;
 import io.fireflyshed.coordination.placement.ReachabilityMonitor;
 import io.fireflyshed.coordination.placement.ReachabilitySettings;
@@ -49,6 +50,7 @@
 import io.fireflyshed.transport.poison.CrashReportExchange;
 import io.fireflyshed.transport.registry.ConfigurationWatcher;
 import io.fireflyshed.transport.registry.EntryRegistrar;
+import io.fireflyshed.transport.registry.LoadExchange;
 import io.fireflyshed.transport.registry.SharedTableFeed;
 import io.fireflyshed.transport.registry.SharedTableFeed.TableSettings;
 import io.fireflyshed.transport.registry.TargetFollower;
@@ -131,6 +133,7 @@
   private final TargetCaller targetCaller;
   private final TargetPlacer placer;
   private final SharedTableFeed tables;
+  private final LoadExchange loads;
   private final TargetFollower targets;
   private final ConfigurationWatcher configuration;
   private final EntryRegistrar registrar;
@@ -175,6 +178,7 @@
     metrics.gauge("fireflyshed.retry.allowance", retryAllowance, DoubleSupplier::getAsDouble);
     registrar = newRegistrar(store, allowance, schedule, random);
     relay = settings.peerListen().map(this::newRelay);
+    loads = newLoads();
     crashReports = newCrashReports(store, random);
     forwarder =
         new Forwarder(
@@ -235,6 +239,24 @@
     return relay.orElseThrow().ask(entry, question, timeout);
   }
 
+  private LoadExchange newLoads() {
+    PeerId self = new PeerId(settings.node());
+    return new LoadExchange(
+        self,
+        settings.zone(),
+        placer,
+        this::askEntry,
+        this::getAskableEntries,
+        new ReaderSelector(self, settings.zone()),
+        control,
+        trafficClock);
+  }
+
+  private CompletableFuture<FleetLoad> askEntry(
+      EntryPeer entry, FleetLoad own, boolean isZone, Duration timeout) {
+    return relay.orElseThrow().ask(entry, own, isZone, timeout);
+  }
+
   private EntryRegistrar newRegistrar(
       StoreClient store,
       RetryAllowance allowance,
@@ -264,7 +286,8 @@
         new EntryServices(
             this::getRelayRefusal,
             request -> forwarder.forwardRelayed(request),
-            question -> tables.answer(question)),
+            question -> tables.answer(question),
+            report -> loads.answer(report)),
         trafficClock,
         RandomSource.XO_RO_SHI_RO_128_PP.create(),
         metrics);
@@ -348,6 +371,7 @@
     formation.start();
     relay.ifPresent(this::startRelay);
     registrar.start();
+    loads.start();
     crashReports.start();
     forwarder.start();
     reachability.start();
--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/DeploymentRequestLimitTest.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/DeploymentRequestLimitTest.java
@@ -300,7 +300,7 @@
       placer.onEnd(POOL, event.target(), clock.nanoTime());
       return;
     }
-    placer.onLoad(event.target(), targetArrivals.running, SLOTS);
+    placer.onLoad(event.target(), targetArrivals.running, SLOTS, 0);
     boolean isLimited =
         limitedTargets.contains(event.target())
             && step >= FIRST_LIMIT_STEP
