Avoid targets that are silent towards another entry

Cause: each entry finds out by itself that a replica stands still, by its own streams. Until the replica is dissolved, some three seconds after the loss of a member, every other entry still sends it requests, which all come late.

Change: an entry tells with its load for which targets its streams had no event for a moment and for which they had one. A target that is silent towards those that wait for it, and responsive towards none, gets no new requests from any entry until the next report. A target that only one entry can't reach stays in use.

LoadExchangeTest.allEntriesAvoidATargetThatIsSilentTowardsOne fails without the change at the other entries.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/FleetLoad.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/FleetLoad.java
@@ -4,6 +4,8 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * Holds the load that entries put on targets, as they told each other.
@@ -21,27 +23,62 @@
    *
    * @param inFlight the requests in flight
    * @param startsPerSecond the rate at which requests were started lately
+   * @param silentEntries the number of entries whose streams had no event for a moment
+   * @param responsiveEntries the number of entries whose streams had one
    */
-  public record TargetRequests(int inFlight, double startsPerSecond) {
+  public record TargetRequests(
+      int inFlight, double startsPerSecond, int silentEntries, int responsiveEntries) {
+
+    /** The requests of no entry. */
+    static final TargetRequests NONE = new TargetRequests(0, 0, 0, 0);
 
     /** Validates the components. */
     public TargetRequests {
-      if (inFlight < 0 || !(startsPerSecond >= 0)) {
-        throw new IllegalArgumentException("negative load: " + inFlight + ", " + startsPerSecond);
+      boolean isNegative = inFlight < 0 || silentEntries < 0 || responsiveEntries < 0;
+      if (isNegative || !(startsPerSecond >= 0)) {
+        throw new IllegalArgumentException("negative load");
       }
     }
 
+    /** Tests whether entries wait for the target and none has heard of it for a moment. */
+    private boolean isSilent() {
+      return silentEntries > 0 && responsiveEntries == 0;
+    }
+
     private TargetRequests plus(TargetRequests other) {
-      return new TargetRequests(inFlight + other.inFlight, startsPerSecond + other.startsPerSecond);
+      return new TargetRequests(
+          inFlight + other.inFlight,
+          startsPerSecond + other.startsPerSecond,
+          silentEntries + other.silentEntries,
+          responsiveEntries + other.responsiveEntries);
     }
 
     private TargetRequests minus(TargetRequests other) {
       return new TargetRequests(
           Math.max(0, inFlight - other.inFlight),
-          Math.max(0, startsPerSecond - other.startsPerSecond));
+          Math.max(0, startsPerSecond - other.startsPerSecond),
+          Math.max(0, silentEntries - other.silentEntries),
+          Math.max(0, responsiveEntries - other.responsiveEntries));
     }
   }
 
+  /** Copies the map. */
+  public FleetLoad {
+    loads = Map.copyOf(Objects.requireNonNull(loads, "loads"));
+  }
+
+  /**
+   * Adds the load of other entries.
+   *
+   * @param other the load, not null
+   * @return the sum, never null
+   */
+  public FleetLoad plus(FleetLoad other) {
+    Map<InstanceId, TargetRequests> sum = new HashMap<>(loads);
+    other.loads.forEach((target, load) -> sum.merge(target, load, TargetRequests::plus));
+    return new FleetLoad(sum, entries + other.entries);
+  }
+
   /**
    * Subtracts the load of entries that are among those of this load.
    *
@@ -55,20 +92,15 @@
     return new FleetLoad(difference, Math.max(0, entries - part.entries));
   }
 
-  /** Copies the map. */
-  public FleetLoad {
-    loads = Map.copyOf(Objects.requireNonNull(loads, "loads"));
-  }
-
   /**
-   * Adds the load of other entries.
+   * Finds the targets that are silent towards all entries that wait for them.
    *
-   * @param other the load, not null
-   * @return the sum, never null
+   * @return the targets, never null
    */
-  public FleetLoad plus(FleetLoad other) {
-    Map<InstanceId, TargetRequests> sum = new HashMap<>(loads);
-    other.loads.forEach((target, load) -> sum.merge(target, load, TargetRequests::plus));
-    return new FleetLoad(sum, entries + other.entries);
+  public Set<InstanceId> findSilentTargets() {
+    return loads.entrySet().stream()
+        .filter(e -> e.getValue().isSilent())
+        .map(Map.Entry::getKey)
+        .collect(Collectors.toSet());
   }
 }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/StallDetector.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/StallDetector.java
@@ -129,6 +129,21 @@
         .collect(Collectors.toSet());
   }
 
+  /**
+   * Finds the targets of which a stream had an event within the time after which they would count
+   * as silent.
+   *
+   * @param nowNanos the current time of the monotonic clock
+   * @return the targets, never null
+   */
+  public synchronized Set<InstanceId> findResponsiveTargets(long nowNanos) {
+    long timeoutNanos = settings.silenceTimeout().toNanos();
+    return lastProgressNanos.entrySet().stream()
+        .filter(e -> nowNanos - e.getValue() <= timeoutNanos)
+        .map(Map.Entry::getKey)
+        .collect(Collectors.toSet());
+  }
+
   private Duration getSilenceTimeout(TrackedStream stream) {
     return stream.hasEvents ? settings.silenceTimeout() : settings.firstEventSilenceTimeout();
   }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetLoad.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetLoad.java
@@ -24,8 +24,6 @@
    */
   private static final int MAX_DOUBLINGS = 10;
 
-  private static final FleetLoad.TargetRequests NO_REQUESTS = new FleetLoad.TargetRequests(0, 0);
-
   private boolean isReported;
   private long reportedNanos;
   private int reportedRequests;
@@ -33,7 +31,7 @@
   private int endedSinceReport;
   private int inFlight;
   private int startedSinceTold;
-  private FleetLoad.TargetRequests othersLoad = NO_REQUESTS;
+  private FleetLoad.TargetRequests othersLoad = FleetLoad.TargetRequests.NONE;
   private int slots;
   private long suspectUntilNanos = Long.MIN_VALUE;
   private double meanEventIntervalMillis;
@@ -152,16 +150,19 @@
    * Returns this entry's own load on the target.
    *
    * @param seconds the time since the last call of this method
+   * @param isSilent whether the streams of this entry had no event for a moment
+   * @param isResponsive whether they had one
    */
-  FleetLoad.TargetRequests takeOwnLoad(double seconds) {
+  FleetLoad.TargetRequests takeOwnLoad(double seconds, boolean isSilent, boolean isResponsive) {
     int started = startedSinceTold;
     startedSinceTold = 0;
-    return new FleetLoad.TargetRequests(inFlight, seconds > 0 ? started / seconds : 0);
+    return new FleetLoad.TargetRequests(
+        inFlight, seconds > 0 ? started / seconds : 0, isSilent ? 1 : 0, isResponsive ? 1 : 0);
   }
 
   /** Records the load that other entries put on the target. */
   void setOthersLoad(FleetLoad.TargetRequests load) {
-    othersLoad = load == null ? NO_REQUESTS : load;
+    othersLoad = load == null ? FleetLoad.TargetRequests.NONE : load;
   }
 
   /** Returns the rate at which other entries send requests to the target, as they told last. */
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetPlacer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetPlacer.java
@@ -250,17 +250,21 @@
   /**
    * Returns the load that this entry puts on targets, to tell other entries.
    *
+   * @param silent the targets whose streams of this entry had no event for a moment, not null
+   * @param responsive the targets whose streams of this entry had one, not null
    * @param nowNanos the current time of the monotonic clock
    * @return the load, with the rates since the last call, never null
    */
-  public synchronized FleetLoad getOwnLoad(long nowNanos) {
+  public synchronized FleetLoad takeOwnLoad(
+      Set<InstanceId> silent, Set<InstanceId> responsive, long nowNanos) {
     double seconds = ownLoadNanos == 0 ? 0 : (nowNanos - ownLoadNanos) / 1e9;
     ownLoadNanos = nowNanos;
     Map<InstanceId, FleetLoad.TargetRequests> own = new HashMap<>();
     loads.forEach(
         (target, load) -> {
-          FleetLoad.TargetRequests requests = load.takeOwnLoad(seconds);
-          if (requests.inFlight() > 0 || requests.startsPerSecond() > 0) {
+          FleetLoad.TargetRequests requests =
+              load.takeOwnLoad(seconds, silent.contains(target), responsive.contains(target));
+          if (!requests.equals(FleetLoad.TargetRequests.NONE)) {
             own.put(target, requests);
           }
         });
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/LoadFrameUtils.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/LoadFrameUtils.java
@@ -45,6 +45,8 @@
         .setTarget(target.value())
         .setInFlight(load.inFlight())
         .setStartsPerSecond((float) load.startsPerSecond())
+        .setSilentEntries(load.silentEntries())
+        .setResponsiveEntries(load.responsiveEntries())
         .build();
   }
 
@@ -53,7 +55,11 @@
     for (PeerProto.TargetLoad message : messages) {
       loads.put(
           new InstanceId(message.getTarget()),
-          new TargetRequests(message.getInFlight(), message.getStartsPerSecond()));
+          new TargetRequests(
+              message.getInFlight(),
+              message.getStartsPerSecond(),
+              message.getSilentEntries(),
+              message.getResponsiveEntries()));
     }
     return new FleetLoad(loads, entries);
   }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/registry/LoadExchange.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/registry/LoadExchange.java
@@ -4,6 +4,7 @@
 import io.fireflyshed.coordination.placement.FleetLoad;
 import io.fireflyshed.coordination.placement.LoadReport;
 import io.fireflyshed.coordination.placement.RemoteLoads;
+import io.fireflyshed.coordination.placement.StallDetector;
 import io.fireflyshed.coordination.placement.TargetPlacer;
 import io.fireflyshed.state.clock.MonotonicClock;
 import io.fireflyshed.state.instance.AvailabilityZone;
@@ -24,8 +25,8 @@
 import java.util.function.Supplier;
 
 /**
- * Tells the entries which load they put on targets, so that each places its requests by the load of
- * all.
+ * Tells the entries which load they put on targets and which targets are silent, so that each
+ * places its requests by what all know.
  *
  * <p>The entries of an availability zone tell their loads to one of them, which joins them and asks
  * those of the other zones for their sums. An entry that gets no answer places its requests by what
@@ -48,6 +49,7 @@
   private final PeerId self;
   private final AvailabilityZone zone;
   private final TargetPlacer placer;
+  private final StallDetector stalls;
   private final RemoteLoads remote;
   private final Supplier<List<EntryPeer>> entries;
   private final ReaderSelector selector;
@@ -63,6 +65,7 @@
    * @param self this entry, not null
    * @param zone the availability zone of this entry, not null
    * @param placer knows this entry's load and is told that of all, not null
+   * @param stalls knows the targets whose streams have no events, not null
    * @param remote asks other entries, not null
    * @param entries lists the known entries of all availability zones, not null
    * @param selector selects the entries to ask, not null
@@ -73,6 +76,7 @@
       PeerId self,
       AvailabilityZone zone,
       TargetPlacer placer,
+      StallDetector stalls,
       RemoteLoads remote,
       Supplier<List<EntryPeer>> entries,
       ReaderSelector selector,
@@ -81,6 +85,7 @@
     this.self = Objects.requireNonNull(self, "self");
     this.zone = Objects.requireNonNull(zone, "zone");
     this.placer = Objects.requireNonNull(placer, "placer");
+    this.stalls = Objects.requireNonNull(stalls, "stalls");
     this.remote = Objects.requireNonNull(remote, "remote");
     this.entries = Objects.requireNonNull(entries, "entries");
     this.selector = Objects.requireNonNull(selector, "selector");
@@ -99,7 +104,8 @@
       long now = clock.nanoTime();
       List<EntryPeer> known = entries.get();
       selector.retain(known);
-      FleetLoad own = placer.getOwnLoad(now);
+      FleetLoad own =
+          placer.takeOwnLoad(stalls.findSilentTargets(now), stalls.findResponsiveTargets(now), now);
       Optional<EntryPeer> joining = selector.select(known, now);
       if (joining.isPresent()) {
         tell(joining.get(), own, now);
@@ -129,6 +135,7 @@
 
   /** Tells the placer the load of all, unless it lacks that of most entries. */
   private void onTotal(FleetLoad total, FleetLoad own, long nanos) {
+    total.findSilentTargets().forEach(target -> placer.onSilent(target, clock.nanoTime()));
     if (total.entries() * 2 > entries.get().size() + 1) {
       // Most of the loads were told some time before.
       placer.onFleetLoad(total, own, nanos - INTERVAL.toNanos() / 2);
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/placement/FleetLoadRun.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/placement/FleetLoadRun.java
@@ -130,7 +130,8 @@
   /** Tells each entry the load of all others, as it was when they reported. */
   private void report() {
     long now = clock.nanoTime();
-    List<FleetLoad> reports = placers.stream().map(p -> p.getOwnLoad(now)).toList();
+    List<FleetLoad> reports =
+        placers.stream().map(p -> p.takeOwnLoad(Set.of(), Set.of(), now)).toList();
     FleetLoad total = reports.stream().reduce(FleetLoad.NONE, FleetLoad::plus);
     at(
         REPORT_DELAY_NANOS,
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/registry/LoadExchangeTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/registry/LoadExchangeTest.java
@@ -10,6 +10,7 @@
 import io.fireflyshed.coordination.placement.LoadReport;
 import io.fireflyshed.coordination.placement.Placement;
 import io.fireflyshed.coordination.placement.PlacementSettings;
+import io.fireflyshed.coordination.placement.StallDetector;
 import io.fireflyshed.coordination.placement.TargetPlacer;
 import io.fireflyshed.state.clock.ManualClock;
 import io.fireflyshed.state.clock.ManualScheduler;
@@ -43,6 +44,7 @@
   private final class Entry {
     private final EntryPeer peer;
     private final TargetPlacer placer;
+    private final StallDetector stalls = new StallDetector(PlacementSettings.ofDefaults());
     private final LoadExchange exchange;
 
     Entry(String name, String zoneName) {
@@ -60,6 +62,7 @@
               id,
               zone,
               placer,
+              stalls,
               (other, own, isZone, timeout) -> ask(id, other, own, isZone, timeout),
               () -> entries.stream().map(e -> e.peer).filter(p -> !p.id().equals(id)).toList(),
               new ReaderSelector(id, zone),
@@ -141,6 +144,11 @@
     }
   }
 
+  private void startStream(Entry entry, String key) {
+    entry.placer.onStart(targets.get(0).id());
+    entry.stalls.start(key, targets.get(0).id(), clock.nanoTime());
+  }
+
   @Test
   public void allEntriesAvoidATargetThatAnyOfThemFilled() {
     for (int filling = 0; filling < entries.size(); filling++) {
@@ -205,6 +213,35 @@
     assertEquals(entry.choose(), Optional.of(targets.get(1).id()));
   }
 
+  @Test
+  public void allEntriesAvoidATargetThatIsSilentTowardsOne() {
+    startStream(entries.get(0), "silent");
+    control.advance(PlacementSettings.ofDefaults().firstEventSilenceTimeout());
+    control.advance(Duration.ofSeconds(1));
+    for (Entry entry : entries) {
+      for (int i = 0; i < 20; i++) {
+        assertEquals(entry.choose(), Optional.of(targets.get(1).id()));
+      }
+    }
+  }
+
+  @Test
+  public void targetThatRespondsToAnyEntryIsUsed() {
+    startStream(entries.get(0), "silent");
+    startStream(entries.get(1), "responsive");
+    entries.get(2).placer.onStart(targets.get(1).id());
+    entries.get(3).placer.onStart(targets.get(1).id());
+    for (int i = 0; i < 30; i++) {
+      entries.get(1).stalls.onEvent("responsive", clock.nanoTime());
+      control.advance(Duration.ofMillis(100));
+    }
+    Set<Optional<InstanceId>> chosen = new HashSet<>();
+    for (int i = 0; i < 100; i++) {
+      chosen.add(entries.get(2).choose());
+    }
+    assertEquals(chosen.size(), 2);
+  }
+
   @Test
   public void reportsOfEntriesThatEndedAreForgotten() {
     fill(entries.get(0), 0);
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
@@ -132,6 +132,7 @@
   private final HttpCaller engineCaller = new HttpCaller("engines", MAX_REPORT_BYTES);
   private final TargetCaller targetCaller;
   private final TargetPlacer placer;
+  private final StallDetector stalls;
   private final SharedTableFeed tables;
   private final LoadExchange loads;
   private final TargetFollower targets;
@@ -156,6 +157,7 @@
     WireHeaders codec = new WireHeaders();
     StoreClient store = new StoreClient(storeCaller, settings.store());
     PlacementSettings placement = PlacementSettings.ofDefaults();
+    stalls = new StallDetector(placement);
     targetCaller = new TargetCaller(codec);
     EntrySchedule schedule = new EntrySchedule(settings.zoneRank(), settings.zones(), clock);
     placer = new TargetPlacer(placement, settings.zone(), random, schedule);
@@ -184,7 +186,7 @@
         new Forwarder(
             targets,
             placer,
-            new StallDetector(placement),
+            stalls,
             targetCaller,
             newRetryBudgets(settings, retryAllowance),
             crashReports,
@@ -245,6 +247,7 @@
         self,
         settings.zone(),
         placer,
+        stalls,
         this::askEntry,
         this::getAskableEntries,
         new ReaderSelector(self, settings.zone()),
