Look for a lost member once its replica is silent

Cause: a coordinator asks each member of a serving replica for a report every 0.9 s and counts one as lost 1.5 s after the first request without a reply, some two seconds after the loss; the entries see the streams of the replica stand still after half a second.

Change: when the entries together find a head silent, the coordinator asks all members of its replica at once. A member that gives no report for half a second counts as lost once the replica has been silent for 1.5 s, the time that a sound engine may be silent.

EngineStateTest.silentEngineOfASilentReplicaIsLostSooner and engineThatIsSilentForAMomentIsNotLostWithItsReplica hold both bounds.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/EngineState.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/EngineState.java
@@ -8,6 +8,7 @@
 import io.fireflyshed.state.target.Target;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 /**
@@ -25,6 +26,15 @@
    */
   private static final Duration MAX_SILENCE = Duration.ofMillis(1500);
 
+  /**
+   * The time without a reply after which an engine counts as lost if its replica has been silent
+   * for the time above. The silence may have another cause than this engine.
+   */
+  private static final Duration MIN_SILENCE = Duration.ofMillis(500);
+
+  /** The age from which it no longer counts that the replica was silent. */
+  private static final Duration REPLICA_SILENCE_MEMORY = Duration.ofSeconds(1);
+
   private Target target;
   private boolean isListed = true;
   private EngineReport report;
@@ -41,6 +51,12 @@
   /** The time of the first report request that got no reply since the last report. */
   private long silentSinceNanos;
 
+  /** The time since which the replica of the engine is known to be silent. */
+  private long replicaSilentSinceNanos;
+
+  /** The last time at which the replica of the engine was known to be silent. */
+  private OptionalLong replicaSilentNanos = OptionalLong.empty();
+
   private boolean isReportPending;
   private boolean isReportDue = true;
   private boolean isOrderPending;
@@ -179,13 +195,42 @@
       isSilent = true;
       silentSinceNanos = requestedNanos;
     }
-    if (isSuspect || nowNanos - silentSinceNanos >= MAX_SILENCE.toNanos()) {
+    long silenceNanos = nowNanos - silentSinceNanos;
+    boolean isSilentWithReplica =
+        silenceNanos >= MIN_SILENCE.toNanos() && isReplicaSilent(nowNanos);
+    if (isSuspect || silenceNanos >= MAX_SILENCE.toNanos() || isSilentWithReplica) {
       reportFailures = REPORT_FAILURES_UNTIL_LOST;
     } else {
       isReportDue = true;
     }
   }
 
+  /** Tests whether the replica has been silent for as long as no sound engine is. */
+  private boolean isReplicaSilent(long nowNanos) {
+    return isReplicaSilenceKnown(nowNanos)
+        && nowNanos - replicaSilentSinceNanos >= MAX_SILENCE.toNanos();
+  }
+
+  private boolean isReplicaSilenceKnown(long nowNanos) {
+    return replicaSilentNanos.isPresent()
+        && nowNanos - replicaSilentNanos.getAsLong() <= REPLICA_SILENCE_MEMORY.toNanos();
+  }
+
+  /**
+   * Records that the streams of the engine's replica have no events, so that its next report is
+   * requested at once.
+   *
+   * @param sinceNanos the time since which they have none
+   * @param nowNanos the current time of the monotonic clock
+   */
+  void recordReplicaSilence(long sinceNanos, long nowNanos) {
+    if (!isReplicaSilenceKnown(nowNanos)) {
+      replicaSilentSinceNanos = sinceNanos;
+      isReportDue = true;
+    }
+    replicaSilentNanos = OptionalLong.of(nowNanos);
+  }
+
   /** Records that a report request was refused or got a reply that is no report of the engine. */
   void recordReportFailure() {
     isReportPending = false;
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/FormationPlanner.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/FormationPlanner.java
@@ -250,14 +250,29 @@
    * @param id the head of the replica, not null
    */
   public void suspectReplica(InstanceId id) {
-    for (ReplicaState replica : state.getReplicas()) {
-      if (replica.isLive() && id.equals(replica.getHead())) {
-        replica.getMembers().stream()
-            .map(state::getEngine)
-            .flatMap(Optional::stream)
-            .forEach(EngineState::markSuspect);
-      }
-    }
+    getLiveMembers(id).forEach(EngineState::markSuspect);
+  }
+
+  /**
+   * Requests the reports of all members of a replica at once, whose streams have no events. A
+   * member that gives none is lost sooner than one of a replica that serves.
+   *
+   * @param id the head of the replica, not null
+   * @param sinceNanos the time since which the replica is silent
+   * @param nowNanos the current time of the monotonic clock
+   */
+  public void recordSilence(InstanceId id, long sinceNanos, long nowNanos) {
+    getLiveMembers(id).forEach(e -> e.recordReplicaSilence(sinceNanos, nowNanos));
+  }
+
+  /** Returns the members of the live replica with a head. */
+  private List<EngineState> getLiveMembers(InstanceId head) {
+    return state.getReplicas().stream()
+        .filter(r -> r.isLive() && head.equals(r.getHead()))
+        .flatMap(r -> r.getMembers().stream())
+        .map(state::getEngine)
+        .flatMap(Optional::stream)
+        .toList();
   }
 
   /**
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/formation/FormationController.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/formation/FormationController.java
@@ -20,6 +20,7 @@
 import io.fireflyshed.state.traffic.TrafficConfiguration;
 import io.fireflyshed.transport.control.LeaseStore;
 import io.fireflyshed.transport.log.EventLog;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -124,6 +125,27 @@
         });
   }
 
+  /**
+   * Requests reports from all members of replicas whose streams have no events at any entry. Does
+   * nothing while this entry is cut off.
+   *
+   * @param heads the heads of the replicas, not null
+   * @param silence the time for which they have had none, not null
+   */
+  public void onSilent(Set<InstanceId> heads, Duration silence) {
+    control.execute(
+        () -> {
+          long now = clock.nanoTime();
+          if (!isCutOff.getAsBoolean()) {
+            heads.forEach(
+                head ->
+                    planners
+                        .values()
+                        .forEach(p -> p.recordSilence(head, now - silence.toNanos(), now)));
+          }
+        });
+  }
+
   /**
    * Releases the lease, as at shutdown, once all orders have their replies. A successor then finds
    * their effects in the engines' reports.
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/registry/LoadExchange.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/registry/LoadExchange.java
@@ -8,6 +8,7 @@
 import io.fireflyshed.coordination.placement.TargetPlacer;
 import io.fireflyshed.state.clock.MonotonicClock;
 import io.fireflyshed.state.instance.AvailabilityZone;
+import io.fireflyshed.state.instance.InstanceId;
 import io.fireflyshed.state.peer.EntryPeer;
 import io.fireflyshed.state.peer.PeerId;
 import io.fireflyshed.transport.log.EventLog;
@@ -22,6 +23,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 /**
@@ -50,6 +52,7 @@
   private final AvailabilityZone zone;
   private final TargetPlacer placer;
   private final StallDetector stalls;
+  private final Consumer<Set<InstanceId>> silenceListener;
   private final RemoteLoads remote;
   private final Supplier<List<EntryPeer>> entries;
   private final ReaderSelector selector;
@@ -66,6 +69,8 @@
    * @param zone the availability zone of this entry, not null
    * @param placer knows this entry's load and is told that of all, not null
    * @param stalls knows the targets whose streams have no events, not null
+   * @param silenceListener is notified of the targets that are silent towards all entries, on the
+   *     control thread, not null
    * @param remote asks other entries, not null
    * @param entries lists the known entries of all availability zones, not null
    * @param selector selects the entries to ask, not null
@@ -77,6 +82,7 @@
       AvailabilityZone zone,
       TargetPlacer placer,
       StallDetector stalls,
+      Consumer<Set<InstanceId>> silenceListener,
       RemoteLoads remote,
       Supplier<List<EntryPeer>> entries,
       ReaderSelector selector,
@@ -86,6 +92,7 @@
     this.zone = Objects.requireNonNull(zone, "zone");
     this.placer = Objects.requireNonNull(placer, "placer");
     this.stalls = Objects.requireNonNull(stalls, "stalls");
+    this.silenceListener = Objects.requireNonNull(silenceListener, "silenceListener");
     this.remote = Objects.requireNonNull(remote, "remote");
     this.entries = Objects.requireNonNull(entries, "entries");
     this.selector = Objects.requireNonNull(selector, "selector");
@@ -135,7 +142,11 @@
 
   /** Tells the placer the load of all, unless it lacks that of most entries. */
   private void onTotal(FleetLoad total, FleetLoad own, long nanos) {
-    total.findSilentTargets().forEach(target -> placer.onSilent(target, clock.nanoTime()));
+    Set<InstanceId> silent = total.findSilentTargets();
+    if (!silent.isEmpty()) {
+      silent.forEach(target -> placer.onSilent(target, clock.nanoTime()));
+      silenceListener.accept(silent);
+    }
     if (total.entries() * 2 > entries.get().size() + 1) {
       // Most of the loads were told some time before.
       placer.onFleetLoad(total, own, nanos - INTERVAL.toNanos() / 2);
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/EngineStateTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/EngineStateTest.java
@@ -117,6 +117,25 @@
     assertTrue(state.isLost());
   }
 
+  @Test
+  public void silentEngineOfASilentReplicaIsLostSooner() {
+    state.recordReplicaSilence(500 * MILLI, 1000 * MILLI);
+    assertTrue(state.isReportDue(Duration.ofSeconds(10), 1000 * MILLI));
+    timeOutUntil(1000, 1500);
+    state.recordReplicaSilence(500 * MILLI, 1500 * MILLI);
+    timeOutUntil(1500, 1750);
+    assertFalse(state.isLost());
+    timeOutUntil(1750, 2000);
+    assertTrue(state.isLost());
+  }
+
+  @Test
+  public void engineThatIsSilentForAMomentIsNotLostWithItsReplica() {
+    state.recordReplicaSilence(0, 3000 * MILLI);
+    timeOutUntil(3000, 3250);
+    assertFalse(state.isLost());
+  }
+
   @Test
   public void silentEngineGetsNoOrderUntilItsNextReport() {
     timeOutUntil(1000, 1250);
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/registry/LoadExchangeTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/registry/LoadExchangeTest.java
@@ -45,6 +45,7 @@
     private final EntryPeer peer;
     private final TargetPlacer placer;
     private final StallDetector stalls = new StallDetector(PlacementSettings.ofDefaults());
+    private final Set<InstanceId> told = new HashSet<>();
     private final LoadExchange exchange;
 
     Entry(String name, String zoneName) {
@@ -63,6 +64,7 @@
               zone,
               placer,
               stalls,
+              told::addAll,
               (other, own, isZone, timeout) -> ask(id, other, own, isZone, timeout),
               () -> entries.stream().map(e -> e.peer).filter(p -> !p.id().equals(id)).toList(),
               new ReaderSelector(id, zone),
@@ -219,6 +221,7 @@
     control.advance(PlacementSettings.ofDefaults().firstEventSilenceTimeout());
     control.advance(Duration.ofSeconds(1));
     for (Entry entry : entries) {
+      assertEquals(entry.told, Set.of(targets.get(0).id()));
       for (int i = 0; i < 20; i++) {
         assertEquals(entry.choose(), Optional.of(targets.get(1).id()));
       }
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
@@ -248,6 +248,7 @@
         settings.zone(),
         placer,
         stalls,
+        heads -> formation.onSilent(heads, PlacementSettings.ofDefaults().silenceTimeout()),
         this::askEntry,
         this::getAskableEntries,
         new ReaderSelector(self, settings.zone()),
