Archive the classes of questions between entries

The class archive that a build makes lacked the classes of questions about tables and load, so an entry loaded them from the jar in the first seconds after a restart, which are charged in full. The rehearsal asks both now.

--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/RelayRehearsal.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/RelayRehearsal.java
@@ -1,5 +1,6 @@
 package io.fireflyshed.daemon.platform;
 
+import io.fireflyshed.coordination.placement.FleetLoad;
 import io.fireflyshed.protocol.traffic.PromptDescriptor;
 import io.fireflyshed.protocol.traffic.TargetAnswer;
 import io.fireflyshed.protocol.traffic.TrafficRequest;
@@ -9,6 +10,10 @@
 import io.fireflyshed.state.peer.EntryPeer;
 import io.fireflyshed.state.peer.PeerId;
 import io.fireflyshed.state.replica.ServiceName;
+import io.fireflyshed.state.table.Row;
+import io.fireflyshed.state.table.RowKey;
+import io.fireflyshed.state.table.TableChanges;
+import io.fireflyshed.state.table.TableQuestion;
 import io.fireflyshed.state.traffic.RequestKind;
 import io.fireflyshed.state.traffic.Route;
 import io.fireflyshed.state.traffic.WeightedService;
@@ -28,18 +33,33 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import org.apache.commons.rng.simple.RandomSource;
 import reactor.core.publisher.Flux;
 
-/** Relays requests from one entry to another, so that the classes of relays are archived. */
+/**
+ * Relays a request from one entry to another and asks it questions, so that the classes of both are
+ * archived.
+ */
 final class RelayRehearsal {
 
   private static final AvailabilityZone ZONE = new AvailabilityZone("a");
   private static final ServiceName SERVICE = new ServiceName("service");
+  private static final String TABLE = "table";
+  private static final TableChanges CHANGES =
+      new TableChanges(
+          1,
+          0,
+          false,
+          List.of(new Row(new RowKey(TABLE, "one"), 1, "value")),
+          Set.of(new RowKey(TABLE, "two")));
+  private static final FleetLoad LOAD =
+      new FleetLoad(Map.of(new InstanceId("target"), new FleetLoad.TargetRequests(1, 1, 1, 1)), 1);
   private static final Duration TIMEOUT = Duration.ofSeconds(10);
 
   /** The first offer may be too late on a busy machine, since it loads the classes. */
@@ -59,7 +79,9 @@
       try (EntryRelay sending = newRelay("entry-1", List.of(peer), metrics)) {
         for (int i = 0; i < MAX_ATTEMPTS; i++) {
           try {
-            return sending.relay(newRequest()).collectList().block(TIMEOUT).size() == 2;
+            boolean isRelayed =
+                sending.relay(newRequest()).collectList().block(TIMEOUT).size() == 2;
+            return isRelayed && isAnswered(sending, peer);
           } catch (ForwardException e) {
             log.info("relay failed", "error", e.getMessage());
             Thread.sleep(RETRY_DELAY.toMillis());
@@ -73,11 +95,22 @@
     }
   }
 
+  /** Asks an entry for a table and tells it load, and returns whether the answers are complete. */
+  private static boolean isAnswered(EntryRelay sending, EntryPeer peer) {
+    TableChanges changes = sending.ask(peer, new TableQuestion(TABLE, 0, false), TIMEOUT).join();
+    FleetLoad load = sending.ask(peer, LOAD, false, TIMEOUT).join();
+    return changes.equals(CHANGES) && load.equals(LOAD);
+  }
+
   private static EntryRelay newRelay(String name, List<EntryPeer> peers, MeterRegistry metrics) {
     return new EntryRelay(
         new PeerSettings(new PeerId(name), ZONE, new InetSocketAddress("127.0.0.1", 0)),
         () -> peers,
-        EntryServices.ofRelay(offer -> Optional.empty(), RelayRehearsal::answer),
+        new EntryServices(
+            offer -> Optional.empty(),
+            RelayRehearsal::answer,
+            question -> CompletableFuture.completedFuture(CHANGES),
+            report -> CompletableFuture.completedFuture(report.load())),
         MonotonicClock.system(),
         RandomSource.XO_RO_SHI_RO_128_PP.create(),
         metrics);
