Test the planner with engines that ignore fencing tokens

No change of the program was needed: generations, order sequences and the wait for the old head hold it.

--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/FormationPlannerTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/FormationPlannerTest.java
@@ -429,12 +429,22 @@
 
     @Test(dataProvider = "seeds")
     public void faultsBreakNoInvariant(long seed) {
-      runFaults(seed, FAULT_KINDS_WITHOUT_LEASE_LAPSE);
+      runFaults(seed, FAULT_KINDS_WITHOUT_LEASE_LAPSE, true);
     }
 
     @Test(dataProvider = "leaseLapseSeeds")
     public void faultsWithLeaseLapsesBreakNoInvariant(long seed) {
-      runFaults(seed, FAULT_KINDS);
+      runFaults(seed, FAULT_KINDS, true);
+    }
+
+    @Test(dataProvider = "seeds")
+    public void faultsBreakNoInvariantIfEnginesIgnoreFencing(long seed) {
+      runFaults(seed, FAULT_KINDS_WITHOUT_LEASE_LAPSE, false);
+    }
+
+    @Test(dataProvider = "leaseLapseSeeds")
+    public void faultsWithLeaseLapsesBreakNoInvariantIfEnginesIgnoreFencing(long seed) {
+      runFaults(seed, FAULT_KINDS, false);
     }
 
     /**
@@ -444,9 +454,11 @@
      * @param seed the seed of the simulation
      * @param faultKinds how many kinds of faults are used, in the order of {@link #injectFault};
      *     the sixth starts a successor, the seventh lets the lease lapse
+     * @param isFencingChecked whether engines refuse orders with an older fencing token
      */
-    private static void runFaults(long seed, int faultKinds) {
+    private static void runFaults(long seed, int faultKinds, boolean isFencingChecked) {
       FormationSimulation simulation = new FormationSimulation(seed, 2);
+      simulation.engines.values().forEach(e -> e.isFencingChecked = isFencingChecked);
       simulation.replyLossRate = 0.1;
       simulation.lateOrderRate = 0.2;
       for (int i = 0; i < 40; i++) {
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/SimulatedEngine.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/SimulatedEngine.java
@@ -35,6 +35,10 @@
   long startMillis = 1;
   long sequence;
   long highestFencingToken;
+
+  /** Whether the engine refuses orders with an older fencing token than it saw. */
+  boolean isFencingChecked = true;
+
   long highestGeneration;
   Membership membership;
   List<InstanceId> members = List.of();
@@ -124,7 +128,7 @@
       long expectedSequence,
       List<ModelProfile> models,
       long nowMillis) {
-    if (fencingToken < highestFencingToken) {
+    if (isFencingChecked && fencingToken < highestFencingToken) {
       return OrderReply.FENCED;
     }
     highestFencingToken = fencingToken;
