Send only changes of tables between entries, and keep links that answer

All rows for 19 entries at once (350 kB each, also every 12 s for the crash reports) exceed the link of a small reader for seconds, and a single late answer ended the link with all its other questions.

Change: all rows come from the store; each entry keeps them and asks its reader for changes only. A reader that doesn't know the changes since a version, as after its start, says so and is not left out for it. A link ends with a late answer only if nothing has come on it since the question. Crash reports are read with a wait of 2 s, at least 0.3 s apart, as promptly as before they were shared.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/QuestionCall.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/QuestionCall.java
@@ -16,6 +16,7 @@
   private final LongFunction<PeerProto.Frame> question;
   private final PeerProto.Frame.BodyCase answerCase;
   private final CompletableFuture<PeerProto.Frame> answer;
+  private final long startNanos;
   private final long id;
   private Future<?> timer;
 
@@ -26,19 +27,26 @@
    * @param question creates the frame of the question with the id of the call, not null
    * @param answerCase the kind of frame that answers it, not null
    * @param answer is completed with the answer, not null
+   * @param startNanos the current time of the monotonic clock
    */
   QuestionCall(
       RelayLink link,
       LongFunction<PeerProto.Frame> question,
       PeerProto.Frame.BodyCase answerCase,
-      CompletableFuture<PeerProto.Frame> answer) {
+      CompletableFuture<PeerProto.Frame> answer,
+      long startNanos) {
     this.link = link;
     this.question = question;
     this.answerCase = answerCase;
     this.answer = answer;
+    this.startNanos = startNanos;
     this.id = link.add(this);
   }
 
+  long getStartNanos() {
+    return startNanos;
+  }
+
   RelayLink getLink() {
     return link;
   }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/QuestionServer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/QuestionServer.java
@@ -1,6 +1,7 @@
 package io.fireflyshed.transport.peer;
 
 import io.fireflyshed.protocol.peer.generated.PeerProto;
+import io.fireflyshed.state.error.HistoryLostException;
 import io.fireflyshed.state.peer.PeerId;
 import io.fireflyshed.state.table.TableChanges;
 import io.fireflyshed.transport.log.EventLog;
@@ -45,7 +46,7 @@
   private CompletableFuture<PeerProto.Frame> answerTable(
       long id, PeerProto.TableQuestion question) {
     if (pending >= MAX_PENDING) {
-      return CompletableFuture.completedFuture(TableFrameUtils.toFailure(id));
+      return CompletableFuture.completedFuture(TableFrameUtils.toFailure(id, false));
     }
     return services
         .tables()
@@ -55,13 +56,16 @@
 
   private PeerProto.Frame newTableAnswer(long id, TableChanges changes, Throwable error) {
     if (error != null) {
-      log.info("question not answered", "error", error.getMessage());
-      return TableFrameUtils.toFailure(id);
+      boolean isHistoryLost = HistoryLostException.isIn(error);
+      if (!isHistoryLost) {
+        log.info("question not answered", "error", error.getMessage());
+      }
+      return TableFrameUtils.toFailure(id, isHistoryLost);
     }
     PeerProto.Frame frame = TableFrameUtils.toAnswer(id, changes);
     return frame.getSerializedSize() <= PeerFrameDecoder.MAX_FRAME_BYTES
         ? frame
-        : TableFrameUtils.toFailure(id);
+        : TableFrameUtils.toFailure(id, false);
   }
 
   private void answer(Channel channel, CompletableFuture<PeerProto.Frame> answer) {
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayClient.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayClient.java
@@ -148,14 +148,21 @@
     try {
       connections
           .getExecutor()
-          .execute(
-              () -> start(new QuestionCall(getLink(peer), question, answerCase, answer), timeout));
+          .execute(() -> start(newCall(peer, question, answerCase, answer), timeout));
     } catch (RejectedExecutionException e) {
       answer.completeExceptionally(newRefusal("this entry has stopped"));
     }
     return answer;
   }
 
+  private QuestionCall newCall(
+      EntryPeer peer,
+      LongFunction<PeerProto.Frame> question,
+      PeerProto.Frame.BodyCase answerCase,
+      CompletableFuture<PeerProto.Frame> answer) {
+    return new QuestionCall(getLink(peer), question, answerCase, answer, clock.nanoTime());
+  }
+
   private void start(QuestionCall call, Duration timeout) {
     call.setTimer(schedule(() -> onUnanswered(call), timeout.toMillis(), TimeUnit.MILLISECONDS));
     if (call.getLink().isReady()) {
@@ -163,10 +170,12 @@
     }
   }
 
-  /** Gives up a question and its link, which may have fallen silent. */
+  /** Gives up a question, and its link if nothing has come on it since the question. */
   private void onUnanswered(QuestionCall call) {
     call.onTimeout();
-    onSilent(call.getLink());
+    if (call.getLink().isSilentSince(call.getStartNanos())) {
+      onSilent(call.getLink());
+    }
   }
 
   /** Selects an entry and returns an open link to it, or null if no entry can be tried. */
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/TableFrameUtils.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/TableFrameUtils.java
@@ -1,6 +1,7 @@
 package io.fireflyshed.transport.peer;
 
 import io.fireflyshed.protocol.peer.generated.PeerProto;
+import io.fireflyshed.state.error.HistoryLostException;
 import io.fireflyshed.state.error.NoEffectException;
 import io.fireflyshed.state.peer.PeerId;
 import io.fireflyshed.state.table.Row;
@@ -47,21 +48,25 @@
     return PeerProto.Frame.newBuilder().setRequest(id).setTableAnswer(body).build();
   }
 
-  static PeerProto.Frame toFailure(long id) {
+  static PeerProto.Frame toFailure(long id, boolean isHistoryLost) {
     return PeerProto.Frame.newBuilder()
         .setRequest(id)
-        .setTableAnswer(PeerProto.TableAnswer.getDefaultInstance())
+        .setTableAnswer(PeerProto.TableAnswer.newBuilder().setIsHistoryLost(isHistoryLost))
         .build();
   }
 
   /**
    * Converts the answer of an entry.
    *
+   * @throws HistoryLostException if the entry doesn't know all changes since the version
    * @throws NoEffectException if the entry could not read the table
    */
   static TableChanges fromAnswer(
       PeerId entry, TableQuestion question, PeerProto.TableAnswer message) {
     String table = question.table();
+    if (message.getIsHistoryLost()) {
+      throw new HistoryLostException("read-table", entry.value());
+    }
     if (!message.getIsRead()) {
       throw new NoEffectException(
           "read-table", entry.value(), "the entry can't read the table " + table, null);
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/registry/SharedTableFeed.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/registry/SharedTableFeed.java
@@ -2,6 +2,7 @@
 
 import io.fireflyshed.coordination.directory.ReaderSelector;
 import io.fireflyshed.state.clock.MonotonicClock;
+import io.fireflyshed.state.error.HistoryLostException;
 import io.fireflyshed.state.error.NoEffectException;
 import io.fireflyshed.state.peer.EntryPeer;
 import io.fireflyshed.state.table.RemoteTables;
@@ -31,8 +32,11 @@
  * <p>An answer reflects a read that began after the question was sent, so its age counts from the
  * question by the clock of the entry that asked, whatever the reader does. If the reader doesn't
  * answer in time, can't read the table or is lost, this entry reads the table itself at once and
- * asks the next reader from then on. An entry that is asked reads the table service itself. Futures
- * complete on the control thread; {@link #answer} may be called on any thread.
+ * asks the next reader from then on. An entry that is asked reads the table service itself.
+ *
+ * <p>Only changes are asked for. All rows come from the table service itself, since those for all
+ * entries at once would exceed the network link of the reader, and are kept. Futures complete on
+ * the control thread; {@link #answer} may be called on any thread.
  */
 public final class SharedTableFeed implements TableFeed {
 
@@ -40,13 +44,16 @@
    * Determines how a table is followed.
    *
    * @param interval the shortest time between two reads of the table service, not null
+   * @param maxWait the longest wait of a read for a change, not null; if it is not zero, answers
+   *     may reflect reads that began before their questions
    * @param digester returns what is significant of a row; other changes aren't passed on, not null
    */
-  public record TableSettings(Duration interval, Function<Row, Object> digester) {
+  public record TableSettings(Duration interval, Duration maxWait, Function<Row, Object> digester) {
 
     /** Validates the components. */
     public TableSettings {
       Objects.requireNonNull(interval, "interval");
+      Objects.requireNonNull(maxWait, "maxWait");
       Objects.requireNonNull(digester, "digester");
     }
   }
@@ -64,6 +71,7 @@
   private final MeterRegistry metrics;
   private final EventLog log = new EventLog("tables");
   private final Map<String, TableMirror> mirrors = new HashMap<>();
+  private final Map<String, TableCopy> copies = new HashMap<>();
   private final Map<String, Long> directReadNanos = new HashMap<>();
   private Optional<EntryPeer> reader = Optional.empty();
 
@@ -100,14 +108,40 @@
 
   @Override
   public CompletableFuture<TableChanges> readAll(String table) {
-    return read(new TableQuestion(table, 0, true));
+    TableCopy copy = getCopy(table);
+    return refresh(table, copy).thenApply(changes -> copy.toWhole());
   }
 
-  /** Returns the changes after the next read, which needs at most the interval of the table. */
+  /**
+   * Returns the changes after the next read, or all rows if the version isn't that of the last
+   * result. The read ends as the settings of the table say.
+   */
   @Override
   public CompletableFuture<TableChanges> awaitChanges(
       String table, long version, Duration maxWait) {
-    return read(new TableQuestion(table, version, false));
+    TableCopy copy = getCopy(table);
+    boolean isCurrent = copy.isRead() && copy.getVersion() == version;
+    return refresh(table, copy).thenApply(changes -> isCurrent ? changes : copy.toWhole());
+  }
+
+  private TableCopy getCopy(String table) {
+    return copies.computeIfAbsent(table, t -> new TableCopy());
+  }
+
+  /** Reads the changes since the last read, or all rows, and applies them to the copy. */
+  private CompletableFuture<TableChanges> refresh(String table, TableCopy copy) {
+    return read(new TableQuestion(table, copy.getVersion(), !copy.isRead()))
+        .thenCompose(
+            changes ->
+                copy.isApplicable(changes)
+                    ? CompletableFuture.completedFuture(changes)
+                    : store.readAll(table))
+        .thenApplyAsync(
+            changes -> {
+              copy.apply(changes);
+              return changes;
+            },
+            control);
   }
 
   /**
@@ -136,10 +170,13 @@
         .ask(question)
         .whenComplete(
             (changes, error) -> {
-              if (error == null) {
-                answer.complete(changes);
-              } else {
+              if (error != null) {
                 answer.completeExceptionally(error);
+              } else if (changes.isWhole()) {
+                answer.completeExceptionally(
+                    new HistoryLostException("read-table", question.table()));
+              } else {
+                answer.complete(changes);
               }
             });
   }
@@ -150,10 +187,7 @@
 
   private TableMirror getMirror(String table) {
     return mirrors.computeIfAbsent(
-        table,
-        t ->
-            new TableMirror(
-                t, store, settings.get(t).interval(), settings.get(t).digester(), control, clock));
+        table, t -> new TableMirror(t, store, settings.get(t), control, clock));
   }
 
   private CompletableFuture<TableChanges> read(TableQuestion question) {
@@ -165,9 +199,13 @@
       count("own", question.table());
       return getMirror(question.table()).ask(question);
     }
+    if (question.isWhole()) {
+      return readDirectly(question);
+    }
     EntryPeer asked = selected.get();
     count("asked", question.table());
-    Duration timeout = settings.get(question.table()).interval().plus(ANSWER_MARGIN);
+    TableSettings table = settings.get(question.table());
+    Duration timeout = table.interval().plus(table.maxWait()).plus(ANSWER_MARGIN);
     return remote
         .ask(asked, question, timeout)
         .handleAsync((changes, error) -> onAnswer(question, asked, changes, error), control)
@@ -187,6 +225,10 @@
       selector.onSuccess(asked.id());
       return CompletableFuture.completedFuture(changes);
     }
+    if (HistoryLostException.isIn(error)) {
+      // The reader is sound, but began to read later than this entry.
+      return readDirectly(question);
+    }
     log.info(
         "reader failed",
         "reader",
@@ -210,11 +252,28 @@
     directReadNanos.put(table, now + waitNanos);
     CompletableFuture<Void> turn = new CompletableFuture<>();
     control.schedule((Runnable) () -> turn.complete(null), waitNanos, TimeUnit.NANOSECONDS);
-    return turn.thenCompose(
-        ignored ->
-            question.isWhole()
-                ? store.readAll(table)
-                : store.awaitChanges(table, question.version(), Duration.ZERO));
+    return turn.thenCompose(ignored -> callStore(question));
+  }
+
+  private CompletableFuture<TableChanges> callStore(TableQuestion question) {
+    String table = question.table();
+    if (question.isWhole()) {
+      return store.readAll(table);
+    }
+    return store
+        .awaitChanges(table, question.version(), settings.get(table).maxWait())
+        .handle(
+            (changes, error) ->
+                error != null && HistoryLostException.isIn(error)
+                    ? store.readAll(table)
+                    : toFuture(changes, error))
+        .thenCompose(Function.identity());
+  }
+
+  private static CompletableFuture<TableChanges> toFuture(TableChanges changes, Throwable error) {
+    return error == null
+        ? CompletableFuture.completedFuture(changes)
+        : CompletableFuture.failedFuture(error);
   }
 
   private void count(String way, String table) {
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/registry/TableMirror.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/registry/TableMirror.java
@@ -7,6 +7,7 @@
 import io.fireflyshed.state.table.TableChanges;
 import io.fireflyshed.state.table.TableFeed;
 import io.fireflyshed.state.table.TableQuestion;
+import io.fireflyshed.transport.registry.SharedTableFeed.TableSettings;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -20,14 +21,14 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Function;
 
 /**
  * Reads a table for questions of this and other entries, all of them with one read at a time.
  *
  * <p>A question is answered by a read that began after the question arrived, so that the entry that
- * asked can tell the age of the answer by its own clock. Reads keep a distance from each other.
- * Rows that changed only in what nobody needs are not told. Used on the control thread only.
+ * asked can tell the age of the answer by its own clock; only where reads wait for changes, it is
+ * answered by the next read that ends. Reads keep a distance from each other. Rows that changed
+ * only in what nobody needs are not told. Used on the control thread only.
  */
 final class TableMirror {
 
@@ -52,8 +53,7 @@
 
   private final String table;
   private final TableFeed feed;
-  private final Duration minInterval;
-  private final Function<Row, Object> digester;
+  private final TableSettings settings;
   private final ScheduledExecutorService control;
   private final MonotonicClock clock;
   private final Map<RowKey, Entry> entries = new HashMap<>();
@@ -89,22 +89,19 @@
    *
    * @param table the table, not null
    * @param feed reads the table, not null
-   * @param minInterval the shortest time between the starts of two reads, not null
-   * @param digester returns what is significant of a row; not null
+   * @param settings the interval of reads and what is significant of a row, not null
    * @param control the executor of the control thread, not null
    * @param clock the monotonic clock of this process, not null
    */
   TableMirror(
       String table,
       TableFeed feed,
-      Duration minInterval,
-      Function<Row, Object> digester,
+      TableSettings settings,
       ScheduledExecutorService control,
       MonotonicClock clock) {
     this.table = Objects.requireNonNull(table, "table");
     this.feed = Objects.requireNonNull(feed, "feed");
-    this.minInterval = Objects.requireNonNull(minInterval, "minInterval");
-    this.digester = Objects.requireNonNull(digester, "digester");
+    this.settings = Objects.requireNonNull(settings, "settings");
     this.control = Objects.requireNonNull(control, "control");
     this.clock = Objects.requireNonNull(clock, "clock");
   }
@@ -121,7 +118,7 @@
     if (isReading || isScheduled || pending.isEmpty()) {
       return;
     }
-    long waitNanos = hasRead ? readNanos + minInterval.toNanos() - clock.nanoTime() : 0;
+    long waitNanos = hasRead ? readNanos + settings.interval().toNanos() - clock.nanoTime() : 0;
     isScheduled = true;
     control.schedule(this::read, Math.max(0, waitNanos), TimeUnit.NANOSECONDS);
   }
@@ -135,7 +132,7 @@
     pending = new ArrayList<>();
     boolean isFullRead = isFullReadNeeded || readNanos - versionNanos > MAX_VERSION_AGE.toNanos();
     long sentNanos = readNanos;
-    (isFullRead ? feed.readAll(table) : feed.awaitChanges(table, version, Duration.ZERO))
+    (isFullRead ? feed.readAll(table) : feed.awaitChanges(table, version, settings.maxWait()))
         .whenCompleteAsync((changes, e) -> onRead(changes, e, included, sentNanos), control);
   }
 
@@ -144,10 +141,14 @@
     isReading = false;
     if (error == null && isFollowing(changes)) {
       apply(changes, sentNanos);
+      if (!settings.maxWait().isZero()) {
+        included.addAll(pending);
+        pending.clear();
+      }
       included.forEach(p -> p.answer().complete(newAnswer(p.question())));
     } else if (error == null || HistoryLostException.isIn(error)) {
       isFullReadNeeded = true;
-      readNanos = clock.nanoTime() - minInterval.toNanos();
+      readNanos = clock.nanoTime() - settings.interval().toNanos();
       pending.addAll(0, included);
     } else {
       included.forEach(p -> p.answer().completeExceptionally(error));
@@ -217,7 +218,7 @@
 
   /** Records a row and returns whether it changed significantly. */
   private boolean update(Row row) {
-    Object digest = digester.apply(row);
+    Object digest = settings.digester().apply(row);
     Entry known = entries.get(row.key());
     boolean isSignificant = known == null || known.row() == null || !known.digest().equals(digest);
     long significantVersion = isSignificant ? row.version() : known.significantVersion();
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/peer/TableQuestionTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/peer/TableQuestionTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.expectThrows;
 
+import io.fireflyshed.state.error.HistoryLostException;
 import io.fireflyshed.state.instance.AvailabilityZone;
 import io.fireflyshed.state.peer.EntryPeer;
 import io.fireflyshed.state.table.Row;
@@ -95,6 +96,33 @@
     assertTrue(System.nanoTime() - start >= SHORT_TIMEOUT.toNanos());
   }
 
+  @Test
+  public void lateAnswerToOneQuestionLeavesTheOthersAlone() throws Exception {
+    CompletableFuture<TableChanges> late = new CompletableFuture<>();
+    reader.tables =
+        question -> question.isWhole() ? late : CompletableFuture.completedFuture(newChanges(9));
+    CompletableFuture<TableChanges> pending =
+        asking.relay.ask(peer, new TableQuestion("t", 0, true), TIMEOUT);
+    CompletableFuture<TableChanges> first =
+        asking.relay.ask(peer, new TableQuestion("u", 0, true), SHORT_TIMEOUT);
+    while (!first.isDone()) {
+      asking.relay.ask(peer, QUESTION, TIMEOUT).get();
+      Thread.sleep(10);
+    }
+    expectThrows(ExecutionException.class, first::get);
+    late.complete(newChanges(8));
+    assertEquals(pending.get(), newChanges(8));
+  }
+
+  @Test
+  public void readerThatLacksTheHistorySaysSo() {
+    reader.tables =
+        question -> CompletableFuture.failedFuture(new HistoryLostException("read", "table"));
+    CompletableFuture<TableChanges> answer = asking.relay.ask(peer, QUESTION, TIMEOUT);
+    ExecutionException error = expectThrows(ExecutionException.class, answer::get);
+    assertTrue(HistoryLostException.isIn(error));
+  }
+
   @Test
   public void lossOfTheReaderFailsTheQuestionAtOnce() throws Exception {
     CompletableFuture<Void> isAsked = new CompletableFuture<>();
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/registry/SharedTablesRun.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/registry/SharedTablesRun.java
@@ -82,7 +82,9 @@
               (entry, question, timeout) -> ask(find(entry.id()), question, timeout),
               () -> peers,
               new ReaderSelector(id, zone),
-              Map.of(FakeTable.NAME, new TableSettings(INTERVAL, SharedTablesRun::digest)),
+              Map.of(
+                  FakeTable.NAME,
+                  new TableSettings(INTERVAL, Duration.ZERO, SharedTablesRun::digest)),
               scheduler,
               clock,
               new SimpleMeterRegistry());
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/registry/TableMirrorTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/registry/TableMirrorTest.java
@@ -10,6 +10,7 @@
 import io.fireflyshed.state.table.TableChanges;
 import io.fireflyshed.state.table.TableFeed;
 import io.fireflyshed.state.table.TableQuestion;
+import io.fireflyshed.transport.registry.SharedTableFeed.TableSettings;
 import java.time.Duration;
 import java.util.List;
 import java.util.Set;
@@ -52,7 +53,12 @@
           }
         };
     mirror =
-        new TableMirror(FakeTable.NAME, feed, INTERVAL, TableMirrorTest::digest, control, clock);
+        new TableMirror(
+            FakeTable.NAME,
+            feed,
+            new TableSettings(INTERVAL, Duration.ZERO, TableMirrorTest::digest),
+            control,
+            clock);
   }
 
   private static Object digest(Row row) {
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
@@ -104,7 +104,10 @@
   private static final Duration CONFIGURATION_INTERVAL = Duration.ofMillis(400);
 
   /** The shortest time between two reads of the crash reports for the entries of a zone. */
-  private static final Duration CRASH_REPORTS_INTERVAL = Duration.ofSeconds(1);
+  private static final Duration CRASH_REPORTS_INTERVAL = Duration.ofMillis(300);
+
+  /** The longest wait for a crash report, after which a reader that fell silent shows. */
+  private static final Duration CRASH_REPORTS_WAIT = Duration.ofSeconds(2);
 
   /** The shortest time between two reads of the leases for the entries of a zone. */
   private static final Duration LEASES_INTERVAL = Duration.ofMillis(600);
@@ -220,13 +223,13 @@
         new ReaderSelector(new PeerId(settings.node()), settings.zone()),
         Map.of(
             StoreTargetRegistry.TABLE,
-            new TableSettings(TARGETS_INTERVAL, StoreTargetRegistry::getDigest),
+            new TableSettings(TARGETS_INTERVAL, Duration.ZERO, StoreTargetRegistry::getDigest),
             StoreConfigurationSource.TABLE,
-            new TableSettings(CONFIGURATION_INTERVAL, Row::value),
+            new TableSettings(CONFIGURATION_INTERVAL, Duration.ZERO, Row::value),
             CrashReportExchange.TABLE,
-            new TableSettings(CRASH_REPORTS_INTERVAL, Row::value),
+            new TableSettings(CRASH_REPORTS_INTERVAL, CRASH_REPORTS_WAIT, Row::value),
             LeaseStore.TABLE,
-            new TableSettings(LEASES_INTERVAL, Row::value)),
+            new TableSettings(LEASES_INTERVAL, Duration.ZERO, Row::value)),
         control,
         clock,
         metrics);
