Write the crash reports of a zone through one entry

Cause: each entry wrote its crash reports, and the rows of refused requests, by itself.

Change: an entry sends a report to the first entry of its zone over the link, which writes it with its next one; if that one doesn't answer within half a second the entry writes by itself. Rows of refusals are left to the writer for three seconds; they matter only to processes that start later.

CrashReportExchangeTest.oneEntryWritesTheReportsOfMany: 19 entries that see three crashes make at most seven writes; each wrote its own before. reportsAreWrittenByTheirEntriesOnceTheWriterIsLost.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/EntryRelay.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/EntryRelay.java
@@ -5,6 +5,8 @@
 import io.fireflyshed.coordination.placement.RemoteLoads;
 import io.fireflyshed.coordination.relay.RelayPeerSelector;
 import io.fireflyshed.protocol.peer.generated.PeerProto;
+import io.fireflyshed.protocol.poison.CrashReport;
+import io.fireflyshed.protocol.poison.CrashReportCodec;
 import io.fireflyshed.state.clock.MonotonicClock;
 import io.fireflyshed.state.peer.EntryPeer;
 import io.fireflyshed.state.peer.PeerId;
@@ -162,6 +164,27 @@
         .thenApply(frame -> LoadFrameUtils.fromAnswer(frame.getLoadAnswer()));
   }
 
+  /**
+   * Has another entry write a crash report.
+   *
+   * @param entry the entry, not null
+   * @param report the report, not null
+   * @param timeout the longest wait, not null
+   * @return a future that completes once the entry has taken the report, and fails if it doesn't in
+   *     time
+   */
+  public CompletableFuture<Void> write(EntryPeer entry, CrashReport report, Duration timeout) {
+    PeerProto.CrashNotice notice =
+        PeerProto.CrashNotice.newBuilder().setReport(CrashReportCodec.encode(report)).build();
+    return client
+        .ask(
+            entry,
+            id -> PeerProto.Frame.newBuilder().setRequest(id).setCrashNotice(notice).build(),
+            PeerProto.Frame.BodyCase.CRASH_ACK,
+            timeout)
+        .thenAccept(frame -> {});
+  }
+
   @Override
   public boolean isAvailable() {
     boolean isAvailable = peers.get().stream().anyMatch(peer -> !peer.id().equals(settings.self()));
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/EntryServices.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/EntryServices.java
@@ -2,6 +2,7 @@
 
 import io.fireflyshed.coordination.placement.FleetLoad;
 import io.fireflyshed.coordination.placement.LoadReport;
+import io.fireflyshed.protocol.poison.CrashReport;
 import io.fireflyshed.state.error.NoEffectException;
 import io.fireflyshed.state.table.TableChanges;
 import io.fireflyshed.state.table.TableQuestion;
@@ -12,6 +13,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import reactor.core.publisher.Flux;
 
@@ -24,12 +26,14 @@
  *     io.fireflyshed.transport.forward.ForwardException}
  * @param tables reads a table for another entry, not null
  * @param loads takes the load of another entry and returns that of all, not null
+ * @param crashes takes a crash report of another entry to write it, not null
  */
 public record EntryServices(
     Function<RelayOffer, Optional<Duration>> admission,
     Function<RelayedRequest, Flux<ResponsePart>> forwarder,
     Function<TableQuestion, CompletableFuture<TableChanges>> tables,
-    Function<LoadReport, CompletableFuture<FleetLoad>> loads) {
+    Function<LoadReport, CompletableFuture<FleetLoad>> loads,
+    Consumer<CrashReport> crashes) {
 
   /** Validates the components. */
   public EntryServices {
@@ -37,6 +41,7 @@
     Objects.requireNonNull(forwarder, "forwarder");
     Objects.requireNonNull(tables, "tables");
     Objects.requireNonNull(loads, "loads");
+    Objects.requireNonNull(crashes, "crashes");
   }
 
   /**
@@ -56,6 +61,7 @@
         question ->
             CompletableFuture.failedFuture(
                 new NoEffectException("read-table", "entry", "no tables are read", null)),
-        report -> CompletableFuture.completedFuture(FleetLoad.NONE));
+        report -> CompletableFuture.completedFuture(FleetLoad.NONE),
+        report -> {});
   }
 }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/QuestionServer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/QuestionServer.java
@@ -1,6 +1,7 @@
 package io.fireflyshed.transport.peer;
 
 import io.fireflyshed.protocol.peer.generated.PeerProto;
+import io.fireflyshed.protocol.poison.CrashReportCodec;
 import io.fireflyshed.state.error.HistoryLostException;
 import io.fireflyshed.state.peer.PeerId;
 import io.fireflyshed.state.table.TableChanges;
@@ -37,12 +38,23 @@
                   .loads()
                   .apply(LoadFrameUtils.fromQuestion(peer, frame.getLoadQuestion()))
                   .thenApply(load -> LoadFrameUtils.toAnswer(id, load)));
+      case CRASH_NOTICE -> {
+        services.crashes().accept(CrashReportCodec.decode(frame.getCrashNotice().getReport()));
+        connections.writeOrClose(channel, newCrashAck(id));
+      }
       default -> {
         // Other frames are no questions.
       }
     }
   }
 
+  private static PeerProto.Frame newCrashAck(long id) {
+    return PeerProto.Frame.newBuilder()
+        .setRequest(id)
+        .setCrashAck(PeerProto.CrashAck.getDefaultInstance())
+        .build();
+  }
+
   private CompletableFuture<PeerProto.Frame> answerTable(
       long id, PeerProto.TableQuestion question) {
     if (pending >= MAX_PENDING) {
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/poison/CrashReportExchange.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/poison/CrashReportExchange.java
@@ -87,11 +87,15 @@
   /** Spreads the writes of entries that come to the same conclusion at the same time. */
   private static final Duration REFUSAL_SPREAD = Duration.ofMillis(200);
 
+  /** The time that an entry leaves for writes to the one that writes for it. */
+  private static final Duration DELEGATION = Duration.ofSeconds(3);
+
   /** Limits the fingerprints that wait to be reported, which must fit into one row. */
   private static final int MAX_PENDING = 400;
 
   private final TableService table;
   private final TableFeed feed;
+  private final ReportWriter writer;
   private final String reportPrefix;
   private final CrashLedger ledger;
   private final Duration settleTime;
@@ -143,8 +147,35 @@
       ScheduledExecutorService control,
       MonotonicClock clock,
       UniformRandomProvider random) {
+    this(table, feed, ReportWriter.none(), entry, ledger, settleTime, control, clock, random);
+  }
+
+  /**
+   * Creates an exchange of an entry whose reports others may write.
+   *
+   * @param table writes rows, not null
+   * @param feed reads rows, not null
+   * @param writer has reports written by another entry, not null
+   * @param entry the name of this entry, which a later process on the same instance keeps, not null
+   * @param ledger counts the crashes, not null
+   * @param settleTime the settle time of the ledger, not null
+   * @param control the executor of the control thread, not null
+   * @param clock the clock of this process, which includes suspended time, not null
+   * @param random spreads the writes of many entries; used on the control thread only, not null
+   */
+  public CrashReportExchange(
+      TableService table,
+      TableFeed feed,
+      ReportWriter writer,
+      String entry,
+      CrashLedger ledger,
+      Duration settleTime,
+      ScheduledExecutorService control,
+      MonotonicClock clock,
+      UniformRandomProvider random) {
     this.table = table;
     this.feed = feed;
+    this.writer = writer;
     this.reportPrefix = REPORT_PREFIX + entry + "/";
     this.ledger = ledger;
     this.settleTime = settleTime;
@@ -295,10 +326,33 @@
     pendingCleared = new HashSet<>();
     isWriting = true;
     lastWriteNanos = clock.nanoTime();
+    writer
+        .write(report)
+        .orElseGet(() -> commitReport(report))
+        .whenCompleteAsync((result, error) -> onReportWritten(report, error), control);
+  }
+
+  private CompletableFuture<Void> commitReport(CrashReport report) {
     RowKey key = new RowKey(TABLE, reportPrefix + slot);
     slot = (slot + 1) % REPORT_SLOTS;
-    commit(List.of(), Write.ofPut(key, CrashReportCodec.encode(report)))
-        .whenCompleteAsync((result, error) -> onReportWritten(report, error), control);
+    return commit(List.of(), Write.ofPut(key, CrashReportCodec.encode(report)))
+        .thenAccept(isCommitted -> {});
+  }
+
+  /**
+   * Takes a report of another entry and writes it with the next one of this entry. May be called on
+   * any thread.
+   *
+   * @param report the report, not null
+   */
+  public void accept(CrashReport report) {
+    control.execute(
+        () -> {
+          report.crashes().forEach(this::recordCrash);
+          report.crashes().forEach((crash, all) -> all.forEach(r -> addPendingCrash(crash, r)));
+          report.cleared().forEach(ledger::clear);
+          report.cleared().forEach(this::addPendingClearance);
+        });
   }
 
   private void onReportWritten(CrashReport report, Throwable error) {
@@ -325,7 +379,9 @@
 
   private void scheduleRefusal(CrashFingerprint fingerprint) {
     Duration spread = Duration.ofNanos(random.nextLong(REFUSAL_SPREAD.toNanos()));
-    schedule(() -> writeRefusal(fingerprint), MIN_REFUSAL_DELAY.plus(spread));
+    Duration delay = MIN_REFUSAL_DELAY.plus(spread);
+    boolean isDelegated = writer.isDelegated();
+    schedule(() -> writeRefusal(fingerprint), isDelegated ? delay.plus(DELEGATION) : delay);
   }
 
   private void writeRefusal(CrashFingerprint fingerprint) {
@@ -348,10 +404,23 @@
             control);
   }
 
+  /** Deletes the row of a refusal, or leaves it to the entry that writes for this one. */
   private void deleteRefusal(CrashFingerprint fingerprint) {
     if (!listedRefusals.contains(fingerprint)) {
       return;
     }
+    if (writer.isDelegated()) {
+      schedule(() -> deleteListedRefusal(fingerprint), DELEGATION);
+    } else {
+      deleteListedRefusal(fingerprint);
+    }
+  }
+
+  private void deleteListedRefusal(CrashFingerprint fingerprint) {
+    boolean isRefused = ledger.getRefusal(fingerprint, clock.nanoTime()).isPresent();
+    if (isRefused || !listedRefusals.contains(fingerprint)) {
+      return;
+    }
     commit(List.of(), Write.ofDelete(newRefusalKey(fingerprint)))
         .whenCompleteAsync(
             (isCommitted, error) -> {
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/peer/RelayEntry.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/peer/RelayEntry.java
@@ -4,6 +4,7 @@
 
 import io.fireflyshed.coordination.placement.FleetLoad;
 import io.fireflyshed.coordination.placement.LoadReport;
+import io.fireflyshed.protocol.poison.CrashReport;
 import io.fireflyshed.state.clock.MonotonicClock;
 import io.fireflyshed.state.instance.AvailabilityZone;
 import io.fireflyshed.state.peer.EntryPeer;
@@ -18,6 +19,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -51,6 +53,7 @@
   final InetSocketAddress address;
   volatile Function<RelayOffer, Optional<Duration>> admission = o -> Optional.empty();
   volatile Function<RelayedRequest, Flux<ResponsePart>> forwarder = RelayEntry::answer;
+  final List<CrashReport> crashReports = Collections.synchronizedList(new ArrayList<>());
   volatile Function<LoadReport, CompletableFuture<FleetLoad>> loads =
       report -> CompletableFuture.completedFuture(FleetLoad.NONE);
   volatile Function<TableQuestion, CompletableFuture<TableChanges>> tables =
@@ -72,7 +75,8 @@
                   return forwarder.apply(request);
                 },
                 question -> tables.apply(question),
-                report -> loads.apply(report)),
+                report -> loads.apply(report),
+                crashReports::add),
             MonotonicClock.system(),
             RandomSource.XO_RO_SHI_RO_128_PP.create(SEED),
             metrics);
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/poison/CrashReportExchangeTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/poison/CrashReportExchangeTest.java
@@ -8,6 +8,7 @@
 import io.fireflyshed.coordination.poison.CrashLedger;
 import io.fireflyshed.coordination.poison.CrashSettings;
 import io.fireflyshed.coordination.poison.RequestFingerprints;
+import io.fireflyshed.protocol.poison.CrashReport;
 import io.fireflyshed.state.clock.ManualClock;
 import io.fireflyshed.state.clock.ManualScheduler;
 import io.fireflyshed.state.instance.AvailabilityZone;
@@ -23,6 +24,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntConsumer;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -64,6 +66,9 @@
   private int crashes;
   private int thirdCrashStep;
   private int lateAttempts;
+  private boolean isWritingDelegated;
+  private boolean isFirstLost;
+  private boolean isFirstKnownLost;
 
   /** One entry, whose process may be replaced. */
   private final class Entry {
@@ -88,6 +93,7 @@
           new CrashReportExchange(
               access,
               access,
+              newWriter(),
               name,
               new CrashLedger(SETTINGS),
               SETTINGS.settleTime(),
@@ -98,6 +104,30 @@
       poll();
     }
 
+    /** Has the first entry write the reports of the others, if the test says so. */
+    private ReportWriter newWriter() {
+      return new ReportWriter() {
+        @Override
+        public Optional<CompletableFuture<Void>> write(CrashReport report) {
+          return isDelegated() ? Optional.of(sendToFirst(report)) : Optional.empty();
+        }
+
+        @Override
+        public boolean isDelegated() {
+          return isWritingDelegated && entries.get(0) != Entry.this && !isFirstKnownLost;
+        }
+      };
+    }
+
+    private CompletableFuture<Void> sendToFirst(CrashReport report) {
+      if (isFirstLost) {
+        isFirstKnownLost = true;
+        return CompletableFuture.failedFuture(new IllegalStateException("no answer"));
+      }
+      entries.get(0).exchange.accept(report);
+      return CompletableFuture.completedFuture(null);
+    }
+
     /** Makes other calls to the table, whose failures the exchange is told. */
     private void poll() {
       boolean isFailing = !access.isReachable();
@@ -132,6 +162,9 @@
     crashes = 0;
     thirdCrashStep = Integer.MAX_VALUE;
     lateAttempts = 0;
+    isWritingDelegated = false;
+    isFirstLost = false;
+    isFirstKnownLost = false;
   }
 
   private void addEntries(int count) {
@@ -140,6 +173,45 @@
     }
   }
 
+  /** Has all entries see the same three crashes, each a moment after the one before. */
+  private void crashThreeTargetsAtAllEntries() {
+    for (int crash = 0; crash < CRASHES_BEFORE_REFUSAL; crash++) {
+      Target target = newTarget("t" + crash, 1);
+      for (Entry entry : entries) {
+        if (!isFirstLost || entry != entries.get(0)) {
+          entry.exchange.onInterrupted(BAD, target);
+        }
+      }
+      advance(STEPS_PER_SECOND);
+    }
+    advance(6 * STEPS_PER_SECOND);
+  }
+
+  @Test
+  public void oneEntryWritesTheReportsOfMany() {
+    isWritingDelegated = true;
+    addEntries(19);
+    advance(STEPS_PER_SECOND);
+    int before = table.getWrites();
+    crashThreeTargetsAtAllEntries();
+    entries.forEach(e -> assertTrue(e.isRefusing(BAD)));
+    int writes = table.getWrites() - before;
+    assertTrue(writes <= 2 * CRASHES_BEFORE_REFUSAL + 1, writes + " writes");
+  }
+
+  @Test
+  public void reportsAreWrittenByTheirEntriesOnceTheWriterIsLost() {
+    isWritingDelegated = true;
+    isFirstLost = true;
+    addEntries(5);
+    advance(STEPS_PER_SECOND);
+    crashThreeTargetsAtAllEntries();
+    entries.forEach(e -> assertTrue(e.isRefusing(BAD)));
+    addEntries(1);
+    advance(STEPS_PER_SECOND);
+    assertTrue(entries.get(5).isRefusing(BAD), "a process that starts later doesn't know");
+  }
+
   private static RequestFingerprints newRequest(String id) {
     return new RequestFingerprints(
         new CrashFingerprint(CrashFingerprint.Kind.REQUEST, id), Set.of());
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
@@ -48,6 +48,8 @@
 import io.fireflyshed.transport.peer.EntryServices;
 import io.fireflyshed.transport.peer.PeerSettings;
 import io.fireflyshed.transport.poison.CrashReportExchange;
+import io.fireflyshed.transport.poison.RemoteReportWriter;
+import io.fireflyshed.transport.poison.ReportWriter;
 import io.fireflyshed.transport.registry.ConfigurationWatcher;
 import io.fireflyshed.transport.registry.EntryRegistrar;
 import io.fireflyshed.transport.registry.LoadExchange;
@@ -112,6 +114,9 @@
   /** The shortest time between two reads of the leases for the entries of a zone. */
   private static final Duration LEASES_INTERVAL = Duration.ofMillis(600);
 
+  /** The longest wait for the entry that writes crash reports to take one. */
+  private static final Duration CRASH_REPORT_TIMEOUT = Duration.ofMillis(500);
+
   /** The delay between two questions for changed targets, which wait for the next read anyway. */
   private static final Duration TARGETS_READ_DELAY = Duration.ofMillis(20);
 
@@ -244,6 +249,15 @@
     return relay.orElseThrow().ask(entry, question, timeout);
   }
 
+  private ReportWriter newReportWriter() {
+    return new RemoteReportWriter(
+        (entry, report) -> relay.orElseThrow().write(entry, report, CRASH_REPORT_TIMEOUT),
+        this::getAskableEntries,
+        new ReaderSelector(new PeerId(settings.node()), settings.zone()),
+        control,
+        clock);
+  }
+
   private LoadExchange newLoads() {
     PeerId self = new PeerId(settings.node());
     return new LoadExchange(
@@ -294,7 +308,8 @@
             this::getRelayRefusal,
             request -> forwarder.forwardRelayed(request),
             question -> tables.answer(question),
-            report -> loads.answer(report)),
+            report -> loads.answer(report),
+            report -> crashReports.accept(report)),
         trafficClock,
         RandomSource.XO_RO_SHI_RO_128_PP.create(),
         metrics);
@@ -323,7 +338,15 @@
     CrashLedger ledger = new CrashLedger(crashSettings);
     metrics.gauge("fireflyshed.refused.fingerprints", ledger, CrashLedger::countRefusals);
     return new CrashReportExchange(
-        store, tables, settings.node(), ledger, crashSettings.settleTime(), control, clock, random);
+        store,
+        tables,
+        newReportWriter(),
+        settings.node(),
+        ledger,
+        crashSettings.settleTime(),
+        control,
+        clock,
+        random);
   }
 
   private FormationController newFormation(StoreClient store, UniformRandomProvider random) {
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/RelayRehearsal.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/RelayRehearsal.java
@@ -1,6 +1,7 @@
 package io.fireflyshed.daemon.platform;
 
 import io.fireflyshed.coordination.placement.FleetLoad;
+import io.fireflyshed.protocol.poison.CrashReport;
 import io.fireflyshed.protocol.traffic.PromptDescriptor;
 import io.fireflyshed.protocol.traffic.TargetAnswer;
 import io.fireflyshed.protocol.traffic.TrafficRequest;
@@ -99,6 +100,7 @@
   private static boolean isAnswered(EntryRelay sending, EntryPeer peer) {
     TableChanges changes = sending.ask(peer, new TableQuestion(TABLE, 0, false), TIMEOUT).join();
     FleetLoad load = sending.ask(peer, LOAD, false, TIMEOUT).join();
+    sending.write(peer, new CrashReport(Map.of(), Set.of()), TIMEOUT).join();
     return changes.equals(CHANGES) && load.equals(LOAD);
   }
 
@@ -110,7 +112,8 @@
             offer -> Optional.empty(),
             RelayRehearsal::answer,
             question -> CompletableFuture.completedFuture(CHANGES),
-            report -> CompletableFuture.completedFuture(report.load())),
+            report -> CompletableFuture.completedFuture(report.load()),
+            report -> {}),
         MonotonicClock.system(),
         RandomSource.XO_RO_SHI_RO_128_PP.create(),
         metrics);
