--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/TcpTargetProbe.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/TcpTargetProbe.java
@@ -20,6 +20,17 @@
   private final TcpClient client =
       TcpClient.newConnection()
           .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS);
+  private final Duration settleTime;
+
+  /** Creates a probe. */
+  public TcpTargetProbe() {
+    this(SETTLE_TIME);
+  }
+
+  /** Creates a probe whose connections must stay open for a given time. */
+  TcpTargetProbe(Duration settleTime) {
+    this.settleTime = settleTime;
+  }
 
   @Override
   public Mono<Void> connect(Target target) {
@@ -31,12 +42,12 @@
   }
 
   /** Waits until a connection has been open for a moment, and closes it. */
-  private static Mono<Void> settle(Target target, Connection connection) {
+  private Mono<Void> settle(Target target, Connection connection) {
     Mono<Void> closed =
         connection
             .onDispose()
             .then(Mono.error(() -> new ConnectException(target.id() + " closed the connection")));
-    return Mono.firstWithSignal(closed, Mono.delay(SETTLE_TIME).then())
+    return Mono.firstWithSignal(closed, Mono.delay(settleTime).then())
         .doFinally(signal -> connection.dispose());
   }
 }
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ReachabilityWatchTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ReachabilityWatchTest.java
@@ -162,8 +162,9 @@
     try (ServerSocket server = new ServerSocket(0, 10, InetAddress.getLoopbackAddress())) {
       Thread acceptor = new Thread(() -> closeFirst(server), "acceptor");
       acceptor.start();
-      Mono<Void> attempt = new TcpTargetProbe().connect(newTarget(server.getLocalPort()));
-      expectThrows(RuntimeException.class, () -> attempt.block(Duration.ofSeconds(5)));
+      Mono<Void> attempt =
+          new TcpTargetProbe(Duration.ofSeconds(5)).connect(newTarget(server.getLocalPort()));
+      expectThrows(RuntimeException.class, () -> attempt.block(Duration.ofSeconds(10)));
       acceptor.join();
     }
   }
