Read the list of entries once a zone, too

Change: the registrar scans through the shared feed, in which the version of a row is significant, since it shows that an entry lives.

SharedTableServiceTest, and the tests of the registrar and of PlatformEntry.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/registry/EntryRegistrar.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/registry/EntryRegistrar.java
@@ -71,7 +71,9 @@
   private static final Duration MIN_REFRESH_INTERVAL = Duration.ofSeconds(2);
 
   private static final Duration RETRY_DELAY = Duration.ofSeconds(2);
-  private static final String TABLE = "entries";
+
+  /** The table of the entries. */
+  public static final String TABLE = "entries";
 
   private final TableService table;
   private final SharedTimeSource timeSource;
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
@@ -55,6 +55,7 @@
 import io.fireflyshed.transport.registry.LoadExchange;
 import io.fireflyshed.transport.registry.SharedTableFeed;
 import io.fireflyshed.transport.registry.SharedTableFeed.TableSettings;
+import io.fireflyshed.transport.registry.SharedTableService;
 import io.fireflyshed.transport.registry.TargetFollower;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
@@ -111,6 +112,9 @@
   /** The longest wait for a crash report, after which a reader that fell silent shows. */
   private static final Duration CRASH_REPORTS_WAIT = Duration.ofSeconds(2);
 
+  /** The shortest time between two reads of the entries for the entries of a zone. */
+  private static final Duration ENTRIES_INTERVAL = Duration.ofSeconds(1);
+
   /** The shortest time between two reads of the leases for the entries of a zone. */
   private static final Duration LEASES_INTERVAL = Duration.ofMillis(600);
 
@@ -233,6 +237,8 @@
             new TableSettings(CONFIGURATION_INTERVAL, Duration.ZERO, Row::value),
             CrashReportExchange.TABLE,
             new TableSettings(CRASH_REPORTS_INTERVAL, CRASH_REPORTS_WAIT, Row::value),
+            EntryRegistrar.TABLE,
+            new TableSettings(ENTRIES_INTERVAL, Duration.ZERO, Row::version),
             LeaseStore.TABLE,
             new TableSettings(LEASES_INTERVAL, Duration.ZERO, Row::value)),
         control,
@@ -284,7 +290,7 @@
       EntrySchedule schedule,
       UniformRandomProvider random) {
     return new EntryRegistrar(
-        store,
+        new SharedTableService(store, tables),
         store,
         settings.zone(),
         settings.node(),
