Read the connection of a reachability probe, so that its reset is noticed

It was put down to a slow test server, but with five seconds of settle time it failed again. The probe's channel never read. The epoll transport, which only x86-64 had in tests, reports a reset all the same; the NIO transport, which every deployed entry and arm64 use, reports it only to a channel that reads. So an entry whose connections to targets were accepted on the way and then reset counted each probe as a success, and would have sent requests to unreachable targets again.

Change: the probe reads until the peer closes.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/TcpTargetProbe.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/TcpTargetProbe.java
@@ -43,9 +43,11 @@
 
   /** Waits until a connection has been open for a moment, and closes it. */
   private Mono<Void> settle(Target target, Connection connection) {
+    // Only a channel that reads learns on every transport that its peer closed or reset it.
     Mono<Void> closed =
         connection
-            .onDispose()
+            .inbound()
+            .receive()
             .then(Mono.error(() -> new ConnectException(target.id() + " closed the connection")));
     return Mono.firstWithSignal(closed, Mono.delay(settleTime).then())
         .doFinally(signal -> connection.dispose());
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ReachabilityWatchTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ReachabilityWatchTest.java
@@ -158,9 +158,18 @@
 
   @Test
   public void connectionThatIsClosedAtOnceFails() throws Exception {
+    assertClosedConnectionFails(Duration.ZERO);
+  }
+
+  @Test
+  public void connectionThatIsResetAfterAMomentFails() throws Exception {
+    assertClosedConnectionFails(Duration.ofMillis(200));
+  }
+
+  private static void assertClosedConnectionFails(Duration openTime) throws Exception {
     VirtualTimeScheduler.reset();
     try (ServerSocket server = new ServerSocket(0, 10, InetAddress.getLoopbackAddress())) {
-      Thread acceptor = new Thread(() -> closeFirst(server), "acceptor");
+      Thread acceptor = new Thread(() -> closeFirst(server, openTime), "acceptor");
       acceptor.start();
       Mono<Void> attempt =
           new TcpTargetProbe(Duration.ofSeconds(5)).connect(newTarget(server.getLocalPort()));
@@ -169,10 +178,11 @@
     }
   }
 
-  private static void closeFirst(ServerSocket server) {
+  private static void closeFirst(ServerSocket server, Duration openTime) {
     try (Socket socket = server.accept()) {
       socket.setSoLinger(true, 0);
-    } catch (IOException e) {
+      Thread.sleep(openTime.toMillis());
+    } catch (IOException | InterruptedException e) {
       throw new IllegalStateException("the test server failed", e);
     }
   }
