Accept connections once requests can be routed

Many callers had used up their retries in the outage.

Change: connections are established, but not accepted until the configuration and the targets have been read, or for 0.6 s at most; callers leave when their request isn't read within a second.

requestsWaitForTheFirstReadOfTheConfiguration; before, such a request is answered 503 (seen while AUTO_READ had no effect as an option of the server). requestsAreRefusedIfTheConfigurationCannotBeRead.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/TrafficServer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/TrafficServer.java
@@ -19,6 +19,8 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -57,6 +59,9 @@
   /** Longer than any idle timeout that a configuration sets for callers. */
   private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(90);
 
+  /** Limits the connections that wait to be accepted while the process starts. */
+  private static final int BACKLOG = 1024;
+
   private static final Duration DRAIN_POLL_INTERVAL = Duration.ofMillis(20);
   private static final Duration CLOSE_TIMEOUT = Duration.ofMillis(200);
 
@@ -103,7 +108,7 @@
   private volatile boolean isClosing;
 
   private volatile long shutdownNanos;
-  private List<DisposableServer> servers = List.of();
+  private volatile List<DisposableServer> servers = List.of();
 
   /**
    * Creates a server that does not listen yet.
@@ -141,7 +146,10 @@
     this.inFlight = metrics.gauge("fireflyshed.requests.in.flight", new AtomicInteger());
   }
 
-  /** Binds all listening sockets; returns once they accept connections. */
+  /**
+   * Binds all listening sockets. Connections are established from then on, but wait until {@link
+   * #startAccepting} is called.
+   */
   public void start() {
     DisposableServer trafficServer =
         newServer(settings.callerAddress())
@@ -162,10 +170,25 @@
             .route(r -> r.get("/metrics", this::handleMetrics))
             .bindNow();
     servers = List.of(trafficServer, readinessServer, metricsServer);
+    // Reactor Netty ignores the option AUTO_READ of a server.
+    servers.forEach(server -> setAccepting(server, false));
+  }
+
+  private static void setAccepting(DisposableServer server, boolean isAccepting) {
+    Channel channel = server.channel();
+    channel
+        .eventLoop()
+        .submit(() -> channel.config().setAutoRead(isAccepting))
+        .syncUninterruptibly();
+  }
+
+  /** Starts to read the requests of connections. Has no effect if called again. */
+  public void startAccepting() {
+    servers.forEach(server -> setAccepting(server, true));
   }
 
   private static HttpServer newServer(InetSocketAddress address) {
-    return HttpServer.create().bindAddress(() -> address);
+    return HttpServer.create().bindAddress(() -> address).option(ChannelOption.SO_BACKLOG, BACKLOG);
   }
 
   /**
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/StoppingServer.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/StoppingServer.java
@@ -76,6 +76,7 @@
             () -> true,
             metrics);
     server.start();
+    server.startAccepting();
   }
 
   InetSocketAddress getAddress() {
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
@@ -68,6 +68,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
 import java.util.stream.Collectors;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -127,7 +128,11 @@
   /** The used fraction of the allowed retries, since targets count them slightly later. */
   private static final double RETRY_MARGIN_FACTOR = 0.9;
 
+  /** The longest wait of connections for the configuration; callers leave after about a second. */
+  private static final Duration MAX_ACCEPT_DELAY = Duration.ofMillis(600);
+
   private final PlatformSettings settings;
+  private final Duration maxAcceptDelay;
 
   /** The clock for requests. A step of the wall clock must not end requests in flight. */
   private final MonotonicClock trafficClock = MonotonicClock.system();
@@ -164,7 +169,13 @@
    * @param settings the platform's settings, not null
    */
   public PlatformEntry(PlatformSettings settings) {
+    this(settings, MAX_ACCEPT_DELAY);
+  }
+
+  /** Creates an entry whose connections wait for the configuration for a given time at most. */
+  PlatformEntry(PlatformSettings settings, Duration maxAcceptDelay) {
     this.settings = settings;
+    this.maxAcceptDelay = maxAcceptDelay;
     UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create();
     WireHeaders codec = new WireHeaders();
     StoreClient store = new StoreClient(storeCaller, settings.store());
@@ -184,7 +195,8 @@
             this::onTargetsChanged,
             this::onRegistryFailed);
     configuration =
-        new ConfigurationWatcher(new StoreConfigurationSource(tables), control, clock, c -> {});
+        new ConfigurationWatcher(
+            new StoreConfigurationSource(tables), control, clock, c -> acceptOnceRoutable());
     reachability = newReachability(random);
     formation = newFormation(store, random);
     RetryAllowance allowance = newRetryAllowance(settings);
@@ -207,20 +219,21 @@
             metrics,
             reachability,
             relay.map(RequestRelay.class::cast).orElseGet(RequestRelay::none));
-    server =
-        new TrafficServer(
-            newServerSettings(settings),
-            codec,
-            new RequestGate(
-                configuration::get,
-                configuration::getAge,
-                settings.maxKeyAge().minus(KEY_AGE_MARGIN)),
-            () -> configuration.get().map(TrafficConfiguration::limits),
-            forwarder,
-            random,
-            trafficClock,
-            this::isReady,
-            metrics);
+    server = newServer(codec, random);
+  }
+
+  private TrafficServer newServer(WireHeaders codec, UniformRandomProvider random) {
+    return new TrafficServer(
+        newServerSettings(settings),
+        codec,
+        new RequestGate(
+            configuration::get, configuration::getAge, settings.maxKeyAge().minus(KEY_AGE_MARGIN)),
+        () -> configuration.get().map(TrafficConfiguration::limits),
+        forwarder,
+        random,
+        trafficClock,
+        this::isReady,
+        metrics);
   }
 
   /** Creates the feed of the tables that one entry of each availability zone reads for all. */
@@ -412,6 +425,18 @@
     forwarder.start();
     reachability.start();
     server.start();
+    control.execute(this::acceptOnceRoutable);
+    control.schedule(server::startAccepting, maxAcceptDelay.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  /**
+   * Starts to accept connections once requests can be routed. Before, the answers to the first
+   * requests would delay the reads that all of them need.
+   */
+  private void acceptOnceRoutable() {
+    if (configuration.get().isPresent() && targets.isRead()) {
+      server.startAccepting();
+    }
   }
 
   /** Starts to listen for other entries. An entry that can't do so still serves its callers. */
@@ -441,6 +466,7 @@
     Set<InstanceId> listed = targets.getAll().stream().map(Target::id).collect(Collectors.toSet());
     placer.retain(listed);
     changed.forEach(placer::reset);
+    acceptOnceRoutable();
   }
 
   /**
--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/PlatformEntryTest.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/PlatformEntryTest.java
@@ -102,6 +102,17 @@
         : builder.POST(HttpRequest.BodyPublishers.ofString("body")).build();
   }
 
+  private HttpRequest newLookup(PlatformSettings receiver) {
+    return HttpRequest.newBuilder(
+            URI.create("http://127.0.0.1:" + receiver.listen().getPort() + "/lookups/x"))
+        .header("Host", FleetStandIn.HOST)
+        .header("X-Attempt-Id", "a" + attempts.incrementAndGet())
+        .header("X-Deadline-Ms", "15000")
+        .header("Authorization", "Bearer " + FleetStandIn.KEY)
+        .GET()
+        .build();
+  }
+
   private HttpResponse<String> send(String path, String key) {
     try {
       return client.send(newRequest(path, key), HttpResponse.BodyHandlers.ofString());
@@ -117,6 +128,34 @@
     return targets.stream().mapToLong(t -> t.getRuns().size()).sum();
   }
 
+  @Test
+  public void requestsWaitForTheFirstReadOfTheConfiguration() throws Exception {
+    fleet.getStore().setFault(StoreFault.BUSY);
+    PlatformSettings freshSettings = RehearseCommand.newSettings(fleet, "entry-2");
+    try (PlatformEntry fresh = new PlatformEntry(freshSettings, TIMEOUT)) {
+      fresh.start();
+      CompletableFuture<HttpResponse<String>> response =
+          client.sendAsync(newLookup(freshSettings), HttpResponse.BodyHandlers.ofString());
+      Thread.sleep(300);
+      assertFalse(response.isDone(), "the request was answered without a configuration");
+      fleet.getStore().setFault(StoreFault.NONE);
+      assertEquals(response.get(TIMEOUT.toSeconds(), TimeUnit.SECONDS).statusCode(), 200);
+    }
+  }
+
+  @Test
+  public void requestsAreRefusedIfTheConfigurationCannotBeRead() throws Exception {
+    fleet.getStore().setFault(StoreFault.BUSY);
+    PlatformSettings freshSettings = RehearseCommand.newSettings(fleet, "entry-2");
+    try (PlatformEntry fresh = new PlatformEntry(freshSettings, Duration.ofMillis(100))) {
+      fresh.start();
+      HttpResponse<String> response =
+          client.send(newLookup(freshSettings), HttpResponse.BodyHandlers.ofString());
+      assertEquals(response.statusCode(), 503);
+      assertTrue(response.headers().firstValue("Retry-After").isPresent());
+    }
+  }
+
   @Test
   public void loadsAreUnlimitedBeforeTheFirstRequest() {
     assertFalse(entry.areLoadsUnlimited());
