Ask engines that load weights for reports less and less often

Members of a forming replica gave a report every 150 ms for the 12 to 16 s of a load, and so did the 15 members that wait for one that loads.

Change: the interval of a waiting member is an eighth of the time it has waited, between 150 ms and the interval of serving members. The registry shows at once that a member is ready; a head that opens is still asked each 150 ms.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/EngineState.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/EngineState.java
@@ -43,6 +43,10 @@
   private boolean isReportForgotten;
 
   private Optional<Membership> membership = Optional.empty();
+
+  /** When the engine was first known to be in its present replica. */
+  private long membershipNanos;
+
   private long orderSequence;
   private String lastModel = "";
   private int reportFailures;
@@ -117,6 +121,22 @@
     return membership;
   }
 
+  /** Returns the time since which the engine is known to be in its present replica. */
+  long getMembershipNanos() {
+    return membershipNanos;
+  }
+
+  /** Records a membership that was seen at a given time. */
+  private void setMembership(Optional<Membership> newMembership, long nanos) {
+    boolean isSame =
+        newMembership.isPresent()
+            && membership.filter(m -> m.isSameReplica(newMembership.get())).isPresent();
+    if (!isSame) {
+      membershipNanos = nanos;
+    }
+    membership = newMembership;
+  }
+
   long getOrderSequence() {
     return orderSequence;
   }
@@ -178,7 +198,7 @@
     }
     report = newReport;
     isReportForgotten = false;
-    membership = newReport.membership();
+    setMembership(newReport.membership(), requestedNanos);
     orderSequence = newReport.orderSequence();
     isStateUncertain = false;
     membership.ifPresent(m -> lastModel = m.getModel());
@@ -273,18 +293,18 @@
     boolean hasLeft = reply == OrderReply.HOLDS && order instanceof EngineOrder.Leave;
     if (reply == OrderReply.BEGUN || hasLeft) {
       orderSequence++;
-      applyEffect(order);
+      applyEffect(order, nowNanos);
     } else {
       isStateUncertain = true;
     }
   }
 
-  private void applyEffect(EngineOrder order) {
+  private void applyEffect(EngineOrder order, long nowNanos) {
     if (order instanceof EngineOrder.Join join) {
       int rank = join.members().indexOf(target.id());
-      membership =
-          Optional.of(
-              new Membership(join.replica(), join.generation(), rank, MembershipPhase.JOINING));
+      Membership joined =
+          new Membership(join.replica(), join.generation(), rank, MembershipPhase.JOINING);
+      setMembership(Optional.of(joined), nowNanos);
       lastModel = join.model();
     } else if (order instanceof EngineOrder.Leave) {
       membership = Optional.empty();
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/FormationPlanner.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/FormationPlanner.java
@@ -38,6 +38,9 @@
  */
 public final class FormationPlanner {
 
+  /** The ratio of the time that a member has been waiting to the interval between its reports. */
+  private static final int WAITS_PER_REPORT_INTERVAL = 8;
+
   private final FormationSettings settings;
   private final EngineProfile profile;
   private final LoadBudget loadBudget;
@@ -148,7 +151,7 @@
   public List<Target> pollDueReports(long nowNanos) {
     List<Target> due = new ArrayList<>();
     for (EngineState engine : state.getEngines()) {
-      if (engine.isReportDue(getReportInterval(engine), nowNanos)) {
+      if (engine.isReportDue(getReportInterval(engine, nowNanos), nowNanos)) {
         engine.recordReportRequest(nowNanos);
         due.add(engine.getTarget());
       }
@@ -156,7 +159,7 @@
     return due;
   }
 
-  private Duration getReportInterval(EngineState engine) {
+  private Duration getReportInterval(EngineState engine, long nowNanos) {
     Optional<Membership> membership = engine.getMembership();
     boolean isReadySpare =
         membership
@@ -166,6 +169,9 @@
     if (membership.isEmpty() || engine.isLost() || isReadySpare) {
       return settings.idleReportInterval();
     }
+    if (isWaiting(engine, membership.get(), nowNanos)) {
+      return getWaitingReportInterval(nowNanos - engine.getMembershipNanos());
+    }
     boolean isServing =
         state
             .findReplica(engine)
@@ -178,6 +184,29 @@
         : settings.formingReportInterval();
   }
 
+  /** Tests whether a member loads weights, or waits for other members that do. */
+  private boolean isWaiting(EngineState engine, Membership membership, long nowNanos) {
+    boolean isFormingReplica =
+        state
+            .findReplica(engine)
+            .filter(r -> r.getStage() == ReplicaState.Stage.FORMING)
+            .filter(r -> !maintainer.isOpening(r, nowNanos))
+            .isPresent();
+    return membership.phase() == MembershipPhase.JOINING
+        || membership.phase() == MembershipPhase.READY && isFormingReplica;
+  }
+
+  /**
+   * Returns an interval in proportion to the time that a member has been waiting, since loads take
+   * many seconds. The registry, too, shows that a member is ready.
+   */
+  private Duration getWaitingReportInterval(long waitingNanos) {
+    long shortest = settings.formingReportInterval().toNanos();
+    long longest = settings.servingReportInterval().toNanos();
+    long interval = waitingNanos / WAITS_PER_REPORT_INTERVAL;
+    return Duration.ofNanos(Math.max(shortest, Math.min(longest, interval)));
+  }
+
   /**
    * Records a report of an engine; a report of an unknown engine is ignored.
    *
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/ReplicaMaintainer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/ReplicaMaintainer.java
@@ -4,6 +4,7 @@
 import io.fireflyshed.state.target.EngineOrder;
 import io.fireflyshed.state.target.Membership;
 import io.fireflyshed.state.target.MembershipPhase;
+import io.fireflyshed.state.traffic.EngineProfile;
 import java.time.Duration;
 import java.util.Optional;
 
@@ -120,14 +121,7 @@
       dissolve(replica, head, "the replica did not form within the timeout", orders);
       return;
     }
-    long openTimeoutNanos =
-        state
-            .getProfile()
-            .openTime()
-            .plus(state.getProfile().reportLag())
-            .plus(OPEN_MARGIN)
-            .toNanos();
-    if (replica.isOpening(nowNanos, openTimeoutNanos)) {
+    if (isOpening(replica, nowNanos)) {
       return;
     }
     if (head.isOrderable() && areAllMembersReady(replica)) {
@@ -136,6 +130,13 @@
     }
   }
 
+  /** Tests whether the head was ordered to open so recently that it may still do so. */
+  boolean isOpening(ReplicaState replica, long nowNanos) {
+    EngineProfile profile = state.getProfile();
+    Duration openTimeout = profile.openTime().plus(profile.reportLag()).plus(OPEN_MARGIN);
+    return replica.isOpening(nowNanos, openTimeout.toNanos());
+  }
+
   private static EngineOrder newOpenOrder(ReplicaState replica) {
     return new EngineOrder.Open(replica.getId(), replica.getGeneration());
   }
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/FormationPlannerTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/FormationPlannerTest.java
@@ -53,6 +53,15 @@
       assertEquals(Set.copyOf(heldModels), Set.of("large", "small"));
     }
 
+    @Test
+    public void enginesThatLoadAreAskedTwiceASecondAtMost() {
+      FormationSimulation simulation = new FormationSimulation(1, 2);
+      Duration load = FormationSimulation.LARGE.load();
+      simulation.run(load);
+      long limit = 2 * load.toSeconds() * simulation.engines.size();
+      assertTrue(simulation.reports <= limit, simulation.reports + " reports, limit " + limit);
+    }
+
     @Test
     public void enginesAddedOneByOneFormTheSameReplicas() {
       FormationSimulation simulation = new FormationSimulation(1, 0);
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/FormationSimulation.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/FormationSimulation.java
@@ -56,6 +56,9 @@
   /** Whether the coordinator pauses, as while its entry is impaired. */
   boolean isPaused;
 
+  /** The number of report requests. */
+  int reports;
+
   int joins;
   int leaves;
   int conflicts;
@@ -165,6 +168,7 @@
   }
 
   private void requestReport(FormationPlanner requester, InstanceId id) {
+    reports++;
     SimulatedEngine engine = engines.get(id);
     if (refusing.contains(id)) {
       schedule(nowMillis + STEP_MILLIS, () -> requester.recordReportFailure(id));
