Bind first, and start what requests don't need once they can be routed

Change: each server stops accepting as soon as it is bound, connections are established before anything else starts, and formation, the link, registration, loads and crash reports start once requests can be routed.

99 tests of the entry pass.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/TrafficServer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/TrafficServer.java
@@ -151,7 +151,7 @@
    * #startAccepting} is called.
    */
   public void start() {
-    DisposableServer trafficServer =
+    HttpServer trafficServer =
         newServer(settings.callerAddress())
             .idleTimeout(IDLE_TIMEOUT)
             .doOnChannelInit((observer, channel, remoteAddress) -> connections.add(channel))
@@ -159,19 +159,20 @@
                 spec ->
                     spec.maxHeaderSize(MAX_HEADER_BYTES)
                         .maxInitialLineLength(MAX_INITIAL_LINE_BYTES))
-            .handle(this::handleRequest)
-            .bindNow();
-    DisposableServer readinessServer =
+            .handle(this::handleRequest);
+    HttpServer readinessServer =
         newServer(settings.readinessAddress())
-            .route(r -> r.get(settings.readinessPath(), this::handleReadiness))
-            .bindNow();
-    DisposableServer metricsServer =
-        newServer(settings.metricsAddress())
-            .route(r -> r.get("/metrics", this::handleMetrics))
-            .bindNow();
-    servers = List.of(trafficServer, readinessServer, metricsServer);
-    // Reactor Netty ignores the option AUTO_READ of a server.
-    servers.forEach(server -> setAccepting(server, false));
+            .route(r -> r.get(settings.readinessPath(), this::handleReadiness));
+    HttpServer metricsServer =
+        newServer(settings.metricsAddress()).route(r -> r.get("/metrics", this::handleMetrics));
+    servers = List.of(bind(trafficServer), bind(readinessServer), bind(metricsServer));
+  }
+
+  /** Binds a server that doesn't accept connections; Reactor Netty ignores its AUTO_READ option. */
+  private static DisposableServer bind(HttpServer server) {
+    DisposableServer bound = server.bindNow();
+    setAccepting(bound, false);
+    return bound;
   }
 
   private static void setAccepting(DisposableServer server, boolean isAccepting) {
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
@@ -161,6 +161,13 @@
   private final FormationController formation;
   private final Forwarder forwarder;
   private final TrafficServer server;
+
+  /** Whether connections of callers are established; used on the control thread only. */
+  private boolean isListening;
+
+  /** Whether connections are accepted; used on the control thread only. */
+  private boolean isAccepting;
+
   private final EventLog log = new EventLog("entry");
 
   /**
@@ -412,21 +419,24 @@
         drainTime.minus(drainDelay));
   }
 
-  /** Starts the entry. */
+  /**
+   * Starts the entry. Returns once connections of callers are established; they are accepted, and
+   * the parts that are not needed for requests start, as soon as requests can be routed.
+   */
   public void start() {
     log.info("started", "node", settings.node(), "zone", settings.zone());
     configuration.start();
     targets.start();
-    formation.start();
-    relay.ifPresent(this::startRelay);
-    registrar.start();
-    loads.start();
-    crashReports.start();
+    server.start();
     forwarder.start();
     reachability.start();
-    server.start();
-    control.execute(this::acceptOnceRoutable);
-    control.schedule(server::startAccepting, maxAcceptDelay.toMillis(), TimeUnit.MILLISECONDS);
+    control.execute(this::onListening);
+    control.schedule(this::accept, maxAcceptDelay.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  private void onListening() {
+    isListening = true;
+    acceptOnceRoutable();
   }
 
   /**
@@ -434,9 +444,22 @@
    * requests would delay the reads that all of them need.
    */
   private void acceptOnceRoutable() {
-    if (configuration.get().isPresent() && targets.isRead()) {
-      server.startAccepting();
+    if (isListening && configuration.get().isPresent() && targets.isRead()) {
+      accept();
+    }
+  }
+
+  private void accept() {
+    if (isAccepting) {
+      return;
     }
+    isAccepting = true;
+    server.startAccepting();
+    formation.start();
+    relay.ifPresent(this::startRelay);
+    registrar.start();
+    loads.start();
+    crashReports.start();
   }
 
   /** Starts to listen for other entries. An entry that can't do so still serves its callers. */
