Notify of a configuration once its age is known

Cause: the listener of an accepted configuration ran before the age of the configuration was updated, which was that of the process's start until then. Entries that accept connections from then on denied their first requests with 503, "the traffic configuration is too old to verify API keys" (requestsWaitForTheFirstReadOfTheConfiguration failed once, and in 7 of 40 runs in a row).

Change: the listener is notified last.

listenerIsNotifiedAfterTheAgeIsKnown fails before (one hour instead of 0.7 s); 40 of 40 runs of the other test pass after.

Select the entry that reads for a zone by processor cores, too: entries publish their cores, and the largest ones are ranked first, since the work for others grows with the number of entries and the smallest ones have a quarter of a core. allEntriesSelectTheSameOfThoseWithTheMostCores.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/directory/ReaderSelector.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/directory/ReaderSelector.java
@@ -17,10 +17,11 @@
  * Selects the entry of an availability zone that reads the table service, or joins the loads, for
  * the others.
  *
- * <p>All entries rank each other by the hashes of their names (rendezvous hashing), so that they
- * agree without messages as far as they know the same entries, and the loss of one moves only its
- * own load. An entry that failed is left out for a while, which doubles with each further failure.
- * Not thread safe.
+ * <p>All entries rank each other by their processor cores, since this work grows with the number of
+ * entries, and then by the hashes of their names (rendezvous hashing). So they agree without
+ * messages as far as they know the same entries, and the loss of one moves only its own load. An
+ * entry that failed is left out for a while, which doubles with each further failure. Not thread
+ * safe.
  */
 public final class ReaderSelector {
 
@@ -30,14 +31,20 @@
   /** The longest pause, within which an entry that came back is used again. */
   static final Duration MAX_PAUSE = Duration.ofSeconds(30);
 
-  private static final Comparator<PeerId> BY_RANK =
+  private static final Comparator<PeerId> BY_SCORE =
       Comparator.comparingLong(ReaderSelector::getScore).thenComparing(PeerId::value);
 
+  private static final Comparator<EntryPeer> BY_RANK =
+      Comparator.comparingDouble(EntryPeer::cores)
+          .reversed()
+          .thenComparing(EntryPeer::id, BY_SCORE);
+
   /** Holds the end of the pause of an entry and its length. */
   private record Pause(long endNanos, Duration length) {}
 
   private final PeerId self;
   private final AvailabilityZone zone;
+  private final double cores;
   private final Map<PeerId, Pause> pauses = new HashMap<>();
 
   /**
@@ -45,10 +52,12 @@
    *
    * @param self this entry, not null
    * @param zone the availability zone of this entry, not null
+   * @param cores the processor cores of this entry as it publishes them, 0 if unknown
    */
-  public ReaderSelector(PeerId self, AvailabilityZone zone) {
+  public ReaderSelector(PeerId self, AvailabilityZone zone, double cores) {
     this.self = Objects.requireNonNull(self, "self");
     this.zone = Objects.requireNonNull(zone, "zone");
+    this.cores = cores;
   }
 
   /**
@@ -59,7 +68,12 @@
    * @return the entry, empty if this one must do the work itself, never null
    */
   public Optional<EntryPeer> select(Collection<EntryPeer> entries, long nowNanos) {
-    return selectOf(zone, entries, nowNanos).filter(best -> BY_RANK.compare(best.id(), self) < 0);
+    return selectOf(zone, entries, nowNanos).filter(this::isRankedHigher);
+  }
+
+  private boolean isRankedHigher(EntryPeer entry) {
+    int byCores = Double.compare(entry.cores(), cores);
+    return byCores == 0 ? BY_SCORE.compare(entry.id(), self) < 0 : byCores > 0;
   }
 
   /**
@@ -75,7 +89,7 @@
     return entries.stream()
         .filter(e -> e.zone().equals(wanted) && !e.id().equals(self))
         .filter(e -> !isPaused(e.id(), nowNanos))
-        .min(Comparator.comparing(EntryPeer::id, BY_RANK));
+        .min(BY_RANK);
   }
 
   private boolean isPaused(PeerId id, long nowNanos) {
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/registry/ConfigurationWatcher.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/registry/ConfigurationWatcher.java
@@ -123,15 +123,18 @@
       sourceVersion = Math.max(sourceVersion, result.sourceVersion());
       versionReadNanos = sentNanos;
     }
-    result.configuration().ifPresent(c -> accept(c, result.sourceVersion()));
+    Optional<TrafficConfiguration> accepted = result.configuration().filter(this::isNewer);
+    accepted.ifPresent(c -> accept(c, result.sourceVersion()));
     confirmedNanos = sentNanos;
+    accepted.ifPresent(listener);
     return Duration.ZERO;
   }
 
+  private boolean isNewer(TrafficConfiguration configuration) {
+    return current.filter(c -> c.version() >= configuration.version()).isEmpty();
+  }
+
   private void accept(TrafficConfiguration configuration, long readSourceVersion) {
-    if (current.filter(c -> c.version() >= configuration.version()).isPresent()) {
-      return;
-    }
     log.info(
         "accepted",
         "version",
@@ -141,7 +144,6 @@
         "source_version",
         readSourceVersion);
     current = Optional.of(configuration);
-    listener.accept(configuration);
   }
 
   /** Handles a failed read and returns the delay until the next one. */
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/registry/EntryRegistrar.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/registry/EntryRegistrar.java
@@ -127,6 +127,7 @@
         zone,
         entry,
         Optional.empty(),
+        0,
         allowance,
         schedule,
         control,
@@ -143,6 +144,7 @@
    * @param entry the name of this entry, which a later process on the same instance keeps, not null
    * @param peerAddress the address at which this entry listens for others, empty if it doesn't, not
    *     null
+   * @param cores the processor cores of this entry, 0 if unknown
    * @param allowance is told the number of entries, not null
    * @param schedule is told the rank of this entry and the shared time, not null
    * @param control the executor of the control thread, not null
@@ -155,6 +157,7 @@
       AvailabilityZone zone,
       String entry,
       Optional<InetSocketAddress> peerAddress,
+      double cores,
       RetryAllowance allowance,
       EntrySchedule schedule,
       ScheduledExecutorService control,
@@ -164,7 +167,7 @@
     this.timeSource = timeSource;
     this.keyPrefix = zone + "/";
     this.key = new RowKey(TABLE, keyPrefix + entry);
-    this.value = EntryRows.encode(key, peerAddress);
+    this.value = EntryRows.encode(key, peerAddress, cores);
     this.rows = new EntryRows(key, EXPIRY, log);
     this.allowance = allowance;
     this.schedule = schedule;
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/registry/EntryRows.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/registry/EntryRows.java
@@ -24,12 +24,16 @@
  * were read.
  *
  * <p>The key of a row is the zone and the name of the entry. Its value contains the address at
- * which the entry listens for others; entries of earlier versions repeat the key instead. Used on
- * the control thread only, except the published list.
+ * which the entry listens for others and its processor cores; entries of earlier versions repeat
+ * the key instead. Used on the control thread only, except the published list.
  */
 final class EntryRows {
 
   private static final String ADDRESS = "address";
+  private static final String CORES = "cores";
+
+  /** No entry of a deployment has more processor cores. */
+  private static final double MAX_CORES = 4096;
 
   /** Holds the last version of a row and when it was first seen. */
   private record Sighting(Row row, long changeNanos) {}
@@ -55,14 +59,15 @@
   }
 
   /** Encodes the value of the row of an entry. */
-  static String encode(RowKey key, Optional<InetSocketAddress> address) {
+  static String encode(RowKey key, Optional<InetSocketAddress> address, double cores) {
     return address
         .map(
             a ->
                 JsonUtils.toText(
                     JsonUtils.getMapper()
                         .createObjectNode()
-                        .put(ADDRESS, a.getHostString() + ":" + a.getPort())))
+                        .put(ADDRESS, a.getHostString() + ":" + a.getPort())
+                        .put(CORES, cores)))
         .orElse(key.key());
   }
 
@@ -109,7 +114,9 @@
       int slash = key.lastIndexOf('/');
       PeerId id = new PeerId(key.substring(slash + 1));
       AvailabilityZone zone = new AvailabilityZone(key.substring(0, Math.max(0, slash)));
-      EntryPeer peer = new EntryPeer(id, zone, decodeAddress(row.value()), sighting.changeNanos());
+      JsonNode value = JsonUtils.parse(row.value());
+      InetSocketAddress address = AddressUtils.parseIpv4(value.path(ADDRESS).asText());
+      EntryPeer peer = new EntryPeer(id, zone, address, sighting.changeNanos(), decodeCores(value));
       invalidRows.remove(row.key());
       return isSelf(id) ? Optional.empty() : Optional.of(peer);
     } catch (IllegalArgumentException e) {
@@ -125,8 +132,9 @@
     return id.value().equals(key.substring(key.lastIndexOf('/') + 1));
   }
 
-  private static InetSocketAddress decodeAddress(String value) {
-    JsonNode node = JsonUtils.parse(value);
-    return AddressUtils.parseIpv4(node.path(ADDRESS).asText());
+  /** Decodes the processor cores, which entries of earlier versions don't publish. */
+  private static double decodeCores(JsonNode value) {
+    double cores = value.path(CORES).asDouble();
+    return cores >= 0 && cores <= MAX_CORES ? cores : 0;
   }
 }
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/directory/ReaderSelectorTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/directory/ReaderSelectorTest.java
@@ -13,6 +13,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.testng.annotations.Test;
 
 /** Tests {@link ReaderSelector}. */
@@ -34,7 +36,7 @@
   }
 
   private static PeerId selectAs(EntryPeer self, List<EntryPeer> entries) {
-    return new ReaderSelector(self.id(), ZONE)
+    return new ReaderSelector(self.id(), ZONE, 0)
         .select(entries, 0)
         .map(EntryPeer::id)
         .orElse(self.id());
@@ -48,12 +50,34 @@
     }
   }
 
+  @Test
+  public void allEntriesSelectTheSameOfThoseWithTheMostCores() {
+    List<EntryPeer> entries = new ArrayList<>();
+    for (int i = 0; i < 19; i++) {
+      entries.add(new EntryPeer(new PeerId("entry-" + i), ZONE, ADDRESS, 0, i < 3 ? 1.5 : 0.36));
+    }
+    Set<PeerId> selected =
+        entries.stream()
+            .map(
+                self ->
+                    new ReaderSelector(self.id(), ZONE, self.cores())
+                        .select(entries, 0)
+                        .map(EntryPeer::id)
+                        .orElse(self.id()))
+            .collect(Collectors.toSet());
+    assertEquals(selected.size(), 1);
+    assertTrue(
+        Set.of("entry-0", "entry-1", "entry-2").contains(selected.iterator().next().value()),
+        selected.toString());
+  }
+
   @Test
   public void entriesOfOtherZonesAreNotSelected() {
     List<EntryPeer> others = new ArrayList<>();
     newEntries(20)
         .forEach(e -> others.add(new EntryPeer(e.id(), new AvailabilityZone("b"), e.address(), 0)));
-    assertEquals(new ReaderSelector(new PeerId("self"), ZONE).select(others, 0), Optional.empty());
+    assertEquals(
+        new ReaderSelector(new PeerId("self"), ZONE, 0).select(others, 0), Optional.empty());
   }
 
   @Test
@@ -83,7 +107,7 @@
     List<EntryPeer> entries = newEntries(8);
     PeerId best = selectAs(entries.get(0), entries);
     EntryPeer self = entries.stream().filter(e -> !e.id().equals(best)).findFirst().orElseThrow();
-    ReaderSelector selector = new ReaderSelector(self.id(), ZONE);
+    ReaderSelector selector = new ReaderSelector(self.id(), ZONE, 0);
     long now = 0;
     Duration pause = ReaderSelector.MIN_PAUSE;
     for (int i = 0; i < 8; i++) {
@@ -105,7 +129,7 @@
   @Test
   public void entryReadsItselfOnceAllBetterOnesFailed() {
     List<EntryPeer> entries = newEntries(6);
-    ReaderSelector selector = new ReaderSelector(new PeerId("entry-0"), ZONE);
+    ReaderSelector selector = new ReaderSelector(new PeerId("entry-0"), ZONE, 0);
     for (int i = 0; i < entries.size(); i++) {
       selector.select(entries, 0).ifPresent(e -> selector.onFailure(e.id(), 0));
     }
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/registry/ConfigurationWatcherTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/registry/ConfigurationWatcherTest.java
@@ -106,6 +106,15 @@
       assertEquals(watcher.getAge(), Duration.ofMillis(700));
     }
 
+    @Test
+    public void listenerIsNotifiedAfterTheAgeIsKnown() {
+      List<Duration> ages = new ArrayList<>();
+      listener = c -> ages.add(watcher.getAge());
+      control.advance(Duration.ofMillis(700));
+      completeRead(10, 3L);
+      assertEquals(ages, List.of(Duration.ofMillis(700)));
+    }
+
     @Test
     public void ageGrowsWhileNoReadCompletes() {
       completeRead(10, 3L);
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/registry/EntryRegistrarTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/registry/EntryRegistrarTest.java
@@ -12,6 +12,7 @@
 import io.fireflyshed.state.clock.ManualScheduler;
 import io.fireflyshed.state.error.NoEffectException;
 import io.fireflyshed.state.instance.AvailabilityZone;
+import io.fireflyshed.state.peer.EntryPeer;
 import io.fireflyshed.state.table.CommitResult;
 import io.fireflyshed.state.table.Row;
 import io.fireflyshed.state.table.RowKey;
@@ -26,6 +27,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.Collectors;
 import org.apache.commons.rng.simple.RandomSource;
 import org.slf4j.LoggerFactory;
 import org.testng.annotations.BeforeMethod;
@@ -34,6 +36,8 @@
 /** Tests {@link EntryRegistrar} in virtual time with a table that the test controls. */
 public class EntryRegistrarTest {
 
+  private static final double CORES = 0.75;
+
   private static final AvailabilityZone ZONE = new AvailabilityZone("a");
   private static final double TOTAL = 100;
 
@@ -109,6 +113,7 @@
               zone,
               entry,
               peerAddress,
+              CORES,
               allowance,
               new EntrySchedule(0, 1, clock),
               control,
@@ -293,6 +298,21 @@
     assertEquals(first.getPeers(), List.of("b/3 10.0.0.3:7340"));
   }
 
+  @Test
+  public void coresArePublishedAndImpossibleOnesCountAsUnknown() {
+    putRow("b/none", "{\"address\":\"10.0.0.4:7340\"}");
+    putRow("b/negative", "{\"address\":\"10.0.0.5:7340\",\"cores\":-1}");
+    putRow("b/huge", "{\"address\":\"10.0.0.6:7340\",\"cores\":1e300}");
+    putRow("b/text", "{\"address\":\"10.0.0.7:7340\",\"cores\":\"NaN\"}");
+    Process first = new Process("1", ZONE, newAddress(1));
+    Process other = new Process("3", new AvailabilityZone("b"), newAddress(3));
+    advance(70, first, other);
+    Map<String, Double> cores =
+        first.registrar.getPeers().stream()
+            .collect(Collectors.toMap(p -> p.id().value(), EntryPeer::cores));
+    assertEquals(cores, Map.of("none", 0.0, "negative", 0.0, "huge", 0.0, "text", 0.0, "3", CORES));
+  }
+
   @Test
   public void invalidRowsAndRowsUnderTheOwnNameAreNotListed() {
     putRow("b/old", "b/old");
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/registry/LoadExchangeTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/registry/LoadExchangeTest.java
@@ -67,7 +67,7 @@
               told::addAll,
               (other, own, isZone, timeout) -> ask(id, other, own, isZone, timeout),
               () -> entries.stream().map(e -> e.peer).filter(p -> !p.id().equals(id)).toList(),
-              new ReaderSelector(id, zone),
+              new ReaderSelector(id, zone, 0),
               control,
               clock);
       exchange.start();
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/registry/SharedTablesRun.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/registry/SharedTablesRun.java
@@ -82,7 +82,7 @@
               newStore(),
               (entry, question, timeout) -> ask(find(entry.id()), question, timeout),
               () -> peers,
-              new ReaderSelector(id, zone),
+              new ReaderSelector(id, zone, 0),
               Map.of(
                   FakeTable.NAME,
                   new TableSettings(INTERVAL, Duration.ZERO, SharedTablesRun::digest)),
@@ -323,7 +323,7 @@
   /** Freezes the entry of each availability zone that reads for the others. */
   void freezeReaders() {
     entries.stream()
-        .filter(e -> new ReaderSelector(e.id, e.zone).select(peers, clock.nanoTime()).isEmpty())
+        .filter(e -> new ReaderSelector(e.id, e.zone, 0).select(peers, clock.nanoTime()).isEmpty())
         .forEach(e -> e.isFrozen = true);
   }
 
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
@@ -249,7 +249,7 @@
         store,
         this::askEntry,
         this::getAskableEntries,
-        new ReaderSelector(new PeerId(settings.node()), settings.zone()),
+        newSelector(),
         Map.of(
             StoreTargetRegistry.TABLE,
             new TableSettings(TARGETS_INTERVAL, Duration.ZERO, StoreTargetRegistry::getDigest),
@@ -266,6 +266,10 @@
         metrics);
   }
 
+  private ReaderSelector newSelector() {
+    return new ReaderSelector(new PeerId(settings.node()), settings.zone(), settings.cores());
+  }
+
   private List<EntryPeer> getAskableEntries() {
     return relay.isPresent() ? registrar.getPeers() : List.of();
   }
@@ -279,7 +283,7 @@
     return new RemoteReportWriter(
         (entry, report) -> relay.orElseThrow().write(entry, report, CRASH_REPORT_TIMEOUT),
         this::getAskableEntries,
-        new ReaderSelector(new PeerId(settings.node()), settings.zone()),
+        newSelector(),
         control,
         clock);
   }
@@ -294,7 +298,7 @@
         heads -> formation.onSilent(heads, PlacementSettings.ofDefaults().silenceTimeout()),
         this::askEntry,
         this::getAskableEntries,
-        new ReaderSelector(self, settings.zone()),
+        newSelector(),
         control,
         trafficClock);
   }
@@ -315,6 +319,7 @@
         settings.zone(),
         settings.node(),
         settings.peerListen(),
+        settings.cores(),
         allowance,
         schedule,
         control,
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/RehearseCommand.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/RehearseCommand.java
@@ -103,7 +103,8 @@
         0.2,
         100,
         Duration.ofSeconds(10),
-        Duration.ofSeconds(5));
+        Duration.ofSeconds(5),
+        1);
   }
 
   private static InetSocketAddress findFreeAddress() {
--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/DeploymentRetryBudgetTest.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/DeploymentRetryBudgetTest.java
@@ -69,7 +69,8 @@
           RETRY_RATIO,
           RETRY_SLACK,
           Duration.ofSeconds(10),
-          Duration.ofSeconds(5));
+          Duration.ofSeconds(5),
+          1);
 
   /** Counts the requests for a service and the retries at it in each step. */
   private static final class Counts {
--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/PlatformEntryTest.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/PlatformEntryTest.java
@@ -139,7 +139,8 @@
       Thread.sleep(300);
       assertFalse(response.isDone(), "the request was answered without a configuration");
       fleet.getStore().setFault(StoreFault.NONE);
-      assertEquals(response.get(TIMEOUT.toSeconds(), TimeUnit.SECONDS).statusCode(), 200);
+      HttpResponse<String> received = response.get(TIMEOUT.toSeconds(), TimeUnit.SECONDS);
+      assertEquals(received.statusCode(), 200, received.body());
     }
   }
 
