Don't take a spare for a replica while it loads its weights

Cause: an engine counted as ready within 0.2 s for the model that it was ordered to join, also while it loaded the weights or had left before it was ready.

Change: the last model of an engine is the one that it was ready for. A spare that still loads is waited for, with the members that need it; other engines of the domain may form replicas meanwhile.

spareThatStillLoadsIsNotInterrupted fails before.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/EngineState.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/EngineState.java
@@ -44,11 +44,13 @@
 
   private Optional<Membership> membership = Optional.empty();
 
+  /** The model that the engine was last ready for since its start, or an empty text. */
+  private String lastModel = "";
+
   /** When the engine was first known to be in its present replica. */
   private long membershipNanos;
 
   private long orderSequence;
-  private String lastModel = "";
   private int reportFailures;
   private boolean isSilent;
 
@@ -95,7 +97,7 @@
             && membership.get().phase() == MembershipPhase.JOINING
             && listed.get().phase() == MembershipPhase.READY;
     if (isNewlyReady) {
-      membership = listed;
+      setMembership(listed, membershipNanos);
     }
   }
 
@@ -135,6 +137,16 @@
       membershipNanos = nanos;
     }
     membership = newMembership;
+    membership.ifPresent(this::updateLastModel);
+  }
+
+  /** An engine that left before it was ready has to load the weights again. */
+  private void updateLastModel(Membership current) {
+    if (current.phase() != MembershipPhase.JOINING) {
+      lastModel = current.getModel();
+    } else if (!lastModel.equals(current.getModel())) {
+      lastModel = "";
+    }
   }
 
   long getOrderSequence() {
@@ -159,12 +171,24 @@
   }
 
   /**
-   * Returns the model of the last replica that the engine joined since its start, or an empty text.
+   * Returns the model that the engine was last ready for since its start, or an empty text if it
+   * has begun to join a replica of another model since.
    */
   String getLastModel() {
     return lastModel;
   }
 
+  /** Tests whether the engine has joined a replica and is not ready yet. */
+  boolean isJoining() {
+    return membership.filter(m -> m.phase() == MembershipPhase.JOINING).isPresent();
+  }
+
+  /** Tests whether the engine is ready for a model, or joins a replica of it. */
+  boolean holds(String model) {
+    return lastModel.equals(model)
+        || isJoining() && membership.filter(m -> m.getModel().equals(model)).isPresent();
+  }
+
   void recordReportRequest(long nowNanos) {
     isReportPending = true;
     isReportDue = false;
@@ -201,7 +225,6 @@
     setMembership(newReport.membership(), requestedNanos);
     orderSequence = newReport.orderSequence();
     isStateUncertain = false;
-    membership.ifPresent(m -> lastModel = m.getModel());
     adoptListedPhase();
   }
 
@@ -305,7 +328,6 @@
       Membership joined =
           new Membership(join.replica(), join.generation(), rank, MembershipPhase.JOINING);
       setMembership(Optional.of(joined), nowNanos);
-      lastModel = join.model();
     } else if (order instanceof EngineOrder.Leave) {
       membership = Optional.empty();
     } else if (order instanceof EngineOrder.Close) {
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/ReplicaAllocator.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/ReplicaAllocator.java
@@ -98,7 +98,12 @@
   private void formReplicasInDomain(
       List<EngineState> free, boolean isEngineListSettled, long nowNanos, OrderBatch orders) {
     while (true) {
-      Optional<Candidate> best = chooseCandidate(free, isEngineListSettled);
+      Optional<Candidate> best = chooseCandidate(free, isEngineListSettled, nowNanos);
+      if (best.filter(this::isLoading).isPresent()) {
+        // To take a spare that still loads would begin the load anew.
+        free.removeAll(best.get().members());
+        continue;
+      }
       if (best.isEmpty() || !loadBudget.isAllowed(best.get().loadCount(), nowNanos)) {
         return;
       }
@@ -159,19 +164,20 @@
    * none can. While engines are still being added, only the least covered model is considered, so
    * that a small replica doesn't take the engines that a large one needs.
    */
-  private Optional<Candidate> chooseCandidate(List<EngineState> free, boolean isEngineListSettled) {
+  private Optional<Candidate> chooseCandidate(
+      List<EngineState> free, boolean isEngineListSettled, long nowNanos) {
     Map<String, Double> coverage = getCoverage();
     if (!isEngineListSettled) {
       return getLeastCovered(coverage)
           .filter(m -> free.size() >= m.size())
-          .map(m -> newCandidate(m, free));
+          .map(m -> newCandidate(m, free, nowNanos));
     }
     Candidate best = null;
     for (ModelProfile model : profile.models()) {
       if (free.size() < model.size()) {
         continue;
       }
-      Candidate candidate = newCandidate(model, free);
+      Candidate candidate = newCandidate(model, free, nowNanos);
       if (best == null || isBetter(candidate, best, coverage)) {
         best = candidate;
       }
@@ -218,14 +224,14 @@
     return model.size() / Math.max(model.share(), MIN_SHARE);
   }
 
-  private Candidate newCandidate(ModelProfile model, List<EngineState> free) {
+  private Candidate newCandidate(ModelProfile model, List<EngineState> free, long nowNanos) {
     List<EngineState> sorted = new ArrayList<>(free);
     sorted.sort(
-        Comparator.comparing((EngineState e) -> getJoinTime(e, model))
+        Comparator.comparing((EngineState e) -> getJoinTime(e, model, nowNanos))
             .thenComparing(e -> !e.isListed())
             .thenComparing(e -> getOtherUseRank(e, model)));
     List<EngineState> members = new ArrayList<>(sorted.subList(0, model.size()));
-    Duration formTime = getJoinTime(members.get(members.size() - 1), model);
+    Duration formTime = getJoinTime(members.get(members.size() - 1), model, nowNanos);
     // Entries find a replica by its head, so the head must be listed in the registry.
     members.sort(Comparator.comparing(e -> !e.isListed()));
     int coldCount = (int) members.stream().filter(e -> isCold(e, model)).count();
@@ -238,16 +244,26 @@
     return staged.isEmpty() || staged.contains(model.name()) ? 0 : 1;
   }
 
-  private Duration getJoinTime(EngineState engine, ModelProfile model) {
+  private Duration getJoinTime(EngineState engine, ModelProfile model, long nowNanos) {
     if (engine.getLastModel().equals(model.name())) {
       return settings.rejoinTime();
     }
+    if (engine.isJoining() && engine.holds(model.name())) {
+      Duration elapsed = Duration.ofNanos(nowNanos - engine.getMembershipNanos());
+      Duration rest = model.load().minus(elapsed);
+      return settings.rejoinTime().plus(rest.isNegative() ? Duration.ZERO : rest);
+    }
     return isCold(engine, model) ? model.load() : model.warmup();
   }
 
   private static boolean isCold(EngineState engine, ModelProfile model) {
-    return !engine.getLastModel().equals(model.name())
-        && !engine.getStagedModels().contains(model.name());
+    return !engine.holds(model.name()) && !engine.getStagedModels().contains(model.name());
+  }
+
+  /** Tests whether a member of a candidate is a spare that still loads the weights of its model. */
+  private boolean isLoading(Candidate candidate) {
+    return candidate.members().stream()
+        .anyMatch(e -> e.isJoining() && e.holds(candidate.model().name()));
   }
 
   /**
@@ -264,13 +280,13 @@
             .limit(spares.size())
             .toList();
     for (ModelProfile model : models) {
-      if (idle.removeIf(firstMatch(e -> e.getLastModel().equals(model.name())))) {
+      if (idle.removeIf(firstMatch(e -> e.holds(model.name())))) {
         continue;
       }
       Optional<EngineState> best =
           idle.stream()
               .filter(e -> !e.isBusy())
-              .min(Comparator.comparing(e -> getJoinTime(e, model)));
+              .min(Comparator.comparing(e -> getJoinTime(e, model, nowNanos)));
       if (best.isPresent()) {
         idle.remove(best.get());
         joinSpare(best.get(), model, nowNanos, orders);
@@ -330,8 +346,8 @@
     if (donors.isEmpty() || pool.size() < leastCovered.size()) {
       return false;
     }
-    Candidate candidate = newCandidate(leastCovered, pool);
-    if (candidate.loadCount() == 0) {
+    Candidate candidate = newCandidate(leastCovered, pool, nowNanos);
+    if (candidate.loadCount() == 0 && !isLoading(candidate)) {
       donors.forEach(
           r ->
               maintainer.close(
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/FormationPlannerTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/FormationPlannerTest.java
@@ -138,6 +138,17 @@
       assertEquals(simulation.violations, List.of());
     }
 
+    @Test
+    public void spareThatStillLoadsIsNotInterrupted() {
+      FormationSimulation simulation = newSettled(1);
+      simulation.findMember(FormationSimulation.LARGE, false).isAlive = false;
+      simulation.run(Duration.ofSeconds(5));
+      simulation.findMember(FormationSimulation.LARGE, false).isAlive = false;
+      simulation.run(FormationSimulation.LARGE.load());
+      assertEquals(simulation.countComplete(FormationSimulation.LARGE), 1);
+      assertEquals(simulation.violations, List.of());
+    }
+
     @Test
     public void leavingMemberIsReplaced() {
       FormationSimulation simulation = newSettled(1);
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/SimulatedEngine.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/SimulatedEngine.java
@@ -42,7 +42,13 @@
   long highestGeneration;
   Membership membership;
   List<InstanceId> members = List.of();
+
+  /** The model that the engine joins, or was last ready for. */
   String lastModel = "";
+
+  /** Whether the engine was ready for that model; a load that is interrupted begins anew. */
+  private boolean isLoaded;
+
   private long readyMillis = Long.MAX_VALUE;
   private long openMillis = Long.MAX_VALUE;
   private long stagedMillis = Long.MAX_VALUE;
@@ -79,6 +85,7 @@
     membership = null;
     members = List.of();
     lastModel = "";
+    isLoaded = false;
     readyMillis = Long.MAX_VALUE;
     openMillis = Long.MAX_VALUE;
     isAlive = true;
@@ -88,6 +95,11 @@
   void advance(long nowMillis) {
     if (nowMillis >= readyMillis) {
       readyMillis = Long.MAX_VALUE;
+      isLoaded = true;
+      if (!staged.contains(lastModel)) {
+        staged.clear();
+        staged.add(lastModel);
+      }
       membership = withPhase(MembershipPhase.READY);
     }
     if (nowMillis >= openMillis) {
@@ -192,14 +204,11 @@
     }
     highestGeneration = join.generation();
     ModelProfile model = getModel(models, join.model());
+    isLoaded = isLoaded && lastModel.equals(join.model());
     long millis =
-        lastModel.equals(join.model())
+        isLoaded
             ? REJOIN_TIME_MILLIS
             : staged.contains(join.model()) ? model.warmup().toMillis() : model.load().toMillis();
-    if (!staged.contains(join.model()) && !lastModel.equals(join.model())) {
-      staged.clear();
-      staged.add(join.model());
-    }
     lastModel = join.model();
     members = join.members();
     membership =
