Let a new coordinator begin loads once it knows those of its predecessor

Cause: a new coordinator took the window of loads as used up and began none for five seconds.

Change: loads take longer than the window, so those that a predecessor began in it still show in the engines' reports. Once all have reported, only engines that join, are busy, gave no report, or may have been interrupted count. If a load can be shorter than the window, the window stays full.

successorBeginsLoadsOnceItKnowsThatItsPredecessorBeganNone fails before; successorsKeepTheLimitOfLoads (23 intervals between successors) finds 11 loads in 5 s instead of 6 if the predecessor's are forgotten. All 8 successors of a run keep the limit.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/FormationPlanner.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/FormationPlanner.java
@@ -48,6 +48,11 @@
   private final ReplicaMaintainer maintainer;
   private final ReplicaAllocator allocator;
   private final CutDetector cutDetector = new CutDetector();
+  private final long beginNanos;
+
+  /** Whether the loads that a predecessor may have begun still count as many as are allowed. */
+  private boolean isLoadHistoryUnknown;
+
   private long lastAddedNanos;
   private boolean isFenced;
 
@@ -71,6 +76,7 @@
     this.settings = Objects.requireNonNull(settings, "settings");
     this.profile = Objects.requireNonNull(profile, "profile");
     this.lastAddedNanos = nowNanos;
+    this.beginNanos = nowNanos;
     this.loadBudget = new LoadBudget(settings.loadWindow());
     generations.beginEpoch(epoch);
     this.state = new FormationState(profile, generations);
@@ -80,6 +86,8 @@
     loadBudget.setLimit((int) (profile.loadsPerSecond() * windowSeconds * settings.loadShare()));
     if (!isFirst) {
       loadBudget.fill(nowNanos);
+      isLoadHistoryUnknown =
+          profile.models().stream().allMatch(m -> m.load().compareTo(settings.loadWindow()) > 0);
     }
   }
 
@@ -346,13 +354,33 @@
     state.getReplicas().forEach(r -> maintainer.advance(r, nowNanos, orders));
     state.removeFinished();
     cutDetector.retain(state.getEngineIds());
-    allocator.formReplicas(isEngineListSettled(nowNanos), nowNanos, orders);
+    boolean isSettled = isEngineListSettled(nowNanos);
+    if (isSettled && isLoadHistoryUnknown) {
+      isLoadHistoryUnknown = false;
+      loadBudget.limitFill(countPossibleLoads(), beginNanos);
+    }
+    allocator.formReplicas(isSettled, nowNanos, orders);
     for (FormationOrder order : orders.getOrders()) {
       state.getEngine(order.target().id()).ifPresent(EngineState::recordOrderSent);
     }
     return orders.getOrders();
   }
 
+  /**
+   * Counts the engines that may have begun a load shortly before this term. A load takes longer
+   * than the window, so it is still under way unless it was interrupted.
+   */
+  private int countPossibleLoads() {
+    return (int) state.getEngines().stream().filter(FormationPlanner::mayLoad).count();
+  }
+
+  private static boolean mayLoad(EngineState engine) {
+    if (engine.isLost() || !engine.hasReport() || engine.isBusy() || engine.isJoining()) {
+      return true;
+    }
+    return engine.getMembership().isEmpty() && engine.getOrderSequence() > 0;
+  }
+
   /**
    * Tests whether no engine was added for a while and all engines reported or are lost, so that the
    * free engines are known.
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/LoadBudget.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/LoadBudget.java
@@ -8,8 +8,8 @@
  * Limits the loads from the shared weight store that begin within a sliding window. Not thread
  * safe.
  *
- * <p>A new coordinator doesn't know which loads its predecessor began, so it starts with a full
- * window.
+ * <p>A new coordinator doesn't know at first which loads its predecessor began, so it starts with a
+ * full window.
  */
 final class LoadBudget {
 
@@ -39,6 +39,17 @@
     recordStarts(limit, nowNanos);
   }
 
+  /**
+   * Counts only some of the loads that {@link #fill} counted, once it is known how many the
+   * predecessor can have begun.
+   */
+  void limitFill(int loads, long fillNanos) {
+    int excess = limit - loads;
+    while (excess > 0 && startNanos.remove(fillNanos)) {
+      excess--;
+    }
+  }
+
   boolean isAllowed(int loads, long nowNanos) {
     while (!startNanos.isEmpty() && nowNanos - startNanos.peek() > window.toNanos()) {
       startNanos.remove();
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/FormationPlannerTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/FormationPlannerTest.java
@@ -232,6 +232,34 @@
       assertEquals(simulation.countComplete(FormationSimulation.LARGE), 2);
     }
 
+    @Test
+    public void successorBeginsLoadsOnceItKnowsThatItsPredecessorBeganNone() {
+      FormationSimulation simulation = newSettled(1);
+      simulation.findMember(FormationSimulation.LARGE, false).isAlive = false;
+      simulation.run(Duration.ofSeconds(3));
+      simulation.run(FormationSimulation.LARGE.load());
+      simulation.add("new-engine", "d0");
+      int joins = simulation.joins;
+      simulation.startSuccessor();
+      simulation.run(Duration.ofSeconds(3));
+      assertTrue(simulation.joins > joins, "no engine was ordered to load");
+    }
+
+    @Test
+    public void successorsKeepTheLimitOfLoads() {
+      for (int delayMillis = 500; delayMillis <= 6000; delayMillis += 250) {
+        FormationSimulation simulation = new FormationSimulation(1, 2, 1.2);
+        for (int i = 0; i < 8; i++) {
+          simulation.run(Duration.ofMillis(delayMillis));
+          simulation.startSuccessor();
+        }
+        simulation.run(SETTLE_TIME);
+        assertTrue(
+            simulation.countMostLoads() <= 6,
+            simulation.countMostLoads() + " loads in 5 s, a successor each " + delayMillis + " ms");
+      }
+    }
+
     @Test
     public void successorWaitsForTheReportOfAHead() {
       FormationSimulation simulation = newSettled(1);
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/FormationSimulation.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/FormationSimulation.java
@@ -66,6 +66,10 @@
   private final Map<String, Set<InstanceId>> everReady = new HashMap<>();
 
   FormationSimulation(long seed, int domains) {
+    this(seed, domains, 100);
+  }
+
+  FormationSimulation(long seed, int domains, double loadsPerSecond) {
     random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
     profile =
         new EngineProfile(
@@ -76,7 +80,7 @@
             56_100,
             2048,
             150,
-            100,
+            loadsPerSecond,
             8,
             Duration.ofMillis(300),
             Duration.ofMillis(REPORT_LAG_MILLIS),
@@ -273,6 +277,18 @@
         && engine.membership.phase() == MembershipPhase.OPEN;
   }
 
+  /** Returns the largest number of loads that began within five seconds. */
+  int countMostLoads() {
+    List<Long> starts =
+        engines.values().stream().flatMap(e -> e.loadStartMillis.stream()).sorted().toList();
+    int most = 0;
+    for (long start : starts) {
+      long count = starts.stream().filter(s -> s >= start && s - start <= 5000).count();
+      most = Math.max(most, (int) count);
+    }
+    return most;
+  }
+
   /** Counts the serving replicas of a model whose members are all alive and in the replica. */
   long countComplete(ModelProfile model) {
     return engines.values().stream()
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/LoadBudgetTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/LoadBudgetTest.java
@@ -36,6 +36,18 @@
     assertTrue(budget.isAllowed(9, WINDOW.toNanos() + 1));
   }
 
+  @Test
+  public void loadsThatThePredecessorCannotHaveBegunAreAllowed() {
+    LoadBudget budget = newBudget();
+    budget.fill(0);
+    budget.recordStarts(1, 5);
+    budget.limitFill(6, 0);
+    assertTrue(budget.isAllowed(2, 10));
+    assertFalse(budget.isAllowed(3, 10));
+    assertFalse(budget.isAllowed(9, WINDOW.toNanos() + 1));
+    assertTrue(budget.isAllowed(8, WINDOW.toNanos() + 1));
+  }
+
   @Test
   public void unlimitedLoadsAreAllowedButCounted() {
     LoadBudget budget = newBudget();
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/SimulatedEngine.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/SimulatedEngine.java
@@ -12,6 +12,7 @@
 import io.fireflyshed.state.target.Target;
 import io.fireflyshed.state.traffic.ModelProfile;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
@@ -46,6 +47,9 @@
   /** The model that the engine joins, or was last ready for. */
   String lastModel = "";
 
+  /** The times at which loads of weights began. */
+  final List<Long> loadStartMillis = new ArrayList<>();
+
   /** Whether the engine was ready for that model; a load that is interrupted begins anew. */
   private boolean isLoaded;
 
@@ -165,6 +169,7 @@
         return OrderReply.CONFLICT;
       }
       stagingModel = stage.model();
+      loadStartMillis.add(nowMillis);
       stagedMillis = nowMillis + getModel(models, stagingModel).load().toMillis();
       return OrderReply.BEGUN;
     }
@@ -205,6 +210,9 @@
     highestGeneration = join.generation();
     ModelProfile model = getModel(models, join.model());
     isLoaded = isLoaded && lastModel.equals(join.model());
+    if (!isLoaded && !staged.contains(join.model())) {
+      loadStartMillis.add(nowMillis);
+    }
     long millis =
         isLoaded
             ? REJOIN_TIME_MILLIS
