Stop waiting for a spare whose load doesn't end

Cause: since spares that load are waited for, one whose load never ends would keep the engines of its replica idle for good.

Change: after the time in which a replica must have formed, such a spare is ordered to join like any other engine.

spareWhoseLoadNeverEndsIsOrderedAgain fails without the timeout.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/FormationSettings.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/FormationSettings.java
@@ -17,7 +17,8 @@
  * @param rejoinTime the time in which an engine joins a replica of the model that it ran last, not
  *     null
  * @param quickFormTime the longest formation time that counts as quick, not null
- * @param formTimeout the time after which a replica that is still forming is dissolved, not null
+ * @param formTimeout the time after which a replica that is still forming is dissolved, and a spare
+ *     that still loads is no longer waited for, not null
  * @param loadWindow the window in which loads of model weights are counted, not null
  * @param loadShare the fraction of the deployment's loads that this zone may begin, above 0 and at
  *     most 1
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/ReplicaAllocator.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/ReplicaAllocator.java
@@ -99,7 +99,7 @@
       List<EngineState> free, boolean isEngineListSettled, long nowNanos, OrderBatch orders) {
     while (true) {
       Optional<Candidate> best = chooseCandidate(free, isEngineListSettled, nowNanos);
-      if (best.filter(this::isLoading).isPresent()) {
+      if (best.filter(c -> isLoading(c, nowNanos)).isPresent()) {
         // To take a spare that still loads would begin the load anew.
         free.removeAll(best.get().members());
         continue;
@@ -261,9 +261,11 @@
   }
 
   /** Tests whether a member of a candidate is a spare that still loads the weights of its model. */
-  private boolean isLoading(Candidate candidate) {
+  private boolean isLoading(Candidate candidate, long nowNanos) {
+    long timeoutNanos = settings.formTimeout().toNanos();
     return candidate.members().stream()
-        .anyMatch(e -> e.isJoining() && e.holds(candidate.model().name()));
+        .filter(e -> e.isJoining() && e.holds(candidate.model().name()))
+        .anyMatch(e -> nowNanos - e.getMembershipNanos() <= timeoutNanos);
   }
 
   /**
@@ -347,7 +349,7 @@
       return false;
     }
     Candidate candidate = newCandidate(leastCovered, pool, nowNanos);
-    if (candidate.loadCount() == 0 && !isLoading(candidate)) {
+    if (candidate.loadCount() == 0 && !isLoading(candidate, nowNanos)) {
       donors.forEach(
           r ->
               maintainer.close(
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/FormationPlannerTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/FormationPlannerTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertTrue;
 
 import io.fireflyshed.state.target.EngineOrder;
+import io.fireflyshed.state.target.MembershipPhase;
 import io.fireflyshed.state.target.OrderReply;
 import io.fireflyshed.state.target.Target;
 import java.time.Duration;
@@ -149,6 +150,19 @@
       assertEquals(simulation.violations, List.of());
     }
 
+    @Test
+    public void spareWhoseLoadNeverEndsIsOrderedAgain() {
+      FormationSimulation simulation = newSettled(1);
+      simulation.findMember(FormationSimulation.LARGE, false).isAlive = false;
+      simulation.run(Duration.ofSeconds(5));
+      simulation.engines.values().stream()
+          .filter(e -> e.isAlive && e.membership.phase() == MembershipPhase.JOINING)
+          .forEach(e -> e.isLoadStuck = true);
+      simulation.findMember(FormationSimulation.LARGE, false).isAlive = false;
+      simulation.run(Duration.ofSeconds(60).plus(FormationSimulation.LARGE.load()));
+      assertEquals(simulation.countComplete(FormationSimulation.LARGE), 1);
+    }
+
     @Test
     public void leavingMemberIsReplaced() {
       FormationSimulation simulation = newSettled(1);
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/SimulatedEngine.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/SimulatedEngine.java
@@ -47,6 +47,9 @@
   /** The model that the engine joins, or was last ready for. */
   String lastModel = "";
 
+  /** Whether the load under way never ends. */
+  boolean isLoadStuck;
+
   /** The times at which loads of weights began. */
   final List<Long> loadStartMillis = new ArrayList<>();
 
@@ -97,7 +100,7 @@
   }
 
   void advance(long nowMillis) {
-    if (nowMillis >= readyMillis) {
+    if (nowMillis >= readyMillis && !isLoadStuck) {
       readyMillis = Long.MAX_VALUE;
       isLoaded = true;
       if (!staged.contains(lastModel)) {
@@ -209,6 +212,7 @@
     }
     highestGeneration = join.generation();
     ModelProfile model = getModel(models, join.model());
+    isLoadStuck = false;
     isLoaded = isLoaded && lastModel.equals(join.model());
     if (!isLoaded && !staged.contains(join.model())) {
       loadStartMillis.add(nowMillis);
