Ask engines of serving replicas for a report every 1.3 s

Cause: with 1.5 s between reports, three members that are lost at once could end their replica later than the three seconds that threeMembersLostAtOnceEndTheirReplicaWithinThreeSeconds allows: the next report is due after 1.5 s and an engine counts as lost 1.5 s later.

Change: 1.3 s; the tests take the number of moments from the settings. With 1.5 s a loss at 1,000 ms after the settling fails, with 1.3 s all 26 moments pass.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/FormationSettings.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/FormationSettings.java
@@ -58,7 +58,7 @@
    */
   public static FormationSettings of(Duration loadWindow, int zones) {
     return new FormationSettings(
-        Duration.ofMillis(1500),
+        Duration.ofMillis(1300),
         Duration.ofMillis(150),
         Duration.ofMillis(2000),
         Duration.ofMillis(900),
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/FormationPlannerTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/FormationPlannerTest.java
@@ -25,7 +25,9 @@
   private static final Duration SOUND_SILENCE = Duration.ofMillis(1200);
 
   /** The steps between two reports of a member of a serving replica. */
-  private static final long SERVING_REPORT_STEPS = 18;
+  private static final long SERVING_REPORT_STEPS =
+      FormationSettings.of(Duration.ofSeconds(5), 1).servingReportInterval().toMillis()
+          / FormationSimulation.STEP_MILLIS;
 
   private static FormationSimulation newSettled(int domains) {
     FormationSimulation simulation = new FormationSimulation(1, domains);
