Wait for returning engines before a replica loads weights

Cause: while engines were added, the least covered model got a replica from the first engines that sufficed. Engines that returned under a known name did not count as added, and a lost one was asked for its next report after 2 s.

Change: engines that are listed again or restarted count as added, and are asked soon; no replica that needs a load is formed while engines are being added, for 3 s at most, and never before the first request, when loads are free.

enginesThatReturnOneByOneServeTheModelsWhoseWeightsTheyHold fails before; enginesThatAreAddedWithoutEndDoNotPreventALoad.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/EngineState.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/EngineState.java
@@ -50,6 +50,9 @@
   /** When the engine was first known to be in its present replica. */
   private long membershipNanos;
 
+  /** When the engine was last listed again, or as a new incarnation. */
+  private OptionalLong returnNanos = OptionalLong.empty();
+
   private long orderSequence;
   private int reportFailures;
   private boolean isSilent;
@@ -101,6 +104,17 @@
     }
   }
 
+  /** Records that the registry lists the engine again, or a new incarnation of it. */
+  void recordReturn(long nowNanos) {
+    returnNanos = OptionalLong.of(nowNanos);
+    isReportDue = true;
+  }
+
+  /** Tests whether the engine returned less than a given time ago. */
+  boolean hasReturnedWithin(Duration time, long nowNanos) {
+    return returnNanos.isPresent() && nowNanos - returnNanos.getAsLong() < time.toNanos();
+  }
+
   /**
    * Records that the registry no longer lists the engine, which may be lost or only disconnected.
    */
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/FormationPlanner.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/FormationPlanner.java
@@ -41,6 +41,9 @@
   /** The ratio of the time that a member has been waiting to the interval between its reports. */
   private static final int WAITS_PER_REPORT_INTERVAL = 8;
 
+  /** The longest time for which engines that are added one after the other are waited for. */
+  private static final Duration MAX_UNSETTLED_TIME = Duration.ofSeconds(3);
+
   private final FormationSettings settings;
   private final EngineProfile profile;
   private final LoadBudget loadBudget;
@@ -54,6 +57,10 @@
   private boolean isLoadHistoryUnknown;
 
   private long lastAddedNanos;
+
+  /** The time since which engines have been added without a pause. */
+  private long firstAddedNanos;
+
   private boolean isFenced;
 
   /**
@@ -76,6 +83,7 @@
     this.settings = Objects.requireNonNull(settings, "settings");
     this.profile = Objects.requireNonNull(profile, "profile");
     this.lastAddedNanos = nowNanos;
+    this.firstAddedNanos = nowNanos;
     this.beginNanos = nowNanos;
     this.loadBudget = new LoadBudget(settings.loadWindow());
     generations.beginEpoch(epoch);
@@ -124,11 +132,16 @@
       Optional<EngineState> known = state.getEngine(target.id());
       if (known.isEmpty()) {
         state.add(target);
-        lastAddedNanos = nowNanos;
+        recordAddition(nowNanos);
         continue;
       }
       EngineState engine = known.get();
       boolean isChanged = !engine.getTarget().equals(target) || !engine.isListed();
+      boolean isRestarted = engine.getTarget().startMillis() != target.startMillis();
+      if (isRestarted || !engine.isListed()) {
+        engine.recordReturn(nowNanos);
+        recordAddition(nowNanos);
+      }
       engine.setTarget(target);
       if (isChanged && !target.membership().equals(engine.getMembership())) {
         engine.markReportDue();
@@ -147,7 +160,7 @@
    */
   public void forget(long nowNanos) {
     state.forget();
-    lastAddedNanos = nowNanos;
+    recordAddition(nowNanos);
   }
 
   /**
@@ -174,6 +187,9 @@
             .filter(m -> ReplicaNameUtils.isSpare(m.replica()))
             .filter(m -> m.phase() == MembershipPhase.READY)
             .isPresent();
+    if (engine.isLost() && engine.hasReturnedWithin(MAX_UNSETTLED_TIME, nowNanos)) {
+      return settings.formingReportInterval();
+    }
     if (membership.isEmpty() || engine.isLost() || isReadySpare) {
       return settings.idleReportInterval();
     }
@@ -381,12 +397,23 @@
     return engine.getMembership().isEmpty() && engine.getOrderSequence() > 0;
   }
 
+  private boolean isQuiet(long nowNanos) {
+    return nowNanos - lastAddedNanos > settings.quietPeriod().toNanos();
+  }
+
+  private void recordAddition(long nowNanos) {
+    if (isQuiet(nowNanos)) {
+      firstAddedNanos = nowNanos;
+    }
+    lastAddedNanos = nowNanos;
+  }
+
   /**
-   * Tests whether no engine was added for a while and all engines reported or are lost, so that the
-   * free engines are known.
+   * Tests whether no engine was added or returned for a while, or some have been for too long, and
+   * all engines reported or are lost, so that the free engines are known.
    */
   private boolean isEngineListSettled(long nowNanos) {
-    boolean isQuiet = nowNanos - lastAddedNanos > settings.quietPeriod().toNanos();
-    return isQuiet && state.haveAllReported();
+    boolean isOverdue = nowNanos - firstAddedNanos > MAX_UNSETTLED_TIME.toNanos();
+    return (isQuiet(nowNanos) || isOverdue) && state.haveAllReported();
   }
 }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/LoadBudget.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/LoadBudget.java
@@ -34,6 +34,10 @@
     this.isUnlimited = isUnlimited;
   }
 
+  boolean isUnlimited() {
+    return isUnlimited;
+  }
+
   /** Counts as many loads as the limit allows, which a predecessor may have begun just before. */
   void fill(long nowNanos) {
     recordStarts(limit, nowNanos);
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/ReplicaAllocator.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/ReplicaAllocator.java
@@ -112,6 +112,11 @@
       if (!isQuick && (state.isReleasePending(domain) || shouldReserve(best.get(), free, domain))) {
         return;
       }
+      boolean isLoadNeeded = best.get().loadCount() > 0 && !loadBudget.isUnlimited();
+      if (isLoadNeeded && !isEngineListSettled) {
+        // Engines that are about to be listed may hold the weights.
+        return;
+      }
       Candidate candidate = best.get();
       loadBudget.recordStarts(candidate.loadCount(), nowNanos);
       long generation = state.nextGeneration();
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/FormationPlannerTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/FormationPlannerTest.java
@@ -9,6 +9,7 @@
 import io.fireflyshed.state.target.Target;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Set;
 import java.util.stream.LongStream;
@@ -141,6 +142,33 @@
       assertEquals(simulation.violations, List.of());
     }
 
+    @Test
+    public void enginesThatReturnOneByOneServeTheModelsWhoseWeightsTheyHold() {
+      FormationSimulation simulation = newSettled(1);
+      List<SimulatedEngine> engines = new ArrayList<>(simulation.engines.values());
+      engines.forEach(e -> e.isAlive = false);
+      simulation.run(Duration.ofSeconds(10));
+      engines.sort(Comparator.comparing(e -> e.staged.contains(FormationSimulation.LARGE.name())));
+      for (SimulatedEngine engine : engines) {
+        engine.restart(simulation.nowMillis);
+        simulation.run(Duration.ofMillis(100));
+      }
+      simulation.run(Duration.ofSeconds(5));
+      assertEquals(simulation.countComplete(FormationSimulation.LARGE), 1);
+      assertEquals(simulation.countComplete(FormationSimulation.SMALL), 1);
+      assertEquals(simulation.violations, List.of());
+    }
+
+    @Test
+    public void enginesThatAreAddedWithoutEndDoNotPreventALoad() {
+      FormationSimulation simulation = new FormationSimulation(1, 1);
+      for (int i = 0; i < 50; i++) {
+        simulation.add("added-" + i, "d" + i);
+        simulation.run(Duration.ofMillis(500));
+      }
+      assertEquals(simulation.countComplete(FormationSimulation.LARGE), 1);
+    }
+
     @Test
     public void spareThatStillLoadsIsNotInterrupted() {
       FormationSimulation simulation = newSettled(1);
