Let tests of an entry know when it may retry and what it publishes

Two cases of brokenStreamEndsIncompleteAfterItsLastEvent saw no stream resumed: the entry registers up to a second after it serves, somewhat later than before since registration starts once requests can be routed, and may retry hardly any request until then.

--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/PlatformEntryTest.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/PlatformEntryTest.java
@@ -228,28 +228,9 @@
     assertEquals(send("/lookups/x", FleetStandIn.KEY).statusCode(), 502);
   }
 
-  private boolean isRetryAllowed() {
-    URI uri = URI.create("http://127.0.0.1:" + settings.metricsListen().getPort() + "/metrics");
-    try {
-      String metrics =
-          client
-              .send(HttpRequest.newBuilder(uri).build(), HttpResponse.BodyHandlers.ofString())
-              .body();
-      return metrics
-          .lines()
-          .filter(line -> line.startsWith("fireflyshed_retry_allowance "))
-          .anyMatch(line -> Double.parseDouble(line.split(" ")[1]) >= 1);
-    } catch (IOException e) {
-      throw new IllegalStateException("the request for the metrics failed", e);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-      throw new IllegalStateException(e);
-    }
-  }
-
   @Test
   public void failedLookupIsRetriedAtAnotherTarget() throws Exception {
-    await(this::isRetryAllowed);
+    await(() -> EntryMetricsUtils.isRetryAllowed(settings));
     fleet.getDesks().get(0).setFault(TargetFault.ERROR);
     for (int i = 0; i < 4; i++) {
       assertEquals(send("/lookups/x", FleetStandIn.KEY).statusCode(), 200);
@@ -323,7 +304,7 @@
                   .anyMatch(
                       r ->
                           r.key().key().equals("a/entry-1")
-                              && r.value().equals("{\"address\":\"" + text + "\"}")));
+                              && r.value().equals("{\"address\":\"" + text + "\",\"cores\":1.0}")));
     }
     try (Socket socket = new Socket(address.getHostString(), address.getPort())) {
       assertTrue(socket.isConnected());
--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/TargetResponseTest.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/TargetResponseTest.java
@@ -47,6 +47,7 @@
   private final List<RawTarget> targets = new ArrayList<>();
   private FleetStandIn fleet;
   private PlatformEntry entry;
+  private PlatformSettings settings;
   private int port;
 
   /** Starts two targets, each for all services, and an entry. */
@@ -57,7 +58,7 @@
     targets.clear();
     fleet = new FleetStandIn(0, 0);
     startTarget("one");
-    PlatformSettings settings = RehearseCommand.newSettings(fleet, "entry-1");
+    settings = RehearseCommand.newSettings(fleet, "entry-1");
     port = settings.listen().getPort();
     entry = new PlatformEntry(settings);
     entry.start();
@@ -80,6 +81,15 @@
     assertEquals(violations, List.of());
   }
 
+  /** Waits until the entry has registered, before which it may retry hardly any request. */
+  private void awaitRetries() throws InterruptedException {
+    long deadline = System.nanoTime() + TIMEOUT.toNanos();
+    while (!EntryMetricsUtils.isRetryAllowed(settings)) {
+      assertTrue(System.nanoTime() - deadline < 0, "the entry may retry no request");
+      Thread.sleep(20);
+    }
+  }
+
   private void startTarget(String id) throws IOException {
     RawTarget target = new RawTarget(this::answer);
     targets.add(target);
@@ -358,6 +368,7 @@
   public void brokenStreamEndsIncompleteAfterItsLastEvent(String kind) throws Exception {
     startTarget("two");
     Thread.sleep(800);
+    awaitRetries();
     for (int i = 0; i < 3; i++) {
       RawCaller.Response response = send("POST", "/chat/resume-" + kind, SHORT_BODY);
       assertEquals(response.status(), 200);
