Show that an entry passes on requests of callers that have left

After the loss of the other entries, the one that is left falls behind and reads requests from its sockets seconds after they were sent. It passes them on to targets before it sees that their connections are closed.

--- a/review/standin/Kit.java
+++ b/review/standin/Kit.java
@@ -76,6 +76,7 @@
   /** A message of HTTP/1.1. */
   static final class Message {
     String first = "";
+    long headMillis;
     final List<String[]> headers = new ArrayList<>();
     byte[] body = new byte[0];
 
@@ -157,6 +158,7 @@
         int colon = line.indexOf(':');
         message.headers.add(new String[] {line.substring(0, colon), line.substring(colon + 1).trim()});
       }
+      message.headMillis = ms();
       return message;
     }
 
