--- a/review/standin/Kit.java
+++ b/review/standin/Kit.java
@@ -915,6 +915,21 @@
         + "\"usual\":{\"prompt\":1115,\"answer\":152},\"retain_count\":1,\"far_x\":3.0,\"form_ms\":300.0}}";
   }
 
+  /** Ends with 2 after any unexpected failure and before the longest time of a case is over. */
+  static void begin() {
+    Thread.setDefaultUncaughtExceptionHandler(
+        (thread, error) -> {
+          error.printStackTrace(System.out);
+          end(2);
+        });
+    spawn(
+        () -> {
+          sleep(115_000);
+          System.out.println("the case took too long");
+          end(2);
+        });
+  }
+
   static void end(int code) {
     System.exit(code);
   }
