Log the crashes for which a fingerprint is refused

The line "fingerprint refused" told neither which crashes were counted nor when they were, so that the logs could not say whether three targets crashed, one target was counted three times under new starts, or a request had been blamed for targets that it never reached.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/poison/CrashLedger.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/poison/CrashLedger.java
@@ -11,6 +11,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * Counts the crashes of targets during which requests were waiting for the first part of their
@@ -65,6 +66,17 @@
       return (int) crashes.keySet().stream().filter(crash -> !explained.contains(crash)).count();
     }
 
+    String describe(long nowNanos) {
+      return crashes.entrySet().stream()
+          .map(e -> describe(e.getKey(), Duration.ofNanos(nowNanos - e.getValue())))
+          .sorted()
+          .collect(Collectors.joining(", "));
+    }
+
+    private static String describe(CrashId crash, Duration age) {
+      return crash.target() + "@" + crash.startMillis() + " " + age.toMillis() + " ms ago";
+    }
+
     /** Tests whether the number of crashes was reached a while ago. */
     boolean isSettled(int crashCount, Duration settleTime, long nowNanos) {
       return crashes.values().stream()
@@ -297,6 +309,18 @@
     return Optional.of(settings.expiry().minusNanos(nowNanos - sinceNanos));
   }
 
+  /**
+   * Describes the crashes that are known of a fingerprint, for the log.
+   *
+   * @param fingerprint the fingerprint, not null
+   * @param nowNanos the current reading of the monotonic clock
+   * @return each crash with the time since it was recorded, never null
+   */
+  public synchronized String describeCrashes(CrashFingerprint fingerprint, long nowNanos) {
+    Suspicion suspicion = suspicions.get(fingerprint);
+    return suspicion == null ? "" : suspicion.describe(nowNanos);
+  }
+
   private boolean isRefused(CrashFingerprint fingerprint, long nowNanos) {
     return isRecent(refusals.get(fingerprint), settings.expiry(), nowNanos);
   }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/poison/CrashReportExchange.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/poison/CrashReportExchange.java
@@ -255,9 +255,15 @@
   }
 
   private void judge() {
-    CrashLedger.Judgement judgement = ledger.judge(clock.nanoTime());
+    long now = clock.nanoTime();
+    CrashLedger.Judgement judgement = ledger.judge(now);
     for (CrashFingerprint fingerprint : judgement.refused()) {
-      log.warn("fingerprint refused", "fingerprint", fingerprint);
+      log.warn(
+          "fingerprint refused",
+          "fingerprint",
+          fingerprint,
+          "crashes",
+          ledger.describeCrashes(fingerprint, now));
       control.execute(() -> scheduleRefusal(fingerprint));
     }
     for (CrashFingerprint fingerprint : judgement.released()) {
