Count targets that crash together as one crash

Cause: the ledger took three crashes within milliseconds for three pieces of evidence against whatever all prompts have in common.

Change: a fingerprint is refused only after three crashes at different times, 0.3 s or more apart. Reports carry the time of a crash as the shared time, since they arrive up to a second apart; reports of earlier releases have none, and then the time of the report counts. Which part explains most crashes is judged by all of them, as before.

Tests: CrashReportExchangeTest.partOfAllPromptsIsNotRefused... failed before with 9, 59 and 68 entries. Tests of the ledger that recorded several crashes at the same instant as shorthand give each a time of its own now and ask the same otherwise; one that expects a success to clear a request when all targets crash at once has a variant where they crash one after the other.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/EntrySchedule.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/EntrySchedule.java
@@ -1,7 +1,6 @@
 package io.fireflyshed.coordination.placement;
 
 import io.fireflyshed.coordination.directory.EntryPosition;
-import io.fireflyshed.state.clock.MonotonicClock;
 import io.fireflyshed.state.clock.SharedClock;
 import java.time.Duration;
 import java.util.Optional;
@@ -27,12 +26,12 @@
    *
    * @param zone the rank of the entry's availability zone, from 0
    * @param zones the number of availability zones, positive
-   * @param clock the clock of this process, which includes suspended time, not null
+   * @param clock the time that all entries share, not null
    */
-  public EntrySchedule(int zone, int zones, MonotonicClock clock) {
+  public EntrySchedule(int zone, int zones, SharedClock clock) {
     this.zone = zone;
     this.zones = zones;
-    this.clock = new SharedClock(clock);
+    this.clock = clock;
   }
 
   /**
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/poison/CrashLedger.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/poison/CrashLedger.java
@@ -24,6 +24,10 @@
  * a report count too, so that nothing that many callers send is refused when several targets crash
  * at once for another reason.
  *
+ * <p>Targets that crash at about the same time may have a cause in common, such as the loss of
+ * their fabric domain, which says nothing about the requests. Therefore only crashes at different
+ * times are evidence, however many targets crash at each of them.
+ *
  * <p>A crash interrupts all requests of its target, and their retries may run into the next crash.
  * Therefore the part that was present in most crashes is refused first, and the crashes that it
  * explains no longer count against others. Thread safe.
@@ -31,10 +35,11 @@
  * <pre>{@code
  * CrashLedger ledger = new CrashLedger(CrashSettings.ofDefaults());
  * RequestFingerprints bad = new RequestFingerprints(fingerprint, Set.of());
- * ledger.recordCrash(bad, new CrashId(new InstanceId("t1"), 1), 0);
- * ledger.recordCrash(bad, new CrashId(new InstanceId("t2"), 1), 0);
- * ledger.recordCrash(bad, new CrashId(new InstanceId("t1"), 2), 0);
- * List<CrashFingerprint> refused = ledger.judge(0).refused(); // fingerprint
+ * long second = 1_000_000_000L;
+ * ledger.recordCrash(bad, new CrashId(new InstanceId("t1"), 1), 0, 0);
+ * ledger.recordCrash(bad, new CrashId(new InstanceId("t2"), 1), second, second);
+ * ledger.recordCrash(bad, new CrashId(new InstanceId("t1"), 2), 2 * second, 2 * second);
+ * List<CrashFingerprint> refused = ledger.judge(2 * second).refused(); // fingerprint
  * }</pre>
  */
 public final class CrashLedger {
@@ -54,10 +59,18 @@
    */
   public record Judgement(List<CrashFingerprint> refused, List<CrashFingerprint> released) {}
 
+  /** The readings of the clock when a crash happened, as far as known, and when it was recorded. */
+  private record CrashTimes(long crashNanos, long recordNanos) {
+
+    /** Keeps the earliest known time of the crash and the time of the first record. */
+    CrashTimes join(CrashTimes later) {
+      return new CrashTimes(Math.min(crashNanos, later.crashNanos), recordNanos);
+    }
+  }
+
   /** The crashes of one fingerprint. */
   private static final class Suspicion {
-    /** The crashes, each with the reading of the clock at its report. */
-    private final Map<CrashId, Long> crashes = new HashMap<>();
+    private final Map<CrashId, CrashTimes> crashes = new HashMap<>();
 
     /** Some of the requests that were waiting; as many as are needed to blame a part. */
     private final Set<CrashFingerprint> requests = new HashSet<>();
@@ -66,9 +79,19 @@
       return (int) crashes.keySet().stream().filter(crash -> !explained.contains(crash)).count();
     }
 
+    /** Counts the unexplained crashes that are too far apart for a common cause. */
+    int countIndependent(Set<CrashId> explained, Duration window) {
+      List<CrashTimes> unexplained =
+          crashes.entrySet().stream()
+              .filter(crash -> !explained.contains(crash.getKey()))
+              .map(Map.Entry::getValue)
+              .toList();
+      return OutageUtils.selectIndependent(unexplained, CrashTimes::crashNanos, window).size();
+    }
+
     String describe(long nowNanos) {
       return crashes.entrySet().stream()
-          .map(e -> describe(e.getKey(), Duration.ofNanos(nowNanos - e.getValue())))
+          .map(e -> describe(e.getKey(), Duration.ofNanos(nowNanos - e.getValue().crashNanos())))
           .sorted()
           .collect(Collectors.joining(", "));
     }
@@ -80,7 +103,7 @@
     /** Tests whether the number of crashes was reached a while ago. */
     boolean isSettled(int crashCount, Duration settleTime, long nowNanos) {
       return crashes.values().stream()
-              .filter(timeNanos -> nowNanos - timeNanos >= settleTime.toNanos())
+              .filter(times -> nowNanos - times.recordNanos() >= settleTime.toNanos())
               .count()
           >= crashCount;
     }
@@ -122,31 +145,43 @@
     clearances = new BoundedMap<>(settings.maxFingerprints());
   }
 
+  /**
+   * Gets the time after which a judgement takes all crashes into account that are known now.
+   *
+   * @return the time, never null
+   */
+  public Duration getSettleTime() {
+    return settings.settleTime();
+  }
+
   /**
    * Records that a target crashed while a request was waiting for its first part. Recording the
    * same crash again has no effect.
    *
    * @param request the fingerprints of the request, not null
    * @param crash the crash, not null
+   * @param crashNanos the reading of the monotonic clock when the target crashed, as far as known,
+   *     not after {@code nowNanos}
    * @param nowNanos the current reading of the monotonic clock
    * @return whether there are enough crashes of one fingerprint for a judgement
    */
   public synchronized boolean recordCrash(
-      RequestFingerprints request, CrashId crash, long nowNanos) {
+      RequestFingerprints request, CrashId crash, long crashNanos, long nowNanos) {
+    CrashTimes times = new CrashTimes(Math.min(crashNanos, nowNanos), nowNanos);
     return request.stream()
-            .filter(fingerprint -> recordCrash(fingerprint, request.request(), crash, nowNanos))
+            .filter(fingerprint -> recordCrash(fingerprint, request.request(), crash, times))
             .count()
         > 0;
   }
 
   private boolean recordCrash(
-      CrashFingerprint fingerprint, CrashFingerprint request, CrashId crash, long nowNanos) {
+      CrashFingerprint fingerprint, CrashFingerprint request, CrashId crash, CrashTimes times) {
     Suspicion suspicion = suspicions.computeIfAbsent(fingerprint, f -> new Suspicion());
     suspicion
         .crashes
         .values()
-        .removeIf(timeNanos -> !isRecent(timeNanos, settings.expiry(), nowNanos));
-    suspicion.crashes.putIfAbsent(crash, nowNanos);
+        .removeIf(t -> !isRecent(t.recordNanos(), settings.expiry(), times.recordNanos()));
+    suspicion.crashes.merge(crash, times, CrashTimes::join);
     if (suspicion.requests.size() < MIN_REQUESTS_OF_PART) {
       suspicion.requests.add(request);
     }
@@ -177,7 +212,8 @@
           }
           boolean isUnexplained = suspicion.countUnexplained(explained) >= settings.maxCrashes();
           boolean isCulprit =
-              culprits.contains(fingerprint) || isUnexplained && fingerprint.kind() == Kind.REQUEST;
+              culprits.contains(fingerprint)
+                  || fingerprint.kind() == Kind.REQUEST && isEvidenced(suspicion, explained);
           if (isCulprit && !isRefused(fingerprint, nowNanos)) {
             refusals.put(fingerprint, nowNanos);
             refused.add(fingerprint);
@@ -188,6 +224,11 @@
     return new Judgement(refused, released);
   }
 
+  /** Tests whether targets crashed often enough at different times. */
+  private boolean isEvidenced(Suspicion suspicion, Set<CrashId> explained) {
+    return suspicion.countIndependent(explained, settings.outageWindow()) >= settings.maxCrashes();
+  }
+
   private Set<CrashId> getCrashes(CrashFingerprint fingerprint) {
     Suspicion suspicion = suspicions.get(fingerprint);
     return suspicion == null ? Set.of() : suspicion.crashes.keySet();
@@ -206,7 +247,8 @@
       if (entry.getKey().kind() != Kind.PART
           || suspicion.crashes.size() < mostCrashes
           || suspicion.requests.size() < MIN_REQUESTS_OF_PART
-          || known.contains(entry.getKey())) {
+          || known.contains(entry.getKey())
+          || !isEvidenced(suspicion, explained) && !isRefused(entry.getKey(), nowNanos)) {
         continue;
       }
       int crashes = suspicion.countUnexplained(explained);
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/poison/CrashSettings.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/poison/CrashSettings.java
@@ -6,10 +6,11 @@
 /**
  * The settings of a {@link CrashLedger}.
  *
- * @param maxCrashes the number of crashes after which a request, or a part of prompts, is refused,
- *     at least 2
+ * @param maxCrashes the number of crashes, at different times, after which a request, or a part of
+ *     prompts, is refused, at least 2
  * @param maxAmbiguousCrashes the number of crashes after which parts are refused even if others
  *     were present in the same crashes, at least {@code maxCrashes}
+ * @param outageWindow the time from a crash in which others may have the same cause, not null
  * @param settleTime the time for which the refusal of a part waits for reports that clear it, not
  *     null
  * @param expiry the time for which crashes and refusals are remembered, not null
@@ -23,6 +24,7 @@
 public record CrashSettings(
     int maxCrashes,
     int maxAmbiguousCrashes,
+    Duration outageWindow,
     Duration settleTime,
     Duration expiry,
     Duration successMemory,
@@ -31,6 +33,7 @@
 
   /** Validates the components. */
   public CrashSettings {
+    Objects.requireNonNull(outageWindow, "outageWindow");
     Objects.requireNonNull(settleTime, "settleTime");
     Objects.requireNonNull(expiry, "expiry");
     Objects.requireNonNull(successMemory, "successMemory");
@@ -56,6 +59,7 @@
     return new CrashSettings(
         3,
         5,
+        Duration.ofMillis(300),
         Duration.ofMillis(600),
         Duration.ofMinutes(15),
         Duration.ofSeconds(10),
--- a/fireflyshed-core/src/main/java/io/fireflyshed/protocol/poison/CrashReportCodec.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/protocol/poison/CrashReportCodec.java
@@ -8,11 +8,13 @@
 import io.fireflyshed.coordination.poison.RequestFingerprints;
 import io.fireflyshed.protocol.json.JsonUtils;
 import io.fireflyshed.state.instance.InstanceId;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 /** Encodes and decodes a {@link CrashReport} as JSON. */
@@ -21,6 +23,7 @@
   private static final String CRASHES = "crashes";
   private static final String TARGET = "target";
   private static final String START = "start";
+  private static final String SHARED_MILLIS = "shared_ms";
   private static final String REQUESTS = "requests";
   private static final String REQUEST = "request";
   private static final String PARTS = "parts";
@@ -37,17 +40,17 @@
   public static String encode(CrashReport report) {
     ObjectNode node = JsonUtils.getMapper().createObjectNode();
     ArrayNode crashes = node.putArray(CRASHES);
-    report.crashes().forEach((crash, requests) -> addCrash(crashes, crash, requests));
+    report.crashes().forEach((id, crash) -> addCrash(crashes, id, crash));
     addAll(node.putArray(CLEARED), report.cleared());
     return JsonUtils.toText(node);
   }
 
-  private static void addCrash(
-      ArrayNode crashes, CrashId crash, List<RequestFingerprints> requests) {
+  private static void addCrash(ArrayNode crashes, CrashId id, ReportedCrash crash) {
     ObjectNode node = crashes.addObject();
-    node.put(TARGET, crash.target().value()).put(START, crash.startMillis());
+    node.put(TARGET, id.target().value()).put(START, id.startMillis());
+    crash.sharedTime().ifPresent(time -> node.put(SHARED_MILLIS, time.toMillis()));
     ArrayNode requestNodes = node.putArray(REQUESTS);
-    for (RequestFingerprints request : requests) {
+    for (RequestFingerprints request : crash.requests()) {
       ObjectNode requestNode = requestNodes.addObject();
       requestNode.put(REQUEST, request.request().toString());
       addAll(requestNode.putArray(PARTS), request.parts());
@@ -67,7 +70,7 @@
    */
   public static CrashReport decode(String text) {
     JsonNode node = JsonUtils.parse(text);
-    Map<CrashId, List<RequestFingerprints>> crashes = new HashMap<>();
+    Map<CrashId, ReportedCrash> crashes = new HashMap<>();
     for (JsonNode crashNode : node.path(CRASHES)) {
       InstanceId target = new InstanceId(crashNode.path(TARGET).asText());
       List<RequestFingerprints> requests = new ArrayList<>();
@@ -77,11 +80,20 @@
                 CrashFingerprint.parse(request.path(REQUEST).asText()),
                 decodeAll(request.path(PARTS))));
       }
-      crashes.put(new CrashId(target, crashNode.path(START).asLong()), requests);
+      crashes.put(
+          new CrashId(target, crashNode.path(START).asLong()),
+          new ReportedCrash(decodeSharedTime(crashNode.path(SHARED_MILLIS)), requests));
     }
     return new CrashReport(crashes, decodeAll(node.path(CLEARED)));
   }
 
+  /** Decodes the time of a crash, which reports of earlier releases don't have. */
+  private static Optional<Duration> decodeSharedTime(JsonNode node) {
+    return node.canConvertToExactIntegral()
+        ? Optional.of(Duration.ofMillis(node.asLong()))
+        : Optional.empty();
+  }
+
   private static Set<CrashFingerprint> decodeAll(JsonNode node) {
     Set<CrashFingerprint> fingerprints = new HashSet<>();
     node.forEach(f -> fingerprints.add(CrashFingerprint.parse(f.asText())));
--- a/fireflyshed-core/src/main/java/io/fireflyshed/state/clock/SharedClock.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/state/clock/SharedClock.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import java.util.Objects;
+import java.util.Optional;
+import java.util.OptionalLong;
 
 /**
  * Estimates a shared time from occasional readings of a {@link SharedTimeSource}, as described by
@@ -13,11 +15,14 @@
  */
 public final class SharedClock {
 
+  /** Takes the place of the round trip before the first reading; above that of any. */
+  private static final long UNREAD_NANOS = Long.MAX_VALUE / 2;
+
   private final MonotonicClock clock;
   private long offsetNanos;
 
-  /** The round trip of the reading in use, or a value above that of any reading. */
-  private long roundTripNanos = Long.MAX_VALUE / 2;
+  /** The round trip of the reading in use. */
+  private long roundTripNanos = UNREAD_NANOS;
 
   /**
    * Creates a clock without a reading.
@@ -45,6 +50,31 @@
     }
   }
 
+  /**
+   * Converts a reading of the clock of this process.
+   *
+   * @param nanos a reading of the clock of this process
+   * @return the shared time of the reading, empty before the shared time was first read, never null
+   */
+  public synchronized Optional<Duration> toSharedTime(long nanos) {
+    return isRead() ? Optional.of(Duration.ofNanos(nanos + offsetNanos)) : Optional.empty();
+  }
+
+  /**
+   * Converts a shared time.
+   *
+   * @param sharedTime the shared time, not null
+   * @return the reading of the clock of this process at that time, empty before the shared time was
+   *     first read, never null
+   */
+  public synchronized OptionalLong toNanos(Duration sharedTime) {
+    return isRead() ? OptionalLong.of(sharedTime.toNanos() - offsetNanos) : OptionalLong.empty();
+  }
+
+  private boolean isRead() {
+    return roundTripNanos != UNREAD_NANOS;
+  }
+
   /**
    * Gets the estimated shared time. It may step back after a reading.
    *
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/poison/CrashReportExchange.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/poison/CrashReportExchange.java
@@ -6,7 +6,9 @@
 import io.fireflyshed.coordination.poison.RequestFingerprints;
 import io.fireflyshed.protocol.poison.CrashReport;
 import io.fireflyshed.protocol.poison.CrashReportCodec;
+import io.fireflyshed.protocol.poison.ReportedCrash;
 import io.fireflyshed.state.clock.MonotonicClock;
+import io.fireflyshed.state.clock.SharedClock;
 import io.fireflyshed.state.error.HistoryLostException;
 import io.fireflyshed.state.table.Condition;
 import io.fireflyshed.state.table.Row;
@@ -20,7 +22,6 @@
 import io.fireflyshed.transport.forward.CrashGuard;
 import io.fireflyshed.transport.log.EventLog;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -98,13 +99,13 @@
   private final ReportWriter writer;
   private final String reportPrefix;
   private final CrashLedger ledger;
-  private final Duration settleTime;
   private final ScheduledExecutorService control;
   private final MonotonicClock clock;
+  private final SharedClock sharedClock;
   private final UniformRandomProvider random;
   private final EventLog log = new EventLog("crashes");
 
-  private Map<CrashId, List<RequestFingerprints>> pendingCrashes = new LinkedHashMap<>();
+  private Map<CrashId, ReportedCrash> pendingCrashes = new LinkedHashMap<>();
   private int pendingCount;
   private Set<CrashFingerprint> pendingCleared = new HashSet<>();
   private int slot;
@@ -131,36 +132,12 @@
    *
    * @param table writes rows, not null
    * @param feed reads rows, not null
-   * @param entry the name of this entry, which a later process on the same instance keeps, not null
-   * @param ledger counts the crashes, not null
-   * @param settleTime the settle time of the ledger, not null
-   * @param control the executor of the control thread, not null
-   * @param clock the clock of this process, which includes suspended time, not null
-   * @param random spreads the writes of many entries; used on the control thread only, not null
-   */
-  public CrashReportExchange(
-      TableService table,
-      TableFeed feed,
-      String entry,
-      CrashLedger ledger,
-      Duration settleTime,
-      ScheduledExecutorService control,
-      MonotonicClock clock,
-      UniformRandomProvider random) {
-    this(table, feed, ReportWriter.none(), entry, ledger, settleTime, control, clock, random);
-  }
-
-  /**
-   * Creates an exchange of an entry whose reports others may write.
-   *
-   * @param table writes rows, not null
-   * @param feed reads rows, not null
    * @param writer has reports written by another entry, not null
    * @param entry the name of this entry, which a later process on the same instance keeps, not null
    * @param ledger counts the crashes, not null
-   * @param settleTime the settle time of the ledger, not null
    * @param control the executor of the control thread, not null
    * @param clock the clock of this process, which includes suspended time, not null
+   * @param sharedClock the time that all entries share, derived from the clock, not null
    * @param random spreads the writes of many entries; used on the control thread only, not null
    */
   public CrashReportExchange(
@@ -169,18 +146,18 @@
       ReportWriter writer,
       String entry,
       CrashLedger ledger,
-      Duration settleTime,
       ScheduledExecutorService control,
       MonotonicClock clock,
+      SharedClock sharedClock,
       UniformRandomProvider random) {
     this.table = table;
     this.feed = feed;
     this.writer = writer;
     this.reportPrefix = REPORT_PREFIX + entry + "/";
     this.ledger = ledger;
-    this.settleTime = settleTime;
     this.control = control;
     this.clock = clock;
+    this.sharedClock = sharedClock;
     this.random = random;
     this.lastWriteNanos = clock.nanoTime() - MIN_WRITE_INTERVAL.toNanos();
   }
@@ -210,9 +187,11 @@
 
   @Override
   public void onInterrupted(RequestFingerprints request, Target target) {
-    CrashId crash = new CrashId(target.id(), target.startMillis());
-    recordCrash(crash, List.of(request));
-    control.execute(() -> addPendingCrash(crash, request));
+    CrashId id = new CrashId(target.id(), target.startMillis());
+    long now = clock.nanoTime();
+    ReportedCrash crash = new ReportedCrash(sharedClock.toSharedTime(now), List.of(request));
+    recordCrash(id, crash);
+    control.execute(() -> addPendingCrash(id, crash));
   }
 
   @Override
@@ -222,11 +201,13 @@
     request.stream().forEach(this::shareSuccess);
   }
 
-  private void recordCrash(CrashId crash, List<RequestFingerprints> requests) {
+  private void recordCrash(CrashId id, ReportedCrash crash) {
     long now = clock.nanoTime();
+    long crashNanos =
+        crash.sharedTime().map(sharedClock::toNanos).orElse(OptionalLong.empty()).orElse(now);
     boolean isJudgementDue = false;
-    for (RequestFingerprints request : requests) {
-      isJudgementDue |= ledger.recordCrash(request, crash, now);
+    for (RequestFingerprints request : crash.requests()) {
+      isJudgementDue |= ledger.recordCrash(request, id, crashNanos, now);
       request.stream().forEach(this::shareSuccess);
     }
     if (isJudgementDue) {
@@ -242,7 +223,7 @@
       return;
     }
     isJudgementScheduled = true;
-    schedule(this::judgeSettled, settleTime);
+    schedule(this::judgeSettled, ledger.getSettleTime());
   }
 
   private void judgeSettled() {
@@ -288,13 +269,13 @@
     }
   }
 
-  private void addPendingCrash(CrashId crash, RequestFingerprints request) {
-    int count = 1 + request.parts().size();
+  private void addPendingCrash(CrashId id, ReportedCrash crash) {
+    int count = crash.requests().stream().mapToInt(request -> 1 + request.parts().size()).sum();
     if (pendingCount + count > MAX_PENDING) {
-      log.info("crash report dropped", "fingerprint", request.request(), "pending", pendingCount);
+      log.info("crash report dropped", "target", id.target(), "pending", pendingCount);
       return;
     }
-    pendingCrashes.computeIfAbsent(crash, c -> new ArrayList<>()).add(request);
+    pendingCrashes.merge(id, crash, ReportedCrash::join);
     pendingCount += count;
     scheduleWrite(BATCH_DELAY, MIN_WRITE_INTERVAL);
   }
@@ -355,7 +336,7 @@
     control.execute(
         () -> {
           report.crashes().forEach(this::recordCrash);
-          report.crashes().forEach((crash, all) -> all.forEach(r -> addPendingCrash(crash, r)));
+          report.crashes().forEach(this::addPendingCrash);
           report.cleared().forEach(ledger::clear);
           report.cleared().forEach(this::addPendingClearance);
         });
@@ -366,7 +347,7 @@
     if (error != null) {
       log.warn("crash report not written", "error", error.getMessage());
       pendingCleared.addAll(report.cleared());
-      report.crashes().forEach((crash, all) -> all.forEach(r -> addPendingCrash(crash, r)));
+      report.crashes().forEach(this::addPendingCrash);
     }
     if (pendingCount > 0 || !pendingCleared.isEmpty()) {
       scheduleWrite(RETRY_DELAY, MIN_WRITE_INTERVAL);
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/poison/SharedTable.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/poison/SharedTable.java
@@ -1,6 +1,8 @@
 package io.fireflyshed.transport.poison;
 
 import io.fireflyshed.state.clock.ManualClock;
+import io.fireflyshed.state.clock.MonotonicClock;
+import io.fireflyshed.state.clock.SharedClock;
 import io.fireflyshed.state.error.EffectUnknownException;
 import io.fireflyshed.state.error.HistoryLostException;
 import io.fireflyshed.state.table.CommitResult;
@@ -48,6 +50,19 @@
     }
   }
 
+  /**
+   * Creates the shared clock of an entry that has read the time of the table service.
+   *
+   * @param clock the time of the table service, not null
+   * @param entryClock the clock of the entry, not null
+   */
+  static SharedClock newSharedClock(ManualClock clock, MonotonicClock entryClock) {
+    SharedClock sharedClock = new SharedClock(entryClock);
+    long entryNanos = entryClock.nanoTime();
+    sharedClock.onRead(Duration.ofNanos(clock.nanoTime()), entryNanos, entryNanos);
+    return sharedClock;
+  }
+
   /** The access of one entry, which can be cut off. */
   final class Access implements TableService, TableFeed {
     private boolean isCut;
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
@@ -22,6 +22,7 @@
 import io.fireflyshed.platform.StoreTargetRegistry;
 import io.fireflyshed.platform.WireHeaders;
 import io.fireflyshed.state.clock.MonotonicClock;
+import io.fireflyshed.state.clock.SharedClock;
 import io.fireflyshed.state.clock.SuspendAwareClock;
 import io.fireflyshed.state.instance.InstanceId;
 import io.fireflyshed.state.peer.EntryPeer;
@@ -141,6 +142,8 @@
   private final MonotonicClock clock =
       new SuspendAwareClock(MonotonicClock.system(), System::currentTimeMillis);
 
+  private final SharedClock sharedClock = new SharedClock(clock);
+
   private final ScheduledExecutorService control =
       Executors.newSingleThreadScheduledExecutor(r -> new Thread(r, "control"));
   private final PrometheusMeterRegistry metrics =
@@ -189,7 +192,7 @@
     PlacementSettings placement = PlacementSettings.ofDefaults();
     stalls = new StallDetector(placement);
     targetCaller = new TargetCaller(codec);
-    EntrySchedule schedule = new EntrySchedule(settings.zoneRank(), settings.zones(), clock);
+    EntrySchedule schedule = new EntrySchedule(settings.zoneRank(), settings.zones(), sharedClock);
     placer = new TargetPlacer(placement, settings.zone(), random, schedule);
     metrics.gauge("fireflyshed.limited.targets", placer, TargetPlacer::countLimitedTargets);
     tables = newTables(store);
@@ -365,8 +368,7 @@
   }
 
   private CrashReportExchange newCrashReports(StoreClient store, UniformRandomProvider random) {
-    CrashSettings crashSettings = CrashSettings.ofDefaults();
-    CrashLedger ledger = new CrashLedger(crashSettings);
+    CrashLedger ledger = new CrashLedger(CrashSettings.ofDefaults());
     metrics.gauge("fireflyshed.refused.fingerprints", ledger, CrashLedger::countRefusals);
     return new CrashReportExchange(
         store,
@@ -374,9 +376,9 @@
         newReportWriter(),
         settings.node(),
         ledger,
-        crashSettings.settleTime(),
         control,
         clock,
+        sharedClock,
         random);
   }
 
