--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/http/HttpCallerTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/http/HttpCallerTest.java
@@ -153,6 +153,27 @@
     }
   }
 
+  /** Provides responses that end within their heads. */
+  @DataProvider
+  public Object[][] truncatedHeads() {
+    return new Object[][] {
+      {"HTTP/1.1 2"},
+      {"HTTP/1.1 204 No Content\r\n"},
+      {"HTTP/1.1 200 OK\r\nContent-Length: 0"},
+      {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"},
+      {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Na"},
+      {"HTTP/1.1 202 Accepted\r\nTransfer-Encoding: chunked\r\n"}
+    };
+  }
+
+  @Test(dataProvider = "truncatedHeads")
+  public void truncatedHeadHasUnknownEffect(String head) throws IOException {
+    try (ServerSocket server = newServer()) {
+      serveOnce(server, head);
+      assertTrue(sendAndFail(server.getLocalPort()) instanceof EffectUnknownException);
+    }
+  }
+
   @Test
   public void bodyOfUndeclaredLengthHasUnknownEffect() throws IOException {
     try (ServerSocket server = newServer()) {
--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/TargetResponseTest.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/TargetResponseTest.java
@@ -4,14 +4,10 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
-import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.fireflyshed.platform.PlatformSettings;
-import io.fireflyshed.protocol.json.JsonUtils;
 import io.fireflyshed.standins.fleet.FleetStandIn;
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Collections;
@@ -19,7 +15,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.atomic.AtomicInteger;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -31,102 +26,35 @@
  */
 public class TargetResponseTest {
 
-  private static final Duration TIMEOUT = Duration.ofSeconds(20);
   private static final String HEAD = "HTTP/1.1 200 OK\r\n";
   private static final String EVENT = "id: 1\ndata: one\n\n";
   private static final String TWO_EVENTS = EVENT + "id: 2\ndata: two\n\n";
+  private static final List<Integer> NOT_RUN_STATUSES = List.of(408, 421, 429, 503);
   private static final int LONG_BODY_BYTES = 1_000_000;
   private static final byte[] SHORT_BODY = "body".getBytes(StandardCharsets.UTF_8);
 
-  private final AtomicInteger lastId = new AtomicInteger();
   private final List<String> violations = Collections.synchronizedList(new ArrayList<>());
 
   /** The bytes to send on a connection when its next request arrives, by port and connection. */
   private final Map<String, String> surplus = new ConcurrentHashMap<>();
 
-  private final List<RawTarget> targets = new ArrayList<>();
-  private FleetStandIn fleet;
-  private PlatformEntry entry;
-  private PlatformSettings settings;
-  private int port;
+  private RawTargetSite site;
 
-  /** Starts two targets, each for all services, and an entry. */
+  /** Starts a target for all services and an entry. */
   @BeforeMethod
   public void setUp() throws Exception {
     violations.clear();
     surplus.clear();
-    targets.clear();
-    fleet = new FleetStandIn(0, 0);
-    startTarget("one");
-    settings = RehearseCommand.newSettings(fleet, "entry-1");
-    port = settings.listen().getPort();
-    entry = new PlatformEntry(settings);
-    entry.start();
-    long deadline = System.nanoTime() + TIMEOUT.toNanos();
-    while (!send("POST", "/lookups/plain", SHORT_BODY).isSuccess()
-        || !send("POST", "/chat/plain", SHORT_BODY).isSuccess()) {
-      assertTrue(System.nanoTime() - deadline < 0, "the entry does not serve");
-      Thread.sleep(20);
-    }
+    site = new RawTargetSite(this::answer, "/lookups/plain", "/chat/plain");
   }
 
   /** Stops the entry and the targets. */
   @AfterMethod(alwaysRun = true)
   public void tearDown() throws IOException {
-    entry.close();
-    fleet.close();
-    for (RawTarget target : targets) {
-      target.close();
-    }
+    site.close();
     assertEquals(violations, List.of());
   }
 
-  /** Waits until the entry has registered, before which it may retry hardly any request. */
-  private void awaitRetries() throws InterruptedException {
-    long deadline = System.nanoTime() + TIMEOUT.toNanos();
-    while (!EntryMetricsUtils.isRetryAllowed(settings)) {
-      assertTrue(System.nanoTime() - deadline < 0, "the entry may retry no request");
-      Thread.sleep(20);
-    }
-  }
-
-  private void startTarget(String id) throws IOException {
-    RawTarget target = new RawTarget(this::answer);
-    targets.add(target);
-    ObjectNode desk = newRecord("desk", target);
-    fleet.getStore().put("servers", "desk-" + id, JsonUtils.toText(desk));
-    ObjectNode head = newRecord("models", target);
-    head.putObject("group")
-        .put("name", FleetStandIn.MODEL + ".1")
-        .put("epoch", 1)
-        .put("rank", 0)
-        .put("state", "open");
-    fleet.getStore().put("servers", "head-" + id, JsonUtils.toText(head));
-  }
-
-  private static ObjectNode newRecord(String service, RawTarget target) {
-    return JsonUtils.getMapper()
-        .createObjectNode()
-        .put("service", service)
-        .put("address", "127.0.0.1:" + target.getPort())
-        .put("zone", "a")
-        .put("version", "v1")
-        .put("slots", 18)
-        .put("state", "ready")
-        .put("born", 1);
-  }
-
-  private String newId() {
-    return "id-" + lastId.incrementAndGet();
-  }
-
-  /** Sends a request on a new connection. */
-  private RawCaller.Response send(String method, String path, byte[] body) throws IOException {
-    try (RawCaller caller = new RawCaller(port)) {
-      return caller.send(method, path, newId(), body);
-    }
-  }
-
   /** Answers a request as the last part of its path says. */
   private void answer(RawTarget.Request request, Socket connection) throws IOException {
     if (request.getPath().equals("/api/report")) {
@@ -191,6 +119,15 @@
         case "no-last-chunk" -> write(chunkedHead + chunk);
         case "event-cut" -> write(head + "\r\n" + body + "id: 2\nda");
         case "to-the-end" -> write(head + "\r\n" + body);
+        case "head-cut-in-status" -> write(HEAD.substring(0, HEAD.length() - 4));
+        case "head-cut-after-status" -> write(HEAD);
+        case "head-cut-in-name" -> write(head + "Content-Le");
+        case "head-cut-in-length" -> write(head + "Content-Length: 1");
+        case "head-cut-before-end" -> write(head + "Content-Length: 0\r\n");
+        case "head-cut-without-length" -> write(head + "\r");
+        case "interim-cut" -> write("HTTP/1.1 100 Continue\r\n");
+        case "interim-only" -> write("HTTP/1.1 100 Continue\r\n\r\n");
+        case "interim-then-cut" -> write("HTTP/1.1 103 Early Hints\r\n\r\n" + head);
         case "reset-chunks", "reset" -> {
           write(kind.equals("reset") ? head + "\r\n" + body : chunkedHead + chunk);
           pause();
@@ -337,6 +274,21 @@
         cases.add(new Object[] {"/" + route + "/" + cut});
       }
     }
+    for (String cut :
+        List.of(
+            "head-cut-in-status",
+            "head-cut-after-status",
+            "head-cut-in-name",
+            "head-cut-in-length",
+            "head-cut-before-end",
+            "head-cut-without-length",
+            "interim-cut",
+            "interim-only",
+            "interim-then-cut")) {
+      for (String route : List.of("lookups", "orders", "notes", "chat")) {
+        cases.add(new Object[] {"/" + route + "/" + cut});
+      }
+    }
     cases.add(new Object[] {"/notes/event-cut"});
     cases.add(new Object[] {"/chat/event-cut"});
     return cases.toArray(new Object[0][]);
@@ -344,8 +296,9 @@
 
   @Test(dataProvider = "brokenResponses")
   public void responseThatBreaksOffDoesNotLookComplete(String path) throws IOException {
-    RawCaller.Response response = send("POST", path, SHORT_BODY);
+    RawCaller.Response response = site.send(path, SHORT_BODY);
     assertFalse(response.isSuccess(), response.toString());
+    assertFalse(NOT_RUN_STATUSES.contains(response.status()), "it is told as not run");
   }
 
   /** Provides responses of a target at which a broken stream can't go on. */
@@ -366,17 +319,17 @@
 
   @Test(dataProvider = "failedResumptions")
   public void brokenStreamEndsIncompleteAfterItsLastEvent(String kind) throws Exception {
-    startTarget("two");
+    site.startTarget("two");
     Thread.sleep(800);
-    awaitRetries();
+    site.awaitRetries();
     for (int i = 0; i < 3; i++) {
-      RawCaller.Response response = send("POST", "/chat/resume-" + kind, SHORT_BODY);
+      RawCaller.Response response = site.send("/chat/resume-" + kind, SHORT_BODY);
       assertEquals(response.status(), 200);
       assertEquals(response.body(), TWO_EVENTS);
       assertFalse(response.isComplete(), "the stream looks complete");
     }
     assertTrue(
-        targets.stream()
+        site.getTargets().stream()
             .flatMap(t -> t.getRequests().stream())
             .anyMatch(r -> r.getHeader("last-event-id").isPresent()),
         "no stream was resumed");
@@ -384,9 +337,9 @@
 
   @Test
   public void responseThatEndsWithItsConnectionIsComplete() throws IOException {
-    RawCaller.Response response = send("POST", "/orders/to-the-end", SHORT_BODY);
+    RawCaller.Response response = site.send("/orders/to-the-end", SHORT_BODY);
     assertTrue(response.isSuccess());
-    assertEquals(response.body(), "answer to id-" + lastId);
+    assertEquals(response.body(), "answer to " + site.getLastId());
   }
 
   /** Provides ways to send more than the response. */
@@ -410,15 +363,15 @@
     int requests = 6;
     int successes = 0;
     for (int round = 0; round < 3; round++) {
-      assertOwn(send("POST", "/lookups/" + kind, SHORT_BODY));
+      assertOwn(site.send("/lookups/" + kind, SHORT_BODY));
       pause();
       pause();
       for (int i = 0; i < requests; i++) {
-        RawCaller.Response response = send("POST", "/lookups/plain", SHORT_BODY);
+        RawCaller.Response response = site.send("/lookups/plain", SHORT_BODY);
         assertOwn(response);
         successes += response.isSuccess() ? 1 : 0;
       }
-      RawCaller.Response order = send("POST", "/orders/plain", SHORT_BODY);
+      RawCaller.Response order = site.send("/orders/plain", SHORT_BODY);
       assertTrue(order.isSuccess(), order.toString());
       assertOwn(order);
     }
@@ -441,25 +394,25 @@
   public void repeatedRejectionIsNotTakenForTheNextResponse(String route, String kind)
       throws IOException {
     for (int i = 0; i < 3; i++) {
-      assertTrue(send("POST", route + kind, SHORT_BODY).isSuccess());
-      RawCaller.Response next = send("POST", route + "plain", SHORT_BODY);
+      assertTrue(site.send(route + kind, SHORT_BODY).isSuccess());
+      RawCaller.Response next = site.send(route + "plain", SHORT_BODY);
       boolean isRun =
-          targets.get(0).getRequests().stream()
-              .anyMatch(r -> r.getHeader("x-attempt-id").equals(Optional.of("id-" + lastId)));
-      boolean isToldNotRun = List.of(408, 421, 429, 503).contains(next.status());
+          site.getTargets().get(0).getRequests().stream()
+              .anyMatch(r -> r.getHeader("x-attempt-id").equals(Optional.of(site.getLastId())));
+      boolean isToldNotRun = NOT_RUN_STATUSES.contains(next.status());
       assertFalse(isRun && isToldNotRun, next.toString());
     }
   }
 
   private void assertOwn(RawCaller.Response response) {
     if (response.isSuccess()) {
-      assertEquals(response.body(), "answer to id-" + lastId);
+      assertEquals(response.body(), "answer to " + site.getLastId());
     }
   }
 
   @Test
   public void interimResponsesAreNotTakenForTheResponse() throws IOException {
-    RawCaller.Response response = send("POST", "/orders/interim", SHORT_BODY);
+    RawCaller.Response response = site.send("/orders/interim", SHORT_BODY);
     assertTrue(response.isSuccess(), response.toString());
     assertOwn(response);
   }
@@ -467,15 +420,15 @@
   @Test
   public void ordersShareNoConnection() throws IOException {
     for (int i = 0; i < 4; i++) {
-      assertTrue(send("POST", "/orders/plain", SHORT_BODY).isSuccess());
+      assertTrue(site.send("/orders/plain", SHORT_BODY).isSuccess());
     }
     List<Integer> connections =
-        targets.get(0).getRequests().stream()
+        site.getTargets().get(0).getRequests().stream()
             .filter(r -> r.getPath().startsWith("/orders/"))
             .map(RawTarget.Request::connection)
             .toList();
     assertEquals(connections.size(), 4);
-    for (RawTarget.Request request : targets.get(0).getRequests()) {
+    for (RawTarget.Request request : site.getTargets().get(0).getRequests()) {
       assertTrue(
           request.getPath().startsWith("/orders/") || !connections.contains(request.connection()));
     }
@@ -490,15 +443,16 @@
 
   @Test(dataProvider = "headResponses")
   public void responseToHeadDoesNotAffectTheNextRequest(String kind) throws IOException {
-    try (RawCaller caller = new RawCaller(port)) {
-      assertEquals(caller.send("HEAD", "/lookups/" + kind, newId(), new byte[0]).status(), 200);
-      RawCaller.Response next = caller.send("POST", "/orders/plain", newId(), SHORT_BODY);
+    try (RawCaller caller = site.newCaller()) {
+      assertEquals(
+          caller.send("HEAD", "/lookups/" + kind, site.newId(), new byte[0]).status(), 200);
+      RawCaller.Response next = caller.send("POST", "/orders/plain", site.newId(), SHORT_BODY);
       assertTrue(next.isSuccess(), next.toString());
       assertOwn(next);
     }
     int successes = 0;
     for (int i = 0; i < 6; i++) {
-      RawCaller.Response response = send("POST", "/lookups/plain", SHORT_BODY);
+      RawCaller.Response response = site.send("/lookups/plain", SHORT_BODY);
       assertOwn(response);
       successes += response.isSuccess() ? 1 : 0;
     }
@@ -514,10 +468,10 @@
   @Test(dataProvider = "earlyRoutes")
   public void targetThatAnswersEarlyGetsTheRightBytes(String path) throws IOException {
     for (int i = 0; i < 3; i++) {
-      RawCaller.Response response = send("POST", path, newLongBody());
+      RawCaller.Response response = site.send(path, newLongBody());
       assertTrue(response.isSuccess(), response.toString());
       for (int next = 0; next < 3; next++) {
-        RawCaller.Response lookup = send("POST", "/lookups/plain", SHORT_BODY);
+        RawCaller.Response lookup = site.send("/lookups/plain", SHORT_BODY);
         assertTrue(lookup.isSuccess(), lookup.toString());
         assertOwn(lookup);
       }
@@ -535,11 +489,11 @@
                 + FleetStandIn.KEY
                 + "\r\nX-Attempt-Id: smuggled\r\nContent-Length: 0\r\n\r\n")
             .getBytes(StandardCharsets.UTF_8);
-    try (RawCaller caller = new RawCaller(port)) {
-      caller.sendHead("POST", "/nowhere/x", newId(), body.length);
+    try (RawCaller caller = site.newCaller()) {
+      caller.sendHead("POST", "/nowhere/x", site.newId(), body.length);
       assertEquals(caller.readResponse("POST").status(), 404);
       caller.sendBytes(body, 0, body.length);
-      RawCaller.Response next = caller.send("POST", "/orders/plain", newId(), SHORT_BODY);
+      RawCaller.Response next = caller.send("POST", "/orders/plain", site.newId(), SHORT_BODY);
       if (next.status() != 0) {
         assertTrue(next.isSuccess(), next.toString());
         assertOwn(next);
@@ -548,6 +502,7 @@
       System.err.println("the entry closed the connection after the denial: " + e);
     }
     assertTrue(
-        targets.get(0).getRequests().stream().noneMatch(r -> r.getPath().contains("smuggled")));
+        site.getTargets().get(0).getRequests().stream()
+            .noneMatch(r -> r.getPath().contains("smuggled")));
   }
 }
