Give each test of outages a ledger of its own

TestNG shares one instance between the methods of a class, so that the four tests in CrashLedgerTest.Outages worked on one ledger, and the last one judged what the others had recorded. All four pass on ledgers of their own.

--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/poison/CrashLedgerTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/poison/CrashLedgerTest.java
@@ -252,9 +252,15 @@
     /** The time at which all crashes are recorded. */
     private static final Duration REPORT_TIME = Duration.ofSeconds(10);
 
-    private final CrashLedger ledger = new CrashLedger(SETTINGS);
+    private CrashLedger ledger;
     private int targets;
 
+    /** Creates an empty ledger. */
+    @BeforeMethod
+    public void setUp() {
+      ledger = new CrashLedger(SETTINGS);
+    }
+
     /** Records crashes of several targets while each had a prompt with the same part. */
     private void crashTargets(int count, Duration time) {
       for (int i = 0; i < count; i++) {
