Hold the bodies of requests once, within one budget of bytes

Cause: each limit counts one message, and nothing counts them together. A body was read into a buffer that doubles, copied once more, copied into direct memory for each attempt, and held until the end of its request.

Change: ByteBudget counts what is held and denies what doesn't fit, by dynamic thresholds for accounts and routes; small requests and one-time orders pass beside large ones. A request reserves its stated length before its body is read; one that doesn't fit is rejected as not run, with a time to come back. A body is held once, outside of the heap if it is large (HeldBody), and released when the response to a one-time request begins.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetPlacer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetPlacer.java
@@ -1,5 +1,6 @@
 package io.fireflyshed.coordination.placement;
 
+import io.fireflyshed.coordination.retry.RetryAfterSchedule;
 import io.fireflyshed.state.instance.AvailabilityZone;
 import io.fireflyshed.state.instance.InstanceId;
 import io.fireflyshed.state.target.Target;
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/poison/CrashFingerprint.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/poison/CrashFingerprint.java
@@ -6,6 +6,7 @@
 import java.util.Locale;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.apache.commons.codec.binary.Hex;
 import org.apache.commons.codec.digest.DigestUtils;
 
@@ -43,11 +44,11 @@
    * @param service the service that is to run the request, not null
    * @param account the name of the client account, empty on public routes, not null
    * @param path the host, path and query of the request, not null
-   * @param body the complete body, not null
+   * @param body adds the complete body to a digest, not null
    * @return the fingerprint, never null
    */
   public static CrashFingerprint ofRequest(
-      ServiceName service, Optional<String> account, String path, byte[] body) {
+      ServiceName service, Optional<String> account, String path, Consumer<MessageDigest> body) {
     String head = service + "\n" + account.orElse("") + "\n" + path + "\n";
     return new CrashFingerprint(Kind.REQUEST, digest(head, body));
   }
@@ -60,14 +61,15 @@
    * @return the fingerprint, never null
    */
   public static CrashFingerprint ofPart(ServiceName service, String partId) {
-    String id = partId.length() <= HEX_DIGITS ? partId : digest(partId, new byte[0]);
+    String id = partId.length() <= HEX_DIGITS ? partId : digest(partId, digest -> {});
     return new CrashFingerprint(Kind.PART, service + SEPARATOR + id);
   }
 
-  private static String digest(String head, byte[] rest) {
+  private static String digest(String head, Consumer<MessageDigest> rest) {
     MessageDigest digest = DigestUtils.getSha256Digest();
     digest.update(head.getBytes(StandardCharsets.UTF_8));
-    return Hex.encodeHexString(digest.digest(rest)).substring(0, HEX_DIGITS);
+    rest.accept(digest);
+    return Hex.encodeHexString(digest.digest()).substring(0, HEX_DIGITS);
   }
 
   /**
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/RetryAfterSchedule.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/retry/RetryAfterSchedule.java
@@ -1,4 +1,4 @@
-package io.fireflyshed.coordination.placement;
+package io.fireflyshed.coordination.retry;
 
 import java.time.Duration;
 
@@ -9,22 +9,27 @@
  * as requests end, so the retry of each refused caller is scheduled one mean gap between ends after
  * that of the caller before it. Not thread safe.
  */
-final class RetryAfterSchedule {
+public final class RetryAfterSchedule {
 
   /** Weight of a new gap between two ends in the moving average. */
   private static final double GAP_WEIGHT = 0.1;
 
   /** Shortest wait, about the time of two passes of a replica. */
-  static final Duration MIN_WAIT = Duration.ofMillis(150);
+  public static final Duration MIN_WAIT = Duration.ofMillis(150);
 
   /** Longest wait; callers spend at most a third of their deadline on it. */
-  static final Duration MAX_WAIT = Duration.ofMillis(1600);
+  public static final Duration MAX_WAIT = Duration.ofMillis(1600);
 
   private double gapNanos;
   private long lastEndNanos = Long.MIN_VALUE;
   private long nextNanos = Long.MIN_VALUE;
 
-  void onEnd(long nowNanos) {
+  /**
+   * Records that a request ended, so that capacity became free.
+   *
+   * @param nowNanos the current reading of the monotonic clock
+   */
+  public void onEnd(long nowNanos) {
     if (lastEndNanos != Long.MIN_VALUE) {
       double gap = nowNanos - lastEndNanos;
       gapNanos = gapNanos == 0 ? gap : gapNanos + GAP_WEIGHT * (gap - gapNanos);
@@ -32,8 +37,13 @@
     lastEndNanos = nowNanos;
   }
 
-  /** Returns the wait of the next refused caller. */
-  Duration next(long nowNanos) {
+  /**
+   * Returns the wait of the next refused caller.
+   *
+   * @param nowNanos the current reading of the monotonic clock
+   * @return a time from {@link #MIN_WAIT} to {@link #MAX_WAIT}, never null
+   */
+  public Duration next(long nowNanos) {
     long earliest = nowNanos + MIN_WAIT.toNanos();
     if (nextNanos == Long.MIN_VALUE || nextNanos - earliest < 0) {
       nextNanos = earliest;
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/budget/package-info.java
@@ -0,0 +1,2 @@
+/** Reports the memory budget of a process to its operators. */
+package io.fireflyshed.transport.budget;
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptSequence.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptSequence.java
@@ -264,7 +264,7 @@
         context
             .client()
             .send(target, routed, remaining, stream.getLastEventId())
-            .doOnNext(part -> context.reachability().onSignOfLife());
+            .doOnNext(this::onPart);
     Flux<ResponsePart> response =
         isStream ? streamResponse(target, parts) : collectResponse(target, parts);
     return response
@@ -274,6 +274,14 @@
         .onErrorResume(AttemptException.class, e -> handleFailure(target, e));
   }
 
+  private void onPart(ResponsePart part) {
+    context.reachability().onSignOfLife();
+    if (part instanceof ResponsePart.Head && !routed.route().isRetryable()) {
+      // The target ran the request, which can't be sent again.
+      routed.body().close();
+    }
+  }
+
   /** Buffers a response that is not a stream, so that a broken one can be replaced. */
   private Flux<ResponsePart> collectResponse(Target target, Flux<ResponsePart> parts) {
     Flux<ResponsePart> limitedParts = parts;
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/RoutedRequest.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/RoutedRequest.java
@@ -6,6 +6,7 @@
 import io.fireflyshed.protocol.traffic.TrafficRequest;
 import io.fireflyshed.state.replica.ServiceName;
 import io.fireflyshed.state.traffic.Route;
+import io.fireflyshed.transport.http.HeldBody;
 import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
@@ -16,7 +17,7 @@
  * Holds an authorized request together with its route and the service that was selected for it.
  *
  * @param request the caller's request without its body, not null
- * @param body the complete body, empty for none, not null
+ * @param body the complete body, empty for none; it stays valid until the request ends, not null
  * @param route the matching route, not null
  * @param service the service that was selected among those of the route, not null
  * @param account the name of the client account, empty on public routes, not null
@@ -27,7 +28,7 @@
  */
 public record RoutedRequest(
     TrafficRequest request,
-    byte[] body,
+    HeldBody body,
     Route route,
     ServiceName service,
     Optional<String> account,
@@ -63,7 +64,7 @@
   public RequestFingerprints getFingerprints() {
     List<String> partIds = request.prompt().map(PromptDescriptor::sharedParts).orElse(List.of());
     return new RequestFingerprints(
-        CrashFingerprint.ofRequest(service, account, request.host() + request.uri(), body),
+        CrashFingerprint.ofRequest(service, account, request.host() + request.uri(), body::addTo),
         partIds.stream()
             .map(id -> CrashFingerprint.ofPart(service, id))
             .collect(Collectors.toSet()));
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/TargetCaller.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/TargetCaller.java
@@ -10,7 +10,6 @@
 import io.fireflyshed.state.target.Target;
 import io.fireflyshed.transport.http.HandOver;
 import io.fireflyshed.transport.http.SurplusResponseGuard;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -107,9 +106,9 @@
             .request(request.method())
             .uri("http://" + peer + request.uri());
     HttpClient.ResponseReceiver<?> receiver =
-        routed.body().length == 0
+        routed.body().getLength() == 0
             ? sender
-            : sender.send(Mono.fromSupplier(() -> Unpooled.wrappedBuffer(routed.body())));
+            : sender.send(Mono.fromSupplier(routed.body()::newBuffer));
     return receiver
         .responseConnection(
             (response, connection) -> readResponse(request, peer, response, connection))
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/TrafficServer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/TrafficServer.java
@@ -1,6 +1,10 @@
 package io.fireflyshed.transport.forward;
 
 import io.fireflyshed.coordination.attempt.Outcome;
+import io.fireflyshed.coordination.budget.ByteBudget;
+import io.fireflyshed.coordination.budget.ByteClaim;
+import io.fireflyshed.coordination.budget.ByteOwner;
+import io.fireflyshed.coordination.budget.ByteUse;
 import io.fireflyshed.coordination.shutdown.RequestDurations;
 import io.fireflyshed.coordination.shutdown.ShutdownAdmission;
 import io.fireflyshed.protocol.problem.Problem;
@@ -14,6 +18,7 @@
 import io.fireflyshed.state.traffic.Route;
 import io.fireflyshed.transport.entry.ShutdownSignal;
 import io.fireflyshed.transport.http.BodyReader;
+import io.fireflyshed.transport.http.HeldBody;
 import io.fireflyshed.transport.log.EventLog;
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
@@ -26,10 +31,12 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -77,6 +84,11 @@
   private static final ClientLimits DEFAULT_LIMITS =
       new ClientLimits(16384, 1 << 20, Duration.ofSeconds(3), Duration.ofSeconds(15));
 
+  /** What a request takes besides its body: its headers and the state of its attempts. */
+  private static final int REQUEST_BYTES = 4 << 10;
+
+  private static final String NO_ROOM = "the entry has no memory left for the request";
+
   private static final int OK = 200;
   private static final int BAD_REQUEST = 400;
   private static final int UNAVAILABLE = 503;
@@ -92,6 +104,7 @@
   private final UniformRandomProvider random;
   private final MonotonicClock clock;
   private final BooleanSupplier isReady;
+  private final ByteBudget budget;
   private final PrometheusMeterRegistry metrics;
   private final AtomicInteger inFlight;
   private final EventLog log = new EventLog("entry");
@@ -122,6 +135,7 @@
    * @param random selects among the services of a route, not null
    * @param clock the monotonic clock of this process, not null
    * @param isReady tests whether requests can be served, not null
+   * @param budget counts the bytes that this process holds, not null
    * @param metrics the metrics to publish, not null
    */
   public TrafficServer(
@@ -133,6 +147,7 @@
       UniformRandomProvider random,
       MonotonicClock clock,
       BooleanSupplier isReady,
+      ByteBudget budget,
       PrometheusMeterRegistry metrics) {
     this.settings = settings;
     this.codec = codec;
@@ -142,6 +157,7 @@
     this.random = random;
     this.clock = clock;
     this.isReady = isReady;
+    this.budget = budget;
     this.metrics = metrics;
     this.inFlight = metrics.gauge("fireflyshed.requests.in.flight", new AtomicInteger());
   }
@@ -315,21 +331,53 @@
     if (admission != null) {
       logDuringShutdown(httpRequest, request);
     }
-    Duration timeout = getTimeout(request, allowed.route());
+    int bodyLength = BodyReader.getStatedLength(httpRequest, getMaxBodyBytes());
+    Optional<ByteBudget.Reservation> reservation =
+        budget.tryReserve(newClaim(allowed), REQUEST_BYTES + bodyLength);
+    if (reservation.isEmpty()) {
+      return discardAndDeny(
+          httpRequest,
+          response,
+          request.id(),
+          new RequestGate.Decision.Deny(UNAVAILABLE, NO_ROOM, Optional.of(budget.getRetryAfter())));
+    }
+    HeldBody body = new HeldBody(reservation, bodyLength);
+    RoutedRequest routed = newRoutedRequest(request, body, allowed, arrivalNanos);
+    return readAndForward(httpRequest, response, routed).doFinally(signal -> body.close());
+  }
+
+  /** Creates the claim of a request to hold its body. */
+  private static ByteClaim newClaim(RequestGate.Decision.Allow allowed) {
+    Set<ByteOwner> owners = new HashSet<>();
+    owners.add(new ByteOwner(ByteOwner.Kind.ROUTE, allowed.route().name()));
+    allowed.account().ifPresent(a -> owners.add(new ByteOwner(ByteOwner.Kind.ACCOUNT, a.name())));
+    return new ByteClaim(ByteUse.REQUEST, owners, !allowed.route().isRetryable());
+  }
+
+  private Mono<Void> readAndForward(
+      HttpServerRequest httpRequest, HttpServerResponse response, RoutedRequest routed) {
     AtomicBoolean isForwarded = new AtomicBoolean();
     Flux<ResponsePart> parts =
-        BodyReader.read(httpRequest, getMaxBodyBytes(), timeout)
-            .defaultIfEmpty(new byte[0])
-            .map(body -> newRoutedRequest(request, body, allowed, arrivalNanos, timeout))
-            .flatMapMany(routed -> forward(routed, isForwarded));
+        BodyReader.read(
+                httpRequest,
+                routed.body(),
+                getMaxBodyBytes(),
+                routed.timeout(),
+                this::newNoRoomException)
+            .thenMany(Flux.defer(() -> forward(routed, isForwarded)));
+    String id = routed.request().id();
     return send(
             endSignal
                 .failOnShutdown(parts, () -> newShutdownException(isForwarded.get()))
                 .doOnError(e -> closeAfterUnreadBody(response, isForwarded.get())),
-            request.id(),
+            id,
             response)
-        .onErrorResume(
-            ProblemException.class, e -> sendProblem(response, request.id(), e.getProblem()));
+        .onErrorResume(ProblemException.class, e -> sendProblem(response, id, e.getProblem()));
+  }
+
+  private ForwardException newNoRoomException() {
+    return new ForwardException(
+        "read", "entry", NO_ROOM, Outcome.NOT_RUN, budget.getRetryAfter(), false);
   }
 
   private int getMaxBodyBytes() {
@@ -378,10 +426,9 @@
 
   private RoutedRequest newRoutedRequest(
       TrafficRequest request,
-      byte[] body,
+      HeldBody body,
       RequestGate.Decision.Allow allowed,
-      long arrivalNanos,
-      Duration timeout) {
+      long arrivalNanos) {
     return new RoutedRequest(
         request,
         body,
@@ -390,7 +437,7 @@
         allowed.account().map(ClientAccount::name),
         allowed.version(),
         arrivalNanos,
-        timeout);
+        getTimeout(request, allowed.route()));
   }
 
   private Flux<ResponsePart> forward(RoutedRequest routed, AtomicBoolean isForwarded) {
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/BodyReader.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/BodyReader.java
@@ -7,7 +7,9 @@
 import io.netty.handler.codec.http.HttpHeaderValues;
 import java.io.ByteArrayOutputStream;
 import java.time.Duration;
+import java.util.function.Supplier;
 import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
 import reactor.netty.http.server.HttpServerRequest;
 
 /** Reads request bodies within limits on size and time. */
@@ -31,13 +33,8 @@
    *     arrive in time
    */
   public static Mono<byte[]> read(HttpServerRequest request, int maxBytes, Duration timeout) {
-    String declaredLength = request.requestHeaders().get(HttpHeaderNames.CONTENT_LENGTH);
-    // Up to 18 digits always fit into a long.
-    if (declaredLength != null && declaredLength.length() > 18
-        || parseLength(declaredLength) > maxBytes) {
-      return discard(request, MAX_DISCARDED_BYTES)
-          .onErrorComplete(ProblemException.class)
-          .then(Mono.error(() -> newTooLarge(maxBytes)));
+    if (isTooLong(request, maxBytes)) {
+      return discardTooLong(request, maxBytes);
     }
     return request
         .receive()
@@ -47,6 +44,77 @@
         .timeout(timeout, Mono.error(() -> newTooSlow(timeout)));
   }
 
+  /**
+   * Reads a complete body and holds it.
+   *
+   * <p>While it is read, the memory budget may give it up.
+   *
+   * @param request the request, not null
+   * @param body takes the bytes, not null
+   * @param maxBytes the maximum size of the body in bytes
+   * @param timeout the maximum time to receive the complete body, not null
+   * @param noRoom supplies the error with which the reading fails if there is no room, not null
+   * @return completes at the end of the body; fails like {@link #read(HttpServerRequest, int,
+   *     Duration)}, or if there is no room
+   */
+  public static Mono<Void> read(
+      HttpServerRequest request,
+      HeldBody body,
+      int maxBytes,
+      Duration timeout,
+      Supplier<RuntimeException> noRoom) {
+    if (isTooLong(request, maxBytes)) {
+      return discardTooLong(request, maxBytes);
+    }
+    Sinks.Empty<Void> eviction = Sinks.empty();
+    body.setEvictable(eviction::tryEmitEmpty);
+    Mono<Void> parts =
+        request
+            .receive()
+            .doOnNext(part -> append(body, part, maxBytes, noRoom))
+            .then()
+            .timeout(timeout, Mono.error(() -> newTooSlow(timeout)));
+    return Mono.firstWithSignal(parts, eviction.asMono().then(Mono.error(noRoom)))
+        .doOnSuccess(ignored -> body.setNotEvictable());
+  }
+
+  private static void append(
+      HeldBody body, ByteBuf part, int maxBytes, Supplier<RuntimeException> noRoom) {
+    if (body.getLength() + part.readableBytes() > maxBytes) {
+      throw newTooLarge(maxBytes);
+    }
+    if (!body.append(part)) {
+      throw noRoom.get();
+    }
+  }
+
+  /**
+   * Gets the length that a request states for its body.
+   *
+   * @param request the request, not null
+   * @param maxBytes the maximum size of a body in bytes
+   * @return the length, 0 if none is stated or it exceeds the maximum
+   */
+  public static int getStatedLength(HttpServerRequest request, int maxBytes) {
+    return isTooLong(request, maxBytes) ? 0 : (int) parseLength(getLengthHeader(request));
+  }
+
+  private static String getLengthHeader(HttpServerRequest request) {
+    return request.requestHeaders().get(HttpHeaderNames.CONTENT_LENGTH);
+  }
+
+  /** Tests the stated length of a body; up to 18 digits always fit into a long. */
+  private static boolean isTooLong(HttpServerRequest request, int maxBytes) {
+    String length = getLengthHeader(request);
+    return length != null && (length.length() > 18 || parseLength(length) > maxBytes);
+  }
+
+  private static <T> Mono<T> discardTooLong(HttpServerRequest request, int maxBytes) {
+    return discard(request, MAX_DISCARDED_BYTES)
+        .onErrorComplete(ProblemException.class)
+        .then(Mono.error(() -> newTooLarge(maxBytes)));
+  }
+
   /**
    * Reads a complete body for a short time and drops it, so that the connection can be used after
    * an answer that does not depend on the body.
@@ -77,8 +145,8 @@
     return size + partSize;
   }
 
-  private static long parseLength(String declaredLength) {
-    return declaredLength == null ? 0 : Long.parseLong(declaredLength);
+  private static long parseLength(String length) {
+    return length == null ? 0 : Long.parseLong(length);
   }
 
   private static ByteArrayOutputStream append(
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayExchange.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayExchange.java
@@ -7,11 +7,11 @@
 import io.fireflyshed.transport.forward.ForwardException;
 import io.fireflyshed.transport.forward.RelayedRequest;
 import io.fireflyshed.transport.forward.ResponsePart;
+import io.fireflyshed.transport.http.HeldBody;
 import io.netty.util.concurrent.Future;
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -61,7 +61,6 @@
   private final FluxSink<ResponsePart> sink;
   private final long startNanos;
   private final Set<PeerId> triedPeers = new HashSet<>();
-  private final Deque<PeerProto.Frame> unsentBody = new ArrayDeque<>();
   private final AtomicInteger consumed = new AtomicInteger();
   private RelayLink link;
   private long id;
@@ -74,6 +73,10 @@
   private int failedOffers;
   private ForwardException notRunFailure;
   private boolean isSent;
+
+  /** The bytes of the body that were written to the connection. */
+  private int sentBodyBytes;
+
   private boolean isEnded;
   private int granted = WINDOW_FRAMES;
   private int nextSequence;
@@ -221,7 +224,7 @@
       return;
     }
     isSent = true;
-    unsentBody.addAll(RelayFrameUtils.toBodies(id, request.routed().body()));
+    sentBodyBytes = 0;
     link.write(frame);
     link.startProbing();
     onWritable();
@@ -244,8 +247,15 @@
   /** Sends more of the body, as far as the connection takes it. */
   @Override
   public void onWritable() {
-    while (!unsentBody.isEmpty() && link.isWritable()) {
-      link.write(unsentBody.poll());
+    HeldBody body = request.routed().body();
+    while (isSent && sentBodyBytes < body.getLength() && link.isWritable()) {
+      Optional<PeerProto.Frame> frame = RelayFrameUtils.toBodyPart(id, body, sentBodyBytes);
+      if (frame.isEmpty()) {
+        // The caller has left, and the cancellation is on its way to this thread.
+        return;
+      }
+      sentBodyBytes += frame.get().getRelayBody().getBytes().size();
+      link.write(frame.get());
     }
   }
 
@@ -301,7 +311,6 @@
       return;
     }
     isSent = false;
-    unsentBody.clear();
     failedOffers++;
     notRunFailure = error;
     removeOffer("did not run it: " + error.getMessage());
@@ -384,7 +393,6 @@
 
   private void end(String outcome, String reason) {
     isEnded = true;
-    unsentBody.clear();
     if (offerTimer != null) {
       offerTimer.cancel(false);
     }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayFrameUtils.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayFrameUtils.java
@@ -17,6 +17,7 @@
 import io.fireflyshed.transport.forward.RelayOffer;
 import io.fireflyshed.transport.forward.RelayedRequest;
 import io.fireflyshed.transport.forward.RoutedRequest;
+import io.fireflyshed.transport.http.HeldBody;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -55,7 +56,7 @@
     PeerProto.RelayOffer.Builder body =
         PeerProto.RelayOffer.newBuilder()
             .setService(offer.service().value())
-            .setBodyBytes(request.routed().body().length);
+            .setBodyBytes(request.routed().body().getLength());
     offer.model().ifPresent(body::setModel);
     return newFrame(id).setRelayOffer(body).build();
   }
@@ -106,7 +107,7 @@
             .setConfigurationVersion(routed.configurationVersion())
             .setRemainingMs(toMillis(remaining))
             .setMaxAttempts(relayed.maxAttempts())
-            .setBodyBytes(routed.body().length)
+            .setBodyBytes(routed.body().getLength())
             .setCredit(credit);
     for (Map.Entry<String, String> header : request.headers()) {
       // The request is authorized already, and the key must not spread.
@@ -127,11 +128,11 @@
    * Converts a request.
    *
    * @param message the message of the request, not null
-   * @param bytes the complete body, not null
+   * @param body the complete body, not null
    * @param nowNanos the current reading of the monotonic clock
    * @return the request, whose timeout is the remaining time, never null
    */
-  static RelayedRequest fromRequest(PeerProto.RelayRequest message, byte[] bytes, long nowNanos) {
+  static RelayedRequest fromRequest(PeerProto.RelayRequest message, HeldBody body, long nowNanos) {
     Duration remaining = toDuration(message.getRemainingMs());
     TrafficRequest request =
         new TrafficRequest(
@@ -151,7 +152,7 @@
     RoutedRequest routed =
         new RoutedRequest(
             request,
-            bytes,
+            body,
             fromRoute(message.getRoute()),
             new ServiceName(message.getService()),
             message.hasAccount() ? Optional.of(message.getAccount()) : Optional.empty(),
@@ -166,14 +167,13 @@
         message.getExcludedTargetsList().stream().map(InstanceId::new).collect(Collectors.toSet()));
   }
 
-  /** Splits a request body into frames, without copying it. */
-  static List<PeerProto.Frame> toBodies(long id, byte[] bytes) {
-    List<PeerProto.Frame> frames = new ArrayList<>();
-    for (ByteString part : split(bytes)) {
-      frames.add(
-          newFrame(id).setRelayBody(PeerProto.RelayBody.newBuilder().setBytes(part)).build());
-    }
-    return frames;
+  /** Copies the part of a body that starts at an index into a frame; empty if it is closed. */
+  static Optional<PeerProto.Frame> toBodyPart(long id, HeldBody body, int start) {
+    int length = Math.min(MAX_PART_BYTES, body.getLength() - start);
+    return body.copyBytes(start, length)
+        .map(UnsafeByteOperations::unsafeWrap)
+        .map(part -> PeerProto.RelayBody.newBuilder().setBytes(part))
+        .map(part -> newFrame(id).setRelayBody(part).build());
   }
 
   /** Splits a chunk of a response body into frames, without copying it. */
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/ServedRelay.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/ServedRelay.java
@@ -6,6 +6,8 @@
 import io.fireflyshed.transport.forward.ForwardException;
 import io.fireflyshed.transport.forward.RelayedRequest;
 import io.fireflyshed.transport.forward.ResponsePart;
+import io.fireflyshed.transport.http.HeldBody;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.util.concurrent.Future;
 import java.time.Duration;
@@ -60,13 +62,13 @@
   private final PeerId peer;
   private final Channel channel;
   private final long id;
-  private final byte[] body;
+  private final int bodyBytes;
+  private final HeldBody body;
   private final Deque<PeerProto.Frame> unsent = new ArrayDeque<>();
   private final PartSubscriber subscriber = new PartSubscriber();
   private Future<?> requestTimer;
   private PeerProto.RelayRequest message;
   private long messageNanos;
-  private int bodyLength;
   private boolean isStarted;
   private boolean isEnded;
   private boolean isPartAwaited;
@@ -80,7 +82,8 @@
     this.peer = peer;
     this.channel = channel;
     this.id = id;
-    this.body = new byte[bodyBytes];
+    this.bodyBytes = bodyBytes;
+    this.body = new HeldBody(Optional.empty(), bodyBytes);
     startRequestTimer();
   }
 
@@ -97,7 +100,7 @@
   }
 
   int getReservedBytes() {
-    return body.length;
+    return bodyBytes;
   }
 
   /** Returns whether the request was passed to the forwarder. */
@@ -135,7 +138,7 @@
     message = request;
     messageNanos = server.nanoTime();
     credit = Integer.toUnsignedLong(request.getCredit());
-    if (request.getBodyBytes() == body.length) {
+    if (request.getBodyBytes() == bodyBytes) {
       proceed();
     } else {
       failUnstarted("the body is not as long as the offer stated");
@@ -143,20 +146,21 @@
   }
 
   private void onBody(PeerProto.RelayBody part) {
-    int length = part.getBytes().size();
-    if (message == null || isStarted || length > body.length - bodyLength) {
+    boolean isTooLong = part.getBytes().size() > bodyBytes - body.getLength();
+    if (message == null
+        || isStarted
+        || isTooLong
+        || !body.append(Unpooled.wrappedBuffer(part.getBytes().asReadOnlyByteBuffer()))) {
       failUnstarted("the body is longer than the offer stated or precedes the request");
       return;
     }
-    part.getBytes().copyTo(body, bodyLength);
-    bodyLength += length;
     proceed();
   }
 
   /** Starts the request if its body is complete. */
   private void proceed() {
     requestTimer.cancel(false);
-    if (bodyLength < body.length) {
+    if (body.getLength() < bodyBytes) {
       startRequestTimer();
       return;
     }
@@ -261,6 +265,7 @@
     isEnded = true;
     unsent.clear();
     requestTimer.cancel(false);
+    body.close();
     server.onEnded(this, lastFrame, outcome);
   }
 
--- /dev/null
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/budget/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the memory budget. */
+package io.fireflyshed.coordination.budget;
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/placement/TargetPlacerTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/placement/TargetPlacerTest.java
@@ -5,6 +5,7 @@
 import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.fail;
 
+import io.fireflyshed.coordination.retry.RetryAfterSchedule;
 import io.fireflyshed.state.clock.ManualClock;
 import io.fireflyshed.state.clock.SharedClock;
 import io.fireflyshed.state.instance.AvailabilityZone;
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwardFixtures.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwardFixtures.java
@@ -14,6 +14,7 @@
 import io.fireflyshed.state.traffic.RequestKind;
 import io.fireflyshed.state.traffic.Route;
 import io.fireflyshed.state.traffic.WeightedService;
+import io.fireflyshed.transport.http.HeldBody;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
@@ -149,7 +150,14 @@
                 : Optional.empty(),
             OptionalLong.empty());
     return new RoutedRequest(
-        request, new byte[0], route, SERVICE, Optional.empty(), 1, arrivalNanos, route.timeout());
+        request,
+        HeldBody.of(new byte[0]),
+        route,
+        SERVICE,
+        Optional.empty(),
+        1,
+        arrivalNanos,
+        route.timeout());
   }
 
   static ResponsePart newHead(String id, int status) {
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/StoppingServer.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/StoppingServer.java
@@ -1,5 +1,6 @@
 package io.fireflyshed.transport.forward;
 
+import io.fireflyshed.coordination.budget.ByteBudget;
 import io.fireflyshed.coordination.placement.PlacementSettings;
 import io.fireflyshed.coordination.placement.StallDetector;
 import io.fireflyshed.coordination.placement.TargetPlacer;
@@ -74,6 +75,7 @@
             RandomSource.XO_RO_SHI_RO_128_PP.create(1),
             MonotonicClock.system(),
             () -> true,
+            new ByteBudget(1 << 20, MonotonicClock.system(), ByteBudget.Listener.none()),
             metrics);
     server.start();
     server.startAccepting();
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/peer/EntryRelayTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/peer/EntryRelayTest.java
@@ -79,7 +79,7 @@
               .collectList()
               .block(TIMEOUT);
       assertAnswers(parts, "r1", body);
-      assertEquals(second.requests.get(0).routed().body(), body);
+      assertEquals(second.bodies.get(0), body);
     }
 
     @Test
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/peer/RelayEntry.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/peer/RelayEntry.java
@@ -15,6 +15,7 @@
 import io.fireflyshed.transport.forward.RelayOffer;
 import io.fireflyshed.transport.forward.RelayedRequest;
 import io.fireflyshed.transport.forward.ResponsePart;
+import io.fireflyshed.transport.http.HeldBody;
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -48,6 +49,10 @@
   final SimpleMeterRegistry metrics = new SimpleMeterRegistry();
   final List<EntryPeer> peers = new CopyOnWriteArrayList<>();
   final List<RelayedRequest> requests = new CopyOnWriteArrayList<>();
+
+  /** The bodies of the requests, which end with them. */
+  final List<byte[]> bodies = new CopyOnWriteArrayList<>();
+
   final AtomicInteger refreshes = new AtomicInteger();
   final EntryRelay relay;
   final InetSocketAddress address;
@@ -72,6 +77,7 @@
                 offer -> admission.apply(offer),
                 request -> {
                   requests.add(request);
+                  bodies.add(copyBody(request));
                   return forwarder.apply(request);
                 },
                 question -> tables.apply(question),
@@ -83,9 +89,14 @@
     address = relay.start();
   }
 
+  private static byte[] copyBody(RelayedRequest request) {
+    HeldBody body = request.routed().body();
+    return body.copyBytes(0, body.getLength()).orElseThrow();
+  }
+
   /** Answers with the body of the request in chunks of different lengths. */
   static Flux<ResponsePart> answer(RelayedRequest request) {
-    byte[] body = request.routed().body();
+    byte[] body = copyBody(request);
     List<ResponsePart> parts = new ArrayList<>();
     parts.add(RelayFixtures.newHead(request.routed().request().id()));
     int length = 1;
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/peer/RelayFixtures.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/peer/RelayFixtures.java
@@ -14,6 +14,7 @@
 import io.fireflyshed.transport.forward.RelayedRequest;
 import io.fireflyshed.transport.forward.ResponsePart;
 import io.fireflyshed.transport.forward.RoutedRequest;
+import io.fireflyshed.transport.http.HeldBody;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
@@ -83,7 +84,14 @@
             true);
     RoutedRequest routed =
         new RoutedRequest(
-            request, body, route, SERVICE, Optional.of("account"), 17, 0, Duration.ofSeconds(30));
+            request,
+            HeldBody.of(body),
+            route,
+            SERVICE,
+            Optional.of("account"),
+            17,
+            0,
+            Duration.ofSeconds(30));
     return new RelayedRequest(
         routed,
         remaining,
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/peer/RelayFrameUtilsTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/peer/RelayFrameUtilsTest.java
@@ -13,6 +13,7 @@
 import io.fireflyshed.transport.forward.ForwardException;
 import io.fireflyshed.transport.forward.RelayOffer;
 import io.fireflyshed.transport.forward.RelayedRequest;
+import io.fireflyshed.transport.http.HeldBody;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.time.Duration;
@@ -53,7 +54,8 @@
       RelayedRequest sent = RelayFixtures.newRequest("r1", BODY, Duration.ofSeconds(5));
       PeerProto.Frame frame = copy(RelayFrameUtils.toRequest(7, sent, Duration.ofMillis(4321), 8));
       assertEquals(frame.getRequest(), 7);
-      RelayedRequest received = RelayFrameUtils.fromRequest(frame.getRelayRequest(), BODY, 55);
+      RelayedRequest received =
+          RelayFrameUtils.fromRequest(frame.getRelayRequest(), HeldBody.of(BODY), 55);
       TrafficRequest expected = sent.routed().request();
       TrafficRequest request = received.routed().request();
       assertEquals(request.id(), expected.id());
@@ -67,7 +69,7 @@
       assertEquals(request.headers().size(), 2);
       assertEquals(request.key(), Optional.empty());
       assertFalse(frame.toString().contains("secret"));
-      assertEquals(received.routed().body(), BODY);
+      assertEquals(received.routed().body().copyBytes(0, BODY.length).orElseThrow(), BODY);
       assertEquals(received.routed().route(), sent.routed().route());
       assertEquals(received.routed().service(), sent.routed().service());
       assertEquals(received.routed().account(), sent.routed().account());
@@ -116,8 +118,21 @@
       }
       assertEquals(frames.size(), 4);
       assertEquals(joined.toByteArray(), bytes);
-      assertEquals(RelayFrameUtils.toBodies(7, bytes).size(), 4);
-      assertEquals(RelayFrameUtils.toBodies(7, new byte[0]).size(), 0);
+    }
+
+    @Test
+    public void requestBodiesAreSplitIntoFramesBelowTheLimit() {
+      byte[] bytes = RelayFixtures.newBytes(3 * RelayFrameUtils.MAX_PART_BYTES + 1, 2);
+      HeldBody body = HeldBody.of(bytes);
+      ByteArrayOutputStream joined = new ByteArrayOutputStream();
+      for (int i = 0; i < 4; i++) {
+        PeerProto.Frame frame = RelayFrameUtils.toBodyPart(7, body, joined.size()).orElseThrow();
+        assertTrue(frame.getSerializedSize() < PeerFrameDecoder.MAX_FRAME_BYTES);
+        joined.writeBytes(frame.getRelayBody().getBytes().toByteArray());
+      }
+      assertEquals(joined.toByteArray(), bytes);
+      body.close();
+      assertEquals(RelayFrameUtils.toBodyPart(7, body, 0), Optional.empty());
     }
 
     @Test(dataProvider = "outcomes")
@@ -182,7 +197,8 @@
     @Test(dataProvider = "messages")
     public void invalidRequestIsRejected(String name, PeerProto.RelayRequest message) {
       expectThrows(
-          IllegalArgumentException.class, () -> RelayFrameUtils.fromRequest(message, BODY, 0));
+          IllegalArgumentException.class,
+          () -> RelayFrameUtils.fromRequest(message, HeldBody.of(BODY), 0));
     }
 
     @Test
@@ -203,7 +219,7 @@
         }
         try {
           PeerProto.RelayRequest message = PeerProto.RelayRequest.parseFrom(damaged);
-          RelayedRequest request = RelayFrameUtils.fromRequest(message, BODY, 0);
+          RelayedRequest request = RelayFrameUtils.fromRequest(message, HeldBody.of(BODY), 0);
           assertFalse(request.remaining().isNegative(), "seed " + seed);
         } catch (IllegalArgumentException | IOException e) {
           assertTrue(e.getMessage() != null, "seed " + seed);
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/peer/RelayServerTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/peer/RelayServerTest.java
@@ -12,6 +12,7 @@
 import io.fireflyshed.state.peer.PeerId;
 import io.fireflyshed.transport.forward.ForwardException;
 import io.fireflyshed.transport.forward.ResponsePart;
+import io.fireflyshed.transport.http.HeldBody;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
@@ -42,7 +43,8 @@
     }
 
     private static PeerProto.Frame newBody(long id) {
-      return RelayFrameUtils.toBodies(id, RelayFixtures.newBytes(10, 1)).get(0);
+      HeldBody body = HeldBody.of(RelayFixtures.newBytes(10, 1));
+      return RelayFrameUtils.toBodyPart(id, body, 0).orElseThrow();
     }
 
     @Test
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
@@ -1,5 +1,6 @@
 package io.fireflyshed.daemon.platform;
 
+import io.fireflyshed.coordination.budget.ByteBudget;
 import io.fireflyshed.coordination.directory.ReaderSelector;
 import io.fireflyshed.coordination.formation.FormationSettings;
 import io.fireflyshed.coordination.lease.LeaseTiming;
@@ -32,6 +33,7 @@
 import io.fireflyshed.state.table.TableQuestion;
 import io.fireflyshed.state.target.Target;
 import io.fireflyshed.state.traffic.TrafficConfiguration;
+import io.fireflyshed.transport.budget.BudgetReporter;
 import io.fireflyshed.transport.control.LeaseStore;
 import io.fireflyshed.transport.formation.FormationController;
 import io.fireflyshed.transport.forward.Forwarder;
@@ -60,6 +62,7 @@
 import io.fireflyshed.transport.registry.TargetFollower;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import io.netty.util.internal.PlatformDependent;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
@@ -129,6 +132,15 @@
   /** The used fraction of the allowed retries, since targets count them slightly later. */
   private static final double RETRY_MARGIN_FACTOR = 0.9;
 
+  /** Leaves the rest to the buffers of the connections. */
+  private static final double BUDGET_FRACTION_OF_DIRECT_MEMORY = 0.6;
+
+  /** Leaves the rest to the state of the process and to garbage. */
+  private static final double BUDGET_FRACTION_OF_HEAP = 0.4;
+
+  /** Leaves the rest to the heap, the code and the threads of the process. */
+  private static final double BUDGET_FRACTION_OF_MEMORY = 0.15;
+
   /** The longest wait of connections for the configuration; callers leave after about a second. */
   private static final Duration MAX_ACCEPT_DELAY = Duration.ofMillis(600);
 
@@ -148,6 +160,7 @@
       Executors.newSingleThreadScheduledExecutor(r -> new Thread(r, "control"));
   private final PrometheusMeterRegistry metrics =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+  private final ByteBudget budget;
   private final HttpCaller storeCaller = new HttpCaller("platform");
   private final HttpCaller engineCaller = new HttpCaller("engines", MAX_REPORT_BYTES);
   private final TargetCaller targetCaller;
@@ -186,6 +199,7 @@
   PlatformEntry(PlatformSettings settings, Duration maxAcceptDelay) {
     this.settings = settings;
     this.maxAcceptDelay = maxAcceptDelay;
+    budget = newBudget();
     UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create();
     WireHeaders codec = new WireHeaders();
     StoreClient store = new StoreClient(storeCaller, settings.store());
@@ -243,9 +257,25 @@
         random,
         trafficClock,
         this::isReady,
+        budget,
         metrics);
   }
 
+  private ByteBudget newBudget() {
+    ByteBudget created =
+        new ByteBudget(getBudgetBytes(settings), trafficClock, new BudgetReporter());
+    BudgetReporter.publish(created, metrics);
+    return created;
+  }
+
+  /** Returns the bytes of messages that this process may hold, on the heap and outside of it. */
+  private static long getBudgetBytes(PlatformSettings settings) {
+    double direct = PlatformDependent.maxDirectMemory() * BUDGET_FRACTION_OF_DIRECT_MEMORY;
+    double heap = Runtime.getRuntime().maxMemory() * BUDGET_FRACTION_OF_HEAP;
+    double memory = settings.memoryBytes().orElse(Long.MAX_VALUE) * BUDGET_FRACTION_OF_MEMORY;
+    return (long) Math.min(Math.min(direct, heap), memory);
+  }
+
   /** Creates the feed of the tables that one entry of each availability zone reads for all. */
   private SharedTableFeed newTables(StoreClient store) {
     return new SharedTableFeed(
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/RehearseCommand.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/RehearseCommand.java
@@ -16,6 +16,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import reactor.core.publisher.Flux;
 
 /**
@@ -87,6 +88,10 @@
   }
 
   static PlatformSettings newSettings(FleetStandIn fleet, String node) {
+    return newSettings(fleet, node, OptionalLong.empty());
+  }
+
+  static PlatformSettings newSettings(FleetStandIn fleet, String node, OptionalLong memoryBytes) {
     return new PlatformSettings(
         node,
         new AvailabilityZone("a"),
@@ -104,7 +109,8 @@
         100,
         Duration.ofSeconds(10),
         Duration.ofSeconds(5),
-        1);
+        1,
+        memoryBytes);
   }
 
   private static InetSocketAddress findFreeAddress() {
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/RelayRehearsal.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/RelayRehearsal.java
@@ -22,6 +22,7 @@
 import io.fireflyshed.transport.forward.RelayedRequest;
 import io.fireflyshed.transport.forward.ResponsePart;
 import io.fireflyshed.transport.forward.RoutedRequest;
+import io.fireflyshed.transport.http.HeldBody;
 import io.fireflyshed.transport.log.EventLog;
 import io.fireflyshed.transport.peer.EntryRelay;
 import io.fireflyshed.transport.peer.EntryServices;
@@ -129,8 +130,9 @@
             false,
             Optional.empty(),
             OptionalDouble.empty());
-    return Flux.just(
-        new ResponsePart.Head(head), new ResponsePart.BodyChunk(request.routed().body()));
+    HeldBody body = request.routed().body();
+    byte[] bytes = body.copyBytes(0, body.getLength()).orElseThrow();
+    return Flux.just(new ResponsePart.Head(head), new ResponsePart.BodyChunk(bytes));
   }
 
   private static RelayedRequest newRequest() {
@@ -160,7 +162,14 @@
             true);
     RoutedRequest routed =
         new RoutedRequest(
-            request, new byte[100], route, SERVICE, Optional.of("account"), 1, 0, TIMEOUT);
+            request,
+            HeldBody.of(new byte[100]),
+            route,
+            SERVICE,
+            Optional.of("account"),
+            1,
+            0,
+            TIMEOUT);
     return new RelayedRequest(
         routed, TIMEOUT, OptionalLong.of(1), 1, Set.of(new InstanceId("target")));
   }
--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/DeploymentRetryBudgetTest.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/DeploymentRetryBudgetTest.java
@@ -22,6 +22,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -71,7 +72,8 @@
           RETRY_SLACK,
           Duration.ofSeconds(10),
           Duration.ofSeconds(5),
-          1);
+          1,
+          OptionalLong.empty());
 
   /** Counts the requests for a service and the retries at it in each step. */
   private static final class Counts {
--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/RawCaller.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/RawCaller.java
@@ -11,6 +11,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Locale;
+import java.util.OptionalDouble;
 
 /**
  * Sends requests on one connection and tells whether a response is complete on the wire. Not thread
@@ -24,8 +25,9 @@
    * @param status the status, or 0 if the connection ended before the response began
    * @param body the body that was received, not null
    * @param isComplete whether the response ended as its headers say
+   * @param retryAfter the seconds after which the caller should come back, empty if not stated
    */
-  record Response(int status, String body, boolean isComplete) {
+  record Response(int status, String body, boolean isComplete, OptionalDouble retryAfter) {
 
     /** Tests whether a caller takes the response for a success. */
     boolean isSuccess() {
@@ -87,23 +89,29 @@
     try {
       String line = readLine(in);
       if (line.isEmpty()) {
-        return new Response(0, "", false);
+        return new Response(0, "", false, OptionalDouble.empty());
       }
       status = Integer.parseInt(line.split(" ")[1]);
       long length = -1;
       boolean isChunked = false;
+      OptionalDouble retryAfter = OptionalDouble.empty();
       for (String header = readLine(in); !header.isEmpty(); header = readLine(in)) {
         String text = header.toLowerCase(Locale.ROOT);
         if (text.startsWith("content-length:")) {
           length = Long.parseLong(text.substring("content-length:".length()).trim());
         }
+        if (text.startsWith("retry-after:")) {
+          retryAfter =
+              OptionalDouble.of(Double.parseDouble(text.substring("retry-after:".length()).trim()));
+        }
         isChunked |= text.startsWith("transfer-encoding:") && text.endsWith("chunked");
       }
       boolean isComplete =
           method.equals("HEAD") || (isChunked ? readChunks(in, body) : read(in, body, length));
-      return new Response(status, body.toString(StandardCharsets.UTF_8), isComplete);
+      return new Response(status, body.toString(StandardCharsets.UTF_8), isComplete, retryAfter);
     } catch (SocketException e) {
-      return new Response(status, body.toString(StandardCharsets.UTF_8), false);
+      return new Response(
+          status, body.toString(StandardCharsets.UTF_8), false, OptionalDouble.empty());
     }
   }
 
--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/RawTargetSite.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/RawTargetSite.java
@@ -9,6 +9,7 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -22,8 +23,8 @@
   private final RawTarget.Script script;
   private final FleetStandIn fleet = new FleetStandIn(0, 0);
   private final List<RawTarget> targets = new CopyOnWriteArrayList<>();
-  private final PlatformSettings settings = RehearseCommand.newSettings(fleet, "entry-1");
-  private final PlatformEntry entry = new PlatformEntry(settings);
+  private final PlatformSettings settings;
+  private final PlatformEntry entry;
   private final AtomicInteger lastId = new AtomicInteger();
 
   /**
@@ -34,7 +35,15 @@
    * @param paths the paths of these requests, not null
    */
   RawTargetSite(RawTarget.Script script, String... paths) throws Exception {
+    this(script, OptionalLong.empty(), paths);
+  }
+
+  /** Starts an entry that is told to have a certain amount of memory. */
+  RawTargetSite(RawTarget.Script script, OptionalLong memoryBytes, String... paths)
+      throws Exception {
     this.script = script;
+    settings = RehearseCommand.newSettings(fleet, "entry-1", memoryBytes);
+    entry = new PlatformEntry(settings);
     startTarget("one");
     entry.start();
     for (String path : paths) {
@@ -92,6 +101,11 @@
     }
   }
 
+  /** Returns the sum of the values of a metric of the entry over its tags. */
+  double getMetric(String name) {
+    return EntryMetricsUtils.getSum(settings, name);
+  }
+
   RawCaller newCaller() throws IOException {
     return new RawCaller(settings.listen().getPort());
   }
