Send nothing for callers that have left

Targets worked for nobody while other callers waited.

Cause: the close of a caller lies behind its request in the same socket. The event loop reads the request and sends it on in the same pass, before it reads the close, however long both have waited there.

Change: each attempt at a target, and each relay to an entry, first waits until the event loop has read from all connections that were ready (ReadBarrier: a task that is scheduled while tasks run is due in the next pass). What had been closed by then is cancelled.

ForwarderTest.attemptsStopOnceTheCallerIsKnownToHaveLeft: retries.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptSequence.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptSequence.java
@@ -20,6 +20,7 @@
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Supplier;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
@@ -261,9 +262,8 @@
         "limit_per_s",
         context.placer().getRequestLimit(target.id()).orElse(-1));
     Flux<ResponsePart> parts =
-        context
-            .client()
-            .send(target, routed, remaining, stream.getLastEventId())
+        onceCallerIsThere(
+                () -> context.client().send(target, routed, remaining, stream.getLastEventId()))
             .doOnNext(this::onPart);
     Flux<ResponsePart> response =
         isStream ? streamResponse(target, parts) : collectResponse(target, parts);
@@ -274,6 +274,14 @@
         .onErrorResume(AttemptException.class, e -> handleFailure(target, e));
   }
 
+  /**
+   * Starts an attempt unless the caller turns out to have left, which cancels it. An entry that is
+   * behind may have read the request, and not yet that its connection was closed.
+   */
+  private Flux<ResponsePart> onceCallerIsThere(Supplier<Flux<ResponsePart>> start) {
+    return routed.barrier().await().thenMany(Flux.defer(start));
+  }
+
   private void onPart(ResponsePart part) {
     context.reachability().onSignOfLife();
     if (part instanceof ResponsePart.Head && !routed.route().isRetryable()) {
@@ -514,13 +522,11 @@
         grantedAttempts,
         "excluded",
         excludedTargets);
+    RelayedRequest relayed =
+        new RelayedRequest(
+            routed, remaining, stream.getLastEventId(), grantedAttempts, excludedTargets);
     Flux<ResponsePart> parts =
-        context
-            .relay()
-            .relay(
-                new RelayedRequest(
-                    routed, remaining, stream.getLastEventId(), grantedAttempts, excludedTargets))
-            .onErrorMap(RelayException::of);
+        onceCallerIsThere(() -> context.relay().relay(relayed)).onErrorMap(RelayException::of);
     Flux<ResponsePart> response =
         isStream ? streamRelayed(parts) : collectRelayed(parts, grantedAttempts);
     return response.onErrorResume(
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/RoutedRequest.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/RoutedRequest.java
@@ -7,6 +7,7 @@
 import io.fireflyshed.state.replica.ServiceName;
 import io.fireflyshed.state.traffic.Route;
 import io.fireflyshed.transport.http.HeldBody;
+import io.fireflyshed.transport.http.ReadBarrier;
 import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
@@ -25,6 +26,8 @@
  *     log
  * @param arrivalNanos the arrival time as a reading of the monotonic clock
  * @param timeout the time from the arrival after which the request fails, not null
+ * @param barrier is awaited before each attempt, which is cancelled if its caller has left, not
+ *     null
  */
 public record RoutedRequest(
     TrafficRequest request,
@@ -34,7 +37,8 @@
     Optional<String> account,
     long configurationVersion,
     long arrivalNanos,
-    Duration timeout) {
+    Duration timeout,
+    ReadBarrier barrier) {
 
   /** Validates the components. */
   public RoutedRequest {
@@ -44,6 +48,7 @@
     Objects.requireNonNull(service, "service");
     Objects.requireNonNull(account, "account");
     Objects.requireNonNull(timeout, "timeout");
+    Objects.requireNonNull(barrier, "barrier");
   }
 
   /**
@@ -79,7 +84,7 @@
    */
   RoutedRequest withTimeout(long nanos, Duration newTimeout) {
     return new RoutedRequest(
-        request, body, route, service, account, configurationVersion, nanos, newTimeout);
+        request, body, route, service, account, configurationVersion, nanos, newTimeout, barrier);
   }
 
   /**
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/TrafficServer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/TrafficServer.java
@@ -19,6 +19,7 @@
 import io.fireflyshed.transport.entry.ShutdownSignal;
 import io.fireflyshed.transport.http.BodyReader;
 import io.fireflyshed.transport.http.HeldBody;
+import io.fireflyshed.transport.http.ReadBarrier;
 import io.fireflyshed.transport.log.EventLog;
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
@@ -41,6 +42,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -342,7 +344,9 @@
           new RequestGate.Decision.Deny(UNAVAILABLE, NO_ROOM, Optional.of(budget.getRetryAfter())));
     }
     HeldBody body = new HeldBody(reservation, bodyLength);
-    RoutedRequest routed = newRoutedRequest(request, body, allowed, arrivalNanos);
+    RoutedRequest routed =
+        newRoutedRequest(
+            request, body, allowed, arrivalNanos, ReadBarrier.of(getChannel(response).eventLoop()));
     return readAndForward(httpRequest, response, routed).doFinally(signal -> body.close());
   }
 
@@ -354,6 +358,12 @@
     return new ByteClaim(ByteUse.REQUEST, owners, !allowed.route().isRetryable());
   }
 
+  private static Channel getChannel(HttpServerResponse response) {
+    AtomicReference<Channel> channel = new AtomicReference<>();
+    response.withConnection(connection -> channel.set(connection.channel()));
+    return channel.get();
+  }
+
   private Mono<Void> readAndForward(
       HttpServerRequest httpRequest, HttpServerResponse response, RoutedRequest routed) {
     AtomicBoolean isForwarded = new AtomicBoolean();
@@ -428,7 +438,8 @@
       TrafficRequest request,
       HeldBody body,
       RequestGate.Decision.Allow allowed,
-      long arrivalNanos) {
+      long arrivalNanos,
+      ReadBarrier barrier) {
     return new RoutedRequest(
         request,
         body,
@@ -437,7 +448,8 @@
         allowed.account().map(ClientAccount::name),
         allowed.version(),
         arrivalNanos,
-        getTimeout(request, allowed.route()));
+        getTimeout(request, allowed.route()),
+        barrier);
   }
 
   private Flux<ResponsePart> forward(RoutedRequest routed, AtomicBoolean isForwarded) {
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayFrameUtils.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayFrameUtils.java
@@ -18,6 +18,7 @@
 import io.fireflyshed.transport.forward.RelayedRequest;
 import io.fireflyshed.transport.forward.RoutedRequest;
 import io.fireflyshed.transport.http.HeldBody;
+import io.fireflyshed.transport.http.ReadBarrier;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -158,7 +159,8 @@
             message.hasAccount() ? Optional.of(message.getAccount()) : Optional.empty(),
             message.getConfigurationVersion(),
             nowNanos,
-            remaining);
+            remaining,
+            ReadBarrier.none());
     return new RelayedRequest(
         routed,
         remaining,
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwardFixtures.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwardFixtures.java
@@ -15,6 +15,7 @@
 import io.fireflyshed.state.traffic.Route;
 import io.fireflyshed.state.traffic.WeightedService;
 import io.fireflyshed.transport.http.HeldBody;
+import io.fireflyshed.transport.http.ReadBarrier;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
@@ -135,6 +136,10 @@
   }
 
   static RoutedRequest newRequest(String id, Route route, long arrivalNanos) {
+    return newRequest(id, route, arrivalNanos, ReadBarrier.none());
+  }
+
+  static RoutedRequest newRequest(String id, Route route, long arrivalNanos, ReadBarrier barrier) {
     boolean isStream = route.kind() == RequestKind.STREAM;
     TrafficRequest request =
         new TrafficRequest(
@@ -157,7 +162,8 @@
         Optional.empty(),
         1,
         arrivalNanos,
-        route.timeout());
+        route.timeout(),
+        barrier);
   }
 
   static ResponsePart newHead(String id, int status) {
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwarderTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwarderTest.java
@@ -38,6 +38,7 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
 
 /** Tests how the outcomes of attempts affect later attempts of {@link Forwarder}. */
 public class ForwarderTest {
@@ -181,6 +182,28 @@
     assertEquals(triedTargets.size(), 3);
   }
 
+  @Test
+  public void attemptsStopOnceTheCallerIsKnownToHaveLeft() {
+    forwarder = newForwarder(10);
+    failWith(
+        new AttemptException("forward", "peer", Outcome.NOT_RUN, "full", null),
+        "one",
+        "two",
+        "three");
+    Route route = ForwardFixtures.newRoute(RequestKind.IDEMPOTENT, false, Duration.ofSeconds(1));
+    RoutedRequest request =
+        ForwardFixtures.newRequest(
+            "id",
+            route,
+            System.nanoTime(),
+            () -> triedTargets.isEmpty() ? Mono.empty() : Mono.never());
+    forwarder
+        .forward(request)
+        .takeUntilOther(Mono.delay(Duration.ofMillis(100)))
+        .blockLast(Duration.ofSeconds(1));
+    assertEquals(triedTargets.size(), 1, "tried " + triedTargets);
+  }
+
   @Test
   public void failedAttemptWithoutAnotherTargetConsumesNoRetryBudget() {
     forwarder = newForwarder(2);
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/StoppingServer.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/StoppingServer.java
@@ -48,6 +48,10 @@
   static final Duration DRAIN_TIMEOUT = Duration.ofMillis(1500);
   static final String ORDER_PATH = "/orders/";
   static final String STREAM_PATH = "/streams/";
+
+  /** Requests that occupy the event loop for as many milliseconds as the last part says. */
+  static final String BUSY_PATH = "/busy/";
+
   private static final Duration ROUTE_TIMEOUT = Duration.ofSeconds(5);
   private static final Duration EVENT_INTERVAL = Duration.ofMillis(20);
   private static final int TARGETS = 50;
@@ -188,11 +192,22 @@
     }
   }
 
+  private static void occupy(Duration time) {
+    try {
+      Thread.sleep(time.toMillis());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   /** Reads the id and the deadline of a request. */
   private static final class Codec implements TrafficCodec {
 
     @Override
     public TrafficRequest decodeRequest(HttpMethod method, String uri, HttpHeaders headers) {
+      if (uri.startsWith(BUSY_PATH)) {
+        occupy(Duration.ofMillis(Long.parseLong(uri.substring(BUSY_PATH.length()))));
+      }
       return new TrafficRequest(
           headers.get("X-Id"),
           method,
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/peer/RelayFixtures.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/peer/RelayFixtures.java
@@ -15,6 +15,7 @@
 import io.fireflyshed.transport.forward.ResponsePart;
 import io.fireflyshed.transport.forward.RoutedRequest;
 import io.fireflyshed.transport.http.HeldBody;
+import io.fireflyshed.transport.http.ReadBarrier;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
@@ -91,7 +92,8 @@
             Optional.of("account"),
             17,
             0,
-            Duration.ofSeconds(30));
+            Duration.ofSeconds(30),
+            ReadBarrier.none());
     return new RelayedRequest(
         routed,
         remaining,
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/RelayRehearsal.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/RelayRehearsal.java
@@ -23,6 +23,7 @@
 import io.fireflyshed.transport.forward.ResponsePart;
 import io.fireflyshed.transport.forward.RoutedRequest;
 import io.fireflyshed.transport.http.HeldBody;
+import io.fireflyshed.transport.http.ReadBarrier;
 import io.fireflyshed.transport.log.EventLog;
 import io.fireflyshed.transport.peer.EntryRelay;
 import io.fireflyshed.transport.peer.EntryServices;
@@ -169,7 +170,8 @@
             Optional.of("account"),
             1,
             0,
-            TIMEOUT);
+            TIMEOUT,
+            ReadBarrier.none());
     return new RelayedRequest(
         routed, TIMEOUT, OptionalLong.of(1), 1, Set.of(new InstanceId("target")));
   }
