Pass on long responses as they come, within the budget

A target that sends a good head, just under 4 MiB and then a byte now and then kept its whole response in the heap of the entry for as long as the request lasted. Callers that read slowly kept up to 128 parts of any size in the outbound buffers, and a stream that its caller didn't read made its target look stalled.

Cause: a response that isn't a stream was collected whole, an error response to a stream and an unfinished event too, and nothing counted them together. What was written didn't wait for callers to read.

Change: up to 64 KiB of a response are held, as far as the budget allows, so that a short one that breaks off can still be replaced; what is longer is passed on as it comes, and its caller sees if it breaks off. A longer error response is not kept. Unfinished events count against the budget. Parts wait until the caller's connection takes them; a caller whose unread bytes don't fit any more loses its connection. Streams of callers that don't read don't stall. A connection is read once in a pass of the event loop. AttemptLog holds the log lines of AttemptSequence, which had grown too long.

RawCaller reads through a buffer now: read byte by byte it was itself the slow caller of EndlessResponseTest, whose bounds are the same.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/budget/ByteBudget.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/budget/ByteBudget.java
@@ -50,6 +50,9 @@
    */
   private static final int OWNER_FACTOR = 2;
 
+  /** More than any process holds, and small enough for the arithmetic of shares. */
+  private static final long UNLIMITED_BYTES = Long.MAX_VALUE / 8;
+
   /** The age from which a reservation may be told to end. */
   private static final Duration MIN_EVICTION_AGE = Duration.ofSeconds(1);
 
@@ -173,6 +176,16 @@
     this.listener = Objects.requireNonNull(listener, "listener");
   }
 
+  /**
+   * Creates a budget that grants everything.
+   *
+   * @param clock the monotonic clock of this process, not null
+   * @return the budget, never null
+   */
+  public static ByteBudget unlimited(MonotonicClock clock) {
+    return new ByteBudget(UNLIMITED_BYTES, clock, Listener.none());
+  }
+
   /**
    * Reserves bytes.
    *
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/StallDetector.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/StallDetector.java
@@ -100,6 +100,19 @@
     }
   }
 
+  /**
+   * Records that a stream is not read, so that it can't have events whatever its target does.
+   *
+   * @param key the key of the stream, not null
+   * @param nowNanos the current time of the monotonic clock
+   */
+  public synchronized void onUnread(Object key, long nowNanos) {
+    TrackedStream stream = streams.get(key);
+    if (stream != null) {
+      stream.lastEventNanos = nowNanos;
+    }
+  }
+
   /**
    * Stops tracking a stream.
    *
--- a/fireflyshed-core/src/main/java/io/fireflyshed/protocol/traffic/EventSplitter.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/protocol/traffic/EventSplitter.java
@@ -89,6 +89,15 @@
     return partial.size() == 0;
   }
 
+  /**
+   * Gets the number of bytes that are held of an event that isn't complete.
+   *
+   * @return the bytes, 0 between events
+   */
+  public int getHeldBytes() {
+    return partial.size();
+  }
+
   private static RawEvent newEvent(byte[] bytes) {
     int lineStart = 0;
     while (lineStart < bytes.length) {
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptSequence.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptSequence.java
@@ -56,6 +56,9 @@
    */
   private static final Duration RELAY_MARGIN = Duration.ofMillis(200);
 
+  /** Leaves parts that the caller doesn't take yet in the connection. */
+  private static final int PREFETCHED_PARTS = 4;
+
   private static final String STEP = "forward";
   private static final String RELAY_STEP = "relay";
   private static final String RELAY_PEER = "entry";
@@ -64,8 +67,8 @@
 
   private final ForwardContext context;
   private final RoutedRequest routed;
-  private final String id;
   private final RequestFingerprints fingerprints;
+  private final AttemptLog log;
   private final boolean isStream;
   private final Set<InstanceId> triedTargets = new HashSet<>();
 
@@ -89,6 +92,10 @@
 
   private StreamAttempt attempt;
   private List<ResponsePart> errorResponse = List.of();
+  private final ResponseMemory memory;
+
+  /** Whether parts of a response that isn't a stream were passed on. */
+  private boolean isPassedOn;
 
   /** Creates the attempts for a caller of this entry. */
   AttemptSequence(ForwardContext context, RoutedRequest routed) {
@@ -114,13 +121,14 @@
       boolean isRelayed) {
     this.context = context;
     this.routed = routed;
-    this.id = routed.request().id();
     this.fingerprints = routed.getFingerprints();
+    this.log = new AttemptLog(routed, fingerprints);
     this.isStream = routed.route().kind() == RequestKind.STREAM;
     this.stream = new CallerStream(lastEventId);
     this.attempt = stream.newAttempt(RELAY_PEER);
     this.maxAttempts = maxAttempts;
     this.isRelayed = isRelayed;
+    this.memory = new ResponseMemory(context.budget(), routed.route().name());
   }
 
   /**
@@ -132,7 +140,10 @@
   Flux<ResponsePart> start() {
     Duration remaining = routed.getRemainingTime(context.clock().nanoTime());
     return StreamUtils.failOn(
-        Flux.defer(() -> proceed(placeNext())), Mono.delay(remaining), this::newTimeoutException);
+            Flux.defer(() -> proceed(placeNext())),
+            Mono.delay(remaining),
+            this::newTimeoutException)
+        .doFinally(signal -> memory.close());
   }
 
   private Placement placeNext() {
@@ -207,29 +218,14 @@
 
   /** Tests whether a target returned an error response that can still be sent to the caller. */
   private boolean hasErrorResponse() {
-    return !errorResponse.isEmpty() && !stream.isHeadSent();
+    return !errorResponse.isEmpty() && !stream.isHeadSent() && !isPassedOn;
   }
 
   private Flux<ResponsePart> refuse(Placement.Refuse refusal) {
     if (hasErrorResponse()) {
       return Flux.fromIterable(errorResponse);
     }
-    LOG.info(
-        "refused",
-        "request",
-        id,
-        "reason",
-        refusal.reason(),
-        "pool",
-        routed.getPool(),
-        "targets",
-        getCandidates().size(),
-        "tried",
-        triedTargets,
-        "outcome",
-        outcome,
-        "configuration",
-        routed.configurationVersion());
+    log.logRefusal(refusal, getCandidates().size(), triedTargets, outcome);
     return Flux.error(
         new ForwardException(
             "place", "entry", refusal.reason(), outcome, refusal.retryAfter(), false));
@@ -239,28 +235,16 @@
     triedTargets.add(target.id());
     sentAttempts++;
     attempt = stream.newAttempt(target.id().value());
+    memory.start(target.id().value());
     context.placer().onStart(target.id());
     context.metrics().recordAttempt(routed.service());
-    LOG.info(
-        "sent",
-        "request",
-        id,
-        "fingerprint",
-        fingerprints.request(),
-        "target",
+    log.logStart(
         target.id(),
-        "left_ms",
-        remaining.toMillis(),
-        "after_event",
-        stream.getLastEventId().orElse(-1),
-        "relayed",
+        remaining,
+        stream.getLastEventId(),
         isRelayed,
-        "configuration",
-        routed.configurationVersion(),
-        "attempt",
         sentAttempts,
-        "limit_per_s",
-        context.placer().getRequestLimit(target.id()).orElse(-1));
+        context.placer().getRequestLimit(target.id()));
     Flux<ResponsePart> parts =
         onceCallerIsThere(
                 () -> context.client().send(target, routed, remaining, stream.getLastEventId()))
@@ -279,7 +263,7 @@
    * behind may have read the request, and not yet that its connection was closed.
    */
   private Flux<ResponsePart> onceCallerIsThere(Supplier<Flux<ResponsePart>> start) {
-    return routed.barrier().await().thenMany(Flux.defer(start));
+    return routed.caller().awaitReads().thenMany(Flux.defer(start));
   }
 
   private void onPart(ResponsePart part) {
@@ -290,33 +274,61 @@
     }
   }
 
-  /** Buffers a response that is not a stream, so that a broken one can be replaced. */
+  /** Holds a response that is not a stream, as far as it is short, so that it can be replaced. */
   private Flux<ResponsePart> collectResponse(Target target, Flux<ResponsePart> parts) {
-    Flux<ResponsePart> limitedParts = parts;
-    if (routed.route().kind() == RequestKind.IDEMPOTENT) {
-      Duration timeout = routed.route().latencyTarget().multipliedBy(LATENCY_TARGETS_PER_ATTEMPT);
-      limitedParts =
-          StreamUtils.failOn(
-              parts,
-              Mono.delay(timeout),
-              () ->
-                  newTargetLostException(
-                      target, "no complete response within " + timeout.toMillis() + " ms"));
-    }
-    return ResponseUtils.limitSize(target.id().value(), limitedParts)
-        .collectList()
-        .flatMapMany(collected -> evaluate(target, collected));
-  }
-
-  private Flux<ResponsePart> evaluate(Target target, List<ResponsePart> parts) {
-    TargetAnswer response = ((ResponsePart.Head) parts.get(0)).response();
-    recordLoad(target, response);
-    return evaluate(target.id().value(), parts)
-        .doOnComplete(
+    Duration timeout = routed.route().latencyTarget().multipliedBy(LATENCY_TARGETS_PER_ATTEMPT);
+    boolean[] isSuccess = new boolean[1];
+    Flux<ResponsePart> recorded =
+        parts.doOnNext(
+            part -> {
+              if (part instanceof ResponsePart.Head head) {
+                recordLoad(target, head.response());
+                isSuccess[0] = head.response().isSuccess();
+              }
+            });
+    return hold(
+            target.id().value(),
+            recorded,
+            timeout,
             () ->
-                context
-                    .placer()
-                    .onResult(target.id(), response.isSuccess(), context.clock().nanoTime()));
+                newTargetLostException(
+                    target, "no complete response within " + timeout.toMillis() + " ms"))
+        .doOnComplete(
+            () -> context.placer().onResult(target.id(), isSuccess[0], context.clock().nanoTime()));
+  }
+
+  /**
+   * Holds a response until it is complete or too long.
+   *
+   * @param peer the target or entry that responds
+   * @param parts the parts of the response
+   * @param timeout the time for which an idempotent request waits for it, unless it is passed on
+   * @param newLateException supplies the error with which the attempt fails then
+   */
+  private Flux<ResponsePart> hold(
+      String peer,
+      Flux<ResponsePart> parts,
+      Duration timeout,
+      Supplier<Throwable> newLateException) {
+    HeldResponse held = new HeldResponse(peer, memory, routed.route().isRetryable());
+    Flux<ResponsePart> limitedParts =
+        routed.route().kind() == RequestKind.IDEMPOTENT
+            ? StreamUtils.failOn(
+                parts, Mono.delay(timeout).filter(t -> !held.isPassedOn()), newLateException)
+            : parts;
+    return limitedParts
+        .concatMapIterable(part -> add(held, part), PREFETCHED_PARTS)
+        .concatWith(
+            Flux.defer(() -> held.isPassedOn() ? Flux.empty() : evaluate(peer, held.getParts())));
+  }
+
+  private List<ResponsePart> add(HeldResponse held, ResponsePart part) {
+    List<ResponsePart> passedOn = held.add(part);
+    if (held.isPassedOn() && !isPassedOn) {
+      isPassedOn = true;
+      context.crashGuard().onSuccess(fingerprints);
+    }
+    return passedOn;
   }
 
   /** Returns a complete response, or fails the attempt if it is an error that may be retried. */
@@ -330,7 +342,7 @@
     if (response.isSuccess() || !routed.route().isRetryable()) {
       return Flux.fromIterable(parts);
     }
-    errorResponse = parts;
+    keepErrorResponse(parts);
     String message = "the target responded with status " + response.status();
     return Flux.error(new AttemptException(STEP, peer, Outcome.RAN, message, null));
   }
@@ -370,7 +382,8 @@
     StreamAttempt current = attempt;
     Flux<StreamAttempt.Delivery> events =
         ResponseUtils.limitErrorSize(target.id().value(), parts)
-            .concatMapIterable(part -> processPart(target, streamKey, current, part))
+            .concatMapIterable(
+                part -> processPart(target, streamKey, current, part), PREFETCHED_PARTS)
             .concatWith(Flux.defer(() -> endStream(current, false)));
     return context
         .stallWatch()
@@ -378,6 +391,7 @@
             streamKey,
             target.id(),
             events,
+            routed.caller(),
             isResumableElsewhere(),
             () -> newTargetLostException(target, "the stream stalled"))
         .map(stream::deliver)
@@ -414,6 +428,14 @@
   private List<StreamAttempt.Delivery> add(StreamAttempt current, ResponsePart part) {
     boolean hadEvents = current.getEvents() > 0;
     List<StreamAttempt.Delivery> deliveries = current.add(part);
+    if (!memory.tryHold(current.getHeldBytes())) {
+      throw new AttemptException(
+          STEP,
+          "entry",
+          current.isError() ? Outcome.RAN : Outcome.UNKNOWN,
+          "no memory is left for the response",
+          null);
+    }
     if (!hadEvents && current.getEvents() > 0) {
       context.crashGuard().onSuccess(fingerprints);
     }
@@ -434,12 +456,17 @@
       return Flux.fromIterable(current.end(isEndVerified));
     } catch (AttemptException e) {
       if (e.getOutcome() == Outcome.RAN) {
-        errorResponse = current.getErrorResponse();
+        keepErrorResponse(current.getErrorResponse());
       }
       return Flux.error(e);
     }
   }
 
+  private void keepErrorResponse(List<ResponsePart> parts) {
+    errorResponse = parts;
+    memory.keep();
+  }
+
   private AttemptException newTargetLostException(Target target, String message) {
     return new TargetLostException(STEP, target.id().value(), Outcome.UNKNOWN, message, null);
   }
@@ -467,28 +494,7 @@
         isRepeatable(error) && isAttemptLeft(error) ? Optional.of(placeNext()) : Optional.empty();
     RetryVerdict verdict = decideRetry(error, next);
     context.metrics().recordFailure(routed.service(), verdict);
-    LOG.info(
-        "attempt failed",
-        "request",
-        id,
-        "fingerprint",
-        fingerprints.request(),
-        "service",
-        routed.service(),
-        "target",
-        peer,
-        "events",
-        attempt.getEvents(),
-        "parts",
-        fingerprints.parts(),
-        "error",
-        error.getMessage(),
-        "outcome",
-        error.getOutcome(),
-        "retried",
-        verdict.isRetried(),
-        "retry",
-        verdict);
+    log.logFailure(peer, attempt.getEvents(), error, verdict);
     if (next.isPresent() && verdict != RetryVerdict.NO_BUDGET) {
       return proceed(next.orElseThrow());
     }
@@ -504,24 +510,13 @@
     int grantedAttempts = getGrantedAttempts();
     relays++;
     attempt = stream.newAttempt(RELAY_PEER);
+    memory.start(RELAY_PEER);
     context
         .metrics()
         .recordRelay(
             routed.service(), context.reachability().isIsolated() ? "isolated" : "unreachable");
-    LOG.info(
-        "relayed",
-        "request",
-        id,
-        "reason",
-        reason.reason(),
-        "left_ms",
-        remaining.toMillis(),
-        "after_event",
-        stream.getLastEventId().orElse(-1),
-        "attempts",
-        grantedAttempts,
-        "excluded",
-        excludedTargets);
+    log.logRelay(
+        reason.reason(), remaining, stream.getLastEventId(), grantedAttempts, excludedTargets);
     RelayedRequest relayed =
         new RelayedRequest(
             routed, remaining, stream.getLastEventId(), grantedAttempts, excludedTargets);
@@ -542,35 +537,25 @@
   private Flux<ResponsePart> streamRelayed(Flux<ResponsePart> parts) {
     StreamAttempt current = attempt;
     return ResponseUtils.limitErrorSize(RELAY_PEER, parts)
-        .concatMapIterable(part -> add(current, part))
+        .concatMapIterable(part -> add(current, part), PREFETCHED_PARTS)
         .concatWith(Flux.defer(() -> endStream(current, true)))
         .map(stream::deliver);
   }
 
   private Flux<ResponsePart> collectRelayed(Flux<ResponsePart> parts, int grantedAttempts) {
-    Flux<ResponsePart> limitedParts = parts;
-    if (routed.route().kind() == RequestKind.IDEMPOTENT) {
-      Duration timeout =
-          routed
-              .route()
-              .latencyTarget()
-              .multipliedBy((long) LATENCY_TARGETS_PER_ATTEMPT * grantedAttempts)
-              .plus(RELAY_MARGIN);
-      limitedParts =
-          StreamUtils.failOn(
-              parts,
-              Mono.delay(timeout),
-              () ->
-                  new AttemptException(
-                      RELAY_STEP,
-                      RELAY_PEER,
-                      Outcome.UNKNOWN,
-                      "no complete response in time",
-                      null));
-    }
-    return ResponseUtils.limitSize(RELAY_PEER, limitedParts)
-        .collectList()
-        .flatMapMany(collected -> evaluate(RELAY_PEER, collected));
+    Duration timeout =
+        routed
+            .route()
+            .latencyTarget()
+            .multipliedBy((long) LATENCY_TARGETS_PER_ATTEMPT * grantedAttempts)
+            .plus(RELAY_MARGIN);
+    return hold(
+        RELAY_PEER,
+        parts,
+        timeout,
+        () ->
+            new AttemptException(
+                RELAY_STEP, RELAY_PEER, Outcome.UNKNOWN, "no complete response in time", null));
   }
 
   private Flux<ResponsePart> handleRelayFailure(AttemptException error, int grantedAttempts) {
@@ -600,6 +585,9 @@
   }
 
   private boolean isAttemptLeft(AttemptException error) {
+    if (isPassedOn) {
+      return false;
+    }
     return error.getOutcome() == Outcome.NOT_RUN
         ? notRunAttempts <= MAX_NOT_RUN_RETRIES
         : possibleRuns < maxAttempts;
@@ -664,7 +652,7 @@
   private ForwardException newTimeoutException() {
     boolean isStarted = sentAttempts + relays > 0;
     Outcome combined = isStarted ? outcome.join(Outcome.UNKNOWN) : Outcome.NOT_RUN;
-    LOG.info("timed out", "request", id, "tried", triedTargets, "outcome", combined);
+    log.logTimeout(triedTargets, combined);
     return new ForwardException(
         STEP, "entry", "the timeout of the request expired", combined, RETRY_AFTER_FAILURE, true);
   }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/CallerConnections.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/CallerConnections.java
@@ -1,5 +1,6 @@
 package io.fireflyshed.transport.forward;
 
+import io.fireflyshed.transport.http.ReadBarrier;
 import io.fireflyshed.transport.log.EventLog;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelDuplexHandler;
@@ -15,7 +16,10 @@
 import io.netty.util.AttributeKey;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
+import reactor.core.publisher.Mono;
 import reactor.netty.NettyPipeline;
 
 /**
@@ -60,6 +64,34 @@
     return tracker != null && tracker.unanswered > 1;
   }
 
+  /** Creates the link to the caller at the other end of a connection. */
+  CallerLink newLink(Channel channel) {
+    ReadBarrier barrier = ReadBarrier.of(channel.eventLoop());
+    return new CallerLink() {
+      @Override
+      public Mono<Void> awaitReads() {
+        return barrier.await();
+      }
+
+      @Override
+      public boolean isBlocked() {
+        return !channel.isWritable();
+      }
+    };
+  }
+
+  /**
+   * Waits until a caller has read so much that more can be written to its connection.
+   *
+   * @param channel the connection
+   * @return completes then, or at the end of the connection
+   */
+  Mono<Void> awaitWritable(Channel channel) {
+    Tracker tracker = channel.attr(TRACKER).get();
+    return Mono.create(
+        sink -> channel.eventLoop().execute(() -> tracker.whenWritable(channel, sink::success)));
+  }
+
   /**
    * Closes connections whose requests have all been answered, now and whenever that is the case
    * later. A connection without a request yet stays open, since its first one may be on its way.
@@ -86,9 +118,33 @@
 
   /** Counts the requests of one connection, on its event loop. */
   private final class Tracker extends ChannelDuplexHandler {
+    private final List<Runnable> waiting = new ArrayList<>();
     private volatile int unanswered;
     private boolean hasAnswered;
 
+    /** Runs a task once the connection can be written to, or has ended. */
+    void whenWritable(Channel channel, Runnable task) {
+      if (channel.isWritable() || !channel.isActive()) {
+        task.run();
+      } else {
+        waiting.add(task);
+      }
+    }
+
+    private void runWaiting() {
+      List<Runnable> due = List.copyOf(waiting);
+      waiting.clear();
+      due.forEach(Runnable::run);
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+      if (context.channel().isWritable()) {
+        runWaiting();
+      }
+      context.fireChannelWritabilityChanged();
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
       if (message instanceof HttpRequest) {
@@ -100,6 +156,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
       add(-unanswered);
+      runWaiting();
       context.fireChannelInactive();
     }
 
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/ForwardContext.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/ForwardContext.java
@@ -1,5 +1,6 @@
 package io.fireflyshed.transport.forward;
 
+import io.fireflyshed.coordination.budget.ByteBudget;
 import io.fireflyshed.coordination.placement.TargetPlacer;
 import io.fireflyshed.coordination.retry.ServiceRetryBudgets;
 import io.fireflyshed.state.clock.MonotonicClock;
@@ -20,6 +21,7 @@
     ForwardMetrics metrics,
     Reachability reachability,
     RequestRelay relay,
+    ByteBudget budget,
     BooleanSupplier isRefusingRelayed) {
 
   /** Lists the targets of a service, or those of a model if the request is a generation. */
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/Forwarder.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/Forwarder.java
@@ -1,5 +1,6 @@
 package io.fireflyshed.transport.forward;
 
+import io.fireflyshed.coordination.budget.ByteBudget;
 import io.fireflyshed.coordination.placement.StallDetector;
 import io.fireflyshed.coordination.placement.TargetPlacer;
 import io.fireflyshed.coordination.retry.ServiceRetryBudgets;
@@ -27,7 +28,7 @@
   private volatile boolean isRefusingRelayed;
 
   /**
-   * Creates a forwarder of an entry that knows no others.
+   * Creates a forwarder of an entry that knows no others and whose memory isn't limited.
    *
    * @param targetView lists the targets, not null
    * @param placer selects targets, not null
@@ -60,7 +61,8 @@
         stallListener,
         registry,
         Reachability.always(),
-        RequestRelay.none());
+        RequestRelay.none(),
+        ByteBudget.unlimited(clock));
   }
 
   /**
@@ -77,6 +79,7 @@
    * @param registry registers the counters of requests, attempts and retries, not null
    * @param reachability tells whether this entry has lost all targets, not null
    * @param relay has requests forwarded by other entries, not null
+   * @param budget counts the bytes that this process holds, not null
    */
   public Forwarder(
       TargetView targetView,
@@ -89,7 +92,8 @@
       Consumer<InstanceId> stallListener,
       MeterRegistry registry,
       Reachability reachability,
-      RequestRelay relay) {
+      RequestRelay relay,
+      ByteBudget budget) {
     this.stallWatch =
         new StallWatch(
             stallDetector, clock, newStallListener(placer, reachability, stallListener, clock));
@@ -105,6 +109,7 @@
             new ForwardMetrics(registry),
             reachability,
             relay,
+            budget,
             () -> isRefusingRelayed);
   }
 
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/RoutedRequest.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/RoutedRequest.java
@@ -7,7 +7,6 @@
 import io.fireflyshed.state.replica.ServiceName;
 import io.fireflyshed.state.traffic.Route;
 import io.fireflyshed.transport.http.HeldBody;
-import io.fireflyshed.transport.http.ReadBarrier;
 import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
@@ -26,8 +25,7 @@
  *     log
  * @param arrivalNanos the arrival time as a reading of the monotonic clock
  * @param timeout the time from the arrival after which the request fails, not null
- * @param barrier is awaited before each attempt, which is cancelled if its caller has left, not
- *     null
+ * @param caller tells before each attempt whether the caller has left, not null
  */
 public record RoutedRequest(
     TrafficRequest request,
@@ -38,7 +36,7 @@
     long configurationVersion,
     long arrivalNanos,
     Duration timeout,
-    ReadBarrier barrier) {
+    CallerLink caller) {
 
   /** Validates the components. */
   public RoutedRequest {
@@ -48,7 +46,7 @@
     Objects.requireNonNull(service, "service");
     Objects.requireNonNull(account, "account");
     Objects.requireNonNull(timeout, "timeout");
-    Objects.requireNonNull(barrier, "barrier");
+    Objects.requireNonNull(caller, "caller");
   }
 
   /**
@@ -84,7 +82,7 @@
    */
   RoutedRequest withTimeout(long nanos, Duration newTimeout) {
     return new RoutedRequest(
-        request, body, route, service, account, configurationVersion, nanos, newTimeout, barrier);
+        request, body, route, service, account, configurationVersion, nanos, newTimeout, caller);
   }
 
   /**
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/StallWatch.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/StallWatch.java
@@ -49,6 +49,8 @@
   private final Listener listener;
   private final EventLog log = new EventLog("forward");
   private final Map<Object, Sinks.Empty<Void>> cancelSignals = new ConcurrentHashMap<>();
+
+  private final Map<Object, CallerLink> callers = new ConcurrentHashMap<>();
   private Disposable checking = Disposables.disposed();
   private Set<InstanceId> silentTargets = Set.of();
   private Set<InstanceId> stalledTargets = Set.of();
@@ -84,6 +86,12 @@
 
   private void checkStreams() {
     long now = clock.nanoTime();
+    callers.forEach(
+        (key, caller) -> {
+          if (caller.isBlocked()) {
+            detector.onUnread(key, now);
+          }
+        });
     Set<InstanceId> silent = detector.findSilentTargets(now);
     for (InstanceId target : silent) {
       boolean isNew = !silentTargets.contains(target);
@@ -114,11 +122,15 @@
     stalledTargets = stalled;
   }
 
-  /** Tracks a stream while it is subscribed to, and fails it if it stalls and may be cancelled. */
+  /**
+   * Tracks a stream while it is subscribed to, and fails it if it stalls and may be cancelled. A
+   * stream whose caller doesn't read does not stall.
+   */
   <T> Flux<T> watch(
       Object key,
       InstanceId target,
       Flux<T> stream,
+      CallerLink caller,
       boolean isCancellable,
       Supplier<Throwable> error) {
     Sinks.Empty<Void> cancelSignal = Sinks.empty();
@@ -128,11 +140,13 @@
               if (isCancellable) {
                 cancelSignals.put(key, cancelSignal);
               }
+              callers.put(key, caller);
               detector.start(key, target, clock.nanoTime());
             })
         .doFinally(
             signal -> {
               cancelSignals.remove(key);
+              callers.remove(key);
               detector.end(key);
             });
   }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/StreamAttempt.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/StreamAttempt.java
@@ -39,6 +39,7 @@
   private boolean isContinued;
   private int events;
   private int repeatedEvents;
+  private long errorBytes;
 
   /**
    * Creates an attempt whose head the caller gets.
@@ -91,6 +92,7 @@
     }
     if (!errorParts.isEmpty()) {
       errorParts.add(part);
+      errorBytes += ((ResponsePart.BodyChunk) part).bytes().length;
       return List.of();
     }
     List<Delivery> deliveries = new ArrayList<>();
@@ -187,6 +189,16 @@
     return errorParts;
   }
 
+  /** Returns the bytes of the response that are held, of an error or of an unfinished event. */
+  long getHeldBytes() {
+    return errorBytes + splitter.getHeldBytes();
+  }
+
+  /** Tests whether the response states an error. */
+  boolean isError() {
+    return !errorParts.isEmpty();
+  }
+
   /** Returns the number of events of the response, including repeated ones. */
   int getEvents() {
     return events;
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/TargetCaller.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/TargetCaller.java
@@ -8,6 +8,7 @@
 import io.fireflyshed.protocol.traffic.TrafficCodec;
 import io.fireflyshed.protocol.traffic.TrafficRequest;
 import io.fireflyshed.state.target.Target;
+import io.fireflyshed.transport.http.FairReads;
 import io.fireflyshed.transport.http.HandOver;
 import io.fireflyshed.transport.http.SurplusResponseGuard;
 import io.netty.channel.ChannelOption;
@@ -76,6 +77,7 @@
         .disableRetry(true)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
         .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.RCVBUF_ALLOCATOR, FairReads.newAllocator())
         .doOnChannelInit(
             (observer, channel, address) ->
                 channel
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/TrafficServer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/TrafficServer.java
@@ -18,8 +18,8 @@
 import io.fireflyshed.state.traffic.Route;
 import io.fireflyshed.transport.entry.ShutdownSignal;
 import io.fireflyshed.transport.http.BodyReader;
+import io.fireflyshed.transport.http.FairReads;
 import io.fireflyshed.transport.http.HeldBody;
-import io.fireflyshed.transport.http.ReadBarrier;
 import io.fireflyshed.transport.log.EventLog;
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
@@ -89,6 +89,9 @@
   /** What a request takes besides its body: its headers and the state of its attempts. */
   private static final int REQUEST_BYTES = 4 << 10;
 
+  /** What a caller that doesn't read makes this process hold: the connection's limit and a part. */
+  private static final int UNREAD_BYTES = 128 << 10;
+
   private static final String NO_ROOM = "the entry has no memory left for the request";
 
   private static final int OK = 200;
@@ -207,7 +210,10 @@
   }
 
   private static HttpServer newServer(InetSocketAddress address) {
-    return HttpServer.create().bindAddress(() -> address).option(ChannelOption.SO_BACKLOG, BACKLOG);
+    return HttpServer.create()
+        .bindAddress(() -> address)
+        .option(ChannelOption.SO_BACKLOG, BACKLOG)
+        .childOption(ChannelOption.RCVBUF_ALLOCATOR, FairReads.newAllocator());
   }
 
   /**
@@ -346,22 +352,21 @@
     HeldBody body = new HeldBody(reservation, bodyLength);
     RoutedRequest routed =
         newRoutedRequest(
-            request, body, allowed, arrivalNanos, ReadBarrier.of(getChannel(response).eventLoop()));
+            request, body, allowed, arrivalNanos, connections.newLink(getChannel(response)));
     return readAndForward(httpRequest, response, routed).doFinally(signal -> body.close());
   }
 
   /** Creates the claim of a request to hold its body. */
   private static ByteClaim newClaim(RequestGate.Decision.Allow allowed) {
-    Set<ByteOwner> owners = new HashSet<>();
+    Set<ByteOwner> owners = getAccounts(allowed.account().map(ClientAccount::name));
     owners.add(new ByteOwner(ByteOwner.Kind.ROUTE, allowed.route().name()));
-    allowed.account().ifPresent(a -> owners.add(new ByteOwner(ByteOwner.Kind.ACCOUNT, a.name())));
     return new ByteClaim(ByteUse.REQUEST, owners, !allowed.route().isRetryable());
   }
 
-  private static Channel getChannel(HttpServerResponse response) {
-    AtomicReference<Channel> channel = new AtomicReference<>();
-    response.withConnection(connection -> channel.set(connection.channel()));
-    return channel.get();
+  private static Set<ByteOwner> getAccounts(Optional<String> account) {
+    Set<ByteOwner> owners = new HashSet<>();
+    account.ifPresent(name -> owners.add(new ByteOwner(ByteOwner.Kind.ACCOUNT, name)));
+    return owners;
   }
 
   private Mono<Void> readAndForward(
@@ -380,7 +385,7 @@
             endSignal
                 .failOnShutdown(parts, () -> newShutdownException(isForwarded.get()))
                 .doOnError(e -> closeAfterUnreadBody(response, isForwarded.get())),
-            id,
+            routed,
             response)
         .onErrorResume(ProblemException.class, e -> sendProblem(response, id, e.getProblem()));
   }
@@ -439,7 +444,7 @@
       HeldBody body,
       RequestGate.Decision.Allow allowed,
       long arrivalNanos,
-      ReadBarrier barrier) {
+      CallerLink caller) {
     return new RoutedRequest(
         request,
         body,
@@ -449,7 +454,7 @@
         allowed.version(),
         arrivalNanos,
         getTimeout(request, allowed.route()),
-        barrier);
+        caller);
   }
 
   private Flux<ResponsePart> forward(RoutedRequest routed, AtomicBoolean isForwarded) {
@@ -494,19 +499,23 @@
         false);
   }
 
-  private Mono<Void> send(Flux<ResponsePart> parts, String id, HttpServerResponse response) {
+  private Mono<Void> send(
+      Flux<ResponsePart> parts, RoutedRequest routed, HttpServerResponse response) {
     return parts
         .switchOnFirst(
             (first, all) -> {
               if (first.hasValue() && first.get() instanceof ResponsePart.Head head) {
-                return sendResponse(response, head.response(), all.skip(1));
+                return sendResponse(response, routed, head.response(), all.skip(1));
               }
               return all.then();
             })
         .then()
         .onErrorResume(
             ForwardException.class,
-            e -> response.hasSentHeaders() ? Mono.error(e) : sendFailure(response, id, e));
+            e ->
+                response.hasSentHeaders()
+                    ? Mono.error(e)
+                    : sendFailure(response, routed.request().id(), e));
   }
 
   /** Tells the caller to close its connection during a shutdown, unless it sent more requests. */
@@ -522,16 +531,49 @@
   }
 
   private Mono<Void> sendResponse(
-      HttpServerResponse response, TargetAnswer targetResponse, Flux<ResponsePart> chunks) {
+      HttpServerResponse response,
+      RoutedRequest routed,
+      TargetAnswer targetResponse,
+      Flux<ResponsePart> chunks) {
     HttpHeaders headers = codec.newCallerHeaders(targetResponse);
     setKeepAlive(response);
     response.status(targetResponse.status());
     response.responseHeaders().add(headers);
+    Channel channel = getChannel(response);
     Flux<ByteBuf> body =
-        chunks.map(chunk -> Unpooled.wrappedBuffer(((ResponsePart.BodyChunk) chunk).bytes()));
+        chunks.concatMap(
+            chunk -> awaitCaller(channel, routed, ((ResponsePart.BodyChunk) chunk).bytes()), 1);
     return response.send(body, chunk -> true).then();
   }
 
+  /**
+   * Returns a part of a response once the caller has read enough of the parts before. A caller for
+   * whose unread bytes there is no room any more loses its connection.
+   */
+  private Mono<ByteBuf> awaitCaller(Channel channel, RoutedRequest routed, byte[] bytes) {
+    if (channel.isWritable()) {
+      return Mono.just(Unpooled.wrappedBuffer(bytes));
+    }
+    ByteClaim claim = new ByteClaim(ByteUse.UNREAD, getAccounts(routed.account()), false);
+    Optional<ByteBudget.Reservation> unread = budget.tryReserve(claim, UNREAD_BYTES);
+    if (unread.isEmpty()) {
+      log.warn("caller reads too slowly", "request", routed.request().id());
+      return Mono.error(
+          new ForwardException(
+              "send", "caller", NO_ROOM, Outcome.RAN, budget.getRetryAfter(), false));
+    }
+    return connections
+        .awaitWritable(channel)
+        .doFinally(signal -> unread.get().close())
+        .then(Mono.fromSupplier(() -> Unpooled.wrappedBuffer(bytes)));
+  }
+
+  private static Channel getChannel(HttpServerResponse response) {
+    AtomicReference<Channel> channel = new AtomicReference<>();
+    response.withConnection(connection -> channel.set(connection.channel()));
+    return channel.get();
+  }
+
   private Mono<Void> sendFailure(HttpServerResponse response, String id, ForwardException error) {
     if (error.getOutcome() == Outcome.NOT_RUN) {
       return sendDenial(
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/ReadBarrier.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/ReadBarrier.java
@@ -18,15 +18,6 @@
    */
   Mono<Void> await();
 
-  /**
-   * Creates a barrier that waits for nothing.
-   *
-   * @return the barrier, never null
-   */
-  static ReadBarrier none() {
-    return Mono::empty;
-  }
-
   /**
    * Creates a barrier for the connections of an event loop.
    *
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayFrameUtils.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayFrameUtils.java
@@ -13,12 +13,12 @@
 import io.fireflyshed.state.traffic.RequestKind;
 import io.fireflyshed.state.traffic.Route;
 import io.fireflyshed.state.traffic.WeightedService;
+import io.fireflyshed.transport.forward.CallerLink;
 import io.fireflyshed.transport.forward.ForwardException;
 import io.fireflyshed.transport.forward.RelayOffer;
 import io.fireflyshed.transport.forward.RelayedRequest;
 import io.fireflyshed.transport.forward.RoutedRequest;
 import io.fireflyshed.transport.http.HeldBody;
-import io.fireflyshed.transport.http.ReadBarrier;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -160,7 +160,7 @@
             message.getConfigurationVersion(),
             nowNanos,
             remaining,
-            ReadBarrier.none());
+            CallerLink.none());
     return new RelayedRequest(
         routed,
         remaining,
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwardFixtures.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwardFixtures.java
@@ -15,7 +15,6 @@
 import io.fireflyshed.state.traffic.Route;
 import io.fireflyshed.state.traffic.WeightedService;
 import io.fireflyshed.transport.http.HeldBody;
-import io.fireflyshed.transport.http.ReadBarrier;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
@@ -136,10 +135,10 @@
   }
 
   static RoutedRequest newRequest(String id, Route route, long arrivalNanos) {
-    return newRequest(id, route, arrivalNanos, ReadBarrier.none());
+    return newRequest(id, route, arrivalNanos, CallerLink.none());
   }
 
-  static RoutedRequest newRequest(String id, Route route, long arrivalNanos, ReadBarrier barrier) {
+  static RoutedRequest newRequest(String id, Route route, long arrivalNanos, CallerLink caller) {
     boolean isStream = route.kind() == RequestKind.STREAM;
     TrafficRequest request =
         new TrafficRequest(
@@ -163,7 +162,7 @@
         1,
         arrivalNanos,
         route.timeout(),
-        barrier);
+        caller);
   }
 
   static ResponsePart newHead(String id, int status) {
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/PartitionSchedule.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/PartitionSchedule.java
@@ -4,6 +4,7 @@
 import io.fireflyshed.coordination.attempt.ConnectionLostException;
 import io.fireflyshed.coordination.attempt.Outcome;
 import io.fireflyshed.coordination.attempt.TargetUnreachableException;
+import io.fireflyshed.coordination.budget.ByteBudget;
 import io.fireflyshed.coordination.placement.PlacementSettings;
 import io.fireflyshed.coordination.placement.ReachabilityMonitor;
 import io.fireflyshed.coordination.placement.ReachabilitySettings;
@@ -244,7 +245,8 @@
         stalledTarget -> {},
         registry,
         watch,
-        request -> relay(entry, request));
+        request -> relay(entry, request),
+        ByteBudget.unlimited(this::nanoTime));
   }
 
   private Mono<Void> probe(int entry, Target target) {
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/RelayForwardingTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/RelayForwardingTest.java
@@ -9,6 +9,7 @@
 import io.fireflyshed.coordination.attempt.ConnectionLostException;
 import io.fireflyshed.coordination.attempt.Outcome;
 import io.fireflyshed.coordination.attempt.TargetUnreachableException;
+import io.fireflyshed.coordination.budget.ByteBudget;
 import io.fireflyshed.coordination.placement.PlacementSettings;
 import io.fireflyshed.coordination.placement.StallDetector;
 import io.fireflyshed.coordination.placement.TargetPlacer;
@@ -143,7 +144,8 @@
         stalledTarget -> {},
         new SimpleMeterRegistry(),
         reachability,
-        relay);
+        relay,
+        ByteBudget.unlimited(MonotonicClock.system()));
   }
 
   private Flux<ResponsePart> send(
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/peer/RelayFixtures.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/peer/RelayFixtures.java
@@ -11,11 +11,11 @@
 import io.fireflyshed.state.traffic.RequestKind;
 import io.fireflyshed.state.traffic.Route;
 import io.fireflyshed.state.traffic.WeightedService;
+import io.fireflyshed.transport.forward.CallerLink;
 import io.fireflyshed.transport.forward.RelayedRequest;
 import io.fireflyshed.transport.forward.ResponsePart;
 import io.fireflyshed.transport.forward.RoutedRequest;
 import io.fireflyshed.transport.http.HeldBody;
-import io.fireflyshed.transport.http.ReadBarrier;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
@@ -93,7 +93,7 @@
             17,
             0,
             Duration.ofSeconds(30),
-            ReadBarrier.none());
+            CallerLink.none());
     return new RelayedRequest(
         routed,
         remaining,
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
@@ -242,7 +242,8 @@
             formation::onStalled,
             metrics,
             reachability,
-            relay.map(RequestRelay.class::cast).orElseGet(RequestRelay::none));
+            relay.map(RequestRelay.class::cast).orElseGet(RequestRelay::none),
+            budget);
     server = newServer(codec, random);
   }
 
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/RelayRehearsal.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/RelayRehearsal.java
@@ -18,12 +18,12 @@
 import io.fireflyshed.state.traffic.RequestKind;
 import io.fireflyshed.state.traffic.Route;
 import io.fireflyshed.state.traffic.WeightedService;
+import io.fireflyshed.transport.forward.CallerLink;
 import io.fireflyshed.transport.forward.ForwardException;
 import io.fireflyshed.transport.forward.RelayedRequest;
 import io.fireflyshed.transport.forward.ResponsePart;
 import io.fireflyshed.transport.forward.RoutedRequest;
 import io.fireflyshed.transport.http.HeldBody;
-import io.fireflyshed.transport.http.ReadBarrier;
 import io.fireflyshed.transport.log.EventLog;
 import io.fireflyshed.transport.peer.EntryRelay;
 import io.fireflyshed.transport.peer.EntryServices;
@@ -171,7 +171,7 @@
             1,
             0,
             TIMEOUT,
-            ReadBarrier.none());
+            CallerLink.none());
     return new RelayedRequest(
         routed, TIMEOUT, OptionalLong.of(1), 1, Set.of(new InstanceId("target")));
   }
--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/RawCaller.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/RawCaller.java
@@ -1,6 +1,7 @@
 package io.fireflyshed.daemon.platform;
 
 import io.fireflyshed.standins.fleet.FleetStandIn;
+import java.io.BufferedInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
@@ -38,10 +39,12 @@
   private static final Duration READ_TIMEOUT = Duration.ofSeconds(10);
 
   private final Socket socket;
+  private final InputStream in;
 
   RawCaller(int port) throws IOException {
     socket = new Socket(InetAddress.getLoopbackAddress(), port);
     socket.setSoTimeout((int) READ_TIMEOUT.toMillis());
+    in = new BufferedInputStream(socket.getInputStream());
   }
 
   /** Sends a request and reads its response. */
@@ -83,7 +86,6 @@
 
   /** Reads a response up to its end or that of the connection. */
   Response readResponse(String method) throws IOException {
-    InputStream in = socket.getInputStream();
     ByteArrayOutputStream body = new ByteArrayOutputStream();
     int status = 0;
     try {
