Count relays and answers of the store and of engines in the budget

The bodies of relayed requests had a limit of their own, 16 MiB, beside that of other requests; the unread responses of up to 256 relays (256 KiB each), answers of the store (16 MiB each) and reports of engines had none together.

Change: all of them take from the one budget. An offer whose body doesn't fit is refused as busy; a relayed response for whose unread parts there is no room fails. Calls of the entry itself are limited by the size of the budget only, as nothing is served without them.

Tests: RelayServerTest.offersWhoseBodiesTogetherDoNotFitAreRefused, HttpCallerTest.responseForWhichThereIsNoRoomFails; EntryRelayTest checks that nothing is counted after relays have ended.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/budget/ByteBudget.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/budget/ByteBudget.java
@@ -115,6 +115,15 @@
       return ByteBudget.this.tryGrow(this, moreBytes);
     }
 
+    /**
+     * Gives back some of the reserved bytes.
+     *
+     * @param fewerBytes the bytes, no more than are reserved
+     */
+    public void shrink(long fewerBytes) {
+      ByteBudget.this.shrink(this, fewerBytes);
+    }
+
     /**
      * Lets the budget end this reservation when it has no room for others, until it is closed.
      *
@@ -279,8 +288,6 @@
   }
 
   private void close(Reservation reservation) {
-    boolean hasRoomNow;
-    long deniedMeanwhile;
     synchronized (this) {
       if (reservation.isClosed) {
         return;
@@ -290,7 +297,19 @@
       if (reservation.bytes > SMALL_BYTES) {
         retries.onEnd(clock.nanoTime());
       }
-      add(reservation, -reservation.bytes);
+    }
+    shrink(reservation, reservation.bytes);
+  }
+
+  private void shrink(Reservation reservation, long fewerBytes) {
+    boolean hasRoomNow;
+    long deniedMeanwhile;
+    synchronized (this) {
+      if (fewerBytes < 0 || fewerBytes > reservation.bytes) {
+        throw new IllegalArgumentException(
+            fewerBytes + " of " + reservation.bytes + " reserved bytes can't be given back");
+      }
+      add(reservation, -fewerBytes);
       hasRoomNow = isFull && used <= capacity * ROOM_FRACTION;
       isFull &= !hasRoomNow;
       deniedMeanwhile = denied - deniedBeforeFull;
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/budget/ByteOwner.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/budget/ByteOwner.java
@@ -17,7 +17,9 @@
     /** A route, which stands for a kind of request. */
     ROUTE,
     /** A target, for the bytes that it sends. */
-    TARGET
+    TARGET,
+    /** Another entry, for the requests that it relays and the responses that it returns. */
+    ENTRY
   }
 
   /** Validates the components. */
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/budget/ByteUse.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/budget/ByteUse.java
@@ -8,7 +8,7 @@
   RESPONSE(false),
   /** What callers have not read yet. */
   UNREAD(false),
-  /** Requests of other entries. */
+  /** Requests of other entries, and their responses to relayed requests. */
   RELAY(false),
   /** Answers to calls of the process itself, without which it serves nothing. */
   CONTROL(true);
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/HttpCaller.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/HttpCaller.java
@@ -1,5 +1,9 @@
 package io.fireflyshed.transport.http;
 
+import io.fireflyshed.coordination.budget.ByteBudget;
+import io.fireflyshed.coordination.budget.ByteClaim;
+import io.fireflyshed.coordination.budget.ByteUse;
+import io.fireflyshed.state.clock.MonotonicClock;
 import io.fireflyshed.state.error.EffectUnknownException;
 import io.fireflyshed.state.error.NoEffectException;
 import io.netty.buffer.Unpooled;
@@ -10,6 +14,7 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import reactor.core.publisher.Mono;
 import reactor.netty.ByteBufFlux;
@@ -31,8 +36,10 @@
   private static final Duration MAX_IDLE_TIME = Duration.ofSeconds(20);
   private static final Duration ACQUIRE_TIMEOUT = Duration.ofSeconds(5);
 
+  private static final ByteClaim CLAIM = new ByteClaim(ByteUse.CONTROL, Set.of(), true);
+
   /** Limits a response by default; the largest objects of the platform's store have half of it. */
-  private static final int MAX_BODY_BYTES = 16 << 20;
+  public static final int MAX_BODY_BYTES = 16 << 20;
 
   private static final String SURPLUS_RESPONSE_GUARD = "surplusResponseGuard";
   private static final int NO_CONTENT = 204;
@@ -42,6 +49,7 @@
   private final HttpClient client;
   private final HttpClient unpooledClient;
   private final int maxBodyBytes;
+  private final ByteBudget budget;
 
   /**
    * Creates a caller with a connection pool of its own.
@@ -59,7 +67,19 @@
    * @param maxBodyBytes the maximum size of the body of a response in bytes, positive
    */
   public HttpCaller(String name, int maxBodyBytes) {
+    this(name, maxBodyBytes, ByteBudget.unlimited(MonotonicClock.system()));
+  }
+
+  /**
+   * Creates a caller whose responses are limited together.
+   *
+   * @param name the name of the connection pool, not null
+   * @param maxBodyBytes the maximum size of the body of a response in bytes, positive
+   * @param budget counts the bytes that this process holds, not null
+   */
+  public HttpCaller(String name, int maxBodyBytes, ByteBudget budget) {
     this.maxBodyBytes = maxBodyBytes;
+    this.budget = budget;
     connections =
         ConnectionProvider.builder(name)
             .maxConnections(MAX_CONNECTIONS_PER_PEER)
@@ -140,19 +160,32 @@
   }
 
   private Mono<byte[]> readBody(ByteBufFlux body) {
-    return body.asByteArray()
-        .reduceWith(ByteArrayOutputStream::new, this::append)
-        .map(ByteArrayOutputStream::toByteArray);
+    return Mono.using(
+        () -> budget.tryReserve(CLAIM, 0).orElseThrow(HttpCaller::newNoRoomException),
+        reservation ->
+            body.asByteArray()
+                .reduceWith(
+                    ByteArrayOutputStream::new, (bytes, part) -> append(bytes, part, reservation))
+                .map(ByteArrayOutputStream::toByteArray),
+        ByteBudget.Reservation::close);
   }
 
-  private ByteArrayOutputStream append(ByteArrayOutputStream body, byte[] part) {
+  private ByteArrayOutputStream append(
+      ByteArrayOutputStream body, byte[] part, ByteBudget.Reservation reservation) {
     if (body.size() + part.length > maxBodyBytes) {
       throw new IllegalStateException("the response exceeds " + maxBodyBytes + " bytes");
     }
+    if (!reservation.tryGrow(part.length)) {
+      throw newNoRoomException();
+    }
     body.write(part, 0, part.length);
     return body;
   }
 
+  private static IllegalStateException newNoRoomException() {
+    return new IllegalStateException("no memory is left for the response");
+  }
+
   /** Tests whether a truncated body can be distinguished from a complete one. */
   private static boolean isDelimited(HttpClientResponse response) {
     HttpHeaders headers = response.responseHeaders();
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/EntryRelay.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/EntryRelay.java
@@ -1,6 +1,7 @@
 package io.fireflyshed.transport.peer;
 
 import com.google.protobuf.InvalidProtocolBufferException;
+import io.fireflyshed.coordination.budget.ByteBudget;
 import io.fireflyshed.coordination.placement.FleetLoad;
 import io.fireflyshed.coordination.placement.RemoteLoads;
 import io.fireflyshed.coordination.relay.RelayPeerSelector;
@@ -51,7 +52,7 @@
   private final QuestionServer questionServer;
 
   /**
-   * Creates a relay, which must be started to serve requests for others.
+   * Creates a relay with unlimited memory, which must be started to serve requests for others.
    *
    * @param settings the name, availability zone and address of this entry, not null
    * @param peers lists the known entries, not null; rows of this entry are ignored
@@ -67,7 +68,7 @@
       MonotonicClock clock,
       UniformRandomProvider random,
       MeterRegistry registry) {
-    this(settings, peers, () -> {}, services, clock, random, registry);
+    this(settings, peers, () -> {}, services, ByteBudget.unlimited(clock), clock, random, registry);
   }
 
   /**
@@ -78,6 +79,7 @@
    * @param refresh reads the list of entries again, not null; it may be called for each request, on
    *     any thread, and must not block
    * @param services what this entry does for others, not null
+   * @param budget counts the bytes that this process holds, not null
    * @param clock the monotonic clock of this process, not null
    * @param random breaks ties between entries; used by one thread only, not null
    * @param registry registers the counters of relays and offers, not null
@@ -87,10 +89,20 @@
       Supplier<List<EntryPeer>> peers,
       Runnable refresh,
       EntryServices services,
+      ByteBudget budget,
       MonotonicClock clock,
       UniformRandomProvider random,
       MeterRegistry registry) {
-    this(settings, RelayTiming.ofDefaults(), peers, refresh, services, clock, random, registry);
+    this(
+        settings,
+        RelayTiming.ofDefaults(),
+        peers,
+        refresh,
+        services,
+        budget,
+        clock,
+        random,
+        registry);
   }
 
   /** Creates a relay with other times than the default. */
@@ -100,6 +112,7 @@
       Supplier<List<EntryPeer>> peers,
       Runnable refresh,
       EntryServices services,
+      ByteBudget budget,
       MonotonicClock clock,
       UniformRandomProvider random,
       MeterRegistry registry) {
@@ -112,10 +125,11 @@
     EventLog log = new EventLog("relay");
     connections = new PeerConnections(settings.self(), this);
     RelayPeerSelector selector = new RelayPeerSelector(settings.self(), settings.zone(), random);
-    client = new RelayClient(connections, peers, refresh, selector, clock, timing, metrics, log);
+    client =
+        new RelayClient(connections, peers, refresh, selector, budget, clock, timing, metrics, log);
     server =
         new RelayServer(
-            connections, services.admission(), services.forwarder(), clock, metrics, log);
+            connections, services.admission(), services.forwarder(), budget, clock, metrics, log);
     questionServer = new QuestionServer(connections, services, log);
   }
 
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayClient.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayClient.java
@@ -1,6 +1,10 @@
 package io.fireflyshed.transport.peer;
 
 import io.fireflyshed.coordination.attempt.Outcome;
+import io.fireflyshed.coordination.budget.ByteBudget;
+import io.fireflyshed.coordination.budget.ByteClaim;
+import io.fireflyshed.coordination.budget.ByteOwner;
+import io.fireflyshed.coordination.budget.ByteUse;
 import io.fireflyshed.coordination.relay.RelayPeerSelector;
 import io.fireflyshed.protocol.peer.generated.PeerProto;
 import io.fireflyshed.state.clock.MonotonicClock;
@@ -17,6 +21,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.RejectedExecutionException;
@@ -45,6 +50,7 @@
   private final Supplier<List<EntryPeer>> peers;
   private final Runnable refresh;
   private final RelayPeerSelector selector;
+  private final ByteBudget budget;
   private final MonotonicClock clock;
   private final RelayTiming timing;
   private final RelayMetrics metrics;
@@ -59,6 +65,7 @@
       Supplier<List<EntryPeer>> peers,
       Runnable refresh,
       RelayPeerSelector selector,
+      ByteBudget budget,
       MonotonicClock clock,
       RelayTiming timing,
       RelayMetrics metrics,
@@ -67,6 +74,7 @@
     this.peers = peers;
     this.refresh = refresh;
     this.selector = selector;
+    this.budget = budget;
     this.clock = clock;
     this.timing = timing;
     this.metrics = metrics;
@@ -84,12 +92,12 @@
                     exchange[0] = new RelayExchange(this, request, sink, startNanos);
                     start(exchange[0], sink);
                   });
-          return parts.doOnNext(part -> exchange[0].onConsumed());
+          return parts.doOnNext(part -> exchange[0].onConsumed(part));
         });
   }
 
   private void start(RelayExchange exchange, FluxSink<ResponsePart> sink) {
-    sink.onDispose(() -> execute(exchange::cancel));
+    sink.onDispose(() -> execute(exchange::dispose));
     try {
       connections.getExecutor().execute(() -> admit(exchange, sink));
     } catch (RejectedExecutionException e) {
@@ -118,6 +126,12 @@
     return clock.nanoTime();
   }
 
+  /** Creates an empty reservation for the unread response of an entry. */
+  Optional<ByteBudget.Reservation> tryReserve(PeerId peer) {
+    ByteOwner owner = new ByteOwner(ByteOwner.Kind.ENTRY, peer.value());
+    return budget.tryReserve(new ByteClaim(ByteUse.RELAY, Set.of(owner), false), 0);
+  }
+
   Future<?> schedule(Runnable task, long delay, TimeUnit unit) {
     return connections.getExecutor().schedule(task, delay, unit);
   }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayExchange.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayExchange.java
@@ -1,6 +1,7 @@
 package io.fireflyshed.transport.peer;
 
 import io.fireflyshed.coordination.attempt.Outcome;
+import io.fireflyshed.coordination.budget.ByteBudget;
 import io.fireflyshed.coordination.relay.RelayPeerSelector;
 import io.fireflyshed.protocol.peer.generated.PeerProto;
 import io.fireflyshed.state.peer.PeerId;
@@ -78,6 +79,7 @@
   private int sentBodyBytes;
 
   private boolean isEnded;
+  private Optional<ByteBudget.Reservation> unread = Optional.empty();
   private int granted = WINDOW_FRAMES;
   private int nextSequence;
 
@@ -266,9 +268,22 @@
   }
 
   private void onChunk(PeerProto.RelayChunk chunk) {
-    if (isNext(chunk.getSequence(), nextSequence > 0)) {
-      sink.next(new ResponsePart.BodyChunk(chunk.getBytes().toByteArray()));
+    if (!isNext(chunk.getSequence(), nextSequence > 0)) {
+      return;
+    }
+    if (!holdUnread(chunk.getBytes().size())) {
+      failOnWire("no memory is left for the response");
+      return;
     }
+    sink.next(new ResponsePart.BodyChunk(chunk.getBytes().toByteArray()));
+  }
+
+  /** Counts a part of the response until the caller has taken it. */
+  private boolean holdUnread(int bytes) {
+    if (unread.isEmpty()) {
+      unread = client.tryReserve(link.getPeer().id());
+    }
+    return unread.map(reservation -> reservation.tryGrow(bytes)).orElse(false);
   }
 
   private void onEnd(PeerProto.RelayEnd end) {
@@ -340,8 +355,10 @@
     fail(newException(getPeerText(), "the time of the request is over", outcome, true));
   }
 
-  /** Handles the cancellation of the response by its subscriber. */
-  void cancel() {
+  /** Handles that the subscriber has taken the whole response or has cancelled it. */
+  void dispose() {
+    unread.ifPresent(ByteBudget.Reservation::close);
+    unread = Optional.empty();
     if (!isEnded) {
       sendCancel();
       end(RelayMetrics.CANCELLED, "");
@@ -368,7 +385,10 @@
   }
 
   /** Grants more frames after parts of the response were passed on. Thread safe. */
-  void onConsumed() {
+  void onConsumed(ResponsePart part) {
+    if (part instanceof ResponsePart.BodyChunk chunk) {
+      client.execute(() -> unread.ifPresent(held -> held.shrink(chunk.bytes().length)));
+    }
     if (consumed.incrementAndGet() % (WINDOW_FRAMES / 2) == 0) {
       client.execute(this::grant);
     }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayServer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayServer.java
@@ -1,11 +1,16 @@
 package io.fireflyshed.transport.peer;
 
+import io.fireflyshed.coordination.budget.ByteBudget;
+import io.fireflyshed.coordination.budget.ByteClaim;
+import io.fireflyshed.coordination.budget.ByteOwner;
+import io.fireflyshed.coordination.budget.ByteUse;
 import io.fireflyshed.protocol.peer.generated.PeerProto;
 import io.fireflyshed.state.clock.MonotonicClock;
 import io.fireflyshed.state.peer.PeerId;
 import io.fireflyshed.transport.forward.RelayOffer;
 import io.fireflyshed.transport.forward.RelayedRequest;
 import io.fireflyshed.transport.forward.ResponsePart;
+import io.fireflyshed.transport.http.HeldBody;
 import io.fireflyshed.transport.log.EventLog;
 import io.netty.channel.Channel;
 import io.netty.util.concurrent.Future;
@@ -15,6 +20,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -30,9 +36,6 @@
    */
   static final int MAX_SERVED = 256;
 
-  /** The bytes of request bodies that are held for others, a tenth of an entry's memory. */
-  static final long MAX_BODY_BYTES = 16L << 20;
-
   /** The retry delay of offers while too many requests are served; most take less than that. */
   static final Duration BUSY_DELAY = Duration.ofMillis(500);
 
@@ -55,25 +58,27 @@
   private final PeerConnections connections;
   private final Function<RelayOffer, Optional<Duration>> admission;
   private final Function<RelayedRequest, Flux<ResponsePart>> forwarder;
+  private final ByteBudget budget;
   private final MonotonicClock clock;
   private final RelayMetrics metrics;
   private final EventLog log;
   private final Map<Channel, PeerState> states = new HashMap<>();
   private final List<CompletableFuture<Integer>> idleWaits = new ArrayList<>();
   private volatile int served;
-  private long heldBytes;
   private volatile boolean isStopping;
 
   RelayServer(
       PeerConnections connections,
       Function<RelayOffer, Optional<Duration>> admission,
       Function<RelayedRequest, Flux<ResponsePart>> forwarder,
+      ByteBudget budget,
       MonotonicClock clock,
       RelayMetrics metrics,
       EventLog log) {
     this.connections = connections;
     this.admission = admission;
     this.forwarder = forwarder;
+    this.budget = budget;
     this.clock = clock;
     this.metrics = metrics;
     this.log = log;
@@ -107,24 +112,39 @@
     }
     state.lastId = id;
     state.receivedNanos = clock.nanoTime();
-    long bodyBytes = Integer.toUnsignedLong(message.getBodyBytes());
-    RelayOffer offer = RelayFrameUtils.fromOffer(message);
     if (isStopping) {
       refuse(channel, id, "stopping", STOPPING_DELAY);
-    } else if (served >= MAX_SERVED || heldBytes + bodyBytes > MAX_BODY_BYTES) {
+      return;
+    }
+    if (served >= MAX_SERVED) {
       refuse(channel, id, "busy", BUSY_DELAY);
-    } else {
-      Optional<Duration> refusal = admission.apply(offer);
-      if (refusal.isPresent()) {
-        refuse(channel, id, "not placed", refusal.get());
-      } else {
-        served++;
-        heldBytes += bodyBytes;
-        state.relays.put(id, new ServedRelay(this, peer, channel, id, (int) bodyBytes));
-        connections.writeOrClose(channel, RelayFrameUtils.toAcceptance(id));
-        startChecking(channel, state);
-      }
+      return;
+    }
+    Optional<Duration> refusal = admission.apply(RelayFrameUtils.fromOffer(message));
+    if (refusal.isPresent()) {
+      refuse(channel, id, "not placed", refusal.get());
+      return;
+    }
+    Optional<HeldBody> body = tryHold(peer, Integer.toUnsignedLong(message.getBodyBytes()));
+    if (body.isEmpty()) {
+      refuse(channel, id, "busy", BUSY_DELAY);
+      return;
+    }
+    served++;
+    int bodyBytes = message.getBodyBytes();
+    state.relays.put(id, new ServedRelay(this, peer, channel, id, bodyBytes, body.get()));
+    connections.writeOrClose(channel, RelayFrameUtils.toAcceptance(id));
+    startChecking(channel, state);
+  }
+
+  private Optional<HeldBody> tryHold(PeerId peer, long bodyBytes) {
+    if (bodyBytes > Integer.MAX_VALUE) {
+      return Optional.empty();
     }
+    ByteOwner owner = new ByteOwner(ByteOwner.Kind.ENTRY, peer.value());
+    return budget
+        .tryReserve(new ByteClaim(ByteUse.RELAY, Set.of(owner), false), bodyBytes)
+        .map(reservation -> new HeldBody(Optional.of(reservation), (int) bodyBytes));
   }
 
   private void refuse(Channel channel, long id, String reason, Duration retryAfter) {
@@ -184,7 +204,6 @@
     if (state != null) {
       state.relays.remove(relay.getId());
     }
-    heldBytes -= relay.getReservedBytes();
     if (relay.isStarted()) {
       metrics.recordServed(outcome);
     }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/ServedRelay.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/ServedRelay.java
@@ -77,13 +77,14 @@
   private long credit;
   private int nextSequence;
 
-  ServedRelay(RelayServer server, PeerId peer, Channel channel, long id, int bodyBytes) {
+  ServedRelay(
+      RelayServer server, PeerId peer, Channel channel, long id, int bodyBytes, HeldBody body) {
     this.server = server;
     this.peer = peer;
     this.channel = channel;
     this.id = id;
     this.bodyBytes = bodyBytes;
-    this.body = new HeldBody(Optional.empty(), bodyBytes);
+    this.body = body;
     startRequestTimer();
   }
 
@@ -99,10 +100,6 @@
     return id;
   }
 
-  int getReservedBytes() {
-    return bodyBytes;
-  }
-
   /** Returns whether the request was passed to the forwarder. */
   boolean isStarted() {
     return isStarted;
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/http/HttpCallerTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/http/HttpCallerTest.java
@@ -6,6 +6,10 @@
 import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.expectThrows;
 
+import io.fireflyshed.coordination.budget.ByteBudget;
+import io.fireflyshed.coordination.budget.ByteClaim;
+import io.fireflyshed.coordination.budget.ByteUse;
+import io.fireflyshed.state.clock.ManualClock;
 import io.fireflyshed.state.error.EffectUnknownException;
 import io.fireflyshed.state.error.NoEffectException;
 import io.netty.handler.codec.http.HttpMethod;
@@ -17,6 +21,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -109,7 +114,25 @@
     }
   }
 
+  @Test
+  public void responseForWhichThereIsNoRoomFails() throws IOException {
+    ByteBudget budget = new ByteBudget(100_000, new ManualClock(), ByteBudget.Listener.none());
+    ByteClaim claim = new ByteClaim(ByteUse.REQUEST, Set.of(), true);
+    try (ServerSocket server = newServer();
+        HttpCaller limited = new HttpCaller("limited", 1 << 20, budget);
+        ByteBudget.Reservation others = budget.tryReserve(claim, 90_000).orElseThrow()) {
+      serveOnce(server, "HTTP/1.1 200 OK\r\ncontent-length: 20000\r\n\r\n" + "x".repeat(20_000));
+      assertTrue(sendAndFail(limited, server.getLocalPort()) instanceof EffectUnknownException);
+      assertEquals(budget.getUsed(), others.getBytes());
+    }
+    assertEquals(budget.getUsed(), 0);
+  }
+
   private Throwable sendAndFail(int port) {
+    return sendAndFail(caller, port);
+  }
+
+  private static Throwable sendAndFail(HttpCaller sender, int port) {
     HttpCall call =
         new HttpCall(
             "order",
@@ -120,7 +143,7 @@
             "body",
             Duration.ofSeconds(WAIT_SECONDS));
     return expectThrows(
-            ExecutionException.class, () -> caller.send(call).get(WAIT_SECONDS, TimeUnit.SECONDS))
+            ExecutionException.class, () -> sender.send(call).get(WAIT_SECONDS, TimeUnit.SECONDS))
         .getCause();
   }
 
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/peer/EntryRelayTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/peer/EntryRelayTest.java
@@ -67,7 +67,7 @@
     }
 
     @Test
-    public void carryLongBodiesInBothDirections() {
+    public void carryLongBodiesInBothDirections() throws Exception {
       RelayEntry first = newEntry("e1");
       RelayEntry second = newEntry("e2");
       first.addPeer(second);
@@ -80,6 +80,7 @@
               .block(TIMEOUT);
       assertAnswers(parts, "r1", body);
       assertEquals(second.bodies.get(0), body);
+      RelayFixtures.await(() -> first.budget.getUsed() == 0 && second.budget.getUsed() == 0);
     }
 
     @Test
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/peer/RelayEntry.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/peer/RelayEntry.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.expectThrows;
 
+import io.fireflyshed.coordination.budget.ByteBudget;
 import io.fireflyshed.coordination.placement.FleetLoad;
 import io.fireflyshed.coordination.placement.LoadReport;
 import io.fireflyshed.protocol.poison.CrashReport;
@@ -36,6 +37,7 @@
   static final Duration TIMEOUT = RelayFixtures.TIMEOUT;
   static final AvailabilityZone ZONE = new AvailabilityZone("a");
   static final long SEED = 11;
+  static final long BUDGET_BYTES = 24 << 20;
 
   /** Longer than the default, since tests run beside other processes. */
   static final RelayTiming TIMING =
@@ -47,6 +49,11 @@
 
   final PeerId id;
   final SimpleMeterRegistry metrics = new SimpleMeterRegistry();
+
+  /** The memory of the entry, which is also its limit. */
+  final ByteBudget budget =
+      new ByteBudget(BUDGET_BYTES, MonotonicClock.system(), ByteBudget.Listener.none());
+
   final List<EntryPeer> peers = new CopyOnWriteArrayList<>();
   final List<RelayedRequest> requests = new CopyOnWriteArrayList<>();
 
@@ -83,6 +90,7 @@
                 question -> tables.apply(question),
                 report -> loads.apply(report),
                 crashReports::add),
+            budget,
             MonotonicClock.system(),
             RandomSource.XO_RO_SHI_RO_128_PP.create(SEED),
             metrics);
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/peer/RelayServerTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/peer/RelayServerTest.java
@@ -212,6 +212,29 @@
       assertEquals(entry.count("fireflyshed.relay.refusals", "reason", "busy"), 2.0);
     }
 
+    @Test
+    public void offersWhoseBodiesTogetherDoNotFitAreRefused() throws Exception {
+      RelayEntry entry = newEntry("e1");
+      RawPeer.Connection connection = connect(entry);
+      int bodyBytes = 2 << 20;
+      PeerProto.RelayOffer offer =
+          PeerProto.RelayOffer.newBuilder().setService("cards").setBodyBytes(bodyBytes).build();
+      int accepted = 0;
+      boolean isAccepted = true;
+      for (int i = 1; isAccepted; i++) {
+        connection.write(newOffer(i, "r" + i).toBuilder().setRelayOffer(offer).build());
+        isAccepted = connection.read().getRelayReply().getAccepted();
+        accepted += isAccepted ? 1 : 0;
+      }
+      assertTrue(accepted > 1, accepted + " offers were accepted");
+      assertEquals(entry.budget.getUsed(), (long) accepted * bodyBytes);
+      assertTrue(entry.budget.getUsed() <= RelayEntry.BUDGET_BYTES / 2);
+      for (int i = 1; i <= accepted; i++) {
+        connection.write(RelayFrameUtils.toCancel(i));
+      }
+      RelayFixtures.await(() -> entry.budget.getUsed() == 0);
+    }
+
     @Test
     public void entryThatStopsRefusesOffersAndFinishesWhatItServes() throws Exception {
       RelayEntry entry = newEntry("e1");
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
@@ -161,8 +161,8 @@
   private final PrometheusMeterRegistry metrics =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
   private final ByteBudget budget;
-  private final HttpCaller storeCaller = new HttpCaller("platform");
-  private final HttpCaller engineCaller = new HttpCaller("engines", MAX_REPORT_BYTES);
+  private final HttpCaller storeCaller;
+  private final HttpCaller engineCaller;
   private final TargetCaller targetCaller;
   private final TargetPlacer placer;
   private final StallDetector stalls;
@@ -200,6 +200,8 @@
     this.settings = settings;
     this.maxAcceptDelay = maxAcceptDelay;
     budget = newBudget();
+    storeCaller = new HttpCaller("platform", HttpCaller.MAX_BODY_BYTES, budget);
+    engineCaller = new HttpCaller("engines", MAX_REPORT_BYTES, budget);
     UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create();
     WireHeaders codec = new WireHeaders();
     StoreClient store = new StoreClient(storeCaller, settings.store());
@@ -375,6 +377,7 @@
             question -> tables.answer(question),
             report -> loads.answer(report),
             report -> crashReports.accept(report)),
+        budget,
         trafficClock,
         RandomSource.XO_RO_SHI_RO_128_PP.create(),
         metrics);
