Say by whose decision a silent attempt ends

An attempt that this entry gave up while its target was connected was logged as "the stream stalled" or "no complete response within 900 ms", which tells neither the decision nor, for streams, the silence before it. The error of the attempt, which the line "attempt failed" has, now names both.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/StallDetector.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/StallDetector.java
@@ -185,6 +185,18 @@
     return stalls;
   }
 
+  /**
+   * Gets the time since the last event of a stream.
+   *
+   * @param key the key of the stream, not null
+   * @param nowNanos the current time of the monotonic clock
+   * @return the time since the last event or the start, zero if the stream isn't tracked, never null
+   */
+  public synchronized Duration getSilence(Object key, long nowNanos) {
+    TrackedStream stream = streams.get(key);
+    return stream == null ? Duration.ZERO : Duration.ofNanos(nowNanos - stream.lastEventNanos);
+  }
+
   /** Returns the time for which neither a stream nor any other of its target had an event. */
   private long getSilenceNanos(TrackedStream stream, long nowNanos) {
     Long progressNanos = lastProgressNanos.get(stream.target);
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptSequence.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptSequence.java
@@ -292,7 +292,10 @@
             timeout,
             () ->
                 newTargetLostException(
-                    target, "no complete response within " + timeout.toMillis() + " ms"))
+                    target,
+                    "given up by this entry after "
+                        + timeout.toMillis()
+                        + " ms without a complete response of a connected target"))
         .doOnComplete(
             () -> context.placer().onResult(target.id(), isSuccess[0], context.clock().nanoTime()));
   }
@@ -393,7 +396,12 @@
             events,
             routed.caller(),
             isResumableElsewhere(),
-            () -> newTargetLostException(target, "the stream stalled"))
+            silence ->
+                newTargetLostException(
+                    target,
+                    "given up by this entry after "
+                        + silence.toMillis()
+                        + " ms without an event of a connected target"))
         .map(stream::deliver)
         .doOnComplete(
             () -> context.placer().onResult(target.id(), true, context.clock().nanoTime()));
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/StallWatch.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/StallWatch.java
@@ -10,7 +10,8 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.function.Supplier;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Function;
 import reactor.core.Disposable;
 import reactor.core.Disposables;
 import reactor.core.publisher.Flux;
@@ -48,7 +49,7 @@
   private final MonotonicClock clock;
   private final Listener listener;
   private final EventLog log = new EventLog("forward");
-  private final Map<Object, Sinks.Empty<Void>> cancelSignals = new ConcurrentHashMap<>();
+  private final Map<Object, Sinks.One<Duration>> cancelSignals = new ConcurrentHashMap<>();
 
   private final Map<Object, CallerLink> callers = new ConcurrentHashMap<>();
   private Disposable checking = Disposables.disposed();
@@ -114,9 +115,9 @@
           log.warn("target stands still", "target", stall.target());
         }
       }
-      Sinks.Empty<Void> cancelSignal = cancelSignals.get(stall.key());
+      Sinks.One<Duration> cancelSignal = cancelSignals.get(stall.key());
       if (cancelSignal != null) {
-        cancelSignal.tryEmitEmpty();
+        cancelSignal.tryEmitValue(detector.getSilence(stall.key(), now));
       }
     }
     stalledTargets = stalled;
@@ -125,6 +126,8 @@
   /**
    * Tracks a stream while it is subscribed to, and fails it if it stalls and may be cancelled. A
    * stream whose caller doesn't read does not stall.
+   *
+   * @param error creates the error with which the stream fails from the time since its last event
    */
   <T> Flux<T> watch(
       Object key,
@@ -132,9 +135,13 @@
       Flux<T> stream,
       CallerLink caller,
       boolean isCancellable,
-      Supplier<Throwable> error) {
-    Sinks.Empty<Void> cancelSignal = Sinks.empty();
-    return StreamUtils.failOn(stream, cancelSignal.asMono().materialize(), error)
+      Function<Duration, Throwable> error) {
+    Sinks.One<Duration> cancelSignal = Sinks.one();
+    AtomicReference<Duration> silence = new AtomicReference<>(Duration.ZERO);
+    return StreamUtils.failOn(
+            stream,
+            cancelSignal.asMono().doOnNext(silence::set),
+            () -> error.apply(silence.get()))
         .doOnSubscribe(
             s -> {
               if (isCancellable) {
