Keep a silent stream at its target until another attempt can take over

The cause: break before make. The stall check gave up an attempt after 1.5 s of silence if the route and the number of attempts allowed another one. Only then was a target looked for and the retry budget asked, and if either said no, nothing was left of the stream.

An attempt that is only silent is now given up once its successor is secured: a target is placeable for it and the budget was charged. Until then it is left to its target and asked again at each check, until the timeout of the request. A request that is placed again and again takes no turn among the refused callers that are told when to retry. What moves on at once today still does.

Before the fix ForwarderSilenceTest failed in streamIsLeftAtASilentTargetIfNoOtherTargetCanTakeIt, streamsAreLeftAtTheirTargetsIfAllTargetsAreSilent and streamOfASilentTargetIsResumedOnceAnotherTargetCanTakeIt ("place at entry: no target is available"), in streamIsLeftAtASilentTargetIfTheBudgetDeniesARetry ("given up by this entry after 1550 ms without an event of a connected target") and in streamThatNoOtherTargetCanTakeEndsWithItsTimeout.

A request that another entry might take is still given up before that entry has accepted it.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetPlacer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetPlacer.java
@@ -93,6 +93,36 @@
       Set<InstanceId> excluded,
       boolean isModelPool,
       long nowNanos) {
+    return place(pool, candidates, excluded, isModelPool, false, nowNanos);
+  }
+
+  /**
+   * Places a request that may also stay at its silent target. A refusal takes no turn among the
+   * callers that are told when to retry, as such a request is placed again and again.
+   *
+   * @param pool the name of a set of interchangeable targets, such as a model, not null
+   * @param candidates the targets that could run the request, not null
+   * @param excluded the targets that were tried before, not null
+   * @param isModelPool whether the targets are replicas of a model, which queue requests themselves
+   * @param nowNanos the current time of the monotonic clock
+   * @return the decision, never null
+   */
+  public synchronized Placement placeRunning(
+      String pool,
+      List<Target> candidates,
+      Set<InstanceId> excluded,
+      boolean isModelPool,
+      long nowNanos) {
+    return place(pool, candidates, excluded, isModelPool, true, nowNanos);
+  }
+
+  private Placement place(
+      String pool,
+      List<Target> candidates,
+      Set<InstanceId> excluded,
+      boolean isModelPool,
+      boolean isRunning,
+      long nowNanos) {
     List<Target> usable = new ArrayList<>();
     boolean isAnySuspect = false;
     long waitNanos = NO_TARGET_RETRY_AFTER.toNanos();
@@ -133,7 +163,9 @@
       options.add(newOption(candidate, load, requests, fastest, nowNanos));
     }
     if (options.isEmpty()) {
-      return refuse(pool, limitWaitNanos, nowNanos);
+      Duration capacityWait =
+          isRunning ? RetryAfterSchedule.MIN_WAIT : getRetryAfterSchedule(pool).next(nowNanos);
+      return refuse(limitWaitNanos, capacityWait);
     }
     // The starts of other entries since they told their load.
     double unseenStarts = isFleetKnown ? othersRate * (nowNanos - fleetNanos) / 1e9 : 0;
@@ -174,9 +206,9 @@
    *
    * @param limitWaitNanos the time until the request limit of a target with capacity admits the
    *     next request, {@code Long.MAX_VALUE} if no target has capacity
+   * @param capacityWait the time until a target is expected to have capacity
    */
-  private Placement refuse(String pool, long limitWaitNanos, long nowNanos) {
-    Duration capacityWait = getRetryAfterSchedule(pool).next(nowNanos);
+  private static Placement refuse(long limitWaitNanos, Duration capacityWait) {
     if (limitWaitNanos == Long.MAX_VALUE) {
       return new Placement.Refuse(
           Placement.Cause.AT_CAPACITY, "all targets are at capacity", capacityWait);
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptLog.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptLog.java
@@ -108,6 +108,10 @@
         verdict);
   }
 
+  void logKept(String peer, RetryVerdict verdict) {
+    LOG.info("silent attempt goes on", "request", getId(), "target", peer, "retry", verdict);
+  }
+
   void logRelay(
       String reason,
       Duration remaining,
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptSequence.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptSequence.java
@@ -147,44 +147,60 @@
   }
 
   private Placement placeNext() {
-    long now = context.clock().nanoTime();
+    return getObstacle(hasLostContact)
+        .orElseGet(
+            () ->
+                context
+                    .placer()
+                    .place(
+                        routed.getPool(),
+                        getCandidates(),
+                        triedTargets,
+                        isGeneration(),
+                        context.clock().nanoTime()));
+  }
+
+  /** Returns the reason for which this entry should send the request to no target, if any. */
+  private Optional<Placement> getObstacle(boolean isContactLost) {
     Optional<Duration> refusal = context.crashGuard().getRefusal(fingerprints);
     if (refusal.isPresent()) {
-      return new Placement.Refuse(
-          Placement.Cause.NOT_PERMITTED,
-          "the request crashes the targets that run it",
-          refusal.get());
+      return Optional.of(
+          new Placement.Refuse(
+              Placement.Cause.NOT_PERMITTED,
+              "the request crashes the targets that run it",
+              refusal.get()));
     }
     if (!context.targetView().isRead()) {
-      return new Placement.Refuse(
-          Placement.Cause.NOT_PERMITTED,
-          "the list of targets has not been read yet",
-          RETRY_AFTER_NOT_READ);
+      return Optional.of(
+          new Placement.Refuse(
+              Placement.Cause.NOT_PERMITTED,
+              "the list of targets has not been read yet",
+              RETRY_AFTER_NOT_READ));
     }
     if (isRelayed && context.isRefusingRelayed().getAsBoolean()) {
-      return new Placement.Refuse(
-          Placement.Cause.NOT_PERMITTED, "the entry stops", RETRY_AFTER_FAILURE);
+      return Optional.of(
+          new Placement.Refuse(
+              Placement.Cause.NOT_PERMITTED, "the entry stops", RETRY_AFTER_FAILURE));
     }
-    if (isElsewherePreferred() && !getCandidates().isEmpty()) {
-      return new Placement.Refuse(
-          Placement.Cause.UNREACHABLE, "this entry reaches no target", RETRY_AFTER_FAILURE);
+    if (isElsewherePreferred(isContactLost) && !getCandidates().isEmpty()) {
+      return Optional.of(
+          new Placement.Refuse(
+              Placement.Cause.UNREACHABLE, "this entry reaches no target", RETRY_AFTER_FAILURE));
     }
-    return context
-        .placer()
-        .place(routed.getPool(), getCandidates(), triedTargets, isGeneration(), now);
+    return Optional.empty();
   }
 
   /**
    * Tests whether another entry should send the request to a target. An impaired entry may have
    * sound connections, on which its own requests may succeed at the first attempt.
    */
-  private boolean isElsewherePreferred() {
+  private boolean isElsewherePreferred(boolean isContactLost) {
     Reachability reachability = context.reachability();
     if (isRelayed) {
       return reachability.isImpaired();
     }
     return isRelayAllowed()
-        && (reachability.isIsolated() || hasLostContact && reachability.isImpaired());
+        && (reachability.isIsolated() || isContactLost && reachability.isImpaired());
   }
 
   private boolean isGeneration() {
@@ -249,13 +265,14 @@
         onceCallerIsThere(
                 () -> context.client().send(target, routed, remaining, stream.getLastEventId()))
             .doOnNext(this::onPart);
+    SuccessorSearch successors = newSuccessorSearch(target.id().value());
     Flux<ResponsePart> response =
-        isStream ? streamResponse(target, parts) : collectResponse(target, parts);
+        isStream ? streamResponse(target, parts, successors) : collectResponse(target, parts);
     return response
         .doFinally(
             signal ->
                 context.placer().onEnd(routed.getPool(), target.id(), context.clock().nanoTime()))
-        .onErrorResume(AttemptException.class, e -> handleFailure(target, e));
+        .onErrorResume(AttemptException.class, e -> handleFailure(target, e, successors));
   }
 
   /**
@@ -380,7 +397,8 @@
   }
 
   /** Forwards the complete events of a stream; its head is held back until the first of them. */
-  private Flux<ResponsePart> streamResponse(Target target, Flux<ResponsePart> parts) {
+  private Flux<ResponsePart> streamResponse(
+      Target target, Flux<ResponsePart> parts, SuccessorSearch successors) {
     Object streamKey = new Object();
     StreamAttempt current = attempt;
     Flux<StreamAttempt.Delivery> events =
@@ -395,7 +413,7 @@
             target.id(),
             events,
             routed.caller(),
-            isResumableElsewhere(),
+            successors::isSecured,
             silence ->
                 newTargetLostException(
                     target,
@@ -407,12 +425,51 @@
             () -> context.placer().onResult(target.id(), true, context.clock().nanoTime()));
   }
 
-  /**
-   * Tests whether another attempt may follow the current one. A stalled target may still go on, so
-   * the last attempt is left to it until the timeout.
-   */
-  private boolean isResumableElsewhere() {
-    return routed.route().isRetryable() && possibleRuns + 1 < maxAttempts;
+  /** Creates the search for what may follow the attempt that starts now. */
+  private SuccessorSearch newSuccessorSearch(String peer) {
+    boolean isReplaceable = routed.route().isRetryable() && possibleRuns + 1 < maxAttempts;
+    Set<InstanceId> excluded = Set.copyOf(triedTargets);
+    return new SuccessorSearch(
+        new SuccessorSearch.Options() {
+          @Override
+          public boolean isAllowed() {
+            Duration remaining = routed.getRemainingTime(context.clock().nanoTime());
+            return isReplaceable && remaining.compareTo(MIN_ATTEMPT_TIME) >= 0;
+          }
+
+          @Override
+          public Placement place() {
+            return getObstacle(true).orElseGet(this::placeHere);
+          }
+
+          private Placement placeHere() {
+            return context
+                .placer()
+                .placeRunning(
+                    routed.getPool(),
+                    getCandidates(),
+                    excluded,
+                    isGeneration(),
+                    context.clock().nanoTime());
+          }
+
+          @Override
+          public boolean isRelayable(Placement placement) {
+            return AttemptSequence.this.isRelayable(placement);
+          }
+
+          @Override
+          public boolean tryCharge() {
+            return context
+                .retryBudgets()
+                .tryRetry(routed.service(), Outcome.UNKNOWN, context.clock().nanoTime());
+          }
+
+          @Override
+          public void onKept(RetryVerdict verdict) {
+            log.logKept(peer, verdict);
+          }
+        });
   }
 
   private List<StreamAttempt.Delivery> processPart(
@@ -479,7 +536,8 @@
     return new TargetLostException(STEP, target.id().value(), Outcome.UNKNOWN, message, null);
   }
 
-  private Flux<ResponsePart> handleFailure(Target target, AttemptException error) {
+  private Flux<ResponsePart> handleFailure(
+      Target target, AttemptException error, SuccessorSearch successors) {
     if (error.getOutcome() == Outcome.NOT_RUN) {
       notRunAttempts++;
     } else {
@@ -492,7 +550,18 @@
         && !context.reachability().isIsolated()) {
       context.crashGuard().onInterrupted(fingerprints, target);
     }
-    return retryOrFail(target.id().value(), error, RETRY_AFTER_FAILURE);
+    return successors
+        .take()
+        .map(successor -> replace(target.id().value(), error, successor))
+        .orElseGet(() -> retryOrFail(target.id().value(), error, RETRY_AFTER_FAILURE));
+  }
+
+  /** Starts the successor of an attempt, for which the retry budget was charged. */
+  private Flux<ResponsePart> replace(String peer, AttemptException error, Placement successor) {
+    outcome = outcome.join(error.getOutcome());
+    context.metrics().recordFailure(routed.service(), RetryVerdict.CHARGED);
+    log.logFailure(peer, attempt.getEvents(), error, RetryVerdict.CHARGED);
+    return proceed(successor);
   }
 
   /** Starts the next attempt if a retry is allowed, otherwise fails the request. */
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/StallWatch.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/StallWatch.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import reactor.core.Disposable;
 import reactor.core.Disposables;
@@ -49,8 +50,15 @@
   private final MonotonicClock clock;
   private final Listener listener;
   private final EventLog log = new EventLog("forward");
-  private final Map<Object, Sinks.One<Duration>> cancelSignals = new ConcurrentHashMap<>();
+  /**
+   * A stream that may be cancelled.
+   *
+   * @param isReplaceable tells whether another attempt is ready to take over
+   * @param cancelSignal emits the time since the last event to cancel the stream
+   */
+  private record Cancellable(BooleanSupplier isReplaceable, Sinks.One<Duration> cancelSignal) {}
 
+  private final Map<Object, Cancellable> cancellables = new ConcurrentHashMap<>();
   private final Map<Object, CallerLink> callers = new ConcurrentHashMap<>();
   private Disposable checking = Disposables.disposed();
   private Set<InstanceId> silentTargets = Set.of();
@@ -115,18 +123,20 @@
           log.warn("target stands still", "target", stall.target());
         }
       }
-      Sinks.One<Duration> cancelSignal = cancelSignals.get(stall.key());
-      if (cancelSignal != null) {
-        cancelSignal.tryEmitValue(detector.getSilence(stall.key(), now));
+      Cancellable cancellable = cancellables.get(stall.key());
+      if (cancellable != null && cancellable.isReplaceable().getAsBoolean()) {
+        cancellable.cancelSignal().tryEmitValue(detector.getSilence(stall.key(), now));
       }
     }
     stalledTargets = stalled;
   }
 
   /**
-   * Tracks a stream while it is subscribed to, and fails it if it stalls and may be cancelled. A
+   * Tracks a stream while it is subscribed to, and fails it if it stalls and can be replaced. A
    * stream whose caller doesn't read does not stall.
    *
+   * @param isReplaceable tells whether another attempt is ready to take over; asked at each check
+   *     while the stream stalls
    * @param error creates the error with which the stream fails from the time since its last event
    */
   <T> Flux<T> watch(
@@ -134,7 +144,7 @@
       InstanceId target,
       Flux<T> stream,
       CallerLink caller,
-      boolean isCancellable,
+      BooleanSupplier isReplaceable,
       Function<Duration, Throwable> error) {
     Sinks.One<Duration> cancelSignal = Sinks.one();
     AtomicReference<Duration> silence = new AtomicReference<>(Duration.ZERO);
@@ -144,15 +154,13 @@
             () -> error.apply(silence.get()))
         .doOnSubscribe(
             s -> {
-              if (isCancellable) {
-                cancelSignals.put(key, cancelSignal);
-              }
+              cancellables.put(key, new Cancellable(isReplaceable, cancelSignal));
               callers.put(key, caller);
               detector.start(key, target, clock.nanoTime());
             })
         .doFinally(
             signal -> {
-              cancelSignals.remove(key);
+              cancellables.remove(key);
               callers.remove(key);
               detector.end(key);
             });
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwarderSilenceTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwarderSilenceTest.java
@@ -36,6 +36,9 @@
   /** A silence that does not show that a target is lost. */
   private static final Duration SOUND_SILENCE = Duration.ofMillis(1200);
 
+  /** A silence of a sound target after which streams are resumed elsewhere, if they can be. */
+  private static final Duration LONG_SILENCE = Duration.ofMillis(1650);
+
   /** The shortest gap after which callers abandon a stream. */
   private static final Duration CALLER_PATIENCE = Duration.ofSeconds(2);
 
@@ -89,6 +92,7 @@
   private TargetPlacer placer;
   private Forwarder forwarder;
   private int running;
+  private int allowedRetries;
 
   /** Starts a forwarder with two targets. */
   @BeforeMethod
@@ -101,6 +105,7 @@
     targets.add(ForwardFixtures.newTarget("one"));
     targets.add(ForwardFixtures.newTarget("two"));
     running = 0;
+    allowedRetries = 10;
     PlacementSettings placement = PlacementSettings.ofDefaults();
     registry = new SimpleMeterRegistry();
     placer =
@@ -115,7 +120,7 @@
             placer,
             new StallDetector(placement),
             this::send,
-            new ServiceRetryBudgets(0, Duration.ofSeconds(10), () -> 10),
+            new ServiceRetryBudgets(0, Duration.ofSeconds(10), () -> allowedRetries),
             ForwardFixtures.newCrashGuard(),
             () -> now().toNanos(),
             stalledTargets::add,
@@ -182,10 +187,14 @@
 
   private void assertNoRetry() {
     assertEquals(attempts.size(), 1);
-    assertTrue(registry.find("fireflyshed.forward.failures").counters().isEmpty());
+    assertNoFailure();
     assertEquals(stalledTargets, List.of());
   }
 
+  private void assertNoFailure() {
+    assertTrue(registry.find("fireflyshed.forward.failures").counters().isEmpty());
+  }
+
   @Test
   public void streamThatPausesForAMomentIsNotCut() {
     responses.add(
@@ -297,6 +306,66 @@
     assertEquals(attempts.size(), ForwardFixtures.MAX_ATTEMPTS);
   }
 
+  @Test
+  public void streamIsLeftAtASilentTargetIfNoOtherTargetCanTakeIt() {
+    targets.remove(1);
+    responses.add(
+        after(Duration.ofMillis(100), event(1)).concatWith(after(LONG_SILENCE, event(2))));
+    Caller caller = startStream();
+    advance(TIMEOUT);
+    caller.assertTwoEvents();
+    assertNoFailure();
+  }
+
+  @Test
+  public void streamsAreLeftAtTheirTargetsIfAllTargetsAreSilent() {
+    for (int i = 0; i < 6; i++) {
+      responses.add(
+          after(Duration.ofMillis(200), event(1)).concatWith(after(LONG_SILENCE, event(2))));
+    }
+    List<Caller> callers = new ArrayList<>();
+    for (int i = 0; i < 6; i++) {
+      callers.add(startStream());
+    }
+    advance(TIMEOUT);
+    callers.forEach(Caller::assertTwoEvents);
+    assertNoFailure();
+  }
+
+  @Test
+  public void streamIsLeftAtASilentTargetIfTheBudgetDeniesARetry() {
+    allowedRetries = 0;
+    responses.add(
+        after(Duration.ofMillis(100), event(1)).concatWith(after(LONG_SILENCE, event(2))));
+    Caller caller = startStream();
+    advance(TIMEOUT);
+    caller.assertTwoEvents();
+    assertNoFailure();
+  }
+
+  @Test
+  public void streamOfASilentTargetIsResumedOnceAnotherTargetCanTakeIt() {
+    Target later = targets.remove(1);
+    responses.add(after(Duration.ofMillis(100), event(1)).concatWith(silent()));
+    responses.add(after(Duration.ofMillis(100), event(2)));
+    Caller caller = startStream();
+    advance(Duration.ofMillis(1700));
+    targets.add(later);
+    advance(Duration.ofMillis(300));
+    caller.assertTwoEvents();
+    assertEquals(attempts.size(), 2);
+  }
+
+  @Test
+  public void streamThatNoOtherTargetCanTakeEndsWithItsTimeout() {
+    targets.remove(1);
+    responses.add(after(Duration.ofMillis(100), event(1)).concatWith(silent()));
+    Caller caller = startStream();
+    advance(TIMEOUT);
+    assertTrue(((ForwardException) caller.error).isTimeout());
+    assertEquals(caller.end, TIMEOUT);
+  }
+
   @Test
   public void silentStreamThatCanNotBeResumedEndsWithItsTimeout() {
     responses.add(after(Duration.ofMillis(100), event(1)).concatWith(silent()));
