Have another entry accept a silent stream before its attempt is given up

RequestRelay.offer separates the acceptance of an offer from the request, which is sent by AcceptedRelay.send once the attempt is given up, and resumes after the event that the caller has by then. Frames between entries are the same: an entry waits for a second for the request that follows an accepted offer. A refused request is offered again after 250 ms at the earliest, and may go to a target of its own entry meanwhile. An offer is withdrawn if the target goes on.

Before the fix ForwarderSilenceTest failed in streamIsLeftAtASilentTargetIfNoOtherEntryAcceptsIt and offerOfASilentStreamIsWithdrawnIfItsTargetGoesOn with "place at entry: no entry: relay at -: relay at -: no entry took it".

--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/StallDetector.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/StallDetector.java
@@ -190,7 +190,8 @@
    *
    * @param key the key of the stream, not null
    * @param nowNanos the current time of the monotonic clock
-   * @return the time since the last event or the start, zero if the stream isn't tracked, never null
+   * @return the time since the last event or the start, zero if the stream isn't tracked, never
+   *     null
    */
   public synchronized Duration getSilence(Object key, long nowNanos) {
     TrackedStream stream = streams.get(key);
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptSequence.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptSequence.java
@@ -20,6 +20,7 @@
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Function;
 import java.util.function.Supplier;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -272,6 +273,7 @@
         .doFinally(
             signal ->
                 context.placer().onEnd(routed.getPool(), target.id(), context.clock().nanoTime()))
+        .doFinally(signal -> successors.close())
         .onErrorResume(AttemptException.class, e -> handleFailure(target, e, successors));
   }
 
@@ -404,7 +406,7 @@
     Flux<StreamAttempt.Delivery> events =
         ResponseUtils.limitErrorSize(target.id().value(), parts)
             .concatMapIterable(
-                part -> processPart(target, streamKey, current, part), PREFETCHED_PARTS)
+                part -> processPart(target, streamKey, current, part, successors), PREFETCHED_PARTS)
             .concatWith(Flux.defer(() -> endStream(current, false)));
     return context
         .stallWatch()
@@ -429,7 +431,9 @@
   private SuccessorSearch newSuccessorSearch(String peer) {
     boolean isReplaceable = routed.route().isRetryable() && possibleRuns + 1 < maxAttempts;
     Set<InstanceId> excluded = Set.copyOf(triedTargets);
+    OptionalLong lastEventId = stream.getLastEventId();
     return new SuccessorSearch(
+        context.clock(),
         new SuccessorSearch.Options() {
           @Override
           public boolean isAllowed() {
@@ -439,10 +443,10 @@
 
           @Override
           public Placement place() {
-            return getObstacle(true).orElseGet(this::placeHere);
+            return getObstacle(true).orElseGet(this::placeByLoad);
           }
 
-          private Placement placeHere() {
+          private Placement placeByLoad() {
             return context
                 .placer()
                 .placeRunning(
@@ -453,11 +457,24 @@
                     context.clock().nanoTime());
           }
 
+          @Override
+          public Placement placeHere() {
+            return context.reachability().isIsolated() ? place() : placeByLoad();
+          }
+
           @Override
           public boolean isRelayable(Placement placement) {
             return AttemptSequence.this.isRelayable(placement);
           }
 
+          @Override
+          public Mono<AcceptedRelay> offer() {
+            Duration remaining = routed.getRemainingTime(context.clock().nanoTime());
+            return context
+                .relay()
+                .offer(new RelayedRequest(routed, remaining, lastEventId, 1, excluded));
+          }
+
           @Override
           public boolean tryCharge() {
             return context
@@ -473,7 +490,11 @@
   }
 
   private List<StreamAttempt.Delivery> processPart(
-      Target target, Object streamKey, StreamAttempt current, ResponsePart part) {
+      Target target,
+      Object streamKey,
+      StreamAttempt current,
+      ResponsePart part,
+      SuccessorSearch successors) {
     if (part instanceof ResponsePart.Head received) {
       recordLoad(target, received.response());
     }
@@ -486,6 +507,7 @@
     }
     for (int i = eventsBefore + repeated; i < current.getEvents(); i++) {
       recordProgress(target, streamKey);
+      successors.onProgress();
     }
     return deliveries;
   }
@@ -557,11 +579,16 @@
   }
 
   /** Starts the successor of an attempt, for which the retry budget was charged. */
-  private Flux<ResponsePart> replace(String peer, AttemptException error, Placement successor) {
+  private Flux<ResponsePart> replace(
+      String peer, AttemptException error, SuccessorSearch.Successor successor) {
     outcome = outcome.join(error.getOutcome());
     context.metrics().recordFailure(routed.service(), RetryVerdict.CHARGED);
     log.logFailure(peer, attempt.getEvents(), error, RetryVerdict.CHARGED);
-    return proceed(successor);
+    if (successor instanceof SuccessorSearch.ToEntry entry) {
+      Duration remaining = routed.getRemainingTime(context.clock().nanoTime());
+      return relay(entry.reason(), remaining, entry.relay()::send);
+    }
+    return proceed(((SuccessorSearch.ToTarget) successor).placement());
   }
 
   /** Starts the next attempt if a retry is allowed, otherwise fails the request. */
@@ -584,6 +611,13 @@
 
   /** Has another entry forward the request. */
   private Flux<ResponsePart> relay(Placement.Refuse reason, Duration remaining) {
+    return relay(reason, remaining, context.relay()::relay);
+  }
+
+  private Flux<ResponsePart> relay(
+      Placement.Refuse reason,
+      Duration remaining,
+      Function<RelayedRequest, Flux<ResponsePart>> relay) {
     int grantedAttempts = getGrantedAttempts();
     relays++;
     attempt = stream.newAttempt(RELAY_PEER);
@@ -598,7 +632,7 @@
         new RelayedRequest(
             routed, remaining, stream.getLastEventId(), grantedAttempts, excludedTargets);
     Flux<ResponsePart> parts =
-        onceCallerIsThere(() -> context.relay().relay(relayed)).onErrorMap(RelayException::of);
+        onceCallerIsThere(() -> relay.apply(relayed)).onErrorMap(RelayException::of);
     Flux<ResponsePart> response =
         isStream ? streamRelayed(parts) : collectRelayed(parts, grantedAttempts);
     return response.onErrorResume(
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/RequestRelay.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/RequestRelay.java
@@ -3,6 +3,7 @@
 import io.fireflyshed.coordination.attempt.Outcome;
 import java.time.Duration;
 import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
 
 /**
  * Has requests forwarded by another entry, which may reach targets that this entry doesn't.
@@ -20,6 +21,18 @@
    */
   Flux<ResponsePart> relay(RelayedRequest request);
 
+  /**
+   * Has another entry accept a request that still runs at a target of this entry. Nothing is sent
+   * but the offer until {@link AcceptedRelay#send}.
+   *
+   * @param request the request as it would be sent now, not null
+   * @return the accepted offer; it fails with a {@link ForwardException} if no entry accepts.
+   *     Cancelling it withdraws the offer.
+   */
+  default Mono<AcceptedRelay> offer(RelayedRequest request) {
+    return Mono.just(AcceptedRelay.of(this));
+  }
+
   /**
    * Tests whether another entry is known that could be asked.
    *
@@ -48,6 +61,11 @@
                 false));
       }
 
+      @Override
+      public Mono<AcceptedRelay> offer(RelayedRequest request) {
+        return relay(request).then(Mono.empty());
+      }
+
       @Override
       public boolean isAvailable() {
         return false;
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/StallWatch.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/StallWatch.java
@@ -50,6 +50,7 @@
   private final MonotonicClock clock;
   private final Listener listener;
   private final EventLog log = new EventLog("forward");
+
   /**
    * A stream that may be cancelled.
    *
@@ -149,9 +150,7 @@
     Sinks.One<Duration> cancelSignal = Sinks.one();
     AtomicReference<Duration> silence = new AtomicReference<>(Duration.ZERO);
     return StreamUtils.failOn(
-            stream,
-            cancelSignal.asMono().doOnNext(silence::set),
-            () -> error.apply(silence.get()))
+            stream, cancelSignal.asMono().doOnNext(silence::set), () -> error.apply(silence.get()))
         .doOnSubscribe(
             s -> {
               cancellables.put(key, new Cancellable(isReplaceable, cancelSignal));
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/SuccessorSearch.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/SuccessorSearch.java
@@ -1,7 +1,12 @@
 package io.fireflyshed.transport.forward;
 
 import io.fireflyshed.coordination.placement.Placement;
+import io.fireflyshed.state.clock.MonotonicClock;
+import java.time.Duration;
 import java.util.Optional;
+import reactor.core.Disposable;
+import reactor.core.Disposables;
+import reactor.core.publisher.Mono;
 
 /**
  * Secures what follows a silent attempt before the attempt is given up. Until then it is left to
@@ -9,6 +14,21 @@
  */
 final class SuccessorSearch {
 
+  /** The interval between two offers of a request that no entry accepted. */
+  static final Duration OFFER_INTERVAL = Duration.ofMillis(250);
+
+  /** The time for which an accepted offer may be used; the other entry waits for a second. */
+  private static final Duration MAX_ACCEPTANCE_AGE = Duration.ofMillis(500);
+
+  /** Takes over from an attempt that is given up; the retry budget was charged for it. */
+  sealed interface Successor {}
+
+  /** An attempt at a target. */
+  record ToTarget(Placement.Send placement) implements Successor {}
+
+  /** An attempt through an entry that has accepted the request. */
+  record ToEntry(Placement.Refuse reason, AcceptedRelay relay) implements Successor {}
+
   /** Decides what may follow the attempt. Implementations are called under a lock. */
   interface Options {
 
@@ -18,9 +38,15 @@
     /** Places the request besides the targets that were tried; it reserves nothing. */
     Placement place();
 
+    /** Does the same after other entries refused it, so that they are not preferred. */
+    Placement placeHere();
+
     /** Tests whether another entry may take the request after a refused placement. */
     boolean isRelayable(Placement placement);
 
+    /** Offers the request to other entries. */
+    Mono<AcceptedRelay> offer();
+
     /** Charges the retry budget for a successor if it suffices. */
     boolean tryCharge();
 
@@ -28,18 +54,32 @@
     void onKept(RetryVerdict verdict);
   }
 
+  private final MonotonicClock clock;
   private final Options options;
-  private Optional<Placement> successor = Optional.empty();
+  private final Disposable.Swap offer = Disposables.swap();
+
+  /** The entry that accepted the request, for which the retry budget is not charged yet. */
+  private Optional<ToEntry> accepted = Optional.empty();
+
+  private Optional<Successor> successor = Optional.empty();
+  private boolean isOfferPending;
+  private boolean isOffered;
+  private long offerNanos;
+  private long acceptedNanos;
   private boolean isEnded;
   private boolean isKept;
 
-  SuccessorSearch(Options options) {
+  SuccessorSearch(MonotonicClock clock, Options options) {
+    this.clock = clock;
     this.options = options;
   }
 
-  /** Tests whether a successor is ready to take over, and looks for one if not. */
+  /**
+   * Tests whether a successor is ready to take over, and looks for one if not. Once there is one,
+   * the attempt must be given up.
+   */
   synchronized boolean isSecured() {
-    if (!isEnded && successor.isEmpty()) {
+    if (!isEnded && !isOfferPending && successor.isEmpty()) {
       search();
     }
     return successor.isPresent();
@@ -50,11 +90,30 @@
       keep(RetryVerdict.TOO_MANY_ATTEMPTS);
       return;
     }
-    Placement placement = options.place();
-    if (placement instanceof Placement.Refuse && !options.isRelayable(placement)) {
+    if (isRecent(accepted.isPresent(), acceptedNanos, MAX_ACCEPTANCE_AGE)) {
+      secure(accepted.orElseThrow());
+      return;
+    }
+    withdraw();
+    boolean isRefusedLately = isRecent(isOffered, offerNanos, OFFER_INTERVAL);
+    Placement placement = isRefusedLately ? options.placeHere() : options.place();
+    if (placement instanceof Placement.Send send) {
+      secure(new ToTarget(send));
+    } else if (options.isRelayable(placement) && !isRefusedLately) {
+      offer((Placement.Refuse) placement);
+    } else {
       keep(RetryVerdict.NO_TARGET);
-    } else if (options.tryCharge()) {
-      successor = Optional.of(placement);
+    }
+  }
+
+  private boolean isRecent(boolean hasHappened, long nanos, Duration age) {
+    return hasHappened && clock.nanoTime() - nanos < age.toNanos();
+  }
+
+  private void secure(Successor found) {
+    if (options.tryCharge()) {
+      successor = Optional.of(found);
+      accepted = Optional.empty();
     } else {
       keep(RetryVerdict.NO_BUDGET);
     }
@@ -67,11 +126,61 @@
     }
   }
 
+  private void offer(Placement.Refuse reason) {
+    isOffered = true;
+    isOfferPending = true;
+    offerNanos = clock.nanoTime();
+    offer.update(options.offer().subscribe(relay -> onAccepted(reason, relay), e -> onRefused()));
+  }
+
+  private synchronized void onAccepted(Placement.Refuse reason, AcceptedRelay relay) {
+    if (!isOfferPending) {
+      relay.cancel();
+      return;
+    }
+    isOfferPending = false;
+    accepted = Optional.of(new ToEntry(reason, relay));
+    acceptedNanos = clock.nanoTime();
+  }
+
+  private synchronized void onRefused() {
+    if (isOfferPending) {
+      isOfferPending = false;
+      keep(RetryVerdict.NO_TARGET);
+    }
+  }
+
+  /** Withdraws what is offered, as the attempt goes on. */
+  synchronized void onProgress() {
+    if (successor.isEmpty()) {
+      withdraw();
+    }
+  }
+
+  private void withdraw() {
+    isOfferPending = false;
+    accepted.ifPresent(entry -> entry.relay().cancel());
+    accepted = Optional.empty();
+    offer.update(Disposables.disposed());
+  }
+
   /** Ends the search and returns the successor, empty if none was secured. */
-  synchronized Optional<Placement> take() {
+  synchronized Optional<Successor> take() {
     isEnded = true;
-    Optional<Placement> taken = successor;
+    withdraw();
+    Optional<Successor> taken = successor;
     successor = Optional.empty();
     return taken;
   }
+
+  /** Ends the search and withdraws a successor that was not taken. */
+  void close() {
+    take()
+        .ifPresent(
+            unused -> {
+              if (unused instanceof ToEntry entry) {
+                entry.relay().cancel();
+              }
+            });
+  }
 }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/EntryRelay.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/EntryRelay.java
@@ -14,6 +14,7 @@
 import io.fireflyshed.state.table.RemoteTables;
 import io.fireflyshed.state.table.TableChanges;
 import io.fireflyshed.state.table.TableQuestion;
+import io.fireflyshed.transport.forward.AcceptedRelay;
 import io.fireflyshed.transport.forward.RelayedRequest;
 import io.fireflyshed.transport.forward.RequestRelay;
 import io.fireflyshed.transport.forward.ResponsePart;
@@ -30,6 +31,7 @@
 import java.util.function.Supplier;
 import org.apache.commons.rng.UniformRandomProvider;
 import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
 
 /**
  * Relays requests to other entries and asks them about tables, and does both for them.
@@ -151,6 +153,11 @@
     return client.relay(Objects.requireNonNull(request, "request"));
   }
 
+  @Override
+  public Mono<AcceptedRelay> offer(RelayedRequest request) {
+    return client.offer(Objects.requireNonNull(request, "request"));
+  }
+
   @Override
   public CompletableFuture<TableChanges> ask(
       EntryPeer entry, TableQuestion question, Duration timeout) {
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayClient.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayClient.java
@@ -10,6 +10,7 @@
 import io.fireflyshed.state.clock.MonotonicClock;
 import io.fireflyshed.state.peer.EntryPeer;
 import io.fireflyshed.state.peer.PeerId;
+import io.fireflyshed.transport.forward.AcceptedRelay;
 import io.fireflyshed.transport.forward.ForwardException;
 import io.fireflyshed.transport.forward.RelayedRequest;
 import io.fireflyshed.transport.forward.ResponsePart;
@@ -26,10 +27,12 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.function.LongFunction;
 import java.util.function.Supplier;
 import reactor.core.publisher.Flux;
-import reactor.core.publisher.FluxSink;
+import reactor.core.publisher.Mono;
 
 /**
  * Sends requests to other entries. {@link #relay} is thread safe; everything else is used on the
@@ -89,24 +92,34 @@
           Flux<ResponsePart> parts =
               Flux.create(
                   sink -> {
-                    exchange[0] = new RelayExchange(this, request, sink, startNanos);
-                    start(exchange[0], sink);
+                    exchange[0] = RelayExchange.of(this, request, sink, startNanos);
+                    sink.onDispose(() -> execute(exchange[0]::dispose));
+                    start(exchange[0], sink::isCancelled, sink::error);
                   });
           return parts.doOnNext(part -> exchange[0].onConsumed(part));
         });
   }
 
-  private void start(RelayExchange exchange, FluxSink<ResponsePart> sink) {
-    sink.onDispose(() -> execute(exchange::dispose));
+  Mono<AcceptedRelay> offer(RelayedRequest request) {
+    return Mono.create(
+        sink -> {
+          RelayExchange exchange = RelayExchange.ofOffer(this, request, sink, clock.nanoTime());
+          sink.onCancel(() -> execute(exchange::dispose));
+          start(exchange, () -> false, sink::error);
+        });
+  }
+
+  private void start(
+      RelayExchange exchange, BooleanSupplier isCancelled, Consumer<Throwable> onError) {
     try {
-      connections.getExecutor().execute(() -> admit(exchange, sink));
+      connections.getExecutor().execute(() -> admit(exchange, isCancelled));
     } catch (RejectedExecutionException e) {
-      sink.error(newRefusal("this entry has stopped"));
+      onError.accept(newRefusal("this entry has stopped"));
     }
   }
 
-  private void admit(RelayExchange exchange, FluxSink<ResponsePart> sink) {
-    if (sink.isCancelled()) {
+  private void admit(RelayExchange exchange, BooleanSupplier isCancelled) {
+    if (isCancelled.getAsBoolean()) {
       return;
     }
     if (isClosed || exchanges.size() >= MAX_EXCHANGES) {
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayExchange.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayExchange.java
@@ -5,6 +5,7 @@
 import io.fireflyshed.coordination.relay.RelayPeerSelector;
 import io.fireflyshed.protocol.peer.generated.PeerProto;
 import io.fireflyshed.state.peer.PeerId;
+import io.fireflyshed.transport.forward.AcceptedRelay;
 import io.fireflyshed.transport.forward.ForwardException;
 import io.fireflyshed.transport.forward.RelayedRequest;
 import io.fireflyshed.transport.forward.ResponsePart;
@@ -16,7 +17,9 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import reactor.core.publisher.Flux;
 import reactor.core.publisher.FluxSink;
+import reactor.core.publisher.MonoSink;
 
 /**
  * Relays one request: offers it to entries until one accepts it, sends it to that entry once, and
@@ -57,10 +60,34 @@
 
   static final String STEP = "relay";
 
+  /** The request that an entry accepted, to be sent by the thread that gives up its attempt. */
+  private final class HeldOffer implements AcceptedRelay {
+    @Override
+    public Flux<ResponsePart> send(RelayedRequest current) {
+      return Flux.<ResponsePart>create(
+              responseSink -> {
+                responseSink.onDispose(() -> client.execute(RelayExchange.this::dispose));
+                client.execute(() -> useOffer(current, responseSink));
+              })
+          .doOnNext(RelayExchange.this::onConsumed);
+    }
+
+    @Override
+    public void cancel() {
+      client.execute(RelayExchange.this::dispose);
+    }
+  }
+
   private final RelayClient client;
-  private final RelayedRequest request;
-  private final FluxSink<ResponsePart> sink;
-  private final long startNanos;
+  private RelayedRequest request;
+
+  /** Takes the response, null while the request is only offered. */
+  private FluxSink<ResponsePart> sink;
+
+  /** Takes the acceptance, empty if the request is sent at once. */
+  private final Optional<MonoSink<AcceptedRelay>> offerSink;
+
+  private long startNanos;
   private final Set<PeerId> triedPeers = new HashSet<>();
   private final AtomicInteger consumed = new AtomicInteger();
   private RelayLink link;
@@ -75,6 +102,12 @@
   private ForwardException notRunFailure;
   private boolean isSent;
 
+  /** Whether an entry accepted the offer and waits for the request. */
+  private boolean isAccepted;
+
+  /** The failure of an offer after it was accepted. */
+  private ForwardException offerFailure;
+
   /** The bytes of the body that were written to the connection. */
   private int sentBodyBytes;
 
@@ -83,14 +116,31 @@
   private int granted = WINDOW_FRAMES;
   private int nextSequence;
 
-  RelayExchange(
-      RelayClient client, RelayedRequest request, FluxSink<ResponsePart> sink, long startNanos) {
+  private RelayExchange(
+      RelayClient client,
+      RelayedRequest request,
+      FluxSink<ResponsePart> sink,
+      Optional<MonoSink<AcceptedRelay>> offerSink,
+      long startNanos) {
     this.client = client;
     this.request = request;
     this.sink = sink;
+    this.offerSink = offerSink;
     this.startNanos = startNanos;
   }
 
+  /** Creates an exchange that sends the request to the entry that accepts it. */
+  static RelayExchange of(
+      RelayClient client, RelayedRequest request, FluxSink<ResponsePart> sink, long startNanos) {
+    return new RelayExchange(client, request, sink, Optional.empty(), startNanos);
+  }
+
+  /** Creates an exchange that holds the request back until the accepted offer is used. */
+  static RelayExchange ofOffer(
+      RelayClient client, RelayedRequest request, MonoSink<AcceptedRelay> sink, long startNanos) {
+    return new RelayExchange(client, request, null, Optional.of(sink), startNanos);
+  }
+
   @Override
   public boolean isSent() {
     return isSent;
@@ -179,7 +229,7 @@
   }
 
   private void onUnanswered() {
-    if (!isEnded && !isSent) {
+    if (!isEnded && !isSent && !isAccepted) {
       RelayLink silentLink = link;
       boolean isSilent = link.isSilentSince(offerNanos);
       sendCancel();
@@ -205,7 +255,7 @@
   }
 
   private void onReply(PeerProto.RelayReply reply) {
-    if (isSent) {
+    if (isSent || isAccepted) {
       return;
     }
     if (!reply.getAccepted()) {
@@ -218,6 +268,15 @@
     }
     offerTimer.cancel(false);
     client.onAccepted(link, getPool());
+    isAccepted = true;
+    if (sink == null) {
+      offerSink.ifPresent(s -> s.success(new HeldOffer()));
+    } else {
+      sendRequest();
+    }
+  }
+
+  private void sendRequest() {
     passedOn = getRemaining();
     PeerProto.Frame frame = RelayFrameUtils.toRequest(id, request, passedOn, WINDOW_FRAMES);
     if (frame.getSerializedSize() > PeerFrameDecoder.MAX_FRAME_BYTES) {
@@ -317,7 +376,7 @@
   }
 
   private void onFailure(PeerProto.RelayFailure failure) {
-    if (!isSent) {
+    if (!isSent && !isAccepted) {
       return;
     }
     ForwardException error = RelayFrameUtils.fromFailure(failure);
@@ -326,6 +385,7 @@
       return;
     }
     isSent = false;
+    isAccepted = false;
     failedOffers++;
     notRunFailure = error;
     removeOffer("did not run it: " + error.getMessage());
@@ -341,6 +401,7 @@
     if (isSent) {
       fail(newException(getPeerText(), reason, Outcome.UNKNOWN, false));
     } else {
+      isAccepted = false;
       failedOffers++;
       moveOn(reason, "disconnected");
     }
@@ -408,7 +469,29 @@
 
   private void fail(ForwardException error) {
     end(error.getOutcome().getLabel(), error.getMessage());
-    sink.error(error);
+    if (sink == null) {
+      offerFailure = error;
+      offerSink.ifPresent(s -> s.error(error));
+    } else {
+      sink.error(error);
+    }
+  }
+
+  /** Sends the request on the accepted offer, or to the next entry if the offer was lost since. */
+  private void useOffer(RelayedRequest current, FluxSink<ResponsePart> responseSink) {
+    if (isEnded) {
+      responseSink.error(
+          offerFailure == null
+              ? newException(getPeerText(), "the offer was withdrawn", Outcome.NOT_RUN, false)
+              : offerFailure);
+      return;
+    }
+    request = current;
+    startNanos = client.nanoTime();
+    sink = responseSink;
+    if (isAccepted) {
+      sendRequest();
+    }
   }
 
   private void end(String outcome, String reason) {
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwarderSilenceTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwarderSilenceTest.java
@@ -5,6 +5,7 @@
 import static org.testng.Assert.assertTrue;
 
 import io.fireflyshed.coordination.attempt.Outcome;
+import io.fireflyshed.coordination.budget.ByteBudget;
 import io.fireflyshed.coordination.placement.PlacementSettings;
 import io.fireflyshed.coordination.placement.StallDetector;
 import io.fireflyshed.coordination.placement.TargetPlacer;
@@ -83,6 +84,82 @@
     }
   }
 
+  /** Stands for other entries, which accept each offer, refuse it or don't answer it. */
+  private final class FakeRelay implements RequestRelay {
+    private final List<RelayedRequest> requests = new ArrayList<>();
+    private Mono<AcceptedRelay> acceptance = refused().then(Mono.empty());
+    private boolean isAvailable;
+    private int offers;
+    private int withdrawnOffers;
+
+    private <T> Flux<T> refused() {
+      return Flux.error(
+          new ForwardException(
+              "relay", "-", "no entry took it", Outcome.NOT_RUN, Duration.ofMillis(500), false));
+    }
+
+    @Override
+    public Flux<ResponsePart> relay(RelayedRequest request) {
+      return refused();
+    }
+
+    @Override
+    public Mono<AcceptedRelay> offer(RelayedRequest request) {
+      return acceptance.doOnSubscribe(s -> offers++).doOnCancel(() -> withdrawnOffers++);
+    }
+
+    @Override
+    public boolean isAvailable() {
+      return isAvailable;
+    }
+
+    /** Accepts offers and responds to the request with the head and a body. */
+    AcceptedRelay newAcceptance(Flux<ResponsePart> body) {
+      return new AcceptedRelay() {
+        @Override
+        public Flux<ResponsePart> send(RelayedRequest request) {
+          requests.add(request);
+          return Flux.concat(Mono.just(ForwardFixtures.newHead(ID, 200)), body);
+        }
+
+        @Override
+        public void cancel() {
+          withdrawnOffers++;
+        }
+      };
+    }
+  }
+
+  /** Tells the forwarder that it is isolated when the test says so. */
+  private static final class FakeReachability implements Reachability {
+    private boolean isIsolated;
+
+    @Override
+    public void onFailure(InstanceId target) {
+      // The test sets the state.
+    }
+
+    @Override
+    public void onSilent(InstanceId target) {
+      // The test sets the state.
+    }
+
+    @Override
+    public void onSignOfLife() {
+      // The test sets the state.
+    }
+
+    @Override
+    public boolean isIsolated() {
+      return isIsolated;
+    }
+
+    @Override
+    public boolean isImpaired() {
+      return isIsolated;
+    }
+  }
+
   private final List<Flux<ResponsePart>> responses = new ArrayList<>();
   private final List<InstanceId> attempts = new ArrayList<>();
   private final List<Target> targets = new ArrayList<>();
@@ -93,6 +170,8 @@
   private Forwarder forwarder;
   private int running;
   private int allowedRetries;
+  private FakeRelay relay;
+  private FakeReachability reachability;
 
   /** Starts a forwarder with two targets. */
   @BeforeMethod
@@ -106,6 +185,8 @@
     targets.add(ForwardFixtures.newTarget("two"));
     running = 0;
     allowedRetries = 10;
+    relay = new FakeRelay();
+    reachability = new FakeReachability();
     PlacementSettings placement = PlacementSettings.ofDefaults();
     registry = new SimpleMeterRegistry();
     placer =
@@ -124,7 +205,10 @@
             ForwardFixtures.newCrashGuard(),
             () -> now().toNanos(),
             stalledTargets::add,
-            registry);
+            registry,
+            reachability,
+            relay,
+            ByteBudget.unlimited(() -> now().toNanos()));
     forwarder.start();
   }
 
@@ -366,6 +450,62 @@
     assertEquals(caller.end, TIMEOUT);
   }
 
+  /** Starts a stream of an entry that then counts as isolated, and that others may serve. */
+  private Caller startIsolatedStream(Duration silence) {
+    relay.isAvailable = true;
+    responses.add(after(Duration.ofMillis(100), event(1)).concatWith(after(silence, event(2))));
+    Caller caller = startStream();
+    advance(Duration.ofMillis(200));
+    reachability.isIsolated = true;
+    return caller;
+  }
+
+  @Test
+  public void streamIsLeftAtASilentTargetIfNoOtherEntryAcceptsIt() {
+    Caller caller = startIsolatedStream(LONG_SILENCE.plusMillis(500));
+    advance(TIMEOUT);
+    caller.assertTwoEvents();
+    assertNoFailure();
+    assertTrue(relay.offers > 1 && relay.offers < 6, "offers " + relay.offers);
+  }
+
+  @Test
+  public void streamOfASilentTargetMovesToAnEntryThatAcceptsIt() {
+    relay.acceptance =
+        Mono.delay(Duration.ofMillis(20))
+            .map(t -> relay.newAcceptance(after(Duration.ofMillis(100), event(2))));
+    Caller caller = startIsolatedStream(TIMEOUT);
+    advance(TIMEOUT);
+    caller.assertTwoEvents();
+    Duration gap = caller.eventTimes.get(1).minus(caller.eventTimes.get(0));
+    assertTrue(gap.compareTo(CALLER_PATIENCE) < 0, "gap " + gap);
+    assertEquals(relay.requests.get(0).lastEventId(), OptionalLong.of(1));
+    assertEquals(relay.withdrawnOffers, 0);
+  }
+
+  @Test
+  public void streamIsLeftAtASilentTargetIfTheBudgetDeniesAnAcceptedOffer() {
+    allowedRetries = 0;
+    relay.acceptance = Mono.fromSupplier(() -> relay.newAcceptance(silent()));
+    Caller caller = startIsolatedStream(LONG_SILENCE);
+    advance(TIMEOUT);
+    caller.assertTwoEvents();
+    assertNoFailure();
+    assertEquals(relay.requests, List.of());
+    assertEquals(relay.withdrawnOffers, relay.offers);
+  }
+
+  @Test
+  public void offerOfASilentStreamIsWithdrawnIfItsTargetGoesOn() {
+    relay.acceptance = Mono.never();
+    Caller caller = startIsolatedStream(LONG_SILENCE);
+    advance(TIMEOUT);
+    caller.assertTwoEvents();
+    assertNoFailure();
+    assertEquals(relay.offers, 1);
+    assertEquals(relay.withdrawnOffers, 1);
+  }
+
   @Test
   public void silentStreamThatCanNotBeResumedEndsWithItsTimeout() {
     responses.add(after(Duration.ofMillis(100), event(1)).concatWith(silent()));
