Leave a late lookup at its target until another attempt can take over

The same rule as for silent streams holds now for the attempts of idempotent requests, at targets and through other entries: after three latency targets the search for a successor begins, and the attempt is given up once there is one. The last attempt is left to its target until the timeout of the request. The entry still counts the target as silent after three latency targets, so that it notices as early as before that it is isolated.

Before the fix ForwarderSilenceTest failed in lookupIsLeftAtASlowTargetIfNoOtherTargetCanTakeIt ("place at entry: no target is available") and lookupIsLeftAtASlowTargetIfTheBudgetDeniesARetry ("given up by this entry after 900 ms without a complete response of a connected target").

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptSequence.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptSequence.java
@@ -20,6 +20,7 @@
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import java.util.function.Supplier;
 import reactor.core.publisher.Flux;
@@ -43,6 +44,9 @@
    */
   private static final int LATENCY_TARGETS_PER_ATTEMPT = 3;
 
+  /** The interval in which a late attempt is replaced if it can be. */
+  private static final Duration REPLACEMENT_INTERVAL = Duration.ofMillis(50);
+
   private static final Duration RETRY_AFTER_FAILURE = Duration.ofMillis(300);
 
   /** The retry delay while the targets aren't known yet; reading them takes a few milliseconds. */
@@ -266,9 +270,11 @@
         onceCallerIsThere(
                 () -> context.client().send(target, routed, remaining, stream.getLastEventId()))
             .doOnNext(this::onPart);
-    SuccessorSearch successors = newSuccessorSearch(target.id().value());
+    SuccessorSearch successors = newSuccessorSearch(target.id().value(), 1);
     Flux<ResponsePart> response =
-        isStream ? streamResponse(target, parts, successors) : collectResponse(target, parts);
+        isStream
+            ? streamResponse(target, parts, successors)
+            : collectResponse(target, parts, successors);
     return response
         .doFinally(
             signal ->
@@ -294,7 +300,8 @@
   }
 
   /** Holds a response that is not a stream, as far as it is short, so that it can be replaced. */
-  private Flux<ResponsePart> collectResponse(Target target, Flux<ResponsePart> parts) {
+  private Flux<ResponsePart> collectResponse(
+      Target target, Flux<ResponsePart> parts, SuccessorSearch successors) {
     Duration timeout = routed.route().latencyTarget().multipliedBy(LATENCY_TARGETS_PER_ATTEMPT);
     boolean[] isSuccess = new boolean[1];
     Flux<ResponsePart> recorded =
@@ -309,6 +316,10 @@
             target.id().value(),
             recorded,
             timeout,
+            () -> {
+              context.reachability().onSilent(target.id());
+              return successors.isSecured();
+            },
             () ->
                 newTargetLostException(
                     target,
@@ -325,18 +336,24 @@
    * @param peer the target or entry that responds
    * @param parts the parts of the response
    * @param timeout the time for which an idempotent request waits for it, unless it is passed on
+   * @param isReplaceable tells whether another attempt is ready to take over after that time
    * @param newLateException supplies the error with which the attempt fails then
    */
   private Flux<ResponsePart> hold(
       String peer,
       Flux<ResponsePart> parts,
       Duration timeout,
+      BooleanSupplier isReplaceable,
       Supplier<Throwable> newLateException) {
     HeldResponse held = new HeldResponse(peer, memory, routed.route().isRetryable());
     Flux<ResponsePart> limitedParts =
         routed.route().kind() == RequestKind.IDEMPOTENT
             ? StreamUtils.failOn(
-                parts, Mono.delay(timeout).filter(t -> !held.isPassedOn()), newLateException)
+                parts,
+                Flux.interval(timeout, REPLACEMENT_INTERVAL)
+                    .filter(t -> !held.isPassedOn() && isReplaceable.getAsBoolean())
+                    .next(),
+                newLateException)
             : parts;
     return limitedParts
         .concatMapIterable(part -> add(held, part), PREFETCHED_PARTS)
@@ -427,9 +444,14 @@
             () -> context.placer().onResult(target.id(), true, context.clock().nanoTime()));
   }
 
-  /** Creates the search for what may follow the attempt that starts now. */
-  private SuccessorSearch newSuccessorSearch(String peer) {
-    boolean isReplaceable = routed.route().isRetryable() && possibleRuns + 1 < maxAttempts;
+  /**
+   * Creates the search for what may follow the attempt that starts now.
+   *
+   * @param peer the target or entry of the attempt
+   * @param runs the number of targets that may run the request in this attempt
+   */
+  private SuccessorSearch newSuccessorSearch(String peer, int runs) {
+    boolean isReplaceable = routed.route().isRetryable() && possibleRuns + runs < maxAttempts;
     Set<InstanceId> excluded = Set.copyOf(triedTargets);
     OptionalLong lastEventId = stream.getLastEventId();
     return new SuccessorSearch(
@@ -633,10 +655,13 @@
             routed, remaining, stream.getLastEventId(), grantedAttempts, excludedTargets);
     Flux<ResponsePart> parts =
         onceCallerIsThere(() -> relay.apply(relayed)).onErrorMap(RelayException::of);
+    SuccessorSearch successors = newSuccessorSearch(RELAY_PEER, grantedAttempts);
     Flux<ResponsePart> response =
-        isStream ? streamRelayed(parts) : collectRelayed(parts, grantedAttempts);
-    return response.onErrorResume(
-        AttemptException.class, e -> handleRelayFailure(e, grantedAttempts));
+        isStream ? streamRelayed(parts) : collectRelayed(parts, grantedAttempts, successors);
+    return response
+        .doFinally(signal -> successors.close())
+        .onErrorResume(
+            AttemptException.class, e -> handleRelayFailure(e, grantedAttempts, successors));
   }
 
   /** Returns the attempts for the next entry, which leave one for an entry after it. */
@@ -653,7 +678,8 @@
         .map(stream::deliver);
   }
 
-  private Flux<ResponsePart> collectRelayed(Flux<ResponsePart> parts, int grantedAttempts) {
+  private Flux<ResponsePart> collectRelayed(
+      Flux<ResponsePart> parts, int grantedAttempts, SuccessorSearch successors) {
     Duration timeout =
         routed
             .route()
@@ -664,12 +690,14 @@
         RELAY_PEER,
         parts,
         timeout,
+        successors::isSecured,
         () ->
             new AttemptException(
                 RELAY_STEP, RELAY_PEER, Outcome.UNKNOWN, "no complete response in time", null));
   }
 
-  private Flux<ResponsePart> handleRelayFailure(AttemptException error, int grantedAttempts) {
+  private Flux<ResponsePart> handleRelayFailure(
+      AttemptException error, int grantedAttempts, SuccessorSearch successors) {
     Duration retryAfter =
         error instanceof RelayException failure ? failure.getRetryAfter() : RETRY_AFTER_FAILURE;
     if (error.getOutcome() == Outcome.NOT_RUN) {
@@ -678,7 +706,10 @@
               Placement.Cause.UNREACHABLE, "no entry: " + error.getMessage(), retryAfter));
     }
     possibleRuns += grantedAttempts;
-    return retryOrFail(error.getPeer(), error, retryAfter);
+    return successors
+        .take()
+        .map(successor -> replace(error.getPeer(), error, successor))
+        .orElseGet(() -> retryOrFail(error.getPeer(), error, retryAfter));
   }
 
   /**
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwarderSilenceTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwarderSilenceTest.java
@@ -133,6 +133,7 @@
   /** Tells the forwarder that it is isolated when the test says so. */
   private static final class FakeReachability implements Reachability {
     private boolean isIsolated;
+    private boolean isImpaired;
 
     @Override
     public void onFailure(InstanceId target) {
@@ -156,7 +157,7 @@
 
     @Override
     public boolean isImpaired() {
-      return isIsolated;
+      return isIsolated || isImpaired;
     }
   }
 
@@ -565,6 +566,42 @@
     assertTrue(caller.isComplete);
   }
 
+  @Test
+  public void lookupIsLeftAtASlowTargetIfNoOtherTargetCanTakeIt() {
+    targets.remove(1);
+    responses.add(after(TIMEOUT.minusMillis(100), "done"));
+    Caller caller = new Caller(ForwardFixtures.newRoute(RequestKind.IDEMPOTENT, false, TIMEOUT));
+    advance(TIMEOUT);
+    assertNull(caller.error);
+    assertEquals(caller.body.toString(), "done");
+    assertNoFailure();
+  }
+
+  @Test
+  public void lookupIsLeftAtASlowTargetIfTheBudgetDeniesARetry() {
+    allowedRetries = 0;
+    responses.add(after(TIMEOUT.minusMillis(100), "done"));
+    Caller caller = new Caller(ForwardFixtures.newRoute(RequestKind.IDEMPOTENT, false, TIMEOUT));
+    advance(TIMEOUT);
+    assertNull(caller.error);
+    assertEquals(caller.body.toString(), "done");
+    assertNoFailure();
+  }
+
+  @Test
+  public void lookupIsLeftAtASlowTargetIfNoOtherEntryAcceptsIt() {
+    relay.isAvailable = true;
+    reachability.isImpaired = true;
+    targets.remove(1);
+    responses.add(after(TIMEOUT.minusMillis(100), "done"));
+    Caller caller = new Caller(ForwardFixtures.newRoute(RequestKind.IDEMPOTENT, false, TIMEOUT));
+    advance(TIMEOUT);
+    assertNull(caller.error);
+    assertEquals(caller.body.toString(), "done");
+    assertNoFailure();
+    assertTrue(relay.offers > 1, "offers " + relay.offers);
+  }
+
   @Test
   public void orderThatTricklesEndsWithItsTimeout() {
     responses.add(trickle("x"));
