--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptSequence.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptSequence.java
@@ -12,12 +12,10 @@
 import io.fireflyshed.state.target.Target;
 import io.fireflyshed.state.traffic.RequestKind;
 import io.fireflyshed.transport.entry.StreamUtils;
-import io.fireflyshed.transport.log.EventLog;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
@@ -36,7 +34,7 @@
   private static final int MAX_NOT_RUN_RETRIES = 3;
 
   /** No attempt starts with less remaining time, since no target can respond within it. */
-  private static final Duration MIN_ATTEMPT_TIME = Duration.ofMillis(20);
+  static final Duration MIN_ATTEMPT_TIME = Duration.ofMillis(20);
 
   /**
    * The multiple of the route's latency target after which an idempotent request without a complete
@@ -49,9 +47,6 @@
 
   private static final Duration RETRY_AFTER_FAILURE = Duration.ofMillis(300);
 
-  /** The retry delay while the targets aren't known yet; reading them takes a few milliseconds. */
-  private static final Duration RETRY_AFTER_NOT_READ = Duration.ofMillis(200);
-
   /** Limits the entries that are asked to forward a request, besides this one. */
   private static final int MAX_RELAYS = 2;
 
@@ -68,12 +63,11 @@
   private static final String RELAY_STEP = "relay";
   private static final String RELAY_PEER = "entry";
 
-  private static final EventLog LOG = new EventLog("forward");
-
   private final ForwardContext context;
   private final RoutedRequest routed;
   private final RequestFingerprints fingerprints;
   private final AttemptLog log;
+  private final RequestPlacer placer;
   private final boolean isStream;
   private final Set<InstanceId> triedTargets = new HashSet<>();
 
@@ -128,6 +122,7 @@
     this.routed = routed;
     this.fingerprints = routed.getFingerprints();
     this.log = new AttemptLog(routed, fingerprints);
+    this.placer = new RequestPlacer(context, routed, isRelayed);
     this.isStream = routed.route().kind() == RequestKind.STREAM;
     this.stream = new CallerStream(lastEventId);
     this.attempt = stream.newAttempt(RELAY_PEER);
@@ -152,87 +147,22 @@
   }
 
   private Placement placeNext() {
-    return getObstacle(hasLostContact)
-        .orElseGet(
-            () ->
-                context
-                    .placer()
-                    .place(
-                        routed.getPool(),
-                        getCandidates(),
-                        triedTargets,
-                        isGeneration(),
-                        context.clock().nanoTime()));
-  }
-
-  /** Returns the reason for which this entry should send the request to no target, if any. */
-  private Optional<Placement> getObstacle(boolean isContactLost) {
-    Optional<Duration> refusal = context.crashGuard().getRefusal(fingerprints);
-    if (refusal.isPresent()) {
-      return Optional.of(
-          new Placement.Refuse(
-              Placement.Cause.NOT_PERMITTED,
-              "the request crashes the targets that run it",
-              refusal.get()));
-    }
-    if (!context.targetView().isRead()) {
-      return Optional.of(
-          new Placement.Refuse(
-              Placement.Cause.NOT_PERMITTED,
-              "the list of targets has not been read yet",
-              RETRY_AFTER_NOT_READ));
-    }
-    if (isRelayed && context.isRefusingRelayed().getAsBoolean()) {
-      return Optional.of(
-          new Placement.Refuse(
-              Placement.Cause.NOT_PERMITTED, "the entry stops", RETRY_AFTER_FAILURE));
-    }
-    if (isElsewherePreferred(isContactLost) && !getCandidates().isEmpty()) {
-      return Optional.of(
-          new Placement.Refuse(
-              Placement.Cause.UNREACHABLE, "this entry reaches no target", RETRY_AFTER_FAILURE));
-    }
-    return Optional.empty();
-  }
-
-  /**
-   * Tests whether another entry should send the request to a target. An impaired entry may have
-   * sound connections, on which its own requests may succeed at the first attempt.
-   */
-  private boolean isElsewherePreferred(boolean isContactLost) {
-    Reachability reachability = context.reachability();
-    if (isRelayed) {
-      return reachability.isImpaired();
-    }
-    return isRelayAllowed()
-        && (reachability.isIsolated() || isContactLost && reachability.isImpaired());
-  }
-
-  private boolean isGeneration() {
-    return routed.request().prompt().isPresent();
-  }
-
-  private List<Target> getCandidates() {
-    return context.getCandidates(routed.service(), routed.getPool(), isGeneration());
+    return placer.place(triedTargets, hasLostContact, isRelayAllowed());
   }
 
   private boolean isRelayAllowed() {
     return !isRelayed && relays < MAX_RELAYS && context.relay().isAvailable();
   }
 
-  private boolean isRelayable(Placement placement) {
-    return placement instanceof Placement.Refuse refusal
-        && refusal.cause() == Placement.Cause.UNREACHABLE
-        && isRelayAllowed();
-  }
-
   private Flux<ResponsePart> proceed(Placement placement) {
     Duration remaining = routed.getRemainingTime(context.clock().nanoTime());
     if (remaining.compareTo(MIN_ATTEMPT_TIME) < 0) {
       return Flux.error(newTimeoutException());
     }
     if (placement instanceof Placement.Refuse refusal) {
-      return isRelayable(refusal) ? relay(refusal, remaining) : refuse(refusal);
+      return placer.isRelayable(refusal, isRelayAllowed())
+          ? relay(refusal, remaining)
+          : refuse(refusal);
     }
     return send(((Placement.Send) placement).target(), remaining);
   }
@@ -246,7 +176,7 @@
     if (hasErrorResponse()) {
       return Flux.fromIterable(errorResponse);
     }
-    log.logRefusal(refusal, getCandidates().size(), triedTargets, outcome);
+    log.logRefusal(refusal, placer.getCandidates().size(), triedTargets, outcome);
     return Flux.error(
         new ForwardException(
             "place", "entry", refusal.reason(), outcome, refusal.retryAfter(), false));
@@ -308,7 +238,7 @@
         parts.doOnNext(
             part -> {
               if (part instanceof ResponsePart.Head head) {
-                recordLoad(target, head.response());
+                placer.onResponse(target, head.response());
                 isSuccess[0] = head.response().isSuccess();
               }
             });
@@ -386,35 +316,6 @@
     return Flux.error(new AttemptException(STEP, peer, Outcome.RAN, message, null));
   }
 
-  private void recordLoad(Target target, TargetAnswer response) {
-    response
-        .load()
-        .ifPresent(
-            l ->
-                context
-                    .placer()
-                    .onLoad(
-                        target.id(),
-                        l.running() + l.waiting(),
-                        l.slots(),
-                        context.clock().nanoTime()));
-    recordRequestLimit(target, response);
-  }
-
-  /** Records the limit of a target; only a successful response without one lifts it. */
-  private void recordRequestLimit(Target target, TargetAnswer response) {
-    OptionalDouble limit = response.requestLimit();
-    if ((limit.isPresent() || response.isSuccess())
-        && context.placer().onRequestLimit(target.id(), limit)) {
-      LOG.info(
-          limit.isPresent() ? "target limits its requests" : "target lifted its limit",
-          "target",
-          target.id(),
-          "limit_per_s",
-          limit.orElse(-1));
-    }
-  }
-
   /** Forwards the complete events of a stream; its head is held back until the first of them. */
   private Flux<ResponsePart> streamResponse(
       Target target, Flux<ResponsePart> parts, SuccessorSearch successors) {
@@ -456,59 +357,16 @@
     OptionalLong lastEventId = stream.getLastEventId();
     return new SuccessorSearch(
         context.clock(),
-        new SuccessorSearch.Options() {
-          @Override
-          public boolean isAllowed() {
-            Duration remaining = routed.getRemainingTime(context.clock().nanoTime());
-            return isReplaceable && remaining.compareTo(MIN_ATTEMPT_TIME) >= 0;
-          }
-
-          @Override
-          public Placement place() {
-            return getObstacle(true).orElseGet(this::placeByLoad);
-          }
-
-          private Placement placeByLoad() {
-            return context
-                .placer()
-                .placeRunning(
-                    routed.getPool(),
-                    getCandidates(),
-                    excluded,
-                    isGeneration(),
-                    context.clock().nanoTime());
-          }
-
-          @Override
-          public Placement placeHere() {
-            return context.reachability().isIsolated() ? place() : placeByLoad();
-          }
-
-          @Override
-          public boolean isRelayable(Placement placement) {
-            return AttemptSequence.this.isRelayable(placement);
-          }
-
-          @Override
-          public Mono<AcceptedRelay> offer() {
-            Duration remaining = routed.getRemainingTime(context.clock().nanoTime());
-            return context
-                .relay()
-                .offer(new RelayedRequest(routed, remaining, lastEventId, 1, excluded));
-          }
-
-          @Override
-          public boolean tryCharge() {
-            return context
-                .retryBudgets()
-                .tryRetry(routed.service(), Outcome.UNKNOWN, context.clock().nanoTime());
-          }
-
-          @Override
-          public void onKept(RetryVerdict verdict) {
-            log.logKept(peer, verdict);
-          }
-        });
+        new AttemptOptions(
+            context,
+            routed,
+            placer,
+            log,
+            peer,
+            excluded,
+            lastEventId,
+            isReplaceable,
+            this::isRelayAllowed));
   }
 
   private List<StreamAttempt.Delivery> processPart(
@@ -518,7 +376,7 @@
       ResponsePart part,
       SuccessorSearch successors) {
     if (part instanceof ResponsePart.Head received) {
-      recordLoad(target, received.response());
+      placer.onResponse(target, received.response());
     }
     int eventsBefore = current.getEvents();
     int repeatedBefore = current.getRepeatedEvents();
@@ -742,7 +600,8 @@
     if (context.crashGuard().getRefusal(fingerprints).isPresent()) {
       return RetryVerdict.REFUSED;
     }
-    if (next.get() instanceof Placement.Refuse && !isRelayable(next.get())) {
+    if (next.get() instanceof Placement.Refuse
+        && !placer.isRelayable(next.get(), isRelayAllowed())) {
       return RetryVerdict.NO_TARGET;
     }
     // An attempt that reached no target put no load on one, so its retry costs no budget.
@@ -758,7 +617,7 @@
 
   private void recordFailure(Target target, AttemptException error) {
     if (error instanceof RequestRejectedException rejection && !rejection.isMisdirected()) {
-      recordRequestLimit(target, rejection.getResponse());
+      placer.onRequestLimit(target, rejection.getResponse());
     }
     if (error instanceof RequestRejectedException) {
       context.reachability().onSignOfLife();
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/RequestPlacer.java
@@ -0,0 +1,175 @@
+package io.fireflyshed.transport.forward;
+
+import io.fireflyshed.coordination.placement.Placement;
+import io.fireflyshed.protocol.traffic.TargetAnswer;
+import io.fireflyshed.state.instance.InstanceId;
+import io.fireflyshed.state.target.Target;
+import io.fireflyshed.transport.log.EventLog;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.Set;
+
+/** Selects targets for one request and learns from their responses. Thread safe. */
+final class RequestPlacer {
+
+  private static final Duration RETRY_AFTER_FAILURE = Duration.ofMillis(300);
+
+  /** The retry delay while the targets aren't known yet; reading them takes a few milliseconds. */
+  private static final Duration RETRY_AFTER_NOT_READ = Duration.ofMillis(200);
+
+  private static final EventLog LOG = new EventLog("forward");
+
+  private final ForwardContext context;
+  private final RoutedRequest routed;
+  private final boolean isRelayed;
+
+  /**
+   * Creates a placer of a request.
+   *
+   * @param context what all requests share, not null
+   * @param routed the request, not null
+   * @param isRelayed whether another entry relayed the request
+   */
+  RequestPlacer(ForwardContext context, RoutedRequest routed, boolean isRelayed) {
+    this.context = context;
+    this.routed = routed;
+    this.isRelayed = isRelayed;
+  }
+
+  /**
+   * Places the next attempt.
+   *
+   * @param excluded the targets that were tried before, not null
+   * @param isContactLost whether an attempt failed as when the path to its target is cut
+   * @param isRelayAllowed whether another entry may be asked
+   */
+  Placement place(Set<InstanceId> excluded, boolean isContactLost, boolean isRelayAllowed) {
+    return getRefusal(isContactLost, isRelayAllowed)
+        .orElseGet(
+            () ->
+                context
+                    .placer()
+                    .place(
+                        routed.getPool(),
+                        getCandidates(),
+                        excluded,
+                        isGeneration(),
+                        context.clock().nanoTime()));
+  }
+
+  /** Places an attempt that may take over from a silent one. */
+  Placement placeRunning(Set<InstanceId> excluded, boolean isRelayAllowed) {
+    return getRefusal(true, isRelayAllowed)
+        .orElseGet(
+            () ->
+                context
+                    .placer()
+                    .placeRunning(
+                        routed.getPool(),
+                        getCandidates(),
+                        excluded,
+                        isGeneration(),
+                        context.clock().nanoTime()));
+  }
+
+  /** Does the same after other entries refused it; a sound target may be left to this one. */
+  Placement placeRunningHere(Set<InstanceId> excluded) {
+    return placeRunning(excluded, context.reachability().isIsolated());
+  }
+
+  /** Returns the refusal of a request that this entry should send to no target, empty if none. */
+  private Optional<Placement> getRefusal(boolean isContactLost, boolean isRelayAllowed) {
+    Optional<Duration> refusal = context.crashGuard().getRefusal(routed.getFingerprints());
+    if (refusal.isPresent()) {
+      return Optional.of(
+          new Placement.Refuse(
+              Placement.Cause.NOT_PERMITTED,
+              "the request crashes the targets that run it",
+              refusal.get()));
+    }
+    if (!context.targetView().isRead()) {
+      return Optional.of(
+          new Placement.Refuse(
+              Placement.Cause.NOT_PERMITTED,
+              "the list of targets has not been read yet",
+              RETRY_AFTER_NOT_READ));
+    }
+    if (isRelayed && context.isRefusingRelayed().getAsBoolean()) {
+      return Optional.of(
+          new Placement.Refuse(
+              Placement.Cause.NOT_PERMITTED, "the entry stops", RETRY_AFTER_FAILURE));
+    }
+    if (isElsewherePreferred(isContactLost, isRelayAllowed) && !getCandidates().isEmpty()) {
+      return Optional.of(
+          new Placement.Refuse(
+              Placement.Cause.UNREACHABLE, "this entry reaches no target", RETRY_AFTER_FAILURE));
+    }
+    return Optional.empty();
+  }
+
+  /**
+   * Tests whether another entry should send the request to a target. An impaired entry may have
+   * sound connections, on which its own requests may succeed at the first attempt.
+   */
+  private boolean isElsewherePreferred(boolean isContactLost, boolean isRelayAllowed) {
+    Reachability reachability = context.reachability();
+    if (isRelayed) {
+      return reachability.isImpaired();
+    }
+    return isRelayAllowed
+        && (reachability.isIsolated() || isContactLost && reachability.isImpaired());
+  }
+
+  private boolean isGeneration() {
+    return routed.request().prompt().isPresent();
+  }
+
+  /** Lists the targets that could run the request. */
+  List<Target> getCandidates() {
+    return context.getCandidates(routed.service(), routed.getPool(), isGeneration());
+  }
+
+  /**
+   * Tests whether another entry may take the request.
+   *
+   * @param placement the placement at this entry, not null
+   * @param isRelayAllowed whether another entry may be asked
+   */
+  boolean isRelayable(Placement placement, boolean isRelayAllowed) {
+    return placement instanceof Placement.Refuse refusal
+        && refusal.cause() == Placement.Cause.UNREACHABLE
+        && isRelayAllowed;
+  }
+
+  /** Records the load and the limit that a target stated. */
+  void onResponse(Target target, TargetAnswer response) {
+    response
+        .load()
+        .ifPresent(
+            l ->
+                context
+                    .placer()
+                    .onLoad(
+                        target.id(),
+                        l.running() + l.waiting(),
+                        l.slots(),
+                        context.clock().nanoTime()));
+    onRequestLimit(target, response);
+  }
+
+  /** Records the limit of a target; only a successful response without one lifts it. */
+  void onRequestLimit(Target target, TargetAnswer response) {
+    OptionalDouble limit = response.requestLimit();
+    if ((limit.isPresent() || response.isSuccess())
+        && context.placer().onRequestLimit(target.id(), limit)) {
+      LOG.info(
+          limit.isPresent() ? "target limits its requests" : "target lifted its limit",
+          "target",
+          target.id(),
+          "limit_per_s",
+          limit.orElse(-1));
+    }
+  }
+}
