--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptSequence.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptSequence.java
@@ -12,14 +12,14 @@
 import io.fireflyshed.state.target.Target;
 import io.fireflyshed.state.traffic.RequestKind;
 import io.fireflyshed.transport.entry.StreamUtils;
-import io.fireflyshed.transport.log.EventLog;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
+import java.util.function.Function;
 import java.util.function.Supplier;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -34,7 +34,7 @@
   private static final int MAX_NOT_RUN_RETRIES = 3;
 
   /** No attempt starts with less remaining time, since no target can respond within it. */
-  private static final Duration MIN_ATTEMPT_TIME = Duration.ofMillis(20);
+  static final Duration MIN_ATTEMPT_TIME = Duration.ofMillis(20);
 
   /**
    * The multiple of the route's latency target after which an idempotent request without a complete
@@ -42,10 +42,10 @@
    */
   private static final int LATENCY_TARGETS_PER_ATTEMPT = 3;
 
-  private static final Duration RETRY_AFTER_FAILURE = Duration.ofMillis(300);
+  /** The interval in which a late attempt is replaced if it can be. */
+  private static final Duration REPLACEMENT_INTERVAL = Duration.ofMillis(50);
 
-  /** The retry delay while the targets aren't known yet; reading them takes a few milliseconds. */
-  private static final Duration RETRY_AFTER_NOT_READ = Duration.ofMillis(200);
+  private static final Duration RETRY_AFTER_FAILURE = Duration.ofMillis(300);
 
   /** Limits the entries that are asked to forward a request, besides this one. */
   private static final int MAX_RELAYS = 2;
@@ -63,12 +63,11 @@
   private static final String RELAY_STEP = "relay";
   private static final String RELAY_PEER = "entry";
 
-  private static final EventLog LOG = new EventLog("forward");
-
   private final ForwardContext context;
   private final RoutedRequest routed;
   private final RequestFingerprints fingerprints;
   private final AttemptLog log;
+  private final RequestPlacer placer;
   private final boolean isStream;
   private final Set<InstanceId> triedTargets = new HashSet<>();
 
@@ -123,6 +122,7 @@
     this.routed = routed;
     this.fingerprints = routed.getFingerprints();
     this.log = new AttemptLog(routed, fingerprints);
+    this.placer = new RequestPlacer(context, routed, isRelayed);
     this.isStream = routed.route().kind() == RequestKind.STREAM;
     this.stream = new CallerStream(lastEventId);
     this.attempt = stream.newAttempt(RELAY_PEER);
@@ -147,71 +147,22 @@
   }
 
   private Placement placeNext() {
-    long now = context.clock().nanoTime();
-    Optional<Duration> refusal = context.crashGuard().getRefusal(fingerprints);
-    if (refusal.isPresent()) {
-      return new Placement.Refuse(
-          Placement.Cause.NOT_PERMITTED,
-          "the request crashes the targets that run it",
-          refusal.get());
-    }
-    if (!context.targetView().isRead()) {
-      return new Placement.Refuse(
-          Placement.Cause.NOT_PERMITTED,
-          "the list of targets has not been read yet",
-          RETRY_AFTER_NOT_READ);
-    }
-    if (isRelayed && context.isRefusingRelayed().getAsBoolean()) {
-      return new Placement.Refuse(
-          Placement.Cause.NOT_PERMITTED, "the entry stops", RETRY_AFTER_FAILURE);
-    }
-    if (isElsewherePreferred() && !getCandidates().isEmpty()) {
-      return new Placement.Refuse(
-          Placement.Cause.UNREACHABLE, "this entry reaches no target", RETRY_AFTER_FAILURE);
-    }
-    return context
-        .placer()
-        .place(routed.getPool(), getCandidates(), triedTargets, isGeneration(), now);
-  }
-
-  /**
-   * Tests whether another entry should send the request to a target. An impaired entry may have
-   * sound connections, on which its own requests may succeed at the first attempt.
-   */
-  private boolean isElsewherePreferred() {
-    Reachability reachability = context.reachability();
-    if (isRelayed) {
-      return reachability.isImpaired();
-    }
-    return isRelayAllowed()
-        && (reachability.isIsolated() || hasLostContact && reachability.isImpaired());
-  }
-
-  private boolean isGeneration() {
-    return routed.request().prompt().isPresent();
-  }
-
-  private List<Target> getCandidates() {
-    return context.getCandidates(routed.service(), routed.getPool(), isGeneration());
+    return placer.place(triedTargets, hasLostContact, isRelayAllowed());
   }
 
   private boolean isRelayAllowed() {
     return !isRelayed && relays < MAX_RELAYS && context.relay().isAvailable();
   }
 
-  private boolean isRelayable(Placement placement) {
-    return placement instanceof Placement.Refuse refusal
-        && refusal.cause() == Placement.Cause.UNREACHABLE
-        && isRelayAllowed();
-  }
-
   private Flux<ResponsePart> proceed(Placement placement) {
     Duration remaining = routed.getRemainingTime(context.clock().nanoTime());
     if (remaining.compareTo(MIN_ATTEMPT_TIME) < 0) {
       return Flux.error(newTimeoutException());
     }
     if (placement instanceof Placement.Refuse refusal) {
-      return isRelayable(refusal) ? relay(refusal, remaining) : refuse(refusal);
+      return placer.isRelayable(refusal, isRelayAllowed())
+          ? relay(refusal, remaining)
+          : refuse(refusal);
     }
     return send(((Placement.Send) placement).target(), remaining);
   }
@@ -225,7 +176,7 @@
     if (hasErrorResponse()) {
       return Flux.fromIterable(errorResponse);
     }
-    log.logRefusal(refusal, getCandidates().size(), triedTargets, outcome);
+    log.logRefusal(refusal, placer.getCandidates().size(), triedTargets, outcome);
     return Flux.error(
         new ForwardException(
             "place", "entry", refusal.reason(), outcome, refusal.retryAfter(), false));
@@ -249,13 +200,17 @@
         onceCallerIsThere(
                 () -> context.client().send(target, routed, remaining, stream.getLastEventId()))
             .doOnNext(this::onPart);
+    SuccessorSearch successors = newSuccessorSearch(target.id().value(), 1);
     Flux<ResponsePart> response =
-        isStream ? streamResponse(target, parts) : collectResponse(target, parts);
+        isStream
+            ? streamResponse(target, parts, successors)
+            : collectResponse(target, parts, successors);
     return response
         .doFinally(
             signal ->
                 context.placer().onEnd(routed.getPool(), target.id(), context.clock().nanoTime()))
-        .onErrorResume(AttemptException.class, e -> handleFailure(target, e));
+        .doFinally(signal -> successors.close())
+        .onErrorResume(AttemptException.class, e -> handleFailure(target, e, successors));
   }
 
   /**
@@ -275,14 +230,15 @@
   }
 
   /** Holds a response that is not a stream, as far as it is short, so that it can be replaced. */
-  private Flux<ResponsePart> collectResponse(Target target, Flux<ResponsePart> parts) {
+  private Flux<ResponsePart> collectResponse(
+      Target target, Flux<ResponsePart> parts, SuccessorSearch successors) {
     Duration timeout = routed.route().latencyTarget().multipliedBy(LATENCY_TARGETS_PER_ATTEMPT);
     boolean[] isSuccess = new boolean[1];
     Flux<ResponsePart> recorded =
         parts.doOnNext(
             part -> {
               if (part instanceof ResponsePart.Head head) {
-                recordLoad(target, head.response());
+                placer.onResponse(target, head.response());
                 isSuccess[0] = head.response().isSuccess();
               }
             });
@@ -290,9 +246,16 @@
             target.id().value(),
             recorded,
             timeout,
+            () -> {
+              context.reachability().onSilent(target.id());
+              return successors.isSecured();
+            },
             () ->
                 newTargetLostException(
-                    target, "no complete response within " + timeout.toMillis() + " ms"))
+                    target,
+                    "given up by this entry after "
+                        + timeout.toMillis()
+                        + " ms without a complete response of a connected target"))
         .doOnComplete(
             () -> context.placer().onResult(target.id(), isSuccess[0], context.clock().nanoTime()));
   }
@@ -303,18 +266,24 @@
    * @param peer the target or entry that responds
    * @param parts the parts of the response
    * @param timeout the time for which an idempotent request waits for it, unless it is passed on
+   * @param isReplaceable tells whether another attempt is ready to take over after that time
    * @param newLateException supplies the error with which the attempt fails then
    */
   private Flux<ResponsePart> hold(
       String peer,
       Flux<ResponsePart> parts,
       Duration timeout,
+      BooleanSupplier isReplaceable,
       Supplier<Throwable> newLateException) {
     HeldResponse held = new HeldResponse(peer, memory, routed.route().isRetryable());
     Flux<ResponsePart> limitedParts =
         routed.route().kind() == RequestKind.IDEMPOTENT
             ? StreamUtils.failOn(
-                parts, Mono.delay(timeout).filter(t -> !held.isPassedOn()), newLateException)
+                parts,
+                Flux.interval(timeout, REPLACEMENT_INTERVAL)
+                    .filter(t -> !held.isPassedOn() && isReplaceable.getAsBoolean())
+                    .next(),
+                newLateException)
             : parts;
     return limitedParts
         .concatMapIterable(part -> add(held, part), PREFETCHED_PARTS)
@@ -347,43 +316,15 @@
     return Flux.error(new AttemptException(STEP, peer, Outcome.RAN, message, null));
   }
 
-  private void recordLoad(Target target, TargetAnswer response) {
-    response
-        .load()
-        .ifPresent(
-            l ->
-                context
-                    .placer()
-                    .onLoad(
-                        target.id(),
-                        l.running() + l.waiting(),
-                        l.slots(),
-                        context.clock().nanoTime()));
-    recordRequestLimit(target, response);
-  }
-
-  /** Records the limit of a target; only a successful response without one lifts it. */
-  private void recordRequestLimit(Target target, TargetAnswer response) {
-    OptionalDouble limit = response.requestLimit();
-    if ((limit.isPresent() || response.isSuccess())
-        && context.placer().onRequestLimit(target.id(), limit)) {
-      LOG.info(
-          limit.isPresent() ? "target limits its requests" : "target lifted its limit",
-          "target",
-          target.id(),
-          "limit_per_s",
-          limit.orElse(-1));
-    }
-  }
-
   /** Forwards the complete events of a stream; its head is held back until the first of them. */
-  private Flux<ResponsePart> streamResponse(Target target, Flux<ResponsePart> parts) {
+  private Flux<ResponsePart> streamResponse(
+      Target target, Flux<ResponsePart> parts, SuccessorSearch successors) {
     Object streamKey = new Object();
     StreamAttempt current = attempt;
     Flux<StreamAttempt.Delivery> events =
         ResponseUtils.limitErrorSize(target.id().value(), parts)
             .concatMapIterable(
-                part -> processPart(target, streamKey, current, part), PREFETCHED_PARTS)
+                part -> processPart(target, streamKey, current, part, successors), PREFETCHED_PARTS)
             .concatWith(Flux.defer(() -> endStream(current, false)));
     return context
         .stallWatch()
@@ -392,25 +333,50 @@
             target.id(),
             events,
             routed.caller(),
-            isResumableElsewhere(),
-            () -> newTargetLostException(target, "the stream stalled"))
+            successors::isSecured,
+            silence ->
+                newTargetLostException(
+                    target,
+                    "given up by this entry after "
+                        + silence.toMillis()
+                        + " ms without an event of a connected target"))
         .map(stream::deliver)
         .doOnComplete(
             () -> context.placer().onResult(target.id(), true, context.clock().nanoTime()));
   }
 
   /**
-   * Tests whether another attempt may follow the current one. A stalled target may still go on, so
-   * the last attempt is left to it until the timeout.
+   * Creates the search for what may follow the attempt that starts now.
+   *
+   * @param peer the target or entry of the attempt
+   * @param runs the number of targets that may run the request in this attempt
    */
-  private boolean isResumableElsewhere() {
-    return routed.route().isRetryable() && possibleRuns + 1 < maxAttempts;
+  private SuccessorSearch newSuccessorSearch(String peer, int runs) {
+    boolean isReplaceable = routed.route().isRetryable() && possibleRuns + runs < maxAttempts;
+    Set<InstanceId> excluded = Set.copyOf(triedTargets);
+    OptionalLong lastEventId = stream.getLastEventId();
+    return new SuccessorSearch(
+        context.clock(),
+        new AttemptOptions(
+            context,
+            routed,
+            placer,
+            log,
+            peer,
+            excluded,
+            lastEventId,
+            isReplaceable,
+            this::isRelayAllowed));
   }
 
   private List<StreamAttempt.Delivery> processPart(
-      Target target, Object streamKey, StreamAttempt current, ResponsePart part) {
+      Target target,
+      Object streamKey,
+      StreamAttempt current,
+      ResponsePart part,
+      SuccessorSearch successors) {
     if (part instanceof ResponsePart.Head received) {
-      recordLoad(target, received.response());
+      placer.onResponse(target, received.response());
     }
     int eventsBefore = current.getEvents();
     int repeatedBefore = current.getRepeatedEvents();
@@ -421,6 +387,7 @@
     }
     for (int i = eventsBefore + repeated; i < current.getEvents(); i++) {
       recordProgress(target, streamKey);
+      successors.onProgress();
     }
     return deliveries;
   }
@@ -471,7 +438,8 @@
     return new TargetLostException(STEP, target.id().value(), Outcome.UNKNOWN, message, null);
   }
 
-  private Flux<ResponsePart> handleFailure(Target target, AttemptException error) {
+  private Flux<ResponsePart> handleFailure(
+      Target target, AttemptException error, SuccessorSearch successors) {
     if (error.getOutcome() == Outcome.NOT_RUN) {
       notRunAttempts++;
     } else {
@@ -484,7 +452,23 @@
         && !context.reachability().isIsolated()) {
       context.crashGuard().onInterrupted(fingerprints, target);
     }
-    return retryOrFail(target.id().value(), error, RETRY_AFTER_FAILURE);
+    return successors
+        .take()
+        .map(successor -> replace(target.id().value(), error, successor))
+        .orElseGet(() -> retryOrFail(target.id().value(), error, RETRY_AFTER_FAILURE));
+  }
+
+  /** Starts the successor of an attempt, for which the retry budget was charged. */
+  private Flux<ResponsePart> replace(
+      String peer, AttemptException error, SuccessorSearch.Successor successor) {
+    outcome = outcome.join(error.getOutcome());
+    context.metrics().recordFailure(routed.service(), RetryVerdict.CHARGED);
+    log.logFailure(peer, attempt.getEvents(), error, RetryVerdict.CHARGED);
+    if (successor instanceof SuccessorSearch.ToEntry entry) {
+      Duration remaining = routed.getRemainingTime(context.clock().nanoTime());
+      return relay(entry.reason(), remaining, entry.relay()::send);
+    }
+    return proceed(((SuccessorSearch.ToTarget) successor).placement());
   }
 
   /** Starts the next attempt if a retry is allowed, otherwise fails the request. */
@@ -507,6 +491,13 @@
 
   /** Has another entry forward the request. */
   private Flux<ResponsePart> relay(Placement.Refuse reason, Duration remaining) {
+    return relay(reason, remaining, context.relay()::relay);
+  }
+
+  private Flux<ResponsePart> relay(
+      Placement.Refuse reason,
+      Duration remaining,
+      Function<RelayedRequest, Flux<ResponsePart>> relay) {
     int grantedAttempts = getGrantedAttempts();
     relays++;
     attempt = stream.newAttempt(RELAY_PEER);
@@ -521,11 +512,14 @@
         new RelayedRequest(
             routed, remaining, stream.getLastEventId(), grantedAttempts, excludedTargets);
     Flux<ResponsePart> parts =
-        onceCallerIsThere(() -> context.relay().relay(relayed)).onErrorMap(RelayException::of);
+        onceCallerIsThere(() -> relay.apply(relayed)).onErrorMap(RelayException::of);
+    SuccessorSearch successors = newSuccessorSearch(RELAY_PEER, grantedAttempts);
     Flux<ResponsePart> response =
-        isStream ? streamRelayed(parts) : collectRelayed(parts, grantedAttempts);
-    return response.onErrorResume(
-        AttemptException.class, e -> handleRelayFailure(e, grantedAttempts));
+        isStream ? streamRelayed(parts) : collectRelayed(parts, grantedAttempts, successors);
+    return response
+        .doFinally(signal -> successors.close())
+        .onErrorResume(
+            AttemptException.class, e -> handleRelayFailure(e, grantedAttempts, successors));
   }
 
   /** Returns the attempts for the next entry, which leave one for an entry after it. */
@@ -542,7 +536,8 @@
         .map(stream::deliver);
   }
 
-  private Flux<ResponsePart> collectRelayed(Flux<ResponsePart> parts, int grantedAttempts) {
+  private Flux<ResponsePart> collectRelayed(
+      Flux<ResponsePart> parts, int grantedAttempts, SuccessorSearch successors) {
     Duration timeout =
         routed
             .route()
@@ -553,12 +548,14 @@
         RELAY_PEER,
         parts,
         timeout,
+        successors::isSecured,
         () ->
             new AttemptException(
                 RELAY_STEP, RELAY_PEER, Outcome.UNKNOWN, "no complete response in time", null));
   }
 
-  private Flux<ResponsePart> handleRelayFailure(AttemptException error, int grantedAttempts) {
+  private Flux<ResponsePart> handleRelayFailure(
+      AttemptException error, int grantedAttempts, SuccessorSearch successors) {
     Duration retryAfter =
         error instanceof RelayException failure ? failure.getRetryAfter() : RETRY_AFTER_FAILURE;
     if (error.getOutcome() == Outcome.NOT_RUN) {
@@ -567,7 +564,10 @@
               Placement.Cause.UNREACHABLE, "no entry: " + error.getMessage(), retryAfter));
     }
     possibleRuns += grantedAttempts;
-    return retryOrFail(error.getPeer(), error, retryAfter);
+    return successors
+        .take()
+        .map(successor -> replace(error.getPeer(), error, successor))
+        .orElseGet(() -> retryOrFail(error.getPeer(), error, retryAfter));
   }
 
   /**
@@ -600,7 +600,8 @@
     if (context.crashGuard().getRefusal(fingerprints).isPresent()) {
       return RetryVerdict.REFUSED;
     }
-    if (next.get() instanceof Placement.Refuse && !isRelayable(next.get())) {
+    if (next.get() instanceof Placement.Refuse
+        && !placer.isRelayable(next.get(), isRelayAllowed())) {
       return RetryVerdict.NO_TARGET;
     }
     // An attempt that reached no target put no load on one, so its retry costs no budget.
@@ -616,7 +617,7 @@
 
   private void recordFailure(Target target, AttemptException error) {
     if (error instanceof RequestRejectedException rejection && !rejection.isMisdirected()) {
-      recordRequestLimit(target, rejection.getResponse());
+      placer.onRequestLimit(target, rejection.getResponse());
     }
     if (error instanceof RequestRejectedException) {
       context.reachability().onSignOfLife();
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwarderSilenceTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwarderSilenceTest.java
@@ -5,6 +5,7 @@
 import static org.testng.Assert.assertTrue;
 
 import io.fireflyshed.coordination.attempt.Outcome;
+import io.fireflyshed.coordination.budget.ByteBudget;
 import io.fireflyshed.coordination.placement.PlacementSettings;
 import io.fireflyshed.coordination.placement.StallDetector;
 import io.fireflyshed.coordination.placement.TargetPlacer;
@@ -36,6 +37,9 @@
   /** A silence that does not show that a target is lost. */
   private static final Duration SOUND_SILENCE = Duration.ofMillis(1200);
 
+  /** A silence of a sound target after which streams are resumed elsewhere, if they can be. */
+  private static final Duration LONG_SILENCE = Duration.ofMillis(1650);
+
   /** The shortest gap after which callers abandon a stream. */
   private static final Duration CALLER_PATIENCE = Duration.ofSeconds(2);
 
@@ -80,6 +84,83 @@
     }
   }
 
+  /** Stands for other entries, which accept each offer, refuse it or don't answer it. */
+  private final class FakeRelay implements RequestRelay {
+    private final List<RelayedRequest> requests = new ArrayList<>();
+    private Mono<AcceptedRelay> acceptance = refused().then(Mono.empty());
+    private boolean isAvailable;
+    private int offers;
+    private int withdrawnOffers;
+
+    private <T> Flux<T> refused() {
+      return Flux.error(
+          new ForwardException(
+              "relay", "-", "no entry took it", Outcome.NOT_RUN, Duration.ofMillis(500), false));
+    }
+
+    @Override
+    public Flux<ResponsePart> relay(RelayedRequest request) {
+      return refused();
+    }
+
+    @Override
+    public Mono<AcceptedRelay> offer(RelayedRequest request) {
+      return acceptance.doOnSubscribe(s -> offers++).doOnCancel(() -> withdrawnOffers++);
+    }
+
+    @Override
+    public boolean isAvailable() {
+      return isAvailable;
+    }
+
+    /** Accepts offers and responds to the request with the head and a body. */
+    AcceptedRelay newAcceptance(Flux<ResponsePart> body) {
+      return new AcceptedRelay() {
+        @Override
+        public Flux<ResponsePart> send(RelayedRequest request) {
+          requests.add(request);
+          return Flux.concat(Mono.just(ForwardFixtures.newHead(ID, 200)), body);
+        }
+
+        @Override
+        public void cancel() {
+          withdrawnOffers++;
+        }
+      };
+    }
+  }
+
+  /** Tells the forwarder that it is isolated when the test says so. */
+  private static final class FakeReachability implements Reachability {
+    private boolean isIsolated;
+    private boolean isImpaired;
+
+    @Override
+    public void onFailure(InstanceId target) {
+      // The test sets the state.
+    }
+
+    @Override
+    public void onSilent(InstanceId target) {
+      // The test sets the state.
+    }
+
+    @Override
+    public void onSignOfLife() {
+      // The test sets the state.
+    }
+
+    @Override
+    public boolean isIsolated() {
+      return isIsolated;
+    }
+
+    @Override
+    public boolean isImpaired() {
+      return isIsolated || isImpaired;
+    }
+  }
+
   private final List<Flux<ResponsePart>> responses = new ArrayList<>();
   private final List<InstanceId> attempts = new ArrayList<>();
   private final List<Target> targets = new ArrayList<>();
@@ -89,6 +170,9 @@
   private TargetPlacer placer;
   private Forwarder forwarder;
   private int running;
+  private int allowedRetries;
+  private FakeRelay relay;
+  private FakeReachability reachability;
 
   /** Starts a forwarder with two targets. */
   @BeforeMethod
@@ -101,6 +185,9 @@
     targets.add(ForwardFixtures.newTarget("one"));
     targets.add(ForwardFixtures.newTarget("two"));
     running = 0;
+    allowedRetries = 10;
+    relay = new FakeRelay();
+    reachability = new FakeReachability();
     PlacementSettings placement = PlacementSettings.ofDefaults();
     registry = new SimpleMeterRegistry();
     placer =
@@ -115,11 +202,14 @@
             placer,
             new StallDetector(placement),
             this::send,
-            new ServiceRetryBudgets(0, Duration.ofSeconds(10), () -> 10),
+            new ServiceRetryBudgets(0, Duration.ofSeconds(10), () -> allowedRetries),
             ForwardFixtures.newCrashGuard(),
             () -> now().toNanos(),
             stalledTargets::add,
-            registry);
+            registry,
+            reachability,
+            relay,
+            ByteBudget.unlimited(() -> now().toNanos()));
     forwarder.start();
   }
 
@@ -182,10 +272,14 @@
 
   private void assertNoRetry() {
     assertEquals(attempts.size(), 1);
-    assertTrue(registry.find("fireflyshed.forward.failures").counters().isEmpty());
+    assertNoFailure();
     assertEquals(stalledTargets, List.of());
   }
 
+  private void assertNoFailure() {
+    assertTrue(registry.find("fireflyshed.forward.failures").counters().isEmpty());
+  }
+
   @Test
   public void streamThatPausesForAMomentIsNotCut() {
     responses.add(
@@ -297,6 +391,122 @@
     assertEquals(attempts.size(), ForwardFixtures.MAX_ATTEMPTS);
   }
 
+  @Test
+  public void streamIsLeftAtASilentTargetIfNoOtherTargetCanTakeIt() {
+    targets.remove(1);
+    responses.add(
+        after(Duration.ofMillis(100), event(1)).concatWith(after(LONG_SILENCE, event(2))));
+    Caller caller = startStream();
+    advance(TIMEOUT);
+    caller.assertTwoEvents();
+    assertNoFailure();
+  }
+
+  @Test
+  public void streamsAreLeftAtTheirTargetsIfAllTargetsAreSilent() {
+    for (int i = 0; i < 6; i++) {
+      responses.add(
+          after(Duration.ofMillis(200), event(1)).concatWith(after(LONG_SILENCE, event(2))));
+    }
+    List<Caller> callers = new ArrayList<>();
+    for (int i = 0; i < 6; i++) {
+      callers.add(startStream());
+    }
+    advance(TIMEOUT);
+    callers.forEach(Caller::assertTwoEvents);
+    assertNoFailure();
+  }
+
+  @Test
+  public void streamIsLeftAtASilentTargetIfTheBudgetDeniesARetry() {
+    allowedRetries = 0;
+    responses.add(
+        after(Duration.ofMillis(100), event(1)).concatWith(after(LONG_SILENCE, event(2))));
+    Caller caller = startStream();
+    advance(TIMEOUT);
+    caller.assertTwoEvents();
+    assertNoFailure();
+  }
+
+  @Test
+  public void streamOfASilentTargetIsResumedOnceAnotherTargetCanTakeIt() {
+    Target later = targets.remove(1);
+    responses.add(after(Duration.ofMillis(100), event(1)).concatWith(silent()));
+    responses.add(after(Duration.ofMillis(100), event(2)));
+    Caller caller = startStream();
+    advance(Duration.ofMillis(1700));
+    targets.add(later);
+    advance(Duration.ofMillis(300));
+    caller.assertTwoEvents();
+    assertEquals(attempts.size(), 2);
+  }
+
+  @Test
+  public void streamThatNoOtherTargetCanTakeEndsWithItsTimeout() {
+    targets.remove(1);
+    responses.add(after(Duration.ofMillis(100), event(1)).concatWith(silent()));
+    Caller caller = startStream();
+    advance(TIMEOUT);
+    assertTrue(((ForwardException) caller.error).isTimeout());
+    assertEquals(caller.end, TIMEOUT);
+  }
+
+  /** Starts a stream of an entry that then counts as isolated, and that others may serve. */
+  private Caller startIsolatedStream(Duration silence) {
+    relay.isAvailable = true;
+    responses.add(after(Duration.ofMillis(100), event(1)).concatWith(after(silence, event(2))));
+    Caller caller = startStream();
+    advance(Duration.ofMillis(200));
+    reachability.isIsolated = true;
+    return caller;
+  }
+
+  @Test
+  public void streamIsLeftAtASilentTargetIfNoOtherEntryAcceptsIt() {
+    Caller caller = startIsolatedStream(LONG_SILENCE.plusMillis(500));
+    advance(TIMEOUT);
+    caller.assertTwoEvents();
+    assertNoFailure();
+    assertTrue(relay.offers > 1 && relay.offers < 6, "offers " + relay.offers);
+  }
+
+  @Test
+  public void streamOfASilentTargetMovesToAnEntryThatAcceptsIt() {
+    relay.acceptance =
+        Mono.delay(Duration.ofMillis(20))
+            .map(t -> relay.newAcceptance(after(Duration.ofMillis(100), event(2))));
+    Caller caller = startIsolatedStream(TIMEOUT);
+    advance(TIMEOUT);
+    caller.assertTwoEvents();
+    Duration gap = caller.eventTimes.get(1).minus(caller.eventTimes.get(0));
+    assertTrue(gap.compareTo(CALLER_PATIENCE) < 0, "gap " + gap);
+    assertEquals(relay.requests.get(0).lastEventId(), OptionalLong.of(1));
+    assertEquals(relay.withdrawnOffers, 0);
+  }
+
+  @Test
+  public void streamIsLeftAtASilentTargetIfTheBudgetDeniesAnAcceptedOffer() {
+    allowedRetries = 0;
+    relay.acceptance = Mono.fromSupplier(() -> relay.newAcceptance(silent()));
+    Caller caller = startIsolatedStream(LONG_SILENCE);
+    advance(TIMEOUT);
+    caller.assertTwoEvents();
+    assertNoFailure();
+    assertEquals(relay.requests, List.of());
+    assertEquals(relay.withdrawnOffers, relay.offers);
+  }
+
+  @Test
+  public void offerOfASilentStreamIsWithdrawnIfItsTargetGoesOn() {
+    relay.acceptance = Mono.never();
+    Caller caller = startIsolatedStream(LONG_SILENCE);
+    advance(TIMEOUT);
+    caller.assertTwoEvents();
+    assertNoFailure();
+    assertEquals(relay.offers, 1);
+    assertEquals(relay.withdrawnOffers, 1);
+  }
+
   @Test
   public void silentStreamThatCanNotBeResumedEndsWithItsTimeout() {
     responses.add(after(Duration.ofMillis(100), event(1)).concatWith(silent()));
@@ -356,6 +566,42 @@
     assertTrue(caller.isComplete);
   }
 
+  @Test
+  public void lookupIsLeftAtASlowTargetIfNoOtherTargetCanTakeIt() {
+    targets.remove(1);
+    responses.add(after(TIMEOUT.minusMillis(100), "done"));
+    Caller caller = new Caller(ForwardFixtures.newRoute(RequestKind.IDEMPOTENT, false, TIMEOUT));
+    advance(TIMEOUT);
+    assertNull(caller.error);
+    assertEquals(caller.body.toString(), "done");
+    assertNoFailure();
+  }
+
+  @Test
+  public void lookupIsLeftAtASlowTargetIfTheBudgetDeniesARetry() {
+    allowedRetries = 0;
+    responses.add(after(TIMEOUT.minusMillis(100), "done"));
+    Caller caller = new Caller(ForwardFixtures.newRoute(RequestKind.IDEMPOTENT, false, TIMEOUT));
+    advance(TIMEOUT);
+    assertNull(caller.error);
+    assertEquals(caller.body.toString(), "done");
+    assertNoFailure();
+  }
+
+  @Test
+  public void lookupIsLeftAtASlowTargetIfNoOtherEntryAcceptsIt() {
+    relay.isAvailable = true;
+    reachability.isImpaired = true;
+    targets.remove(1);
+    responses.add(after(TIMEOUT.minusMillis(100), "done"));
+    Caller caller = new Caller(ForwardFixtures.newRoute(RequestKind.IDEMPOTENT, false, TIMEOUT));
+    advance(TIMEOUT);
+    assertNull(caller.error);
+    assertEquals(caller.body.toString(), "done");
+    assertNoFailure();
+    assertTrue(relay.offers > 1, "offers " + relay.offers);
+  }
+
   @Test
   public void orderThatTricklesEndsWithItsTimeout() {
     responses.add(trickle("x"));
