Have no other entry send a request to a target that may have run it

Cause: targets that an entry lost contact with were not excluded from relays, also if the request had been handed over to them. Now each target that may have run the request is excluded. Still allowed elsewhere: targets that could not be connected, and targets at which a stream fell silent after an event, since a resumed stream continues their answer. A request that no target is left for is not relayed.

After: RelayForwardingTest and PartitionedEntriesTest pass.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptSequence.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptSequence.java
@@ -73,8 +73,10 @@
   private final Set<InstanceId> triedTargets = new HashSet<>();
 
   /**
-   * The tried targets that another entry need not try. Those that this entry lost contact with are
-   * not among them: they may be sound, and the other entry knows better.
+   * The targets that another entry must not try: those that may have run the request, since a
+   * second run may end differently, and those that rejected it. Targets that could not be connected
+   * are not among them, as the other entry may reach them, nor are those at which a stream may go
+   * on.
    */
   private final Set<InstanceId> excludedTargets = new HashSet<>();
 
@@ -202,7 +204,8 @@
   private boolean isRelayable(Placement placement) {
     return placement instanceof Placement.Refuse refusal
         && refusal.cause() == Placement.Cause.UNREACHABLE
-        && isRelayAllowed();
+        && isRelayAllowed()
+        && getCandidates().stream().anyMatch(t -> !excludedTargets.contains(t.id()));
   }
 
   private Flux<ResponsePart> proceed(Placement placement) {
@@ -624,7 +627,8 @@
     if (isContactLost(error)) {
       hasLostContact = true;
       recordLostContact(target, error);
-    } else {
+    }
+    if (!(error instanceof TargetUnreachableException) && !isContinuable(error)) {
       excludedTargets.add(target.id());
     }
     if (error instanceof TargetUnreachableException) {
@@ -642,6 +646,11 @@
     }
   }
 
+  /** Tests whether the current attempt was a stream that its target may continue for others. */
+  private boolean isContinuable(AttemptException error) {
+    return isStream && error instanceof TargetLostException && attempt.getEvents() > 0;
+  }
+
   /** Tests whether an attempt failed as when the path to its target is cut. */
   private boolean isContactLost(AttemptException error) {
     return error instanceof TargetUnreachableException
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/RelayForwardingTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/RelayForwardingTest.java
@@ -8,6 +8,7 @@
 import io.fireflyshed.coordination.attempt.AttemptException;
 import io.fireflyshed.coordination.attempt.ConnectionLostException;
 import io.fireflyshed.coordination.attempt.Outcome;
+import io.fireflyshed.coordination.attempt.TargetLostException;
 import io.fireflyshed.coordination.attempt.TargetUnreachableException;
 import io.fireflyshed.coordination.budget.ByteBudget;
 import io.fireflyshed.coordination.placement.PlacementSettings;
@@ -37,6 +38,7 @@
 import java.util.Set;
 import org.apache.commons.rng.simple.RandomSource;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import reactor.core.Disposable;
 import reactor.core.publisher.Flux;
@@ -285,11 +287,16 @@
 
   /** Returns parts and then loses the connection at the moment at which the entry is cut off. */
   private Flux<ResponsePart> newLossThatIsolates(Flux<ResponsePart> parts) {
+    return newFailureThatIsolates(parts, newLostException());
+  }
+
+  private Flux<ResponsePart> newFailureThatIsolates(
+      Flux<ResponsePart> parts, AttemptException error) {
     return parts.concatWith(
         Flux.defer(
             () -> {
               reachability.isIsolated = true;
-              return Flux.error(newLostException());
+              return Flux.error(error);
             }));
   }
 
@@ -498,6 +505,54 @@
     assertEquals(relay.requests.get(0).excludedTargets(), Set.of(new InstanceId("one")));
   }
 
+  /** Gets the failures of attempts after which their target may have run the request. */
+  @DataProvider
+  public Object[][] possibleRuns() {
+    return new Object[][] {
+      {newLostException()},
+      {new TargetLostException("forward", "peer", Outcome.UNKNOWN, "no complete response", null)},
+      {new AttemptException("forward", "peer", Outcome.UNKNOWN, "unexpected", null)}
+    };
+  }
+
+  @Test(dataProvider = "possibleRuns")
+  public void requestThatMayHaveRunAtATargetReachesItThroughNoOtherEntry(AttemptException error) {
+    for (RequestKind kind : List.of(RequestKind.IDEMPOTENT, RequestKind.STREAM)) {
+      triedTargets.clear();
+      relay.requests.clear();
+      reachability.isIsolated = false;
+      respondWith(newFailureThatIsolates(Flux.empty(), error));
+      relay.responses.clear();
+      relay.responses.add(newEvents(1, 2));
+      forward(kind);
+      assertEquals(triedTargets.size(), 1);
+      assertEquals(
+          relay.requests.get(0).excludedTargets(), Set.of(new InstanceId(triedTargets.get(0))));
+    }
+  }
+
+  @Test
+  public void requestIsNotRelayedIfItMayHaveRunAtEachTarget() {
+    targets.subList(1, 3).clear();
+    respondWith(newFailureThatIsolates(Flux.empty(), newLostException()));
+    assertEquals(forwardInVain(RequestKind.IDEMPOTENT).getOutcome(), Outcome.UNKNOWN);
+    assertEquals(relay.requests, List.of());
+  }
+
+  @Test
+  public void streamThatFallsSilentAfterAnEventMayGoOnAtItsTarget() {
+    targets.subList(1, 3).clear();
+    respondWith(
+        newFailureThatIsolates(
+            newEvents(1, 2),
+            new TargetLostException("forward", "peer", Outcome.UNKNOWN, "stalled", null)));
+    relay.responses.clear();
+    relay.responses.add(newEvents(3, 4));
+    assertEquals(
+        getText(forward(RequestKind.STREAM)), getText(newEvents(1, 4).collectList().block()));
+    assertEquals(relay.requests.get(0).excludedTargets(), Set.of());
+  }
+
   private static AttemptException newRejection() {
     TargetAnswer response =
         new TargetAnswer(
