Tell the relaying entry at which targets its request was tried

Callers got a success where its target had answered the same request with a failure, also after a relay: an entry whose relay failed, was given up or brought back an error response knew none of the targets that the other entry had tried, and sent the request to them through a second relay or by itself.

Replies after the first (RelayReply.target, a new field) name each target before the request is sent to it. The relaying entry excludes them from then on. If a relay ends without an answer and its targets aren't all known, since the other entry is of an earlier version or its connection was lost, a lookup isn't repeated. A stream of which events have arrived goes on as before, after its last event. Builds without the field ignore replies to a request that was sent. The log says at which targets a failed relay was tried, and whether these are all ("relay failed").

The new check of PartitionSchedule looks at runs that resume no stream. The fake relay of RelayForwardingTest names a target now, as entries do; its tests are unchanged otherwise, and new ones cover relays that name none.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptLog.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptLog.java
@@ -7,6 +7,7 @@
 import io.fireflyshed.state.instance.InstanceId;
 import io.fireflyshed.transport.log.EventLog;
 import java.time.Duration;
+import java.util.List;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -130,6 +131,10 @@
         excludedTargets);
   }
 
+  void logRelayFailure(List<InstanceId> targets, boolean areKnown) {
+    LOG.info("relay failed", "request", getId(), "tried", targets, "known", areKnown);
+  }
+
   void logTimeout(Set<InstanceId> triedTargets, Outcome outcome) {
     LOG.info("timed out", "request", getId(), "tried", triedTargets, "outcome", outcome);
   }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptSequence.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptSequence.java
@@ -83,6 +83,7 @@
   private final CallerStream stream;
   private final int maxAttempts;
   private final boolean isRelayed;
+  private final RelayListener relayListener;
   private Outcome outcome = Outcome.NOT_RUN;
   private int possibleRuns;
   private int notRunAttempts;
@@ -101,7 +102,13 @@
 
   /** Creates the attempts for a caller of this entry. */
   AttemptSequence(ForwardContext context, RoutedRequest routed) {
-    this(context, routed, routed.request().lastEventId(), routed.route().maxAttempts(), false);
+    this(
+        context,
+        routed,
+        routed.request().lastEventId(),
+        routed.route().maxAttempts(),
+        false,
+        RelayListener.none());
   }
 
   /** Creates the attempts for another entry. */
@@ -111,7 +118,8 @@
         relayed.routed().withTimeout(context.clock().nanoTime(), relayed.remaining()),
         relayed.lastEventId(),
         relayed.maxAttempts(),
-        true);
+        true,
+        relayed.listener());
     triedTargets.addAll(relayed.excludedTargets());
   }
 
@@ -120,7 +128,8 @@
       RoutedRequest routed,
       OptionalLong lastEventId,
       int maxAttempts,
-      boolean isRelayed) {
+      boolean isRelayed,
+      RelayListener relayListener) {
     this.context = context;
     this.routed = routed;
     this.fingerprints = routed.getFingerprints();
@@ -130,6 +139,7 @@
     this.attempt = stream.newAttempt(RELAY_PEER);
     this.maxAttempts = maxAttempts;
     this.isRelayed = isRelayed;
+    this.relayListener = relayListener;
     this.memory = new ResponseMemory(context.budget(), routed.route().name());
   }
 
@@ -236,6 +246,7 @@
 
   private Flux<ResponsePart> send(Target target, Duration remaining) {
     triedTargets.add(target.id());
+    relayListener.onAttempt(target.id());
     sentAttempts++;
     attempt = stream.newAttempt(target.id().value());
     memory.start(target.id().value());
@@ -520,15 +531,16 @@
             routed.service(), context.reachability().isIsolated() ? "isolated" : "unreachable");
     log.logRelay(
         reason.reason(), remaining, stream.getLastEventId(), grantedAttempts, excludedTargets);
+    RelayedAttempts attempts = new RelayedAttempts();
     RelayedRequest relayed =
         new RelayedRequest(
-            routed, remaining, stream.getLastEventId(), grantedAttempts, excludedTargets);
+            routed, remaining, stream.getLastEventId(), grantedAttempts, excludedTargets, attempts);
     Flux<ResponsePart> parts =
         onceCallerIsThere(() -> context.relay().relay(relayed)).onErrorMap(RelayException::of);
     Flux<ResponsePart> response =
         isStream ? streamRelayed(parts) : collectRelayed(parts, grantedAttempts);
     return response.onErrorResume(
-        AttemptException.class, e -> handleRelayFailure(e, grantedAttempts));
+        AttemptException.class, e -> handleRelayFailure(e, grantedAttempts, attempts));
   }
 
   /** Returns the attempts for the next entry, which leave one for an entry after it. */
@@ -561,7 +573,8 @@
                 RELAY_STEP, RELAY_PEER, Outcome.UNKNOWN, "no complete response in time", null));
   }
 
-  private Flux<ResponsePart> handleRelayFailure(AttemptException error, int grantedAttempts) {
+  private Flux<ResponsePart> handleRelayFailure(
+      AttemptException error, int grantedAttempts, RelayedAttempts attempts) {
     Duration retryAfter =
         error instanceof RelayException failure ? failure.getRetryAfter() : RETRY_AFTER_FAILURE;
     if (error.getOutcome() == Outcome.NOT_RUN) {
@@ -570,9 +583,26 @@
               Placement.Cause.UNREACHABLE, "no entry: " + error.getMessage(), retryAfter));
     }
     possibleRuns += grantedAttempts;
+    recordRelayedAttempts(attempts, grantedAttempts);
     return retryOrFail(error.getPeer(), error, retryAfter);
   }
 
+  /** Records at which targets another entry may have had the request run. */
+  private void recordRelayedAttempts(RelayedAttempts attempts, int grantedAttempts) {
+    List<InstanceId> targets = attempts.getTargets();
+    boolean isContinuable = attempt.getEvents() > 0;
+    boolean areKnown = attempts.areKnown(grantedAttempts);
+    log.logRelayFailure(targets, areKnown);
+    triedTargets.addAll(targets);
+    // The target of a stream whose entry was lost may go on for another entry.
+    boolean isLastExcluded = !isContinuable || attempts.isEnded();
+    excludedTargets.addAll(
+        isLastExcluded ? targets : targets.subList(0, Math.max(0, targets.size() - 1)));
+    if (!areKnown && !isContinuable) {
+      possibleRuns = Math.max(possibleRuns, maxAttempts);
+    }
+  }
+
   /**
    * Goes on after the relay found no entry, which it has asked already. An entry that isn't
    * isolated may have sound targets of its own.
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/RelayListener.java
@@ -0,0 +1,45 @@
+package io.fireflyshed.transport.forward;
+
+import io.fireflyshed.coordination.attempt.Outcome;
+import io.fireflyshed.state.instance.InstanceId;
+
+/**
+ * Learns at which targets another entry tries a relayed request. Implementations are thread safe
+ * and don't block.
+ */
+public interface RelayListener {
+
+  /**
+   * Records an attempt, before its request is sent.
+   *
+   * @param target the target, not null
+   */
+  void onAttempt(InstanceId target);
+
+  /**
+   * Records that the other entry makes no more attempts.
+   *
+   * @param outcome the combined outcome of the attempts, NOT_RUN if no target ran the request, not
+   *     null
+   */
+  void onEnd(Outcome outcome);
+
+  /**
+   * Returns a listener that ignores all attempts.
+   *
+   * @return the listener, never null
+   */
+  static RelayListener none() {
+    return new RelayListener() {
+      @Override
+      public void onAttempt(InstanceId target) {
+        // Nothing depends on the targets.
+      }
+
+      @Override
+      public void onEnd(Outcome outcome) {
+        // Nothing depends on the targets.
+      }
+    };
+  }
+}
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/RelayedRequest.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/RelayedRequest.java
@@ -15,13 +15,15 @@
  *     null
  * @param maxAttempts the number of targets that may still run the request, at least 1
  * @param excludedTargets the targets that were tried before, copied, not null
+ * @param listener learns at which targets the request is tried, not null
  */
 public record RelayedRequest(
     RoutedRequest routed,
     Duration remaining,
     OptionalLong lastEventId,
     int maxAttempts,
-    Set<InstanceId> excludedTargets) {
+    Set<InstanceId> excludedTargets,
+    RelayListener listener) {
 
   /** Validates the components and copies the set. */
   public RelayedRequest {
@@ -32,5 +34,25 @@
       throw new IllegalArgumentException("maxAttempts must be at least 1: " + maxAttempts);
     }
     excludedTargets = Set.copyOf(excludedTargets);
+    Objects.requireNonNull(listener, "listener");
+  }
+
+  /**
+   * Creates a request of which nobody learns at which targets it is tried.
+   *
+   * @param routed the request, not null
+   * @param remaining the time until the deadline of the request, not null
+   * @param lastEventId the id of the event after which a stream resumes, empty for a new stream,
+   *     not null
+   * @param maxAttempts the number of targets that may still run the request, at least 1
+   * @param excludedTargets the targets that were tried before, copied, not null
+   */
+  public RelayedRequest(
+      RoutedRequest routed,
+      Duration remaining,
+      OptionalLong lastEventId,
+      int maxAttempts,
+      Set<InstanceId> excludedTargets) {
+    this(routed, remaining, lastEventId, maxAttempts, excludedTargets, RelayListener.none());
   }
 }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayExchange.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayExchange.java
@@ -206,6 +206,7 @@
 
   private void onReply(PeerProto.RelayReply reply) {
     if (isSent) {
+      RelayFrameUtils.toTarget(reply).ifPresent(request.listener()::onAttempt);
       return;
     }
     if (!reply.getAccepted()) {
@@ -294,6 +295,7 @@
       failOnWire("the response ends after frame " + nextSequence + " of " + end.getSequence());
       return;
     }
+    request.listener().onEnd(Outcome.RAN);
     end(RelayMetrics.COMPLETE, "");
     sink.complete();
   }
@@ -321,6 +323,7 @@
       return;
     }
     ForwardException error = RelayFrameUtils.fromFailure(failure);
+    request.listener().onEnd(error.getOutcome());
     if (error.getOutcome() != Outcome.NOT_RUN || nextSequence > 0 || error.isTimeout()) {
       fail(error);
       return;
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayFrameUtils.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayFrameUtils.java
@@ -15,6 +15,7 @@
 import io.fireflyshed.state.traffic.WeightedService;
 import io.fireflyshed.transport.forward.CallerLink;
 import io.fireflyshed.transport.forward.ForwardException;
+import io.fireflyshed.transport.forward.RelayListener;
 import io.fireflyshed.transport.forward.RelayOffer;
 import io.fireflyshed.transport.forward.RelayedRequest;
 import io.fireflyshed.transport.forward.RoutedRequest;
@@ -72,6 +73,21 @@
     return newFrame(id).setRelayReply(PeerProto.RelayReply.newBuilder().setAccepted(true)).build();
   }
 
+  /** Creates a reply that names a target to which an accepted request is sent. */
+  static PeerProto.Frame toAttempt(long id, InstanceId target) {
+    return newFrame(id)
+        .setRelayReply(
+            PeerProto.RelayReply.newBuilder().setAccepted(true).setTarget(target.value()))
+        .build();
+  }
+
+  /** Returns the target that a reply names, empty if it decides about an offer. */
+  static Optional<InstanceId> toTarget(PeerProto.RelayReply body) {
+    return body.getTarget().isEmpty()
+        ? Optional.empty()
+        : Optional.of(new InstanceId(body.getTarget()));
+  }
+
   static PeerProto.Frame toRefusal(long id, Duration retryAfter) {
     return newFrame(id)
         .setRelayReply(
@@ -131,9 +147,11 @@
    * @param message the message of the request, not null
    * @param body the complete body, not null
    * @param nowNanos the current reading of the monotonic clock
+   * @param listener learns at which targets the request is tried, not null
    * @return the request, whose timeout is the remaining time, never null
    */
-  static RelayedRequest fromRequest(PeerProto.RelayRequest message, HeldBody body, long nowNanos) {
+  static RelayedRequest fromRequest(
+      PeerProto.RelayRequest message, HeldBody body, long nowNanos, RelayListener listener) {
     Duration remaining = toDuration(message.getRemainingMs());
     TrafficRequest request =
         new TrafficRequest(
@@ -166,7 +184,8 @@
         remaining,
         message.hasLastEventId() ? OptionalLong.of(message.getLastEventId()) : OptionalLong.empty(),
         message.getMaxAttempts(),
-        message.getExcludedTargetsList().stream().map(InstanceId::new).collect(Collectors.toSet()));
+        message.getExcludedTargetsList().stream().map(InstanceId::new).collect(Collectors.toSet()),
+        listener);
   }
 
   /** Copies the part of a body that starts at an index into a frame; empty if it is closed. */
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/ServedRelay.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/ServedRelay.java
@@ -2,8 +2,10 @@
 
 import io.fireflyshed.coordination.attempt.Outcome;
 import io.fireflyshed.protocol.peer.generated.PeerProto;
+import io.fireflyshed.state.instance.InstanceId;
 import io.fireflyshed.state.peer.PeerId;
 import io.fireflyshed.transport.forward.ForwardException;
+import io.fireflyshed.transport.forward.RelayListener;
 import io.fireflyshed.transport.forward.RelayedRequest;
 import io.fireflyshed.transport.forward.ResponsePart;
 import io.fireflyshed.transport.http.HeldBody;
@@ -58,6 +60,24 @@
     }
   }
 
+  /** Tells the peer at which targets its request is tried. */
+  private final class AttemptReporter implements RelayListener {
+    @Override
+    public void onAttempt(InstanceId target) {
+      server.execute(
+          () -> {
+            if (!isEnded) {
+              server.write(channel, RelayFrameUtils.toAttempt(id, target));
+            }
+          });
+    }
+
+    @Override
+    public void onEnd(Outcome outcome) {
+      // The last frame of the response says so.
+    }
+  }
+
   private final RelayServer server;
   private final PeerId peer;
   private final Channel channel;
@@ -163,7 +183,9 @@
     }
     RelayedRequest request;
     try {
-      request = subtractBodyTime(RelayFrameUtils.fromRequest(message, body, messageNanos));
+      request =
+          subtractBodyTime(
+              RelayFrameUtils.fromRequest(message, body, messageNanos, new AttemptReporter()));
     } catch (RuntimeException e) {
       failUnstarted("the request is not valid: " + e.getMessage());
       return;
@@ -181,7 +203,8 @@
         remaining.isNegative() ? Duration.ZERO : remaining,
         request.lastEventId(),
         request.maxAttempts(),
-        request.excludedTargets());
+        request.excludedTargets(),
+        request.listener());
   }
 
   private void startRequestTimer() {
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/PartitionSchedule.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/PartitionSchedule.java
@@ -81,6 +81,10 @@
     private final long arrivalMillis;
     private final List<ResponsePart> parts = new ArrayList<>();
     private final List<InstanceId> runs = new ArrayList<>();
+
+    /** The runs that didn't resume a stream. */
+    private final List<InstanceId> wholeRuns = new ArrayList<>();
+
     private boolean isComplete;
     private Throwable error;
     private int relays;
@@ -353,7 +357,11 @@
                 ? Flux.never()
                 : Flux.error(newLostException(target));
           }
-          callers.get(routed.request().id()).runs.add(target.id());
+          Caller caller = callers.get(routed.request().id());
+          caller.runs.add(target.id());
+          if (lastEventId.isEmpty()) {
+            caller.wholeRuns.add(target.id());
+          }
           return use(connection, respond(entry, target, routed, lastEventId));
         });
   }
@@ -449,6 +457,9 @@
     if (caller.runs.size() > maxRuns) {
       violations.add(id + " ran too often: " + caller.runs);
     }
+    if (new HashSet<>(caller.wholeRuns).size() < caller.wholeRuns.size()) {
+      violations.add(id + " ran twice at the same target: " + caller.wholeRuns);
+    }
     if (caller.error instanceof ForwardException e
         && e.getOutcome() == Outcome.NOT_RUN
         && !caller.runs.isEmpty()) {
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/RelayForwardingTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/RelayForwardingTest.java
@@ -82,16 +82,35 @@
     }
   }
 
-  /** Records requests and returns prepared responses, the last one again and again. */
+  /**
+   * Records requests and returns prepared responses, the last one again and again. Each relay tells
+   * one target, unless it is to act as an entry of an earlier version.
+   */
   private static final class FakeRelay implements RequestRelay {
     private final List<RelayedRequest> requests = new ArrayList<>();
+    private final Deque<String> targets = new ArrayDeque<>();
+    private boolean isTelling = true;
+    private boolean isLost;
     private final Deque<Flux<ResponsePart>> responses = new ArrayDeque<>();
     private boolean isAvailable = true;
 
     @Override
     public Flux<ResponsePart> relay(RelayedRequest request) {
       requests.add(request);
-      return responses.size() > 1 ? responses.remove() : responses.element();
+      if (isTelling) {
+        String target = targets.isEmpty() ? "other" + requests.size() : targets.remove();
+        request.listener().onAttempt(new InstanceId(target));
+      }
+      Flux<ResponsePart> response = responses.size() > 1 ? responses.remove() : responses.element();
+      return isLost
+          ? response
+          : response
+              .doOnComplete(() -> request.listener().onEnd(Outcome.RAN))
+              .doOnError(e -> request.listener().onEnd(getOutcome(e)));
+    }
+
+    private static Outcome getOutcome(Throwable error) {
+      return error instanceof ForwardException e ? e.getOutcome() : Outcome.UNKNOWN;
     }
 
     @Override
@@ -553,6 +572,100 @@
     assertEquals(relay.requests.get(0).excludedTargets(), Set.of());
   }
 
+  /** Gets the responses of relays whose target may have run the request. */
+  @DataProvider
+  public Object[][] failedRelays() {
+    return new Object[][] {{newResponse(500)}, {newRelayFailure(Outcome.UNKNOWN)}};
+  }
+
+  @Test(dataProvider = "failedRelays")
+  public void secondRelayReachesNoTargetOfTheFirst(Flux<ResponsePart> response) {
+    reachability.isIsolated = true;
+    relay.targets.addAll(List.of("one", "two"));
+    relay.responses.clear();
+    relay.responses.add(response);
+    relay.responses.add(newResponse(200));
+    assertEquals(getText(forward(RequestKind.IDEMPOTENT)), BODY);
+    assertEquals(relay.requests.get(0).excludedTargets(), Set.of());
+    assertEquals(relay.requests.get(1).excludedTargets(), Set.of(new InstanceId("one")));
+  }
+
+  @Test(dataProvider = "failedRelays")
+  public void entryTriesNoTargetThatAnotherEntryTried(Flux<ResponsePart> response) {
+    targets.remove(2);
+    reachability.isIsolated = true;
+    relay.targets.add("one");
+    relay.responses.clear();
+    relay.responses.add(
+        Flux.defer(
+            () -> {
+              reachability.isIsolated = false;
+              return response;
+            }));
+    assertEquals(getText(forward(RequestKind.IDEMPOTENT)), BODY);
+    assertEquals(triedTargets, List.of("two"));
+  }
+
+  @Test(dataProvider = "failedRelays")
+  public void lookupEndsWhereAnotherEntryDoesNotTellItsTargets(Flux<ResponsePart> response) {
+    reachability.isIsolated = true;
+    relay.isTelling = false;
+    relay.responses.clear();
+    relay.responses.add(response);
+    relay.responses.add(newResponse(200));
+    try {
+      List<ResponsePart> parts = forward(RequestKind.IDEMPOTENT);
+      assertEquals(((ResponsePart.Head) parts.get(0)).response().status(), 500);
+    } catch (ForwardException e) {
+      assertEquals(e.getOutcome(), Outcome.UNKNOWN);
+    }
+    assertEquals(relay.requests.size(), 1);
+    assertEquals(triedTargets, List.of());
+  }
+
+  @Test
+  public void lookupEndsIfAnEntryIsLostBeforeItToldEachTarget() {
+    reachability.isIsolated = true;
+    relay.isLost = true;
+    relay.responses.clear();
+    relay.responses.add(newRelayFailure(Outcome.UNKNOWN));
+    Route route = ForwardFixtures.newRoute(RequestKind.IDEMPOTENT, false, Duration.ofSeconds(2), 4);
+    RoutedRequest request = ForwardFixtures.newRequest("id", route, System.nanoTime());
+    expectThrows(ForwardException.class, () -> forwarder.forward(request).blockLast());
+    assertEquals(relay.requests.size(), 1);
+    assertEquals(relay.requests.get(0).maxAttempts(), 3);
+  }
+
+  @Test
+  public void streamGoesOnAtItsTargetIfOnlyItsEntryIsLost() {
+    reachability.isIsolated = true;
+    relay.isLost = true;
+    relay.targets.add("one");
+    relay.responses.clear();
+    relay.responses.add(newEvents(1, 2).concatWith(newRelayFailure(Outcome.UNKNOWN)));
+    relay.responses.add(newEvents(3, 4));
+    assertEquals(
+        getText(forward(RequestKind.STREAM)), getText(newEvents(1, 4).collectList().block()));
+    assertEquals(relay.requests.get(1).excludedTargets(), Set.of());
+  }
+
+  @Test
+  public void relayedRequestTellsItsTargets() {
+    respondWith(Flux.error(newLostException()));
+    RelayedAttempts attempts = new RelayedAttempts();
+    RelayedRequest plain = newRelayed(RequestKind.IDEMPOTENT, 2, "one");
+    forwardRelayedInVain(
+        new RelayedRequest(
+            plain.routed(),
+            plain.remaining(),
+            plain.lastEventId(),
+            plain.maxAttempts(),
+            plain.excludedTargets(),
+            attempts));
+    assertEquals(attempts.getTargets().stream().map(InstanceId::value).toList(), triedTargets);
+    assertEquals(triedTargets.size(), 2);
+  }
+
   private static AttemptException newRejection() {
     TargetAnswer response =
         new TargetAnswer(
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/peer/RelayFrameUtilsTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/peer/RelayFrameUtilsTest.java
@@ -10,7 +10,9 @@
 import io.fireflyshed.protocol.peer.generated.PeerProto;
 import io.fireflyshed.protocol.traffic.TargetAnswer;
 import io.fireflyshed.protocol.traffic.TrafficRequest;
+import io.fireflyshed.state.instance.InstanceId;
 import io.fireflyshed.transport.forward.ForwardException;
+import io.fireflyshed.transport.forward.RelayListener;
 import io.fireflyshed.transport.forward.RelayOffer;
 import io.fireflyshed.transport.forward.RelayedRequest;
 import io.fireflyshed.transport.http.HeldBody;
@@ -55,7 +57,8 @@
       PeerProto.Frame frame = copy(RelayFrameUtils.toRequest(7, sent, Duration.ofMillis(4321), 8));
       assertEquals(frame.getRequest(), 7);
       RelayedRequest received =
-          RelayFrameUtils.fromRequest(frame.getRelayRequest(), HeldBody.of(BODY), 55);
+          RelayFrameUtils.fromRequest(
+              frame.getRelayRequest(), HeldBody.of(BODY), 55, RelayListener.none());
       TrafficRequest expected = sent.routed().request();
       TrafficRequest request = received.routed().request();
       assertEquals(request.id(), expected.id());
@@ -92,6 +95,20 @@
       assertEquals(frame.getBodyBytes(), BODY.length);
     }
 
+    @Test
+    public void replyOfAnEarlierVersionNamesNoTarget() {
+      PeerProto.RelayReply reply =
+          copy(RelayFrameUtils.toAttempt(7, new InstanceId("t1"))).getRelayReply();
+      assertTrue(reply.getAccepted());
+      assertEquals(RelayFrameUtils.toTarget(reply), Optional.of(new InstanceId("t1")));
+      assertEquals(
+          RelayFrameUtils.toTarget(copy(RelayFrameUtils.toAcceptance(7)).getRelayReply()),
+          Optional.empty());
+      assertEquals(
+          PeerProto.RelayReply.getDescriptor().findFieldByName("target").getNumber(),
+          PeerProto.RelayReply.TARGET_FIELD_NUMBER);
+    }
+
     @Test
     public void headIsRebuilt() {
       TargetAnswer sent = RelayFixtures.newAnswer("r1");
@@ -198,7 +215,7 @@
     public void invalidRequestIsRejected(String name, PeerProto.RelayRequest message) {
       expectThrows(
           IllegalArgumentException.class,
-          () -> RelayFrameUtils.fromRequest(message, HeldBody.of(BODY), 0));
+          () -> RelayFrameUtils.fromRequest(message, HeldBody.of(BODY), 0, RelayListener.none()));
     }
 
     @Test
@@ -219,7 +236,8 @@
         }
         try {
           PeerProto.RelayRequest message = PeerProto.RelayRequest.parseFrom(damaged);
-          RelayedRequest request = RelayFrameUtils.fromRequest(message, HeldBody.of(BODY), 0);
+          RelayedRequest request =
+              RelayFrameUtils.fromRequest(message, HeldBody.of(BODY), 0, RelayListener.none());
           assertFalse(request.remaining().isNegative(), "seed " + seed);
         } catch (IllegalArgumentException | IOException e) {
           assertTrue(e.getMessage() != null, "seed " + seed);
