--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptOptions.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptOptions.java
@@ -7,6 +7,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import reactor.core.publisher.Mono;
 
 /**
@@ -19,15 +20,16 @@
     RequestPlacer placer,
     AttemptLog log,
     String peer,
-    Set<InstanceId> excludedTargets,
+    Supplier<Set<InstanceId>> excludedTargets,
     OptionalLong lastEventId,
-    boolean isReplaceable,
+    BooleanSupplier isReplaceable,
     BooleanSupplier isRelayAllowed)
     implements SuccessorSearch.Options {
 
   @Override
   public boolean isAllowed() {
-    return isReplaceable && getRemainingTime().compareTo(AttemptSequence.MIN_ATTEMPT_TIME) >= 0;
+    return isReplaceable.getAsBoolean()
+        && getRemainingTime().compareTo(AttemptSequence.MIN_ATTEMPT_TIME) >= 0;
   }
 
   private Duration getRemainingTime() {
@@ -36,24 +38,25 @@
 
   @Override
   public Placement place() {
-    return placer.placeRunning(excludedTargets, isRelayAllowed.getAsBoolean());
+    return placer.placeRunning(excludedTargets.get(), isRelayAllowed.getAsBoolean());
   }
 
   @Override
   public Placement placeHere() {
-    return placer.placeRunningHere(excludedTargets);
+    return placer.placeRunningHere(excludedTargets.get());
   }
 
   @Override
   public boolean isRelayable(Placement placement) {
-    return placer.isRelayable(placement, isRelayAllowed.getAsBoolean());
+    return placer.isRelayable(
+        placement, excludedTargets.get(), isRelayAllowed.getAsBoolean());
   }
 
   @Override
   public Mono<AcceptedRelay> offer() {
     return context
         .relay()
-        .offer(new RelayedRequest(routed, getRemainingTime(), lastEventId, 1, excludedTargets));
+        .offer(new RelayedRequest(routed, getRemainingTime(), lastEventId, 1, excludedTargets.get()));
   }
 
   @Override
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptSequence.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptSequence.java
@@ -72,14 +72,17 @@
   private final Set<InstanceId> triedTargets = new HashSet<>();
 
   /**
-   * The tried targets that another entry need not try. Those that this entry lost contact with are
-   * not among them: they may be sound, and the other entry knows better.
+   * The targets that another entry must not try: those that may have run the request, since a
+   * second run may end differently, and those that rejected it. Targets that could not be connected
+   * are not among them, as the other entry may reach them, nor are those at which a stream may go
+   * on.
    */
   private final Set<InstanceId> excludedTargets = new HashSet<>();
 
   private final CallerStream stream;
   private final int maxAttempts;
   private final boolean isRelayed;
+  private final RelayListener relayListener;
   private Outcome outcome = Outcome.NOT_RUN;
   private int possibleRuns;
   private int notRunAttempts;
@@ -98,7 +101,13 @@
 
   /** Creates the attempts for a caller of this entry. */
   AttemptSequence(ForwardContext context, RoutedRequest routed) {
-    this(context, routed, routed.request().lastEventId(), routed.route().maxAttempts(), false);
+    this(
+        context,
+        routed,
+        routed.request().lastEventId(),
+        routed.route().maxAttempts(),
+        false,
+        RelayListener.none());
   }
 
   /** Creates the attempts for another entry. */
@@ -108,7 +117,8 @@
         relayed.routed().withTimeout(context.clock().nanoTime(), relayed.remaining()),
         relayed.lastEventId(),
         relayed.maxAttempts(),
-        true);
+        true,
+        relayed.listener());
     triedTargets.addAll(relayed.excludedTargets());
   }
 
@@ -117,7 +127,8 @@
       RoutedRequest routed,
       OptionalLong lastEventId,
       int maxAttempts,
-      boolean isRelayed) {
+      boolean isRelayed,
+      RelayListener relayListener) {
     this.context = context;
     this.routed = routed;
     this.fingerprints = routed.getFingerprints();
@@ -128,6 +139,7 @@
     this.attempt = stream.newAttempt(RELAY_PEER);
     this.maxAttempts = maxAttempts;
     this.isRelayed = isRelayed;
+    this.relayListener = relayListener;
     this.memory = new ResponseMemory(context.budget(), routed.route().name());
   }
 
@@ -160,7 +172,7 @@
       return Flux.error(newTimeoutException());
     }
     if (placement instanceof Placement.Refuse refusal) {
-      return placer.isRelayable(refusal, isRelayAllowed())
+      return placer.isRelayable(refusal, excludedTargets, isRelayAllowed())
           ? relay(refusal, remaining)
           : refuse(refusal);
     }
@@ -184,6 +196,7 @@
 
   private Flux<ResponsePart> send(Target target, Duration remaining) {
     triedTargets.add(target.id());
+    relayListener.onAttempt(target.id());
     sentAttempts++;
     attempt = stream.newAttempt(target.id().value());
     memory.start(target.id().value());
@@ -200,7 +213,7 @@
         onceCallerIsThere(
                 () -> context.client().send(target, routed, remaining, stream.getLastEventId()))
             .doOnNext(this::onPart);
-    SuccessorSearch successors = newSuccessorSearch(target.id().value(), 1);
+    SuccessorSearch successors = newSuccessorSearch(target.id().value(), 1, () -> true, List::of);
     Flux<ResponsePart> response =
         isStream
             ? streamResponse(target, parts, successors)
@@ -350,10 +363,16 @@
    *
    * @param peer the target or entry of the attempt
    * @param runs the number of targets that may run the request in this attempt
+   * @param areTargetsKnown tells whether no more targets than the named ones can run it
+   * @param relayedTargets names the targets at which another entry tried it
    */
-  private SuccessorSearch newSuccessorSearch(String peer, int runs) {
+  private SuccessorSearch newSuccessorSearch(
+      String peer,
+      int runs,
+      BooleanSupplier areTargetsKnown,
+      Supplier<List<InstanceId>> relayedTargets) {
     boolean isReplaceable = routed.route().isRetryable() && possibleRuns + runs < maxAttempts;
-    Set<InstanceId> excluded = Set.copyOf(triedTargets);
+    Set<InstanceId> tried = Set.copyOf(triedTargets);
     OptionalLong lastEventId = stream.getLastEventId();
     return new SuccessorSearch(
         context.clock(),
@@ -363,9 +382,13 @@
             placer,
             log,
             peer,
-            excluded,
+            () -> {
+              Set<InstanceId> excluded = new HashSet<>(tried);
+              excluded.addAll(relayedTargets.get());
+              return excluded;
+            },
             lastEventId,
-            isReplaceable,
+            () -> isReplaceable && areTargetsKnown.getAsBoolean(),
             this::isRelayAllowed));
   }
 
@@ -508,18 +531,24 @@
             routed.service(), context.reachability().isIsolated() ? "isolated" : "unreachable");
     log.logRelay(
         reason.reason(), remaining, stream.getLastEventId(), grantedAttempts, excludedTargets);
+    RelayedAttempts attempts = new RelayedAttempts();
     RelayedRequest relayed =
         new RelayedRequest(
-            routed, remaining, stream.getLastEventId(), grantedAttempts, excludedTargets);
+            routed, remaining, stream.getLastEventId(), grantedAttempts, excludedTargets, attempts);
     Flux<ResponsePart> parts =
         onceCallerIsThere(() -> relay.apply(relayed)).onErrorMap(RelayException::of);
-    SuccessorSearch successors = newSuccessorSearch(RELAY_PEER, grantedAttempts);
+    SuccessorSearch successors = newSuccessorSearch(
+            RELAY_PEER,
+            grantedAttempts,
+            () -> attempts.areKnown(grantedAttempts),
+            attempts::getTargets);
     Flux<ResponsePart> response =
         isStream ? streamRelayed(parts) : collectRelayed(parts, grantedAttempts, successors);
     return response
         .doFinally(signal -> successors.close())
         .onErrorResume(
-            AttemptException.class, e -> handleRelayFailure(e, grantedAttempts, successors));
+            AttemptException.class,
+            e -> handleRelayFailure(e, grantedAttempts, attempts, successors));
   }
 
   /** Returns the attempts for the next entry, which leave one for an entry after it. */
@@ -555,7 +584,10 @@
   }
 
   private Flux<ResponsePart> handleRelayFailure(
-      AttemptException error, int grantedAttempts, SuccessorSearch successors) {
+      AttemptException error,
+      int grantedAttempts,
+      RelayedAttempts attempts,
+      SuccessorSearch successors) {
     Duration retryAfter =
         error instanceof RelayException failure ? failure.getRetryAfter() : RETRY_AFTER_FAILURE;
     if (error.getOutcome() == Outcome.NOT_RUN) {
@@ -564,12 +596,29 @@
               Placement.Cause.UNREACHABLE, "no entry: " + error.getMessage(), retryAfter));
     }
     possibleRuns += grantedAttempts;
+    recordRelayedAttempts(attempts, grantedAttempts);
     return successors
         .take()
         .map(successor -> replace(error.getPeer(), error, successor))
         .orElseGet(() -> retryOrFail(error.getPeer(), error, retryAfter));
   }
 
+  /** Records at which targets another entry may have had the request run. */
+  private void recordRelayedAttempts(RelayedAttempts attempts, int grantedAttempts) {
+    List<InstanceId> targets = attempts.getTargets();
+    boolean isContinuable = attempt.getEvents() > 0;
+    boolean areKnown = attempts.areKnown(grantedAttempts);
+    log.logRelayFailure(targets, areKnown);
+    triedTargets.addAll(targets);
+    // The target of a stream whose entry was lost may go on for another entry.
+    boolean isLastExcluded = !isContinuable || attempts.isEnded();
+    excludedTargets.addAll(
+        isLastExcluded ? targets : targets.subList(0, Math.max(0, targets.size() - 1)));
+    if (!areKnown && !isContinuable) {
+      possibleRuns = Math.max(possibleRuns, maxAttempts);
+    }
+  }
+
   /**
    * Goes on after the relay found no entry, which it has asked already. An entry that isn't
    * isolated may have sound targets of its own.
@@ -601,7 +650,7 @@
       return RetryVerdict.REFUSED;
     }
     if (next.get() instanceof Placement.Refuse
-        && !placer.isRelayable(next.get(), isRelayAllowed())) {
+        && !placer.isRelayable(next.get(), excludedTargets, isRelayAllowed())) {
       return RetryVerdict.NO_TARGET;
     }
     // An attempt that reached no target put no load on one, so its retry costs no budget.
@@ -625,7 +674,8 @@
     if (isContactLost(error)) {
       hasLostContact = true;
       recordLostContact(target, error);
-    } else {
+    }
+    if (!(error instanceof TargetUnreachableException) && !isContinuable(error)) {
       excludedTargets.add(target.id());
     }
     if (error instanceof TargetUnreachableException) {
@@ -643,6 +693,11 @@
     }
   }
 
+  /** Tests whether the current attempt was a stream that its target may continue for others. */
+  private boolean isContinuable(AttemptException error) {
+    return isStream && error instanceof TargetLostException && attempt.getEvents() > 0;
+  }
+
   /** Tests whether an attempt failed as when the path to its target is cut. */
   private boolean isContactLost(AttemptException error) {
     return error instanceof TargetUnreachableException
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/RequestPlacer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/RequestPlacer.java
@@ -135,12 +135,14 @@
    * Tests whether another entry may take the request.
    *
    * @param placement the placement at this entry, not null
+   * @param excluded the targets that another entry must not try, not null
    * @param isRelayAllowed whether another entry may be asked
    */
-  boolean isRelayable(Placement placement, boolean isRelayAllowed) {
+  boolean isRelayable(Placement placement, Set<InstanceId> excluded, boolean isRelayAllowed) {
     return placement instanceof Placement.Refuse refusal
         && refusal.cause() == Placement.Cause.UNREACHABLE
-        && isRelayAllowed;
+        && isRelayAllowed
+        && getCandidates().stream().anyMatch(t -> !excluded.contains(t.id()));
   }
 
   /** Records the load and the limit that a target stated. */
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayExchange.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayExchange.java
@@ -255,7 +255,11 @@
   }
 
   private void onReply(PeerProto.RelayReply reply) {
-    if (isSent || isAccepted) {
+    if (isSent) {
+      RelayFrameUtils.toTarget(reply).ifPresent(request.listener()::onAttempt);
+      return;
+    }
+    if (isAccepted) {
       return;
     }
     if (!reply.getAccepted()) {
@@ -353,6 +357,7 @@
       failOnWire("the response ends after frame " + nextSequence + " of " + end.getSequence());
       return;
     }
+    request.listener().onEnd(Outcome.RAN);
     end(RelayMetrics.COMPLETE, "");
     sink.complete();
   }
@@ -380,6 +385,7 @@
       return;
     }
     ForwardException error = RelayFrameUtils.fromFailure(failure);
+    request.listener().onEnd(error.getOutcome());
     if (error.getOutcome() != Outcome.NOT_RUN || nextSequence > 0 || error.isTimeout()) {
       fail(error);
       return;
