Charge the retry budget for requests that another entry didn't run

Cause: an entry that accepted a request of another entry may send it to targets that reject it, and then reports it as not run. The relaying entry offered it to the next entry, up to three, and then sent it to a target of its own, without a charge, since the outcome was the same as that of an entry that reached no target. Each of these entries sent a first attempt that nobody paid for.

Why it works: the relay asks for a permit, which charges the budget of the relaying entry, each time an entry that accepted the request didn't run it. Without one the caller is told to come back, and this entry makes no attempt of its own either. An entry can't tell whether the other one reached a target (frames are unchanged), so it charges in both cases.

New counter: fireflyshed.forward.relays.not.run by service and verdict.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptSequence.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptSequence.java
@@ -87,6 +87,9 @@
   private int sentAttempts;
   private int relays;
 
+  /** Whether the retry budget didn't suffice after a relay that did not run the request. */
+  private volatile boolean isRetryDenied;
+
   /** Whether an attempt of this request failed as when the path to its target is cut. */
   private boolean hasLostContact;
 
@@ -519,7 +522,12 @@
         reason.reason(), remaining, stream.getLastEventId(), grantedAttempts, excludedTargets);
     RelayedRequest relayed =
         new RelayedRequest(
-            routed, remaining, stream.getLastEventId(), grantedAttempts, excludedTargets);
+            routed,
+            remaining,
+            stream.getLastEventId(),
+            grantedAttempts,
+            excludedTargets,
+            this::tryRetryAfterRelay);
     Flux<ResponsePart> parts =
         onceCallerIsThere(() -> context.relay().relay(relayed)).onErrorMap(RelayException::of);
     Flux<ResponsePart> response =
@@ -528,6 +536,26 @@
         AttemptException.class, e -> handleRelayFailure(e, grantedAttempts));
   }
 
+  /**
+   * Charges the retry budget after an entry that accepted the request didn't run it. Called on any
+   * thread.
+   */
+  private boolean tryRetryAfterRelay() {
+    boolean isCharged = tryCharge(Outcome.NOT_RUN);
+    isRetryDenied = !isCharged;
+    context
+        .metrics()
+        .recordRelayNotRun(
+            routed.service(), isCharged ? RetryVerdict.CHARGED : RetryVerdict.NO_BUDGET);
+    return isCharged;
+  }
+
+  private boolean tryCharge(Outcome failedOutcome) {
+    return context
+        .retryBudgets()
+        .tryRetry(routed.service(), failedOutcome, context.clock().nanoTime());
+  }
+
   /** Returns the attempts for the next entry, which leave one for an entry after it. */
   private int getGrantedAttempts() {
     int left = maxAttempts - possibleRuns;
@@ -576,7 +604,8 @@
    */
   private Flux<ResponsePart> proceedWithoutRelay(Placement.Refuse refusal) {
     relays = MAX_RELAYS;
-    Placement own = context.reachability().isIsolated() ? refusal : placeNext();
+    boolean isOwnAllowed = !isRetryDenied && !context.reachability().isIsolated();
+    Placement own = isOwnAllowed ? placeNext() : refusal;
     return proceed(own instanceof Placement.Send ? own : refusal);
   }
 
@@ -607,11 +636,7 @@
     if (error instanceof TargetUnreachableException) {
       return RetryVerdict.FREE;
     }
-    return context
-            .retryBudgets()
-            .tryRetry(routed.service(), error.getOutcome(), context.clock().nanoTime())
-        ? RetryVerdict.CHARGED
-        : RetryVerdict.NO_BUDGET;
+    return tryCharge(error.getOutcome()) ? RetryVerdict.CHARGED : RetryVerdict.NO_BUDGET;
   }
 
   private void recordFailure(Target target, AttemptException error) {
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/ForwardMetrics.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/ForwardMetrics.java
@@ -27,6 +27,14 @@
         .increment();
   }
 
+  /** Records that an entry that accepted a request did not run it. */
+  void recordRelayNotRun(ServiceName service, RetryVerdict verdict) {
+    getCounter(
+            "fireflyshed.forward.relays.not.run",
+            Tags.of("service", service.value(), "retry", getLabel(verdict)))
+        .increment();
+  }
+
   void recordRelayedRequest(ServiceName service) {
     getCounter("fireflyshed.forward.relayed.requests", Tags.of("service", service.value()))
         .increment();
@@ -37,11 +45,16 @@
   }
 
   void recordFailure(ServiceName service, RetryVerdict verdict) {
-    String retry = verdict.name().toLowerCase(Locale.ROOT);
-    getCounter("fireflyshed.forward.failures", Tags.of("service", service.value(), "retry", retry))
+    getCounter(
+            "fireflyshed.forward.failures",
+            Tags.of("service", service.value(), "retry", getLabel(verdict)))
         .increment();
   }
 
+  private static String getLabel(RetryVerdict verdict) {
+    return verdict.name().toLowerCase(Locale.ROOT);
+  }
+
   private Counter getCounter(String name, Tags tags) {
     return counters.computeIfAbsent(
         name + tags, key -> Counter.builder(name).tags(tags).register(registry));
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/RelayedRequest.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/RelayedRequest.java
@@ -5,6 +5,7 @@
 import java.util.Objects;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 
 /**
  * Holds a request that one entry authorized and another entry forwards to targets.
@@ -15,13 +16,17 @@
  *     null
  * @param maxAttempts the number of targets that may still run the request, at least 1
  * @param excludedTargets the targets that were tried before, copied, not null
+ * @param retryPermit charges the retry budget for another attempt and returns whether it may start;
+ *     asked each time an entry that accepted the request didn't run it, since targets may have
+ *     rejected its attempts; not null, called on any thread
  */
 public record RelayedRequest(
     RoutedRequest routed,
     Duration remaining,
     OptionalLong lastEventId,
     int maxAttempts,
-    Set<InstanceId> excludedTargets) {
+    Set<InstanceId> excludedTargets,
+    BooleanSupplier retryPermit) {
 
   /** Validates the components and copies the set. */
   public RelayedRequest {
@@ -31,6 +36,26 @@
     if (maxAttempts < 1) {
       throw new IllegalArgumentException("maxAttempts must be at least 1: " + maxAttempts);
     }
+    Objects.requireNonNull(retryPermit, "retryPermit");
     excludedTargets = Set.copyOf(excludedTargets);
   }
+
+  /**
+   * Creates a request whose retries through other entries are not limited.
+   *
+   * @param routed the request, not null
+   * @param remaining the time until the deadline of the request, not null
+   * @param lastEventId the id of the event after which a stream resumes, empty for a new stream,
+   *     not null
+   * @param maxAttempts the number of targets that may still run the request, at least 1
+   * @param excludedTargets the targets that were tried before, copied, not null
+   */
+  public RelayedRequest(
+      RoutedRequest routed,
+      Duration remaining,
+      OptionalLong lastEventId,
+      int maxAttempts,
+      Set<InstanceId> excludedTargets) {
+    this(routed, remaining, lastEventId, maxAttempts, excludedTargets, () -> true);
+  }
 }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayExchange.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayExchange.java
@@ -330,7 +330,13 @@
     notRunFailure = error;
     removeOffer("did not run it: " + error.getMessage());
     client.onNotRun(link, getPool(), error.getRetryAfter());
-    offerNext();
+    if (request.retryPermit().getAsBoolean()) {
+      offerNext();
+    } else {
+      // The entry was released above.
+      link = null;
+      fail(error);
+    }
   }
 
   @Override
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/RelayForwardingTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/RelayForwardingTest.java
@@ -343,6 +343,25 @@
     assertEquals(relay.requests.size(), 3);
   }
 
+  @Test
+  public void ownAttemptAfterAnotherEntryDidNotRunTheRequestIsCharged() {
+    for (int maxRetries : List.of(0, 2)) {
+      setUp();
+      forwarder = newForwarder(0, maxRetries);
+      reachability.isIsolated = true;
+      relay.responses.clear();
+      relay.responses.add(
+          Flux.defer(
+              () -> {
+                reachability.isIsolated = false;
+                relay.requests.get(0).retryPermit().getAsBoolean();
+                return newRelayFailure(Outcome.NOT_RUN);
+              }));
+      forwarder.forward(newRequest(RequestKind.NON_IDEMPOTENT)).onErrorComplete().blockLast();
+      assertEquals(triedTargets.size(), maxRetries > 0 ? 1 : 0);
+    }
+  }
+
   @Test
   public void relayAfterAnAttemptThatMayHaveRunIsCharged() {
     forwarder = newForwarder(0, 0);
