--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayFrameUtils.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayFrameUtils.java
@@ -185,7 +185,8 @@
         message.hasLastEventId() ? OptionalLong.of(message.getLastEventId()) : OptionalLong.empty(),
         message.getMaxAttempts(),
         message.getExcludedTargetsList().stream().map(InstanceId::new).collect(Collectors.toSet()),
-        listener);
+        listener,
+        () -> true);
   }
 
   /** Copies the part of a body that starts at an index into a frame; empty if it is closed. */
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/ServedRelay.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/ServedRelay.java
@@ -198,13 +198,7 @@
   /** Subtracts the time that passed since the first frame, after which the body arrived. */
   private RelayedRequest subtractBodyTime(RelayedRequest request) {
     Duration remaining = request.remaining().minusNanos(server.nanoTime() - messageNanos);
-    return new RelayedRequest(
-        request.routed(),
-        remaining.isNegative() ? Duration.ZERO : remaining,
-        request.lastEventId(),
-        request.maxAttempts(),
-        request.excludedTargets(),
-        request.listener());
+    return request.withRemaining(remaining.isNegative() ? Duration.ZERO : remaining);
   }
 
   private void startRequestTimer() {
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/peer/EntryRelayTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/peer/EntryRelayTest.java
@@ -710,7 +710,8 @@
           request.lastEventId(),
           request.maxAttempts(),
           request.excludedTargets(),
-          listener);
+          listener,
+          request.retryPermit());
     }
 
     @Test
