Do not end long responses that outlast their attempt

Responses that broke off late or never ended looked whole, too.

Cause: AttemptSequence.hold ends an attempt by StreamUtils.failOn with a delay that is filtered once parts were passed on. The signal then completes without an element, and takeUntilOther ends the source on a completion as on an element, but failOn fails only after an element.

Change: in failOn a signal that completes without an element has no effect. Of its other uses (the timeout of a request, the shutdown, StallWatch, StallDetector and the timeout of completions) none has a signal that completes without an element: delays, values, a materialized completion and an endless interval.

Tests, before and after: StreamUtilsTest: expected onNext(2), actual onComplete(); expected onError("source"), actual onComplete().

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/entry/StreamUtils.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/entry/StreamUtils.java
@@ -15,8 +15,8 @@
    * Returns a stream that fails and cancels its source if a signal emits before the source ends.
    *
    * <p>The source is not subscribed to once the signal has emitted, because a cancellation can't
-   * undo what the subscription starts. The signal must not fail, because its error would end the
-   * stream without cancelling the source.
+   * undo what the subscription starts. A signal that completes without an element has no effect. It
+   * must not fail, because its error would end the stream without cancelling the source.
    *
    * @param source the source, not null
    * @param signal makes the stream fail when it emits an element, not null
@@ -28,7 +28,9 @@
     return Flux.defer(
         () -> {
           AtomicBoolean hasFired = new AtomicBoolean();
-          Publisher<?> recordedSignal = signal.doOnNext(s -> hasFired.set(true));
+          // The operator takeUntilOther takes a completion for an element.
+          Publisher<?> recordedSignal =
+              signal.doOnNext(s -> hasFired.set(true)).switchIfEmpty(Mono.never());
           // The operator takeUntilOther subscribes to the signal before the source.
           return Flux.defer(() -> hasFired.get() ? Flux.<T>empty() : source)
               .takeUntilOther(recordedSignal)
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/entry/StreamUtilsTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/entry/StreamUtilsTest.java
@@ -56,5 +56,31 @@
           .expectNext(1, 2)
           .verifyComplete();
     }
+
+    @Test
+    public void sourceGoesOnAfterASignalThatEndsWithoutAnElement() {
+      Sinks.Many<Integer> source = Sinks.many().unicast().onBackpressureBuffer();
+      Sinks.Empty<Boolean> signal = Sinks.empty();
+      StepVerifier.create(
+              StreamUtils.failOn(
+                  source.asFlux(), signal.asMono(), () -> new IllegalStateException(MESSAGE)))
+          .then(() -> source.tryEmitNext(1))
+          .expectNext(1)
+          .then(() -> assertEquals(signal.tryEmitEmpty(), Sinks.EmitResult.OK))
+          .then(() -> source.tryEmitNext(2))
+          .expectNext(2)
+          .then(source::tryEmitComplete)
+          .verifyComplete();
+    }
+
+    @Test
+    public void errorOfTheSourceIsKeptAfterASignalThatEndsWithoutAnElement() {
+      StepVerifier.create(
+              StreamUtils.failOn(
+                  Flux.error(new IllegalStateException("source")),
+                  Mono.empty(),
+                  () -> new IllegalStateException(MESSAGE)))
+          .verifyErrorMessage("source");
+    }
   }
 }
