Keep the length that a target states for a response

Cause: the length counts as a header of the connection, which isn't passed on, and the entry sent everything in chunks.

Change: a response that isn't a stream states the length of its target, whether it is held or passed on, directly or through another entry. Frames of relays carry it among the headers of the head already, also those of older builds; no frame changes. Responses of status 204 and 304 state none. Streams state none, since resumed ones may have other events than their target sent.

HttpConnection reads through a buffer and can expect no body now.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/protocol/traffic/TargetAnswer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/protocol/traffic/TargetAnswer.java
@@ -6,6 +6,8 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
+import java.util.regex.Pattern;
 
 /**
  * The head of the response of a target.
@@ -31,6 +33,11 @@
 
   private static final int OK = 200;
   private static final int MULTIPLE_CHOICES = 300;
+  private static final int NO_CONTENT = 204;
+  private static final int NOT_MODIFIED = 304;
+
+  /** A length in bytes; up to 18 digits always fit into a long. */
+  private static final Pattern LENGTH = Pattern.compile("[0-9]{1,18}");
 
   /** Validates the components. */
   public TargetAnswer {
@@ -51,6 +58,24 @@
         || headers.contains(HttpHeaderNames.TRANSFER_ENCODING);
   }
 
+  /**
+   * Gets the length that the response states for its body. A response to HEAD states that of the
+   * response to GET.
+   *
+   * @return the length in bytes, empty if none is stated, a transfer encoding replaces it or the
+   *     status excludes a body, never null
+   */
+  public OptionalLong getStatedLength() {
+    String length = headers.get(HttpHeaderNames.CONTENT_LENGTH);
+    boolean isStated =
+        length != null
+            && LENGTH.matcher(length).matches()
+            && !headers.contains(HttpHeaderNames.TRANSFER_ENCODING)
+            && status != NO_CONTENT
+            && status != NOT_MODIFIED;
+    return isStated ? OptionalLong.of(Long.parseLong(length)) : OptionalLong.empty();
+  }
+
   /**
    * Gets the media type of the body.
    *
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/TrafficServer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/TrafficServer.java
@@ -15,6 +15,7 @@
 import io.fireflyshed.state.clock.MonotonicClock;
 import io.fireflyshed.state.traffic.ClientAccount;
 import io.fireflyshed.state.traffic.ClientLimits;
+import io.fireflyshed.state.traffic.RequestKind;
 import io.fireflyshed.state.traffic.Route;
 import io.fireflyshed.transport.entry.ShutdownSignal;
 import io.fireflyshed.transport.http.BodyReader;
@@ -539,6 +540,12 @@
     setKeepAlive(response);
     response.status(targetResponse.status());
     response.responseHeaders().add(headers);
+    if (routed.route().kind() != RequestKind.STREAM) {
+      // The body of a stream may have other events than that of the target.
+      targetResponse
+          .getStatedLength()
+          .ifPresent(length -> response.header(HttpHeaderNames.CONTENT_LENGTH, "" + length));
+    }
     Channel channel = getChannel(response);
     Flux<ByteBuf> body =
         chunks.concatMap(
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/HttpConnection.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/HttpConnection.java
@@ -1,5 +1,6 @@
 package io.fireflyshed.transport.forward;
 
+import java.io.BufferedInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
@@ -36,7 +37,7 @@
       socket = new Socket(address.getHostString(), address.getPort());
       socket.setTcpNoDelay(true);
       socket.setSoTimeout(READ_TIMEOUT_MILLIS);
-      in = socket.getInputStream();
+      in = new BufferedInputStream(socket.getInputStream());
     } catch (IOException e) {
       throw new UncheckedIOException("the connection was not accepted", e);
     }
@@ -56,9 +57,14 @@
 
   /** Reads a response; empty if the connection ends before its first byte. */
   Optional<Response> read() {
+    return read(true);
+  }
+
+  /** Reads a response, which may have no body whatever its headers say. */
+  Optional<Response> read(boolean hasBody) {
     try {
       Optional<String> head = readHead();
-      return head.isEmpty() ? Optional.empty() : Optional.of(readBody(head.get()));
+      return head.isEmpty() ? Optional.empty() : Optional.of(readResponse(head.get(), hasBody));
     } catch (SocketException e) {
       return Optional.empty();
     } catch (IOException e) {
@@ -78,7 +84,7 @@
     return Optional.of(head.toString());
   }
 
-  private Response readBody(String head) throws IOException {
+  private Response readResponse(String head, boolean hasBody) throws IOException {
     String[] lines = head.split("\r\n");
     Map<String, String> headers = new HashMap<>();
     for (int i = 1; i < lines.length; i++) {
@@ -89,13 +95,17 @@
     }
     int status = Integer.parseInt(lines[0].split(" ")[1]);
     ByteArrayOutputStream body = new ByteArrayOutputStream();
-    boolean isComplete =
-        headers.containsKey("content-length")
-            ? readBytes(body, Integer.parseInt(headers.get("content-length")))
-            : readChunks(body);
+    boolean isComplete = !hasBody || readBody(headers, body);
     return new Response(status, headers, body.toString(StandardCharsets.US_ASCII), isComplete);
   }
 
+  private boolean readBody(Map<String, String> headers, ByteArrayOutputStream body)
+      throws IOException {
+    return headers.containsKey("content-length")
+        ? readBytes(body, Integer.parseInt(headers.get("content-length")))
+        : readChunks(body);
+  }
+
   private boolean readBytes(ByteArrayOutputStream body, int count) throws IOException {
     for (int i = 0; i < count; i++) {
       int next = readByte();
