Take no response for whole whose length is not the stated one

Cause: an entry relied on the connection alone for the end of a response, and counted its bytes only against its limit.

Change: HeldResponse compares the bytes with the length that the head states, unless the request is a HEAD. A difference fails the attempt as unknown: a response that is held is repeated where the route allows it, one that was passed on ends as broken.

HeldResponseTest states the new argument.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptSequence.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptSequence.java
@@ -13,6 +13,7 @@
 import io.fireflyshed.state.traffic.RequestKind;
 import io.fireflyshed.transport.entry.StreamUtils;
 import io.fireflyshed.transport.log.EventLog;
+import io.netty.handler.codec.http.HttpMethod;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
@@ -310,7 +311,8 @@
       Flux<ResponsePart> parts,
       Duration timeout,
       Supplier<Throwable> newLateException) {
-    HeldResponse held = new HeldResponse(peer, memory, routed.route().isRetryable());
+    boolean hasBody = !routed.request().method().equals(HttpMethod.HEAD);
+    HeldResponse held = new HeldResponse(peer, memory, routed.route().isRetryable(), hasBody);
     Flux<ResponsePart> limitedParts =
         routed.route().kind() == RequestKind.IDEMPOTENT
             ? StreamUtils.failOn(
@@ -318,8 +320,12 @@
             : parts;
     return limitedParts
         .concatMapIterable(part -> add(held, part), PREFETCHED_PARTS)
-        .concatWith(
-            Flux.defer(() -> held.isPassedOn() ? Flux.empty() : evaluate(peer, held.getParts())));
+        .concatWith(Flux.defer(() -> end(peer, held)));
+  }
+
+  private Flux<ResponsePart> end(String peer, HeldResponse held) {
+    held.end();
+    return held.isPassedOn() ? Flux.empty() : evaluate(peer, held.getParts());
   }
 
   private List<ResponsePart> add(HeldResponse held, ResponsePart part) {
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/HeldResponse.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/HeldResponse.java
@@ -4,6 +4,7 @@
 import io.fireflyshed.coordination.attempt.Outcome;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 
 /**
  * Holds the beginning of a response that is not a stream, so that another attempt can replace a
@@ -25,7 +26,9 @@
   private final String peer;
   private final ResponseMemory memory;
   private final boolean isErrorReplaceable;
+  private final boolean hasBody;
   private final List<ResponsePart> parts = new ArrayList<>();
+  private OptionalLong statedBytes = OptionalLong.empty();
   private long bytes;
   private boolean isPassedOn;
 
@@ -35,11 +38,13 @@
    * @param peer the target or entry that responds, not null
    * @param memory counts what is held, not null
    * @param isErrorReplaceable whether another attempt may follow a response that states an error
+   * @param hasBody whether the response has the body whose length it states, unlike one to HEAD
    */
-  HeldResponse(String peer, ResponseMemory memory, boolean isErrorReplaceable) {
+  HeldResponse(String peer, ResponseMemory memory, boolean isErrorReplaceable, boolean hasBody) {
     this.peer = peer;
     this.memory = memory;
     this.isErrorReplaceable = isErrorReplaceable;
+    this.hasBody = hasBody;
   }
 
   /**
@@ -47,10 +52,15 @@
    *
    * @param part the part, the head of the response first, not null
    * @return the parts that are passed on now, never null
-   * @throws AttemptException if the response is too long
+   * @throws AttemptException if the response is too long or longer than it states
    */
   List<ResponsePart> add(ResponsePart part) {
-    bytes += part instanceof ResponsePart.BodyChunk chunk ? chunk.bytes().length : 0;
+    if (part instanceof ResponsePart.BodyChunk chunk) {
+      bytes += chunk.bytes().length;
+      checkLength(bytes > statedBytes.orElse(bytes));
+    } else if (hasBody) {
+      statedBytes = ((ResponsePart.Head) part).response().getStatedLength();
+    }
     if (bytes > MAX_BYTES) {
       throw new AttemptException(
           STEP, peer, Outcome.UNKNOWN, "the response exceeds " + MAX_BYTES + " bytes", null);
@@ -73,6 +83,22 @@
     return held;
   }
 
+  /**
+   * Ends the response.
+   *
+   * @throws AttemptException if the response is shorter than it states
+   */
+  void end() {
+    checkLength(bytes < statedBytes.orElse(bytes));
+  }
+
+  private void checkLength(boolean isWrong) {
+    if (isWrong) {
+      String message = "the response has " + bytes + " bytes and states " + statedBytes.getAsLong();
+      throw new AttemptException(STEP, peer, Outcome.UNKNOWN, message, null);
+    }
+  }
+
   private boolean isSuccess() {
     return ((ResponsePart.Head) parts.get(0)).response().isSuccess();
   }
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/HeldResponseTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/HeldResponseTest.java
@@ -36,7 +36,7 @@
   }
 
   private HeldResponse newResponse(int status, boolean isErrorReplaceable) {
-    HeldResponse response = new HeldResponse("target", memory, isErrorReplaceable);
+    HeldResponse response = new HeldResponse("target", memory, isErrorReplaceable, true);
     assertEquals(response.add(ForwardFixtures.newHead("id", status)), List.of());
     return response;
   }
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/LongResponseTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/LongResponseTest.java
@@ -15,6 +15,9 @@
 import io.fireflyshed.state.target.Target;
 import io.fireflyshed.state.traffic.RequestKind;
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -244,6 +247,47 @@
     assertEquals(attempts, 1);
   }
 
+  /** Returns a response whose body may have another length than it states. */
+  private static Flux<ResponsePart> newResponse(int statedBytes, int chunks) {
+    HttpHeaders headers = new DefaultHttpHeaders();
+    headers.set(HttpHeaderNames.CONTENT_LENGTH, statedBytes);
+    return Flux.concat(
+        Mono.just(ForwardFixtures.newHead(ID, 200, headers)),
+        Flux.range(0, chunks).map(n -> new ResponsePart.BodyChunk(new byte[CHUNK_BYTES])));
+  }
+
+  @Test(dataProvider = "ways")
+  public void longResponseThatIsShorterThanItStatesEndsWithAnError(
+      RequestKind kind, boolean isRelayed) {
+    response = newResponse(CHUNKS * CHUNK_BYTES + 1, CHUNKS);
+    call(kind, isRelayed).assertBroken(CHUNKS * CHUNK_BYTES);
+    assertEquals(attempts, 1);
+  }
+
+  @Test(dataProvider = "ways")
+  public void longResponseThatIsLongerThanItStatesEndsWithAnError(
+      RequestKind kind, boolean isRelayed) {
+    response = newResponse(CHUNKS * CHUNK_BYTES - 1, CHUNKS);
+    call(kind, isRelayed).assertBroken((CHUNKS - 1) * CHUNK_BYTES);
+    assertEquals(attempts, 1);
+  }
+
+  @Test(dataProvider = "ways")
+  public void shortResponseThatIsShorterThanItStatesIsNotPassedOn(
+      RequestKind kind, boolean isRelayed) {
+    response = newResponse(2 * CHUNK_BYTES, 1);
+    Caller caller = call(kind, isRelayed);
+    assertTrue(caller.error instanceof ForwardException, "the response looks whole");
+    assertEquals(caller.heads, 0);
+    assertEquals(attempts, kind == RequestKind.IDEMPOTENT ? ForwardFixtures.MAX_ATTEMPTS : 1);
+  }
+
+  @Test(dataProvider = "ways")
+  public void responseThatStatesItsLengthIsWhole(RequestKind kind, boolean isRelayed) {
+    response = newResponse(CHUNKS * CHUNK_BYTES, CHUNKS);
+    call(kind, isRelayed).assertWhole(CHUNKS * CHUNK_BYTES);
+  }
+
   @Test(dataProvider = "ways")
   public void longResponseThatExceedsItsLimitEndsWithAnError(RequestKind kind, boolean isRelayed) {
     int chunks = (4 << 20) / CHUNK_BYTES;
