Test how callers see responses that an entry ends by itself

EndedResponseTest: responses that are held, passed on and streamed, directly and through another entry, which end because their entry stops, their timeout passes or the other entry is lost. What is held gets an error, what was passed on ends without its last chunk or before its stated length.

--- /dev/null
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/EndedResponseTest.java
@@ -0,0 +1,146 @@
+package io.fireflyshed.transport.forward;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests over loopback how callers see responses that an entry ends by itself. */
+public class EndedResponseTest {
+
+  private static final String PART = "x".repeat(1000);
+  private static final int LONG_PARTS = 150;
+  private static final String EVENT = "id: 1\ndata: one\n\n";
+  private static final int BAD_GATEWAY = 502;
+  private static final int GATEWAY_TIMEOUT = 504;
+
+  private EntrySite site;
+  private CountDownLatch isAnswering;
+
+  /** Starts entries, and targets that fall silent in the middle of their responses. */
+  @BeforeMethod
+  public void setUp() {
+    isAnswering = new CountDownLatch(1);
+    site = new EntrySite(this::answer);
+  }
+
+  /** Stops all of them. */
+  @AfterMethod(alwaysRun = true)
+  public void tearDown() throws Exception {
+    site.close();
+  }
+
+  private void answer(EntrySite.Request request, Socket connection) throws IOException {
+    OutputStream out = connection.getOutputStream();
+    write(out, request.newHead("200 OK"));
+    if (request.getName().endsWith("-length")) {
+      write(out, "Content-Length: 300000\r\n\r\n");
+    } else {
+      write(out, "Transfer-Encoding: chunked\r\n\r\n");
+    }
+    boolean isChunked = !request.getName().endsWith("-length");
+    if (request.path().startsWith(EntrySite.NOTE_PATH)) {
+      write(out, toPart(EVENT, isChunked));
+    } else {
+      int parts = request.getName().startsWith("long") ? LONG_PARTS : 1;
+      write(out, toPart(PART, isChunked).repeat(parts));
+    }
+    isAnswering.countDown();
+    connection.getInputStream().read();
+  }
+
+  private static String toPart(String text, boolean isChunked) {
+    return isChunked ? Integer.toHexString(text.length()) + "\r\n" + text + "\r\n" : text;
+  }
+
+  private static void write(OutputStream out, String text) throws IOException {
+    out.write(text.getBytes(StandardCharsets.US_ASCII));
+    out.flush();
+  }
+
+  /** Provides responses that are held, passed on or streams, directly and relayed. */
+  @DataProvider
+  public Object[][] responses() {
+    return new Object[][] {
+      {EntrySite.ORDER_PATH + "short", false, 0},
+      {EntrySite.ORDER_PATH + "short", true, 0},
+      {EntrySite.ORDER_PATH + "long", false, LONG_PARTS * PART.length()},
+      {EntrySite.ORDER_PATH + "long", true, LONG_PARTS * PART.length()},
+      {EntrySite.ORDER_PATH + "long-length", false, LONG_PARTS * PART.length()},
+      {EntrySite.ORDER_PATH + "long-length", true, LONG_PARTS * PART.length()},
+      {EntrySite.NOTE_PATH + "stream", false, EVENT.length()},
+      {EntrySite.NOTE_PATH + "stream", true, EVENT.length()},
+      {EntrySite.NOTE_PATH + "stream-length", true, EVENT.length()}
+    };
+  }
+
+  private CompletableFuture<HttpConnection.Response> start(String path, boolean isRelayed)
+      throws Exception {
+    CompletableFuture<HttpConnection.Response> response =
+        CompletableFuture.supplyAsync(
+            () -> {
+              try (HttpConnection connection = new HttpConnection(site.getAddress(isRelayed))) {
+                connection.send(EntrySite.newRequest("GET", path, "id"));
+                return connection.read().orElseThrow();
+              }
+            });
+    assertTrue(isAnswering.await(10, TimeUnit.SECONDS), "no target got the request");
+    // The head of a response that is passed on reaches the caller meanwhile.
+    Thread.sleep(300);
+    return response;
+  }
+
+  private static void assertEnded(HttpConnection.Response response, int status, int passedOn) {
+    if (passedOn == 0) {
+      assertEquals(response.status(), status);
+      assertTrue(response.isComplete());
+    } else {
+      assertEquals(response.status(), 200);
+      assertTrue(response.body().length() <= passedOn, response.body().length() + " bytes");
+      assertFalse(response.isComplete(), "the response looks whole");
+    }
+  }
+
+  @Test(dataProvider = "responses")
+  public void responseEndsAsBrokenWhenItsEntryStops(String path, boolean isRelayed, int passedOn)
+      throws Exception {
+    CompletableFuture<HttpConnection.Response> response = start(path, isRelayed);
+    site.stop(isRelayed);
+    assertEnded(response.get(10, TimeUnit.SECONDS), BAD_GATEWAY, passedOn);
+  }
+
+  @Test
+  public void responseEndsAsBrokenAtItsTimeout() throws Exception {
+    List<CompletableFuture<HttpConnection.Response>> started = new ArrayList<>();
+    for (Object[] response : responses()) {
+      started.add(start((String) response[0], (boolean) response[1]));
+    }
+    for (int i = 0; i < started.size(); i++) {
+      int passedOn = (int) responses()[i][2];
+      assertEnded(started.get(i).get(10, TimeUnit.SECONDS), GATEWAY_TIMEOUT, passedOn);
+    }
+  }
+
+  @Test(dataProvider = "responses")
+  public void relayedResponseEndsAsBrokenWhenItsEntryIsLost(
+      String path, boolean isRelayed, int passedOn) throws Exception {
+    if (isRelayed) {
+      CompletableFuture<HttpConnection.Response> response = start(path, true);
+      site.closeRelay();
+      assertEnded(response.get(10, TimeUnit.SECONDS), BAD_GATEWAY, passedOn);
+    }
+  }
+}
