--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/EndedResponseTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/EndedResponseTest.java
@@ -143,4 +143,26 @@
       assertEnded(response.get(10, TimeUnit.SECONDS), BAD_GATEWAY, passedOn);
     }
   }
+
+  @Test
+  public void responseEndsAsBrokenIfItsCallerDoesNotReadAndThereIsNoRoom() throws Exception {
+    int events = 1000;
+    String event = "data: " + "x".repeat(16 << 10) + "\n\n";
+    EntrySite.Script script =
+        (request, connection) -> {
+          write(connection.getOutputStream(), request.newHead("200 OK") + "\r\n");
+          for (int i = 0; i < events; i++) {
+            write(connection.getOutputStream(), event);
+          }
+        };
+    try (EntrySite smallSite = new EntrySite(script, 64 << 10);
+        HttpConnection connection = new HttpConnection(smallSite.getAddress(false))) {
+      connection.send(EntrySite.newRequest("GET", EntrySite.NOTE_PATH + "large", "id"));
+      Thread.sleep(1000);
+      HttpConnection.Response response = connection.read().orElseThrow();
+      assertEquals(response.status(), 200);
+      assertTrue(response.body().length() < events * event.length());
+      assertFalse(response.isComplete(), "the response looks whole");
+    }
+  }
 }
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/EntrySite.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/EntrySite.java
@@ -117,6 +117,7 @@
   }
 
   private final Script script;
+  private final long callerBytes;
   private final Codec codec = new Codec();
   private final TargetCaller caller = new TargetCaller(codec);
   private final List<AutoCloseable> opened = new ArrayList<>();
@@ -128,7 +129,13 @@
   private final EntryRelay relay;
 
   EntrySite(Script script) {
+    this(script, BUDGET_BYTES);
+  }
+
+  /** Creates entries that hold at most as many bytes for their callers. */
+  EntrySite(Script script, long callerBytes) {
     this.script = script;
+    this.callerBytes = callerBytes;
     opened.add(caller);
     for (String id : List.of("one", "two")) {
       targets.add(ForwardFixtures.newTarget(id, startTarget()));
@@ -225,8 +232,8 @@
     return Optional.of(new Request(line[0], line[1], headers));
   }
 
-  private static ByteBudget newBudget() {
-    return new ByteBudget(BUDGET_BYTES, MonotonicClock.system(), ByteBudget.Listener.none());
+  private static ByteBudget newBudget(long bytes) {
+    return new ByteBudget(bytes, MonotonicClock.system(), ByteBudget.Listener.none());
   }
 
   private Forwarder newForwarder(Reachability reachability, RequestRelay relay) {
@@ -248,7 +255,7 @@
             new SimpleMeterRegistry(),
             reachability,
             relay,
-            newBudget());
+            newBudget(BUDGET_BYTES));
     forwarder.start();
     opened.add(forwarder::stop);
     return forwarder;
@@ -262,7 +269,7 @@
             () -> peers,
             () -> {},
             EntryServices.ofRelay(offer -> Optional.empty(), forwarder::forwardRelayed),
-            newBudget(),
+            newBudget(BUDGET_BYTES),
             MonotonicClock.system(),
             RandomSource.XO_RO_SHI_RO_128_PP.create(3),
             new SimpleMeterRegistry());
@@ -289,7 +296,7 @@
             RandomSource.XO_RO_SHI_RO_128_PP.create(1),
             MonotonicClock.system(),
             () -> true,
-            newBudget(),
+            newBudget(callerBytes),
             metrics);
     newServer.start();
     newServer.startAccepting();
