Move the charges of retries out of the attempts

What follows a relayed attempt is searched for only once all targets are known at which the other entry tried the request, and leaves these out.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptOptions.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptOptions.java
@@ -4,10 +4,10 @@
 import io.fireflyshed.coordination.placement.Placement;
 import io.fireflyshed.state.instance.InstanceId;
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
-import java.util.function.Supplier;
 import reactor.core.publisher.Mono;
 
 /**
@@ -18,52 +18,60 @@
     ForwardContext context,
     RoutedRequest routed,
     RequestPlacer placer,
+    RetryCharger charger,
     AttemptLog log,
     String peer,
-    Supplier<Set<InstanceId>> excludedTargets,
+    Set<InstanceId> triedTargets,
+    RelayedAttempts relayed,
+    int grantedAttempts,
     OptionalLong lastEventId,
-    BooleanSupplier isReplaceable,
+    boolean isReplaceable,
     BooleanSupplier isRelayAllowed)
     implements SuccessorSearch.Options {
 
   @Override
   public boolean isAllowed() {
-    return isReplaceable.getAsBoolean()
+    return isReplaceable
+        && relayed.areKnown(grantedAttempts)
         && getRemainingTime().compareTo(AttemptSequence.MIN_ATTEMPT_TIME) >= 0;
   }
 
+  private Set<InstanceId> getExcludedTargets() {
+    Set<InstanceId> excluded = new HashSet<>(triedTargets);
+    excluded.addAll(relayed.getTargets());
+    return excluded;
+  }
+
   private Duration getRemainingTime() {
     return routed.getRemainingTime(context.clock().nanoTime());
   }
 
   @Override
   public Placement place() {
-    return placer.placeRunning(excludedTargets.get(), isRelayAllowed.getAsBoolean());
+    return placer.placeRunning(getExcludedTargets(), isRelayAllowed.getAsBoolean());
   }
 
   @Override
   public Placement placeHere() {
-    return placer.placeRunningHere(excludedTargets.get());
+    return placer.placeRunningHere(getExcludedTargets());
   }
 
   @Override
   public boolean isRelayable(Placement placement) {
-    return placer.isRelayable(
-        placement, excludedTargets.get(), isRelayAllowed.getAsBoolean());
+    return placer.isRelayable(placement, getExcludedTargets(), isRelayAllowed.getAsBoolean());
   }
 
   @Override
   public Mono<AcceptedRelay> offer() {
     return context
         .relay()
-        .offer(new RelayedRequest(routed, getRemainingTime(), lastEventId, 1, excludedTargets.get()));
+        .offer(
+            new RelayedRequest(routed, getRemainingTime(), lastEventId, 1, getExcludedTargets()));
   }
 
   @Override
   public boolean tryCharge() {
-    return context
-        .retryBudgets()
-        .tryRetry(routed.service(), Outcome.UNKNOWN, context.clock().nanoTime());
+    return charger.tryCharge(Outcome.UNKNOWN);
   }
 
   @Override
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptSequence.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptSequence.java
@@ -69,6 +69,7 @@
   private final RequestFingerprints fingerprints;
   private final AttemptLog log;
   private final RequestPlacer placer;
+  private final RetryCharger charger;
   private final boolean isStream;
   private final Set<InstanceId> triedTargets = new HashSet<>();
 
@@ -90,9 +91,6 @@
   private int sentAttempts;
   private int relays;
 
-  /** Whether the retry budget didn't suffice after a relay that did not run the request. */
-  private volatile boolean isRetryDenied;
-
   /** Whether an attempt of this request failed as when the path to its target is cut. */
   private boolean hasLostContact;
 
@@ -138,6 +136,7 @@
     this.fingerprints = routed.getFingerprints();
     this.log = new AttemptLog(routed, fingerprints);
     this.placer = new RequestPlacer(context, routed, isRelayed);
+    this.charger = new RetryCharger(context, routed, placer);
     this.isStream = routed.route().kind() == RequestKind.STREAM;
     this.stream = new CallerStream(lastEventId);
     this.attempt = stream.newAttempt(RELAY_PEER);
@@ -217,7 +216,7 @@
         onceCallerIsThere(
                 () -> context.client().send(target, routed, remaining, stream.getLastEventId()))
             .doOnNext(this::onPart);
-    SuccessorSearch successors = newSuccessorSearch(target.id().value(), 1, () -> true, List::of);
+    SuccessorSearch successors = newSuccessorSearch(target.id().value(), new RelayedAttempts(), 0);
     Flux<ResponsePart> response =
         isStream
             ? streamResponse(target, parts, successors)
@@ -371,34 +370,27 @@
    * Creates the search for what may follow the attempt that starts now.
    *
    * @param peer the target or entry of the attempt
-   * @param runs the number of targets that may run the request in this attempt
-   * @param areTargetsKnown tells whether no more targets than the named ones can run it
-   * @param relayedTargets names the targets at which another entry tried it
+   * @param relayed collects the targets at which another entry tries the request
+   * @param grantedAttempts the number of these targets, 0 for an attempt of this entry
    */
   private SuccessorSearch newSuccessorSearch(
-      String peer,
-      int runs,
-      BooleanSupplier areTargetsKnown,
-      Supplier<List<InstanceId>> relayedTargets) {
-    boolean isReplaceable = routed.route().isRetryable() && possibleRuns + runs < maxAttempts;
-    Set<InstanceId> tried = Set.copyOf(triedTargets);
-    OptionalLong lastEventId = stream.getLastEventId();
-    return new SuccessorSearch(
-        context.clock(),
+      String peer, RelayedAttempts relayed, int grantedAttempts) {
+    int runs = Math.max(1, grantedAttempts);
+    AttemptOptions options =
         new AttemptOptions(
             context,
             routed,
             placer,
+            charger,
             log,
             peer,
-            () -> {
-              Set<InstanceId> excluded = new HashSet<>(tried);
-              excluded.addAll(relayedTargets.get());
-              return excluded;
-            },
-            lastEventId,
-            () -> isReplaceable && areTargetsKnown.getAsBoolean(),
-            this::isRelayAllowed));
+            Set.copyOf(triedTargets),
+            relayed,
+            grantedAttempts,
+            stream.getLastEventId(),
+            routed.route().isRetryable() && possibleRuns + runs < maxAttempts,
+            this::isRelayAllowed);
+    return new SuccessorSearch(context.clock(), options);
   }
 
   private List<StreamAttempt.Delivery> processPart(
@@ -508,7 +500,10 @@
     outcome = outcome.join(error.getOutcome());
     Optional<Placement> next =
         isRepeatable(error) && isAttemptLeft(error) ? Optional.of(placeNext()) : Optional.empty();
-    RetryVerdict verdict = decideRetry(error, next);
+    RetryVerdict verdict =
+        next.map(n -> charger.charge(error, n, excludedTargets, isRelayAllowed()))
+            .orElse(
+                isRepeatable(error) ? RetryVerdict.TOO_MANY_ATTEMPTS : RetryVerdict.NOT_REPEATABLE);
     context.metrics().recordFailure(routed.service(), verdict);
     log.logFailure(peer, attempt.getEvents(), error, verdict);
     if (next.isPresent() && verdict != RetryVerdict.NO_BUDGET) {
@@ -549,14 +544,10 @@
             grantedAttempts,
             excludedTargets,
             attempts,
-            this::tryRetryAfterRelay);
+            charger::tryChargeAfterRelay);
     Flux<ResponsePart> parts =
         onceCallerIsThere(() -> relay.apply(relayed)).onErrorMap(RelayException::of);
-    SuccessorSearch successors = newSuccessorSearch(
-            RELAY_PEER,
-            grantedAttempts,
-            () -> attempts.areKnown(grantedAttempts),
-            attempts::getTargets);
+    SuccessorSearch successors = newSuccessorSearch(RELAY_PEER, attempts, grantedAttempts);
     Flux<ResponsePart> response =
         isStream ? streamRelayed(parts) : collectRelayed(parts, grantedAttempts, successors);
     return response
@@ -566,26 +557,6 @@
             e -> handleRelayFailure(e, grantedAttempts, attempts, successors));
   }
 
-  /**
-   * Charges the retry budget after an entry that accepted the request didn't run it. Called on any
-   * thread.
-   */
-  private boolean tryRetryAfterRelay() {
-    boolean isCharged = tryCharge(Outcome.NOT_RUN);
-    isRetryDenied = !isCharged;
-    context
-        .metrics()
-        .recordRelayNotRun(
-            routed.service(), isCharged ? RetryVerdict.CHARGED : RetryVerdict.NO_BUDGET);
-    return isCharged;
-  }
-
-  private boolean tryCharge(Outcome failedOutcome) {
-    return context
-        .retryBudgets()
-        .tryRetry(routed.service(), failedOutcome, context.clock().nanoTime());
-  }
-
   /** Returns the attempts for the next entry, which leave one for an entry after it. */
   private int getGrantedAttempts() {
     int left = maxAttempts - possibleRuns;
@@ -660,7 +631,7 @@
    */
   private Flux<ResponsePart> proceedWithoutRelay(Placement.Refuse refusal) {
     relays = MAX_RELAYS;
-    boolean isOwnAllowed = !isRetryDenied && !context.reachability().isIsolated();
+    boolean isOwnAllowed = !charger.isDeniedAfterRelay() && !context.reachability().isIsolated();
     Placement own = isOwnAllowed ? placeNext() : refusal;
     return proceed(own instanceof Placement.Send ? own : refusal);
   }
@@ -678,24 +649,6 @@
         : possibleRuns < maxAttempts;
   }
 
-  private RetryVerdict decideRetry(AttemptException error, Optional<Placement> next) {
-    if (next.isEmpty()) {
-      return isRepeatable(error) ? RetryVerdict.TOO_MANY_ATTEMPTS : RetryVerdict.NOT_REPEATABLE;
-    }
-    if (context.crashGuard().getRefusal(fingerprints).isPresent()) {
-      return RetryVerdict.REFUSED;
-    }
-    if (next.get() instanceof Placement.Refuse
-        && !placer.isRelayable(next.get(), excludedTargets, isRelayAllowed())) {
-      return RetryVerdict.NO_TARGET;
-    }
-    // An attempt that reached no target put no load on one, so its retry costs no budget.
-    if (error instanceof TargetUnreachableException) {
-      return RetryVerdict.FREE;
-    }
-    return tryCharge(error.getOutcome()) ? RetryVerdict.CHARGED : RetryVerdict.NO_BUDGET;
-  }
-
   private void recordFailure(Target target, AttemptException error) {
     if (error instanceof RequestRejectedException rejection && !rejection.isMisdirected()) {
       placer.onRequestLimit(target, rejection.getResponse());
