--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/SuccessorSearch.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/SuccessorSearch.java
@@ -152,7 +152,7 @@
 
   /** Withdraws what is offered, as the attempt goes on. */
   synchronized void onProgress() {
-    if (successor.isEmpty()) {
+    if (successor.isEmpty() && (isOfferPending || accepted.isPresent())) {
       withdraw();
     }
   }
