--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/HttpConnection.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/HttpConnection.java
@@ -55,6 +55,17 @@
     }
   }
 
+  /** Waits for the first byte of a response, which is read later. */
+  void awaitResponse() {
+    try {
+      in.mark(1);
+      in.read();
+      in.reset();
+    } catch (IOException e) {
+      throw new UncheckedIOException("no response came", e);
+    }
+  }
+
   /** Reads a response; empty if the connection ends before its first byte. */
   Optional<Response> read() {
     return read(true);
