Keep offering requests to entries that could not use some targets

An entry that ran nothing of a relayed request was left out for the whole pool for a while ("relay peer lost"), so that other requests found "no entry". With excluded targets that says nothing about other requests: all targets that are left may be busy or silent. Such a request leaves no entry out any more.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayClient.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayClient.java
@@ -260,6 +260,15 @@
     leaveOut(link, pool, retryAfter, "did not run a request for " + pool);
   }
 
+  /**
+   * Handles that an entry ran nothing of a request for which it may not use some targets, which
+   * says nothing about other requests.
+   */
+  void onExcluded(RelayLink link) {
+    metrics.recordOffer("not run");
+    selector.onEnd(link.getPeer().id());
+  }
+
   private void leaveOut(RelayLink link, String pool, Duration retryAfter, String reason) {
     PeerId peer = link.getPeer().id();
     selector.onEnd(peer);
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayExchange.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayExchange.java
@@ -332,7 +332,11 @@
     failedOffers++;
     notRunFailure = error;
     removeOffer("did not run it: " + error.getMessage());
-    client.onNotRun(link, getPool(), error.getRetryAfter());
+    if (request.excludedTargets().isEmpty()) {
+      client.onNotRun(link, getPool(), error.getRetryAfter());
+    } else {
+      client.onExcluded(link);
+    }
     offerNext();
   }
 
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/peer/RelayFixtures.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/peer/RelayFixtures.java
@@ -106,6 +106,20 @@
     return newRequest(id, newBytes(10, 1), Duration.ofSeconds(10));
   }
 
+  static RelayedRequest withExclusions(RelayedRequest request, Set<InstanceId> excludedTargets) {
+    return new RelayedRequest(
+        request.routed(),
+        request.remaining(),
+        request.lastEventId(),
+        request.maxAttempts(),
+        excludedTargets);
+  }
+
+  /** Creates a request that no entry has tried at a target. */
+  static RelayedRequest newFirstRequest(String id, byte[] body) {
+    return withExclusions(newRequest(id, body, Duration.ofSeconds(10)), Set.of());
+  }
+
   static TargetAnswer newAnswer(String requestId) {
     HttpHeaders headers = new DefaultHttpHeaders();
     headers.add("Set-Cookie", "a=1");
--- /dev/null
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/peer/RelayTargetsTest.java
@@ -0,0 +1,88 @@
+package io.fireflyshed.transport.peer;
+
+import static org.testng.Assert.assertEquals;
+
+import io.fireflyshed.coordination.attempt.Outcome;
+import io.fireflyshed.state.instance.InstanceId;
+import io.fireflyshed.transport.forward.ForwardException;
+import io.fireflyshed.transport.forward.RelayListener;
+import io.fireflyshed.transport.forward.RelayedRequest;
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.testng.annotations.Test;
+import reactor.core.publisher.Flux;
+
+/** Tests what entries tell each other about the targets of a relayed request. */
+public class RelayTargetsTest extends RelayTestBase {
+
+  @Test
+  public void entryThatMayNotUseTheTargetsOfOneRequestGetsTheNext() {
+    RelayEntry entry = newEntry("e1");
+    RelayEntry failing = newEntry("failing");
+    failing.forwarder = request -> Flux.error(newFailure(Outcome.NOT_RUN));
+    entry.addPeer(failing);
+    RelayedRequest request =
+        RelayFixtures.withExclusions(RelayFixtures.newRequest("r1"), Set.of(new InstanceId("t1")));
+    assertEquals(entry.fail(request).getOutcome(), Outcome.NOT_RUN);
+    assertEquals(failing.requests.size(), 1);
+    failing.forwarder = RelayEntry::answer;
+    assertAnswers(entry.relay("r2"), "r2", RelayFixtures.newBytes(10, 1));
+    assertEquals(failing.requests.size(), 2);
+  }
+
+  @Test
+  public void targetsOfThePeerAreTold() throws Exception {
+    RelayEntry entry = newEntry("e1");
+    RelayEntry other = newEntry("other");
+    other.forwarder =
+        request -> {
+          request.listener().onAttempt(new InstanceId("t7"));
+          request.listener().onAttempt(new InstanceId("t8"));
+          return RelayEntry.answer(request);
+        };
+    entry.addPeer(other);
+    List<String> told = new CopyOnWriteArrayList<>();
+    RelayedRequest request = withListener(RelayFixtures.newRequest("r1"), told);
+    assertAnswers(
+        entry.relay.relay(request).collectList().block(RelayFixtures.TIMEOUT),
+        "r1",
+        RelayFixtures.newBytes(10, 1));
+    assertEquals(told, List.of("t7", "t8", "RAN"));
+    other.forwarder =
+        r ->
+            Flux.error(
+                new ForwardException(
+                    "forward", "t1", "broke", Outcome.UNKNOWN, Duration.ofMillis(700), false));
+    told.clear();
+    entry.fail(withListener(RelayFixtures.newRequest("r2"), told));
+    assertEquals(told, List.of("UNKNOWN"));
+  }
+
+  private static RelayedRequest withListener(RelayedRequest request, List<String> told) {
+    RelayListener listener =
+        new RelayListener() {
+          @Override
+          public void onAttempt(InstanceId target) {
+            told.add(target.value());
+          }
+
+          @Override
+          public void onEnd(Outcome outcome) {
+            told.add(outcome.name());
+          }
+        };
+    return new RelayedRequest(
+        request.routed(),
+        request.remaining(),
+        request.lastEventId(),
+        request.maxAttempts(),
+        request.excludedTargets(),
+        listener);
+  }
+
+  private static ForwardException newFailure(Outcome outcome) {
+    return new ForwardException("forward", "t1", "broke", outcome, Duration.ofSeconds(1), false);
+  }
+}
