--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwarderSilenceTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwarderSilenceTest.java
@@ -592,7 +592,7 @@
   public void lookupIsLeftAtASlowTargetIfNoOtherEntryAcceptsIt() {
     relay.isAvailable = true;
     reachability.isImpaired = true;
-    targets.remove(1);
+    placer.suspect(targets.get(1).id(), now().toNanos());
     responses.add(after(TIMEOUT.minusMillis(100), "done"));
     Caller caller = new Caller(ForwardFixtures.newRoute(RequestKind.IDEMPOTENT, false, TIMEOUT));
     advance(TIMEOUT);
