Hand targets the time that is left once they are connected

Cause: the remaining time of an attempt was calculated before the entry waited for the reads of the caller's connection, for a free connection to the target (up to 400 ms) and for a new one (up to 400 ms), and was sent unchanged after that.

Evidence: TargetCallerTest.targetIsHandedTheTimeThatIsLeftOnceItIsConnected, on the code before: "Lists differ at element [0]: 1300 != 2000".

Why it works: the header is replaced at the hand-over, from the clock and the arrival of the request, if the time has become shorter meanwhile.

Not covered: a target that is silent and reads an attempt up to 1.4 s after it was sent takes the time from then on.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/TargetCaller.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/TargetCaller.java
@@ -7,6 +7,7 @@
 import io.fireflyshed.protocol.traffic.TargetAnswer;
 import io.fireflyshed.protocol.traffic.TrafficCodec;
 import io.fireflyshed.protocol.traffic.TrafficRequest;
+import io.fireflyshed.state.clock.MonotonicClock;
 import io.fireflyshed.state.target.Target;
 import io.fireflyshed.transport.http.FairReads;
 import io.fireflyshed.transport.http.HandOver;
@@ -17,6 +18,7 @@
 import java.io.IOException;
 import java.net.ConnectException;
 import java.time.Duration;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
 import reactor.core.publisher.Flux;
@@ -49,7 +51,10 @@
   /** The longest wait for a connection; a round trip takes a few milliseconds. */
   private static final int CONNECT_TIMEOUT_MILLIS = 400;
 
+  private static final Duration MIN_REMAINING = Duration.ofMillis(1);
+
   private final TrafficCodec codec;
+  private final MonotonicClock clock;
   private final ConnectionProvider connectionPool;
   private final HttpClient pooledClient;
   private final HttpClient unpooledClient;
@@ -58,9 +63,11 @@
    * Creates a client with a connection pool of its own.
    *
    * @param codec encodes and decodes headers, not null
+   * @param clock the clock of the arrival times of requests, not null
    */
-  public TargetCaller(TrafficCodec codec) {
-    this.codec = codec;
+  public TargetCaller(TrafficCodec codec, MonotonicClock clock) {
+    this.codec = Objects.requireNonNull(codec, "codec");
+    this.clock = Objects.requireNonNull(clock, "clock");
     connectionPool =
         ConnectionProvider.builder("targets")
             .maxConnections(MAX_CONNECTIONS_PER_TARGET)
@@ -104,7 +111,11 @@
     HttpClient.RequestSender sender =
         client
             .headers(h -> setHeaders(h, targetHeaders))
-            .doOnRequest((r, c) -> handOver.begin())
+            .doOnRequest(
+                (r, c) -> {
+                  handOver.begin();
+                  updateRemaining(r.requestHeaders(), target, routed, remaining, lastEventId);
+                })
             .request(request.method())
             .uri("http://" + peer + request.uri());
     HttpClient.ResponseReceiver<?> receiver =
@@ -123,6 +134,23 @@
     headers.add(targetHeaders);
   }
 
+  /** Subtracts the time that passed until a connection was established. */
+  private void updateRemaining(
+      HttpHeaders headers,
+      Target target,
+      RoutedRequest routed,
+      Duration remaining,
+      OptionalLong lastEventId) {
+    Duration current = routed.getRemainingTime(clock.nanoTime());
+    if (current.toMillis() >= remaining.toMillis()) {
+      return;
+    }
+    Duration left = current.compareTo(MIN_REMAINING) < 0 ? MIN_REMAINING : current;
+    HttpHeaders updated =
+        codec.newTargetHeaders(routed.request(), target, routed.account(), left, lastEventId);
+    updated.names().forEach(name -> headers.set(name, updated.getAll(name)));
+  }
+
   private Flux<ResponsePart> readResponse(
       TrafficRequest request, String peer, HttpClientResponse httpResponse, Connection connection) {
     TargetAnswer response =
--- /dev/null
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/TargetCallerTest.java
@@ -0,0 +1,85 @@
+package io.fireflyshed.transport.forward;
+
+import static org.testng.Assert.assertEquals;
+
+import io.fireflyshed.protocol.traffic.TargetAnswer;
+import io.fireflyshed.protocol.traffic.TrafficCodec;
+import io.fireflyshed.protocol.traffic.TrafficRequest;
+import io.fireflyshed.state.target.Target;
+import io.fireflyshed.state.traffic.RequestKind;
+import io.fireflyshed.state.traffic.Route;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.testng.annotations.Test;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+
+/** Tests what {@link TargetCaller} sends to targets. */
+public class TargetCallerTest {
+
+  private static final String REMAINING = "x-left";
+  private static final Duration TIMEOUT = Duration.ofSeconds(2);
+  private static final Duration CONNECTION_TIME = Duration.ofMillis(700);
+
+  /** Encodes the remaining time only. */
+  private static final class RemainingTimeCodec implements TrafficCodec {
+    @Override
+    public TrafficRequest decodeRequest(HttpMethod method, String uri, HttpHeaders headers) {
+      throw new UnsupportedOperationException("no caller sends a request in this test");
+    }
+
+    @Override
+    public HttpHeaders newTargetHeaders(
+        TrafficRequest request,
+        Target target,
+        Optional<String> account,
+        Duration remainingTime,
+        OptionalLong lastEventId) {
+      return new DefaultHttpHeaders().add(REMAINING, remainingTime.toMillis());
+    }
+
+    @Override
+    public TargetAnswer decodeAnswer(int status, HttpHeaders headers) {
+      return ((ResponsePart.Head) ForwardFixtures.newHead("id", status)).response();
+    }
+
+    @Override
+    public HttpHeaders newCallerHeaders(TargetAnswer response) {
+      throw new UnsupportedOperationException("no caller gets a response in this test");
+    }
+  }
+
+  @Test
+  public void targetIsHandedTheTimeThatIsLeftOnceItIsConnected() {
+    List<String> received = new CopyOnWriteArrayList<>();
+    DisposableServer server =
+        HttpServer.create()
+            .host("127.0.0.1")
+            .port(0)
+            .handle(
+                (request, response) -> {
+                  received.addAll(request.requestHeaders().getAll(REMAINING));
+                  return response.send();
+                })
+            .bindNow();
+    try (TargetCaller caller =
+        new TargetCaller(new RemainingTimeCodec(), CONNECTION_TIME::toNanos)) {
+      Target target = ForwardFixtures.newTarget("one", (InetSocketAddress) server.address());
+      for (RequestKind kind : RequestKind.values()) {
+        Route route = ForwardFixtures.newRoute(kind, true, TIMEOUT);
+        RoutedRequest routed = ForwardFixtures.newRequest("id", route, 0);
+        caller.send(target, routed, TIMEOUT, OptionalLong.empty()).collectList().block(TIMEOUT);
+      }
+    } finally {
+      server.disposeNow();
+    }
+    assertEquals(received, List.of("1300", "1300", "1300"));
+  }
+}
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
@@ -207,7 +207,7 @@
     StoreClient store = new StoreClient(storeCaller, settings.store());
     PlacementSettings placement = PlacementSettings.ofDefaults();
     stalls = new StallDetector(placement);
-    targetCaller = new TargetCaller(codec);
+    targetCaller = new TargetCaller(codec, trafficClock);
     EntrySchedule schedule = new EntrySchedule(settings.zoneRank(), settings.zones(), sharedClock);
     placer = new TargetPlacer(placement, settings.zone(), random, schedule);
     metrics.gauge("fireflyshed.limited.targets", placer, TargetPlacer::countLimitedTargets);
