--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/EntrySite.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/EntrySite.java
@@ -119,7 +119,7 @@
   private final Script script;
   private final long callerBytes;
   private final Codec codec = new Codec();
-  private final TargetCaller caller = new TargetCaller(codec);
+  private final TargetCaller caller = new TargetCaller(codec, MonotonicClock.system());
   private final List<AutoCloseable> opened = new ArrayList<>();
   private final List<Target> targets = new ArrayList<>();
   private final InetSocketAddress address = findFreeAddress();
