--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptOptions.java
@@ -0,0 +1,81 @@
+package io.fireflyshed.transport.forward;
+
+import io.fireflyshed.coordination.attempt.Outcome;
+import io.fireflyshed.coordination.placement.Placement;
+import io.fireflyshed.state.instance.InstanceId;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import reactor.core.publisher.Mono;
+
+/**
+ * Decides what may follow one attempt of a request, with the limits that hold during the attempt.
+ * Thread safe.
+ */
+record AttemptOptions(
+    ForwardContext context,
+    RoutedRequest routed,
+    RequestPlacer placer,
+    RetryCharger charger,
+    AttemptLog log,
+    String peer,
+    Set<InstanceId> triedTargets,
+    RelayedAttempts relayed,
+    int grantedAttempts,
+    OptionalLong lastEventId,
+    boolean isReplaceable,
+    BooleanSupplier isRelayAllowed)
+    implements SuccessorSearch.Options {
+
+  @Override
+  public boolean isAllowed() {
+    return isReplaceable
+        && relayed.areKnown(grantedAttempts)
+        && getRemainingTime().compareTo(AttemptSequence.MIN_ATTEMPT_TIME) >= 0;
+  }
+
+  private Set<InstanceId> getExcludedTargets() {
+    Set<InstanceId> excluded = new HashSet<>(triedTargets);
+    excluded.addAll(relayed.getTargets());
+    return excluded;
+  }
+
+  private Duration getRemainingTime() {
+    return routed.getRemainingTime(context.clock().nanoTime());
+  }
+
+  @Override
+  public Placement place() {
+    return placer.placeRunning(getExcludedTargets(), isRelayAllowed.getAsBoolean());
+  }
+
+  @Override
+  public Placement placeHere() {
+    return placer.placeRunningHere(getExcludedTargets());
+  }
+
+  @Override
+  public boolean isRelayable(Placement placement) {
+    return placer.isRelayable(placement, getExcludedTargets(), isRelayAllowed.getAsBoolean());
+  }
+
+  @Override
+  public Mono<AcceptedRelay> offer() {
+    return context
+        .relay()
+        .offer(
+            new RelayedRequest(routed, getRemainingTime(), lastEventId, 1, getExcludedTargets()));
+  }
+
+  @Override
+  public boolean tryCharge() {
+    return charger.tryCharge(Outcome.UNKNOWN);
+  }
+
+  @Override
+  public void onKept(RetryVerdict verdict) {
+    log.logKept(peer, verdict);
+  }
+}
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptSequence.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptSequence.java
@@ -12,14 +12,15 @@
 import io.fireflyshed.state.target.Target;
 import io.fireflyshed.state.traffic.RequestKind;
 import io.fireflyshed.transport.entry.StreamUtils;
-import io.fireflyshed.transport.log.EventLog;
+import io.netty.handler.codec.http.HttpMethod;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
+import java.util.function.Function;
 import java.util.function.Supplier;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -34,7 +35,7 @@
   private static final int MAX_NOT_RUN_RETRIES = 3;
 
   /** No attempt starts with less remaining time, since no target can respond within it. */
-  private static final Duration MIN_ATTEMPT_TIME = Duration.ofMillis(20);
+  static final Duration MIN_ATTEMPT_TIME = Duration.ofMillis(20);
 
   /**
    * The multiple of the route's latency target after which an idempotent request without a complete
@@ -42,10 +43,10 @@
    */
   private static final int LATENCY_TARGETS_PER_ATTEMPT = 3;
 
-  private static final Duration RETRY_AFTER_FAILURE = Duration.ofMillis(300);
+  /** The interval in which a late attempt is replaced if it can be. */
+  private static final Duration REPLACEMENT_INTERVAL = Duration.ofMillis(50);
 
-  /** The retry delay while the targets aren't known yet; reading them takes a few milliseconds. */
-  private static final Duration RETRY_AFTER_NOT_READ = Duration.ofMillis(200);
+  private static final Duration RETRY_AFTER_FAILURE = Duration.ofMillis(300);
 
   /** Limits the entries that are asked to forward a request, besides this one. */
   private static final int MAX_RELAYS = 2;
@@ -63,24 +64,27 @@
   private static final String RELAY_STEP = "relay";
   private static final String RELAY_PEER = "entry";
 
-  private static final EventLog LOG = new EventLog("forward");
-
   private final ForwardContext context;
   private final RoutedRequest routed;
   private final RequestFingerprints fingerprints;
   private final AttemptLog log;
+  private final RequestPlacer placer;
+  private final RetryCharger charger;
   private final boolean isStream;
   private final Set<InstanceId> triedTargets = new HashSet<>();
 
   /**
-   * The tried targets that another entry need not try. Those that this entry lost contact with are
-   * not among them: they may be sound, and the other entry knows better.
+   * The targets that another entry must not try: those that may have run the request, since a
+   * second run may end differently, and those that rejected it. Targets that could not be connected
+   * are not among them, as the other entry may reach them, nor are those at which a stream may go
+   * on.
    */
   private final Set<InstanceId> excludedTargets = new HashSet<>();
 
   private final CallerStream stream;
   private final int maxAttempts;
   private final boolean isRelayed;
+  private final RelayListener relayListener;
   private Outcome outcome = Outcome.NOT_RUN;
   private int possibleRuns;
   private int notRunAttempts;
@@ -99,7 +103,13 @@
 
   /** Creates the attempts for a caller of this entry. */
   AttemptSequence(ForwardContext context, RoutedRequest routed) {
-    this(context, routed, routed.request().lastEventId(), routed.route().maxAttempts(), false);
+    this(
+        context,
+        routed,
+        routed.request().lastEventId(),
+        routed.route().maxAttempts(),
+        false,
+        RelayListener.none());
   }
 
   /** Creates the attempts for another entry. */
@@ -109,7 +119,8 @@
         relayed.routed().withTimeout(context.clock().nanoTime(), relayed.remaining()),
         relayed.lastEventId(),
         relayed.maxAttempts(),
-        true);
+        true,
+        relayed.listener());
     triedTargets.addAll(relayed.excludedTargets());
   }
 
@@ -118,16 +129,20 @@
       RoutedRequest routed,
       OptionalLong lastEventId,
       int maxAttempts,
-      boolean isRelayed) {
+      boolean isRelayed,
+      RelayListener relayListener) {
     this.context = context;
     this.routed = routed;
     this.fingerprints = routed.getFingerprints();
     this.log = new AttemptLog(routed, fingerprints);
+    this.placer = new RequestPlacer(context, routed, isRelayed);
+    this.charger = new RetryCharger(context, routed, placer);
     this.isStream = routed.route().kind() == RequestKind.STREAM;
     this.stream = new CallerStream(lastEventId);
     this.attempt = stream.newAttempt(RELAY_PEER);
     this.maxAttempts = maxAttempts;
     this.isRelayed = isRelayed;
+    this.relayListener = relayListener;
     this.memory = new ResponseMemory(context.budget(), routed.route().name());
   }
 
@@ -147,71 +162,22 @@
   }
 
   private Placement placeNext() {
-    long now = context.clock().nanoTime();
-    Optional<Duration> refusal = context.crashGuard().getRefusal(fingerprints);
-    if (refusal.isPresent()) {
-      return new Placement.Refuse(
-          Placement.Cause.NOT_PERMITTED,
-          "the request crashes the targets that run it",
-          refusal.get());
-    }
-    if (!context.targetView().isRead()) {
-      return new Placement.Refuse(
-          Placement.Cause.NOT_PERMITTED,
-          "the list of targets has not been read yet",
-          RETRY_AFTER_NOT_READ);
-    }
-    if (isRelayed && context.isRefusingRelayed().getAsBoolean()) {
-      return new Placement.Refuse(
-          Placement.Cause.NOT_PERMITTED, "the entry stops", RETRY_AFTER_FAILURE);
-    }
-    if (isElsewherePreferred() && !getCandidates().isEmpty()) {
-      return new Placement.Refuse(
-          Placement.Cause.UNREACHABLE, "this entry reaches no target", RETRY_AFTER_FAILURE);
-    }
-    return context
-        .placer()
-        .place(routed.getPool(), getCandidates(), triedTargets, isGeneration(), now);
-  }
-
-  /**
-   * Tests whether another entry should send the request to a target. An impaired entry may have
-   * sound connections, on which its own requests may succeed at the first attempt.
-   */
-  private boolean isElsewherePreferred() {
-    Reachability reachability = context.reachability();
-    if (isRelayed) {
-      return reachability.isImpaired();
-    }
-    return isRelayAllowed()
-        && (reachability.isIsolated() || hasLostContact && reachability.isImpaired());
-  }
-
-  private boolean isGeneration() {
-    return routed.request().prompt().isPresent();
-  }
-
-  private List<Target> getCandidates() {
-    return context.getCandidates(routed.service(), routed.getPool(), isGeneration());
+    return placer.place(triedTargets, hasLostContact, isRelayAllowed());
   }
 
   private boolean isRelayAllowed() {
     return !isRelayed && relays < MAX_RELAYS && context.relay().isAvailable();
   }
 
-  private boolean isRelayable(Placement placement) {
-    return placement instanceof Placement.Refuse refusal
-        && refusal.cause() == Placement.Cause.UNREACHABLE
-        && isRelayAllowed();
-  }
-
   private Flux<ResponsePart> proceed(Placement placement) {
     Duration remaining = routed.getRemainingTime(context.clock().nanoTime());
     if (remaining.compareTo(MIN_ATTEMPT_TIME) < 0) {
       return Flux.error(newTimeoutException());
     }
     if (placement instanceof Placement.Refuse refusal) {
-      return isRelayable(refusal) ? relay(refusal, remaining) : refuse(refusal);
+      return placer.isRelayable(refusal, excludedTargets, isRelayAllowed())
+          ? relay(refusal, remaining)
+          : refuse(refusal);
     }
     return send(((Placement.Send) placement).target(), remaining);
   }
@@ -225,7 +191,7 @@
     if (hasErrorResponse()) {
       return Flux.fromIterable(errorResponse);
     }
-    log.logRefusal(refusal, getCandidates().size(), triedTargets, outcome);
+    log.logRefusal(refusal, placer.getCandidates().size(), triedTargets, outcome);
     return Flux.error(
         new ForwardException(
             "place", "entry", refusal.reason(), outcome, refusal.retryAfter(), false));
@@ -233,6 +199,7 @@
 
   private Flux<ResponsePart> send(Target target, Duration remaining) {
     triedTargets.add(target.id());
+    relayListener.onAttempt(target.id());
     sentAttempts++;
     attempt = stream.newAttempt(target.id().value());
     memory.start(target.id().value());
@@ -249,13 +216,17 @@
         onceCallerIsThere(
                 () -> context.client().send(target, routed, remaining, stream.getLastEventId()))
             .doOnNext(this::onPart);
+    SuccessorSearch successors = newSuccessorSearch(target.id().value(), new RelayedAttempts(), 0);
     Flux<ResponsePart> response =
-        isStream ? streamResponse(target, parts) : collectResponse(target, parts);
+        isStream
+            ? streamResponse(target, parts, successors)
+            : collectResponse(target, parts, successors);
     return response
         .doFinally(
             signal ->
                 context.placer().onEnd(routed.getPool(), target.id(), context.clock().nanoTime()))
-        .onErrorResume(AttemptException.class, e -> handleFailure(target, e));
+        .doFinally(signal -> successors.close())
+        .onErrorResume(AttemptException.class, e -> handleFailure(target, e, successors));
   }
 
   /**
@@ -275,14 +246,15 @@
   }
 
   /** Holds a response that is not a stream, as far as it is short, so that it can be replaced. */
-  private Flux<ResponsePart> collectResponse(Target target, Flux<ResponsePart> parts) {
+  private Flux<ResponsePart> collectResponse(
+      Target target, Flux<ResponsePart> parts, SuccessorSearch successors) {
     Duration timeout = routed.route().latencyTarget().multipliedBy(LATENCY_TARGETS_PER_ATTEMPT);
     boolean[] isSuccess = new boolean[1];
     Flux<ResponsePart> recorded =
         parts.doOnNext(
             part -> {
               if (part instanceof ResponsePart.Head head) {
-                recordLoad(target, head.response());
+                placer.onResponse(target, head.response());
                 isSuccess[0] = head.response().isSuccess();
               }
             });
@@ -290,9 +262,16 @@
             target.id().value(),
             recorded,
             timeout,
+            () -> {
+              context.reachability().onSilent(target.id());
+              return successors.isSecured();
+            },
             () ->
                 newTargetLostException(
-                    target, "no complete response within " + timeout.toMillis() + " ms"))
+                    target,
+                    "given up by this entry after "
+                        + timeout.toMillis()
+                        + " ms without a complete response of a connected target"))
         .doOnComplete(
             () -> context.placer().onResult(target.id(), isSuccess[0], context.clock().nanoTime()));
   }
@@ -303,23 +282,34 @@
    * @param peer the target or entry that responds
    * @param parts the parts of the response
    * @param timeout the time for which an idempotent request waits for it, unless it is passed on
+   * @param isReplaceable tells whether another attempt is ready to take over after that time
    * @param newLateException supplies the error with which the attempt fails then
    */
   private Flux<ResponsePart> hold(
       String peer,
       Flux<ResponsePart> parts,
       Duration timeout,
+      BooleanSupplier isReplaceable,
       Supplier<Throwable> newLateException) {
-    HeldResponse held = new HeldResponse(peer, memory, routed.route().isRetryable());
+    boolean hasBody = !routed.request().method().equals(HttpMethod.HEAD);
+    HeldResponse held = new HeldResponse(peer, memory, routed.route().isRetryable(), hasBody);
     Flux<ResponsePart> limitedParts =
         routed.route().kind() == RequestKind.IDEMPOTENT
             ? StreamUtils.failOn(
-                parts, Mono.delay(timeout).filter(t -> !held.isPassedOn()), newLateException)
+                parts,
+                Flux.interval(timeout, REPLACEMENT_INTERVAL)
+                    .filter(t -> !held.isPassedOn() && isReplaceable.getAsBoolean())
+                    .next(),
+                newLateException)
             : parts;
     return limitedParts
         .concatMapIterable(part -> add(held, part), PREFETCHED_PARTS)
-        .concatWith(
-            Flux.defer(() -> held.isPassedOn() ? Flux.empty() : evaluate(peer, held.getParts())));
+        .concatWith(Flux.defer(() -> end(peer, held)));
+  }
+
+  private Flux<ResponsePart> end(String peer, HeldResponse held) {
+    held.end();
+    return held.isPassedOn() ? Flux.empty() : evaluate(peer, held.getParts());
   }
 
   private List<ResponsePart> add(HeldResponse held, ResponsePart part) {
@@ -347,43 +337,15 @@
     return Flux.error(new AttemptException(STEP, peer, Outcome.RAN, message, null));
   }
 
-  private void recordLoad(Target target, TargetAnswer response) {
-    response
-        .load()
-        .ifPresent(
-            l ->
-                context
-                    .placer()
-                    .onLoad(
-                        target.id(),
-                        l.running() + l.waiting(),
-                        l.slots(),
-                        context.clock().nanoTime()));
-    recordRequestLimit(target, response);
-  }
-
-  /** Records the limit of a target; only a successful response without one lifts it. */
-  private void recordRequestLimit(Target target, TargetAnswer response) {
-    OptionalDouble limit = response.requestLimit();
-    if ((limit.isPresent() || response.isSuccess())
-        && context.placer().onRequestLimit(target.id(), limit)) {
-      LOG.info(
-          limit.isPresent() ? "target limits its requests" : "target lifted its limit",
-          "target",
-          target.id(),
-          "limit_per_s",
-          limit.orElse(-1));
-    }
-  }
-
   /** Forwards the complete events of a stream; its head is held back until the first of them. */
-  private Flux<ResponsePart> streamResponse(Target target, Flux<ResponsePart> parts) {
+  private Flux<ResponsePart> streamResponse(
+      Target target, Flux<ResponsePart> parts, SuccessorSearch successors) {
     Object streamKey = new Object();
     StreamAttempt current = attempt;
     Flux<StreamAttempt.Delivery> events =
         ResponseUtils.limitErrorSize(target.id().value(), parts)
             .concatMapIterable(
-                part -> processPart(target, streamKey, current, part), PREFETCHED_PARTS)
+                part -> processPart(target, streamKey, current, part, successors), PREFETCHED_PARTS)
             .concatWith(Flux.defer(() -> endStream(current, false)));
     return context
         .stallWatch()
@@ -392,25 +354,53 @@
             target.id(),
             events,
             routed.caller(),
-            isResumableElsewhere(),
-            () -> newTargetLostException(target, "the stream stalled"))
+            successors::isSecured,
+            silence ->
+                newTargetLostException(
+                    target,
+                    "given up by this entry after "
+                        + silence.toMillis()
+                        + " ms without an event of a connected target"))
         .map(stream::deliver)
         .doOnComplete(
             () -> context.placer().onResult(target.id(), true, context.clock().nanoTime()));
   }
 
   /**
-   * Tests whether another attempt may follow the current one. A stalled target may still go on, so
-   * the last attempt is left to it until the timeout.
+   * Creates the search for what may follow the attempt that starts now.
+   *
+   * @param peer the target or entry of the attempt
+   * @param relayed collects the targets at which another entry tries the request
+   * @param grantedAttempts the number of these targets, 0 for an attempt of this entry
    */
-  private boolean isResumableElsewhere() {
-    return routed.route().isRetryable() && possibleRuns + 1 < maxAttempts;
+  private SuccessorSearch newSuccessorSearch(
+      String peer, RelayedAttempts relayed, int grantedAttempts) {
+    int runs = Math.max(1, grantedAttempts);
+    AttemptOptions options =
+        new AttemptOptions(
+            context,
+            routed,
+            placer,
+            charger,
+            log,
+            peer,
+            Set.copyOf(triedTargets),
+            relayed,
+            grantedAttempts,
+            stream.getLastEventId(),
+            routed.route().isRetryable() && possibleRuns + runs < maxAttempts,
+            this::isRelayAllowed);
+    return new SuccessorSearch(context.clock(), options);
   }
 
   private List<StreamAttempt.Delivery> processPart(
-      Target target, Object streamKey, StreamAttempt current, ResponsePart part) {
+      Target target,
+      Object streamKey,
+      StreamAttempt current,
+      ResponsePart part,
+      SuccessorSearch successors) {
     if (part instanceof ResponsePart.Head received) {
-      recordLoad(target, received.response());
+      placer.onResponse(target, received.response());
     }
     int eventsBefore = current.getEvents();
     int repeatedBefore = current.getRepeatedEvents();
@@ -421,6 +411,7 @@
     }
     for (int i = eventsBefore + repeated; i < current.getEvents(); i++) {
       recordProgress(target, streamKey);
+      successors.onProgress();
     }
     return deliveries;
   }
@@ -471,7 +462,8 @@
     return new TargetLostException(STEP, target.id().value(), Outcome.UNKNOWN, message, null);
   }
 
-  private Flux<ResponsePart> handleFailure(Target target, AttemptException error) {
+  private Flux<ResponsePart> handleFailure(
+      Target target, AttemptException error, SuccessorSearch successors) {
     if (error.getOutcome() == Outcome.NOT_RUN) {
       notRunAttempts++;
     } else {
@@ -484,7 +476,23 @@
         && !context.reachability().isIsolated()) {
       context.crashGuard().onInterrupted(fingerprints, target);
     }
-    return retryOrFail(target.id().value(), error, RETRY_AFTER_FAILURE);
+    return successors
+        .take()
+        .map(successor -> replace(target.id().value(), error, successor))
+        .orElseGet(() -> retryOrFail(target.id().value(), error, RETRY_AFTER_FAILURE));
+  }
+
+  /** Starts the successor of an attempt, for which the retry budget was charged. */
+  private Flux<ResponsePart> replace(
+      String peer, AttemptException error, SuccessorSearch.Successor successor) {
+    outcome = outcome.join(error.getOutcome());
+    context.metrics().recordFailure(routed.service(), RetryVerdict.CHARGED);
+    log.logFailure(peer, attempt.getEvents(), error, RetryVerdict.CHARGED);
+    if (successor instanceof SuccessorSearch.ToEntry entry) {
+      Duration remaining = routed.getRemainingTime(context.clock().nanoTime());
+      return relay(entry.reason(), remaining, entry.relay()::send);
+    }
+    return proceed(((SuccessorSearch.ToTarget) successor).placement());
   }
 
   /** Starts the next attempt if a retry is allowed, otherwise fails the request. */
@@ -492,7 +500,10 @@
     outcome = outcome.join(error.getOutcome());
     Optional<Placement> next =
         isRepeatable(error) && isAttemptLeft(error) ? Optional.of(placeNext()) : Optional.empty();
-    RetryVerdict verdict = decideRetry(error, next);
+    RetryVerdict verdict =
+        next.map(n -> charger.charge(error, n, excludedTargets, isRelayAllowed()))
+            .orElse(
+                isRepeatable(error) ? RetryVerdict.TOO_MANY_ATTEMPTS : RetryVerdict.NOT_REPEATABLE);
     context.metrics().recordFailure(routed.service(), verdict);
     log.logFailure(peer, attempt.getEvents(), error, verdict);
     if (next.isPresent() && verdict != RetryVerdict.NO_BUDGET) {
@@ -507,6 +518,13 @@
 
   /** Has another entry forward the request. */
   private Flux<ResponsePart> relay(Placement.Refuse reason, Duration remaining) {
+    return relay(reason, remaining, context.relay()::relay);
+  }
+
+  private Flux<ResponsePart> relay(
+      Placement.Refuse reason,
+      Duration remaining,
+      Function<RelayedRequest, Flux<ResponsePart>> relay) {
     int grantedAttempts = getGrantedAttempts();
     relays++;
     attempt = stream.newAttempt(RELAY_PEER);
@@ -517,15 +535,26 @@
             routed.service(), context.reachability().isIsolated() ? "isolated" : "unreachable");
     log.logRelay(
         reason.reason(), remaining, stream.getLastEventId(), grantedAttempts, excludedTargets);
+    RelayedAttempts attempts = new RelayedAttempts();
     RelayedRequest relayed =
         new RelayedRequest(
-            routed, remaining, stream.getLastEventId(), grantedAttempts, excludedTargets);
+            routed,
+            remaining,
+            stream.getLastEventId(),
+            grantedAttempts,
+            excludedTargets,
+            attempts,
+            charger::tryChargeAfterRelay);
     Flux<ResponsePart> parts =
-        onceCallerIsThere(() -> context.relay().relay(relayed)).onErrorMap(RelayException::of);
+        onceCallerIsThere(() -> relay.apply(relayed)).onErrorMap(RelayException::of);
+    SuccessorSearch successors = newSuccessorSearch(RELAY_PEER, attempts, grantedAttempts);
     Flux<ResponsePart> response =
-        isStream ? streamRelayed(parts) : collectRelayed(parts, grantedAttempts);
-    return response.onErrorResume(
-        AttemptException.class, e -> handleRelayFailure(e, grantedAttempts));
+        isStream ? streamRelayed(parts) : collectRelayed(parts, grantedAttempts, successors);
+    return response
+        .doFinally(signal -> successors.close())
+        .onErrorResume(
+            AttemptException.class,
+            e -> handleRelayFailure(e, grantedAttempts, attempts, successors));
   }
 
   /** Returns the attempts for the next entry, which leave one for an entry after it. */
@@ -542,7 +571,8 @@
         .map(stream::deliver);
   }
 
-  private Flux<ResponsePart> collectRelayed(Flux<ResponsePart> parts, int grantedAttempts) {
+  private Flux<ResponsePart> collectRelayed(
+      Flux<ResponsePart> parts, int grantedAttempts, SuccessorSearch successors) {
     Duration timeout =
         routed
             .route()
@@ -553,12 +583,17 @@
         RELAY_PEER,
         parts,
         timeout,
+        successors::isSecured,
         () ->
             new AttemptException(
                 RELAY_STEP, RELAY_PEER, Outcome.UNKNOWN, "no complete response in time", null));
   }
 
-  private Flux<ResponsePart> handleRelayFailure(AttemptException error, int grantedAttempts) {
+  private Flux<ResponsePart> handleRelayFailure(
+      AttemptException error,
+      int grantedAttempts,
+      RelayedAttempts attempts,
+      SuccessorSearch successors) {
     Duration retryAfter =
         error instanceof RelayException failure ? failure.getRetryAfter() : RETRY_AFTER_FAILURE;
     if (error.getOutcome() == Outcome.NOT_RUN) {
@@ -567,7 +602,27 @@
               Placement.Cause.UNREACHABLE, "no entry: " + error.getMessage(), retryAfter));
     }
     possibleRuns += grantedAttempts;
-    return retryOrFail(error.getPeer(), error, retryAfter);
+    recordRelayedAttempts(attempts, grantedAttempts);
+    return successors
+        .take()
+        .map(successor -> replace(error.getPeer(), error, successor))
+        .orElseGet(() -> retryOrFail(error.getPeer(), error, retryAfter));
+  }
+
+  /** Records at which targets another entry may have had the request run. */
+  private void recordRelayedAttempts(RelayedAttempts attempts, int grantedAttempts) {
+    List<InstanceId> targets = attempts.getTargets();
+    boolean isContinuable = attempt.getEvents() > 0;
+    boolean areKnown = attempts.areKnown(grantedAttempts);
+    log.logRelayFailure(targets, areKnown);
+    triedTargets.addAll(targets);
+    // The target of a stream whose entry was lost may go on for another entry.
+    boolean isLastExcluded = !isContinuable || attempts.isEnded();
+    excludedTargets.addAll(
+        isLastExcluded ? targets : targets.subList(0, Math.max(0, targets.size() - 1)));
+    if (!areKnown && !isContinuable) {
+      possibleRuns = Math.max(possibleRuns, maxAttempts);
+    }
   }
 
   /**
@@ -576,7 +631,8 @@
    */
   private Flux<ResponsePart> proceedWithoutRelay(Placement.Refuse refusal) {
     relays = MAX_RELAYS;
-    Placement own = context.reachability().isIsolated() ? refusal : placeNext();
+    boolean isOwnAllowed = !charger.isDeniedAfterRelay() && !context.reachability().isIsolated();
+    Placement own = isOwnAllowed ? placeNext() : refusal;
     return proceed(own instanceof Placement.Send ? own : refusal);
   }
 
@@ -593,30 +649,9 @@
         : possibleRuns < maxAttempts;
   }
 
-  private RetryVerdict decideRetry(AttemptException error, Optional<Placement> next) {
-    if (next.isEmpty()) {
-      return isRepeatable(error) ? RetryVerdict.TOO_MANY_ATTEMPTS : RetryVerdict.NOT_REPEATABLE;
-    }
-    if (context.crashGuard().getRefusal(fingerprints).isPresent()) {
-      return RetryVerdict.REFUSED;
-    }
-    if (next.get() instanceof Placement.Refuse && !isRelayable(next.get())) {
-      return RetryVerdict.NO_TARGET;
-    }
-    // An attempt that reached no target put no load on one, so its retry costs no budget.
-    if (error instanceof TargetUnreachableException) {
-      return RetryVerdict.FREE;
-    }
-    return context
-            .retryBudgets()
-            .tryRetry(routed.service(), error.getOutcome(), context.clock().nanoTime())
-        ? RetryVerdict.CHARGED
-        : RetryVerdict.NO_BUDGET;
-  }
-
   private void recordFailure(Target target, AttemptException error) {
     if (error instanceof RequestRejectedException rejection && !rejection.isMisdirected()) {
-      recordRequestLimit(target, rejection.getResponse());
+      placer.onRequestLimit(target, rejection.getResponse());
     }
     if (error instanceof RequestRejectedException) {
       context.reachability().onSignOfLife();
@@ -624,7 +659,8 @@
     if (isContactLost(error)) {
       hasLostContact = true;
       recordLostContact(target, error);
-    } else {
+    }
+    if (!(error instanceof TargetUnreachableException) && !isContinuable(error)) {
       excludedTargets.add(target.id());
     }
     if (error instanceof TargetUnreachableException) {
@@ -642,6 +678,11 @@
     }
   }
 
+  /** Tests whether the current attempt was a stream that its target may continue for others. */
+  private boolean isContinuable(AttemptException error) {
+    return isStream && error instanceof TargetLostException && attempt.getEvents() > 0;
+  }
+
   /** Tests whether an attempt failed as when the path to its target is cut. */
   private boolean isContactLost(AttemptException error) {
     return error instanceof TargetUnreachableException
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/peer/EntryRelayTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/peer/EntryRelayTest.java
@@ -398,7 +398,7 @@
       entry.addPeer(failing);
       addGoodPeerThatIsTriedLast();
       byte[] body = RelayFixtures.newBytes(500_000, 1);
-      RelayedRequest request = RelayFixtures.newRequest("r1", body, Duration.ofSeconds(10));
+      RelayedRequest request = RelayFixtures.newFirstRequest("r1", body);
       assertAnswers(entry.relay.relay(request).collectList().block(TIMEOUT), "r1", body);
       assertEquals(failing.requests.size(), 1);
       assertEquals(good.requests.size(), 1);
