Don't take targets that did not run a relayed request for those that may

Targets that could not be connected or rejected the request were named, too, and don't use up an attempt. If the link was lost just then, the next target was not known, and the request could reach it twice.

A target that did not run the request is named once more, which takes it back; no target is named twice otherwise.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptSequence.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptSequence.java
@@ -466,6 +466,7 @@
       Target target, AttemptException error, SuccessorSearch successors) {
     if (error.getOutcome() == Outcome.NOT_RUN) {
       notRunAttempts++;
+      relayListener.onAttempt(target.id());
     } else {
       possibleRuns++;
     }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/RelayListener.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/RelayListener.java
@@ -10,7 +10,8 @@
 public interface RelayListener {
 
   /**
-   * Records an attempt, before its request is sent.
+   * Records an attempt, before its request is sent. A target that is named again did not run the
+   * request, since no target gets it twice.
    *
    * @param target the target, not null
    */
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/RelayedAttempts.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/RelayedAttempts.java
@@ -13,7 +13,9 @@
 
   @Override
   public synchronized void onAttempt(InstanceId target) {
-    targets.add(target);
+    if (!targets.remove(target)) {
+      targets.add(target);
+    }
   }
 
   @Override
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/RelayedTargetsTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/RelayedTargetsTest.java
@@ -1,6 +1,7 @@
 package io.fireflyshed.transport.forward;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.expectThrows;
 
 import io.fireflyshed.coordination.attempt.AttemptException;
@@ -144,20 +145,32 @@
     assertEquals(relay.requests.get(1).excludedTargets(), Set.of());
   }
 
+  @Test
+  public void targetThatDidNotRunTheRequestIsNoneOfThoseThatMayRunIt() {
+    makeUnreachable();
+    RelayedAttempts attempts = new RelayedAttempts();
+    forwardRelayedInVain(withAttempts(newRelayed(RequestKind.IDEMPOTENT, 1), attempts));
+    assertEquals(triedTargets.size(), 3);
+    assertEquals(attempts.getTargets(), List.of());
+    assertFalse(attempts.areKnown(1));
+  }
+
+  private static RelayedRequest withAttempts(RelayedRequest plain, RelayedAttempts attempts) {
+    return new RelayedRequest(
+        plain.routed(),
+        plain.remaining(),
+        plain.lastEventId(),
+        plain.maxAttempts(),
+        plain.excludedTargets(),
+        attempts,
+        plain.retryPermit());
+  }
+
   @Test
   public void relayedRequestTellsItsTargets() {
     respondWith(Flux.error(newLostException()));
     RelayedAttempts attempts = new RelayedAttempts();
-    RelayedRequest plain = newRelayed(RequestKind.IDEMPOTENT, 2, "one");
-    forwardRelayedInVain(
-        new RelayedRequest(
-            plain.routed(),
-            plain.remaining(),
-            plain.lastEventId(),
-            plain.maxAttempts(),
-            plain.excludedTargets(),
-            attempts,
-            plain.retryPermit()));
+    forwardRelayedInVain(withAttempts(newRelayed(RequestKind.IDEMPOTENT, 2, "one"), attempts));
     assertEquals(attempts.getTargets().stream().map(InstanceId::value).toList(), triedTargets);
     assertEquals(triedTargets.size(), 2);
   }
