Offer silent streams to other entries only while the budget allows a retry

Without a budget each held an accepted offer for half a second, withdrew it and offered again at once; some 250 silent attempts use up all relays of an entry and all places at the others, so that requests with a budget find none.

Before: ForwarderSilenceTest.silentStreamIsNotOfferedToOtherEntriesWithoutABudget: expected [0] but found [7] offers in five seconds.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/retry/RetryBudget.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/retry/RetryBudget.java
@@ -86,6 +86,21 @@
    * @return whether the retry may start
    */
   public synchronized boolean tryRetry(double usableFraction, long nowNanos) {
+    if (!canRetry(usableFraction, nowNanos)) {
+      return false;
+    }
+    retries[getSlot(interval)]++;
+    return true;
+  }
+
+  /**
+   * Tests whether a part of the budget suffices for a retry, without recording one.
+   *
+   * @param usableFraction the fraction of the budget that all retries together may use up, 0 to 1
+   * @param nowNanos the current reading of the monotonic clock
+   * @return whether a retry could start now
+   */
+  public synchronized boolean canRetry(double usableFraction, long nowNanos) {
     advance(nowNanos);
     int requestCount = 0;
     int retryCount = 0;
@@ -95,11 +110,7 @@
       requestCount += i < INTERVALS ? requests[slot] : 0;
     }
     double allowed = ratio * requestCount + allowance.getAsDouble();
-    if (retryCount + 1 > usableFraction * allowed) {
-      return false;
-    }
-    retries[getSlot(interval)]++;
-    return true;
+    return retryCount + 1 <= usableFraction * allowed;
   }
 
   private void advance(long nowNanos) {
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/retry/ServiceRetryBudgets.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/retry/ServiceRetryBudgets.java
@@ -58,8 +58,23 @@
    * @return whether the retry may start
    */
   public boolean tryRetry(ServiceName service, Outcome outcome, long nowNanos) {
-    double usableFraction = outcome == Outcome.NOT_RUN ? NOT_RUN_FRACTION : 1;
-    return getBudget(service).tryRetry(usableFraction, nowNanos);
+    return getBudget(service).tryRetry(getUsableFraction(outcome), nowNanos);
+  }
+
+  /**
+   * Tests whether the budget of a service suffices for a retry, without recording one.
+   *
+   * @param service the service that is to run the request, not null
+   * @param outcome the outcome of the failed attempt, not null
+   * @param nowNanos the current reading of the monotonic clock
+   * @return whether a retry could start now
+   */
+  public boolean canRetry(ServiceName service, Outcome outcome, long nowNanos) {
+    return getBudget(service).canRetry(getUsableFraction(outcome), nowNanos);
+  }
+
+  private static double getUsableFraction(Outcome outcome) {
+    return outcome == Outcome.NOT_RUN ? NOT_RUN_FRACTION : 1;
   }
 
   private RetryBudget getBudget(ServiceName service) {
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptOptions.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptOptions.java
@@ -69,6 +69,13 @@
             new RelayedRequest(routed, getRemainingTime(), lastEventId, 1, getExcludedTargets()));
   }
 
+  @Override
+  public boolean canCharge() {
+    return context
+        .retryBudgets()
+        .canRetry(routed.service(), Outcome.UNKNOWN, context.clock().nanoTime());
+  }
+
   @Override
   public boolean tryCharge() {
     return charger.tryCharge(Outcome.UNKNOWN);
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/SuccessorSearch.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/SuccessorSearch.java
@@ -47,6 +47,9 @@
     /** Offers the request to other entries. */
     Mono<AcceptedRelay> offer();
 
+    /** Tests whether the retry budget suffices for a successor now. */
+    boolean canCharge();
+
     /** Charges the retry budget for a successor if it suffices. */
     boolean tryCharge();
 
@@ -100,7 +103,7 @@
     if (placement instanceof Placement.Send send) {
       secure(new ToTarget(send));
     } else if (options.isRelayable(placement) && !isRefusedLately) {
-      offer((Placement.Refuse) placement);
+      offerIfAffordable((Placement.Refuse) placement);
     } else {
       keep(RetryVerdict.NO_TARGET);
     }
@@ -126,6 +129,14 @@
     }
   }
 
+  private void offerIfAffordable(Placement.Refuse reason) {
+    if (options.canCharge()) {
+      offer(reason);
+    } else {
+      keep(RetryVerdict.NO_BUDGET);
+    }
+  }
+
   private void offer(Placement.Refuse reason) {
     isOffered = true;
     isOfferPending = true;
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwarderSilenceTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwarderSilenceTest.java
@@ -577,6 +577,20 @@
     assertNoFailure();
   }
 
+  @Test
+  public void silentStreamIsNotOfferedToOtherEntriesWithoutABudget() {
+    allowedRetries = 0;
+    relay.isAvailable = true;
+    relay.acceptance = Mono.just(relay.newAcceptance(Flux.empty()));
+    responses.add(after(Duration.ofMillis(100), event(1)).concatWith(silent()));
+    Caller caller = startStream();
+    advance(Duration.ofMillis(200));
+    reachability.isIsolated = true;
+    advance(TIMEOUT);
+    assertTrue(((ForwardException) caller.error).isTimeout());
+    assertEquals(relay.offers, 0);
+  }
+
   @Test
   public void lookupIsLeftAtASlowTargetIfTheBudgetDeniesARetry() {
     allowedRetries = 0;
