Count a late lookup as one silence of its target

Three late lookups kept an entry impaired, and isolated after 300 ms without a sign of life, although its probes reached the targets; such entries refuse each other's requests.

Before: ForwarderSilenceTest.lateLookupCountsAsOneSilence: expected [1] but found [80].

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptSequence.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptSequence.java
@@ -250,6 +250,7 @@
       Target target, Flux<ResponsePart> parts, SuccessorSearch successors) {
     Duration timeout = routed.route().latencyTarget().multipliedBy(LATENCY_TARGETS_PER_ATTEMPT);
     boolean[] isSuccess = new boolean[1];
+    boolean[] isLate = new boolean[1];
     Flux<ResponsePart> recorded =
         parts.doOnNext(
             part -> {
@@ -263,7 +264,10 @@
             recorded,
             timeout,
             () -> {
-              context.reachability().onSilent(target.id());
+              if (!isLate[0]) {
+                isLate[0] = true;
+                context.reachability().onSilent(target.id());
+              }
               return successors.isSecured();
             },
             () ->
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwarderSilenceTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwarderSilenceTest.java
@@ -134,6 +134,7 @@
   private static final class FakeReachability implements Reachability {
     private boolean isIsolated;
     private boolean isImpaired;
+    private int silences;
 
     @Override
     public void onFailure(InstanceId target) {
@@ -142,7 +143,7 @@
 
     @Override
     public void onSilent(InstanceId target) {
-      // The test sets the state.
+      silences++;
     }
 
     @Override
@@ -577,6 +578,16 @@
     assertNoFailure();
   }
 
+  @Test
+  public void lateLookupCountsAsOneSilence() {
+    targets.remove(1);
+    responses.add(after(TIMEOUT.minusMillis(100), "done"));
+    Caller caller = new Caller(ForwardFixtures.newRoute(RequestKind.IDEMPOTENT, false, TIMEOUT));
+    advance(TIMEOUT);
+    assertEquals(caller.body.toString(), "done");
+    assertEquals(reachability.silences, 1);
+  }
+
   @Test
   public void silentStreamIsNotOfferedToOtherEntriesWithoutABudget() {
     allowedRetries = 0;
