Don't replace a response that is passed on while its successor is secured

Before: ForwarderSilenceTest.responseThatIsPassedOnWhileItsSuccessorIsSecuredIsNotReplaced: expected [1] but found [2] attempts.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptSequence.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptSequence.java
@@ -176,7 +176,7 @@
     }
     if (placement instanceof Placement.Refuse refusal) {
       return placer.isRelayable(refusal, excludedTargets, isRelayAllowed())
-          ? relay(refusal, remaining)
+          ? relay(refusal, remaining, context.relay()::relay)
           : refuse(refusal);
     }
     return send(((Placement.Send) placement).target(), remaining);
@@ -481,10 +481,14 @@
         && !context.reachability().isIsolated()) {
       context.crashGuard().onInterrupted(fingerprints, target);
     }
-    return successors
-        .take()
-        .map(successor -> replace(target.id().value(), error, successor))
-        .orElseGet(() -> retryOrFail(target.id().value(), error, RETRY_AFTER_FAILURE));
+    return replaceOrRetry(target.id().value(), error, successors, RETRY_AFTER_FAILURE);
+  }
+
+  private Flux<ResponsePart> replaceOrRetry(
+      String peer, AttemptException error, SuccessorSearch successors, Duration retryAfter) {
+    return (isPassedOn ? Optional.<SuccessorSearch.Successor>empty() : successors.take())
+        .map(s -> replace(peer, error, s))
+        .orElseGet(() -> retryOrFail(peer, error, retryAfter));
   }
 
   /** Starts the successor of an attempt, for which the retry budget was charged. */
@@ -522,10 +526,6 @@
   }
 
   /** Has another entry forward the request. */
-  private Flux<ResponsePart> relay(Placement.Refuse reason, Duration remaining) {
-    return relay(reason, remaining, context.relay()::relay);
-  }
-
   private Flux<ResponsePart> relay(
       Placement.Refuse reason,
       Duration remaining,
@@ -608,10 +608,7 @@
     }
     possibleRuns += grantedAttempts;
     recordRelayedAttempts(attempts, grantedAttempts);
-    return successors
-        .take()
-        .map(successor -> replace(error.getPeer(), error, successor))
-        .orElseGet(() -> retryOrFail(error.getPeer(), error, retryAfter));
+    return replaceOrRetry(error.getPeer(), error, successors, retryAfter);
   }
 
   /** Records at which targets another entry may have had the request run. */
@@ -622,9 +619,8 @@
     log.logRelayFailure(targets, areKnown);
     triedTargets.addAll(targets);
     // The target of a stream whose entry was lost may go on for another entry.
-    boolean isLastExcluded = !isContinuable || attempts.isEnded();
-    excludedTargets.addAll(
-        isLastExcluded ? targets : targets.subList(0, Math.max(0, targets.size() - 1)));
+    int kept = isContinuable && !attempts.isEnded() ? 1 : 0;
+    excludedTargets.addAll(targets.subList(0, Math.max(0, targets.size() - kept)));
     if (!areKnown && !isContinuable) {
       possibleRuns = Math.max(possibleRuns, maxAttempts);
     }
@@ -646,12 +642,11 @@
   }
 
   private boolean isAttemptLeft(AttemptException error) {
-    if (isPassedOn) {
-      return false;
-    }
-    return error.getOutcome() == Outcome.NOT_RUN
-        ? notRunAttempts <= MAX_NOT_RUN_RETRIES
-        : possibleRuns < maxAttempts;
+    boolean isLeft =
+        error.getOutcome() == Outcome.NOT_RUN
+            ? notRunAttempts <= MAX_NOT_RUN_RETRIES
+            : possibleRuns < maxAttempts;
+    return isLeft && !isPassedOn;
   }
 
   private void recordFailure(Target target, AttemptException error) {
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwarderSilenceTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwarderSilenceTest.java
@@ -29,6 +29,7 @@
 import org.testng.annotations.Test;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
 import reactor.test.scheduler.VirtualTimeScheduler;
 
 /** Tests {@link Forwarder} in virtual time with targets that fall silent or trickle. */
@@ -89,6 +90,7 @@
     private final List<RelayedRequest> requests = new ArrayList<>();
     private Mono<AcceptedRelay> acceptance = refused().then(Mono.empty());
     private boolean isAvailable;
+    private Runnable availabilityListener = () -> {};
     private int offers;
     private int withdrawnOffers;
 
@@ -110,6 +112,7 @@
 
     @Override
     public boolean isAvailable() {
+      availabilityListener.run();
       return isAvailable;
     }
 
@@ -588,6 +591,23 @@
     assertEquals(reachability.silences, 1);
   }
 
+  @Test
+  public void responseThatIsPassedOnWhileItsSuccessorIsSecuredIsNotReplaced() {
+    Sinks.Many<ResponsePart> parts = Sinks.many().unicast().onBackpressureBuffer();
+    responses.add(parts.asFlux());
+    responses.add(after(Duration.ofMillis(1), "other"));
+    Caller caller = new Caller(ForwardFixtures.newRoute(RequestKind.IDEMPOTENT, false, TIMEOUT));
+    parts.tryEmitNext(ForwardFixtures.newHead(ID, 200));
+    relay.availabilityListener =
+        () -> {
+          relay.availabilityListener = () -> {};
+          parts.tryEmitNext(new ResponsePart.BodyChunk(new byte[HeldResponse.MAX_HELD_BYTES + 1]));
+        };
+    advance(TIMEOUT);
+    assertEquals(attempts.size(), 1);
+    assertTrue(caller.error instanceof ForwardException);
+  }
+
   @Test
   public void silentStreamIsNotOfferedToOtherEntriesWithoutABudget() {
     allowedRetries = 0;
