--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/control/ControlLoop.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/control/ControlLoop.java
@@ -4,11 +4,11 @@
 import io.fireflyshed.state.instance.InstanceId;
 import io.fireflyshed.state.replica.ModelServiceSpec;
 import io.fireflyshed.state.replica.ServingView;
+import io.fireflyshed.transport.log.LoggingScheduler;
 import java.util.List;
 import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -38,7 +38,7 @@
    * @param parts the services and the strategies that the loop uses, not null
    */
   public ControlLoop(ControlSettings settings, ControlParts parts) {
-    executor = Executors.newSingleThreadScheduledExecutor(r -> new Thread(r, "control"));
+    executor = new LoggingScheduler("control");
     control = new ZoneControl(settings, parts, this::execute);
   }
 
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/entry/ClaimingOrderPlacer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/entry/ClaimingOrderPlacer.java
@@ -16,6 +16,7 @@
 import io.fireflyshed.state.table.CommitResult;
 import io.fireflyshed.state.table.RowKey;
 import io.fireflyshed.state.table.TableService;
+import io.fireflyshed.transport.log.LoggingScheduler;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
@@ -23,7 +24,6 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
-import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -55,8 +55,7 @@
   private final MonotonicClock clock;
   private final OrderLedger ledger;
   private final Map<Long, Submission> submissions = new HashMap<>();
-  private final ScheduledExecutorService executor =
-      Executors.newSingleThreadScheduledExecutor(r -> new Thread(r, "orders"));
+  private final ScheduledExecutorService executor = new LoggingScheduler("orders");
   private long nextSubmission = 1;
   private int nextTargetIndex;
 
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/PeerNode.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/PeerNode.java
@@ -16,6 +16,7 @@
 import io.fireflyshed.state.peer.PeerBus;
 import io.fireflyshed.state.peer.PeerId;
 import io.fireflyshed.state.peer.PeerNotice;
+import io.fireflyshed.transport.log.LoggingScheduler;
 import io.netty.channel.Channel;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -29,7 +30,6 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -95,7 +95,7 @@
     this.clock = Objects.requireNonNull(clock, "clock");
     this.random = Objects.requireNonNull(random, "random");
     this.connections = new PeerConnections(settings.self(), this);
-    this.executor = Executors.newSingleThreadScheduledExecutor(r -> new Thread(r, "peers"));
+    this.executor = new LoggingScheduler("peers");
     this.questions = new PeerQuestions(connections, this::findAddress);
   }
 
--- /dev/null
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/log/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the logs. */
+package io.fireflyshed.transport.log;
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/entry/ConfigurationModule.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/entry/ConfigurationModule.java
@@ -16,9 +16,9 @@
 import io.fireflyshed.transport.entry.ConfiguredAccountDirectory;
 import io.fireflyshed.transport.entry.LeasedOrderPlacer;
 import io.fireflyshed.transport.entry.OrderPlacer;
+import io.fireflyshed.transport.log.LoggingScheduler;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.apache.commons.rng.simple.RandomSource;
@@ -45,7 +45,7 @@
       MonotonicClock clock) {
     this.clock = clock;
     holder = new SiteConfigurationHolder(site);
-    executor = Executors.newSingleThreadScheduledExecutor(r -> new Thread(r, "configuration"));
+    executor = new LoggingScheduler("configuration");
     ConfigurationFollower follower =
         new ConfigurationFollower(
             self,
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/entry/PeerModule.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/entry/PeerModule.java
@@ -12,6 +12,7 @@
 import io.fireflyshed.transport.configuration.ConfigurationPeers;
 import io.fireflyshed.transport.configuration.LoneConfigurationPeers;
 import io.fireflyshed.transport.configuration.NodeConfigurationPeers;
+import io.fireflyshed.transport.log.LoggingScheduler;
 import io.fireflyshed.transport.peer.PeerDirectory;
 import io.fireflyshed.transport.peer.PeerNode;
 import io.fireflyshed.transport.peer.PeerSettings;
@@ -19,7 +20,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.UUID;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.apache.commons.rng.simple.RandomSource;
@@ -40,8 +40,7 @@
   private final PeerBus bus;
   private final ConfigurationPeers configurationPeers;
   private final PeerDirectory directory;
-  private final ScheduledExecutorService executor =
-      Executors.newSingleThreadScheduledExecutor(r -> new Thread(r, "peer-directory"));
+  private final ScheduledExecutorService executor = new LoggingScheduler("peer-directory");
   private long scans;
 
   PeerModule(
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
@@ -47,6 +47,7 @@
 import io.fireflyshed.transport.forward.TrafficServerSettings;
 import io.fireflyshed.transport.http.HttpCaller;
 import io.fireflyshed.transport.log.EventLog;
+import io.fireflyshed.transport.log.LoggingScheduler;
 import io.fireflyshed.transport.peer.EntryRelay;
 import io.fireflyshed.transport.peer.EntryServices;
 import io.fireflyshed.transport.peer.PeerSettings;
@@ -70,7 +71,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
@@ -156,8 +156,7 @@
 
   private final SharedClock sharedClock = new SharedClock(clock);
 
-  private final ScheduledExecutorService control =
-      Executors.newSingleThreadScheduledExecutor(r -> new Thread(r, "control"));
+  private final ScheduledExecutorService control = new LoggingScheduler("control");
   private final PrometheusMeterRegistry metrics =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
   private final ByteBudget budget;
