--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/RequestPlacer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/RequestPlacer.java
@@ -74,7 +74,10 @@
                         context.clock().nanoTime()));
   }
 
-  /** Does the same after other entries refused it; a sound target may be left to this one. */
+  /**
+   * Does the same after other entries refused it. Only an isolated entry still leaves the request
+   * to them, as none of its targets responds; an impaired one may have a sound target.
+   */
   Placement placeRunningHere(Set<InstanceId> excluded) {
     return placeRunning(excluded, context.reachability().isIsolated());
   }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/SuccessorSearch.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/SuccessorSearch.java
@@ -32,7 +32,10 @@
   /** Decides what may follow the attempt. Implementations are called under a lock. */
   interface Options {
 
-    /** Tests whether the attempt may be replaced at all. */
+    /**
+     * Tests whether the attempt may be replaced: an attempt and time are left, and all targets are
+     * known at which another entry may have had the request run.
+     */
     boolean isAllowed();
 
     /** Places the request besides the targets that were tried; it reserves nothing. */
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayClient.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayClient.java
@@ -35,8 +35,8 @@
 import reactor.core.publisher.Mono;
 
 /**
- * Sends requests to other entries. {@link #relay} is thread safe; everything else is used on the
- * thread of the connections only.
+ * Sends requests to other entries. {@link #relay} and {@link #offer} are thread safe; everything
+ * else is used on the thread of the connections only.
  */
 final class RelayClient {
 
