--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/SuccessorSearch.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/SuccessorSearch.java
@@ -32,7 +32,10 @@
   /** Decides what may follow the attempt. Implementations are called under a lock. */
   interface Options {
 
-    /** Tests whether the attempt may be replaced at all. */
+    /**
+     * Tests whether the attempt may be replaced: an attempt and time are left, and all targets are
+     * known at which another entry may have had the request run.
+     */
     boolean isAllowed();
 
     /** Places the request besides the targets that were tried; it reserves nothing. */
@@ -47,6 +50,9 @@
     /** Offers the request to other entries. */
     Mono<AcceptedRelay> offer();
 
+    /** Tests whether the retry budget suffices for a successor now. */
+    boolean canCharge();
+
     /** Charges the retry budget for a successor if it suffices. */
     boolean tryCharge();
 
@@ -100,7 +106,7 @@
     if (placement instanceof Placement.Send send) {
       secure(new ToTarget(send));
     } else if (options.isRelayable(placement) && !isRefusedLately) {
-      offer((Placement.Refuse) placement);
+      offerIfAffordable((Placement.Refuse) placement);
     } else {
       keep(RetryVerdict.NO_TARGET);
     }
@@ -126,6 +132,14 @@
     }
   }
 
+  private void offerIfAffordable(Placement.Refuse reason) {
+    if (options.canCharge()) {
+      offer(reason);
+    } else {
+      keep(RetryVerdict.NO_BUDGET);
+    }
+  }
+
   private void offer(Placement.Refuse reason) {
     isOffered = true;
     isOfferPending = true;
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwarderSilenceTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwarderSilenceTest.java
@@ -29,6 +29,7 @@
 import org.testng.annotations.Test;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
 import reactor.test.scheduler.VirtualTimeScheduler;
 
 /** Tests {@link Forwarder} in virtual time with targets that fall silent or trickle. */
@@ -89,6 +90,7 @@
     private final List<RelayedRequest> requests = new ArrayList<>();
     private Mono<AcceptedRelay> acceptance = refused().then(Mono.empty());
     private boolean isAvailable;
+    private Runnable availabilityListener = () -> {};
     private int offers;
     private int withdrawnOffers;
 
@@ -110,6 +112,7 @@
 
     @Override
     public boolean isAvailable() {
+      availabilityListener.run();
       return isAvailable;
     }
 
@@ -134,6 +137,7 @@
   private static final class FakeReachability implements Reachability {
     private boolean isIsolated;
     private boolean isImpaired;
+    private int silences;
 
     @Override
     public void onFailure(InstanceId target) {
@@ -142,7 +146,7 @@
 
     @Override
     public void onSilent(InstanceId target) {
-      // The test sets the state.
+      silences++;
     }
 
     @Override
@@ -577,6 +581,47 @@
     assertNoFailure();
   }
 
+  @Test
+  public void lateLookupCountsAsOneSilence() {
+    targets.remove(1);
+    responses.add(after(TIMEOUT.minusMillis(100), "done"));
+    Caller caller = new Caller(ForwardFixtures.newRoute(RequestKind.IDEMPOTENT, false, TIMEOUT));
+    advance(TIMEOUT);
+    assertEquals(caller.body.toString(), "done");
+    assertEquals(reachability.silences, 1);
+  }
+
+  @Test
+  public void responseThatIsPassedOnWhileItsSuccessorIsSecuredIsNotReplaced() {
+    Sinks.Many<ResponsePart> parts = Sinks.many().unicast().onBackpressureBuffer();
+    responses.add(parts.asFlux());
+    responses.add(after(Duration.ofMillis(1), "other"));
+    Caller caller = new Caller(ForwardFixtures.newRoute(RequestKind.IDEMPOTENT, false, TIMEOUT));
+    parts.tryEmitNext(ForwardFixtures.newHead(ID, 200));
+    relay.availabilityListener =
+        () -> {
+          relay.availabilityListener = () -> {};
+          parts.tryEmitNext(new ResponsePart.BodyChunk(new byte[HeldResponse.MAX_HELD_BYTES + 1]));
+        };
+    advance(TIMEOUT);
+    assertEquals(attempts.size(), 1);
+    assertTrue(caller.error instanceof ForwardException);
+  }
+
+  @Test
+  public void silentStreamIsNotOfferedToOtherEntriesWithoutABudget() {
+    allowedRetries = 0;
+    relay.isAvailable = true;
+    relay.acceptance = Mono.just(relay.newAcceptance(Flux.empty()));
+    responses.add(after(Duration.ofMillis(100), event(1)).concatWith(silent()));
+    Caller caller = startStream();
+    advance(Duration.ofMillis(200));
+    reachability.isIsolated = true;
+    advance(TIMEOUT);
+    assertTrue(((ForwardException) caller.error).isTimeout());
+    assertEquals(relay.offers, 0);
+  }
+
   @Test
   public void lookupIsLeftAtASlowTargetIfTheBudgetDeniesARetry() {
     allowedRetries = 0;
