--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwarderSilenceTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwarderSilenceTest.java
@@ -5,274 +5,21 @@
 import static org.testng.Assert.assertTrue;
 
 import io.fireflyshed.coordination.attempt.Outcome;
-import io.fireflyshed.coordination.budget.ByteBudget;
-import io.fireflyshed.coordination.placement.PlacementSettings;
-import io.fireflyshed.coordination.placement.StallDetector;
-import io.fireflyshed.coordination.placement.TargetPlacer;
-import io.fireflyshed.coordination.retry.ServiceRetryBudgets;
-import io.fireflyshed.state.instance.InstanceId;
 import io.fireflyshed.state.target.Target;
 import io.fireflyshed.state.traffic.RequestKind;
-import io.fireflyshed.state.traffic.Route;
-import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
-import org.apache.commons.rng.simple.RandomSource;
-import org.testng.annotations.AfterMethod;
-import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
-import reactor.test.scheduler.VirtualTimeScheduler;
 
 /** Tests {@link Forwarder} in virtual time with targets that fall silent or trickle. */
-public class ForwarderSilenceTest {
-
-  /** A silence that does not show that a target is lost. */
-  private static final Duration SOUND_SILENCE = Duration.ofMillis(1200);
-
-  /** A silence of a sound target after which streams are resumed elsewhere, if they can be. */
-  private static final Duration LONG_SILENCE = Duration.ofMillis(1650);
-
-  /** The shortest gap after which callers abandon a stream. */
-  private static final Duration CALLER_PATIENCE = Duration.ofSeconds(2);
-
-  private static final Duration TIMEOUT = Duration.ofSeconds(5);
-  private static final String ID = "request";
-
-  /** The response of a caller, with the time at which each event arrived. */
-  private final class Caller {
-    private final StringBuilder body = new StringBuilder();
-    private final List<Duration> eventTimes = new ArrayList<>();
-    private boolean isComplete;
-    private Throwable error;
-    private Duration end;
-
-    Caller(Route route) {
-      forwarder
-          .forward(ForwardFixtures.newRequest(ID, route, now().toNanos()))
-          .subscribe(
-              this::onPart,
-              e -> {
-                error = e;
-                end = now();
-              },
-              () -> {
-                isComplete = true;
-                end = now();
-              });
-    }
-
-    private void onPart(ResponsePart part) {
-      if (part instanceof ResponsePart.BodyChunk chunk) {
-        body.append(new String(chunk.bytes(), StandardCharsets.UTF_8));
-        eventTimes.add(now());
-      }
-    }
-
-    /** Checks that the events 1 and 2 arrived, once each, and that the stream is complete. */
-    void assertTwoEvents() {
-      assertNull(error);
-      assertEquals(body.toString(), event(1) + event(2));
-      assertTrue(isComplete);
-    }
-  }
-
-  /** Stands for other entries, which accept each offer, refuse it or don't answer it. */
-  private final class FakeRelay implements RequestRelay {
-    private final List<RelayedRequest> requests = new ArrayList<>();
-    private Mono<AcceptedRelay> acceptance = refused().then(Mono.empty());
-    private boolean isAvailable;
-    private Runnable availabilityListener = () -> {};
-    private int offers;
-    private int withdrawnOffers;
-
-    private <T> Flux<T> refused() {
-      return Flux.error(
-          new ForwardException(
-              "relay", "-", "no entry took it", Outcome.NOT_RUN, Duration.ofMillis(500), false));
-    }
-
-    @Override
-    public Flux<ResponsePart> relay(RelayedRequest request) {
-      return refused();
-    }
-
-    @Override
-    public Mono<AcceptedRelay> offer(RelayedRequest request) {
-      return acceptance.doOnSubscribe(s -> offers++).doOnCancel(() -> withdrawnOffers++);
-    }
-
-    @Override
-    public boolean isAvailable() {
-      availabilityListener.run();
-      return isAvailable;
-    }
-
-    /** Accepts offers and responds to the request with the head and a body. */
-    AcceptedRelay newAcceptance(Flux<ResponsePart> body) {
-      return new AcceptedRelay() {
-        @Override
-        public Flux<ResponsePart> send(RelayedRequest request) {
-          requests.add(request);
-          return Flux.concat(Mono.just(ForwardFixtures.newHead(ID, 200)), body);
-        }
-
-        @Override
-        public void cancel() {
-          withdrawnOffers++;
-        }
-      };
-    }
-  }
-
-  /** Tells the forwarder that it is isolated when the test says so. */
-  private static final class FakeReachability implements Reachability {
-    private boolean isIsolated;
-    private boolean isImpaired;
-    private int silences;
-
-    @Override
-    public void onFailure(InstanceId target) {
-      // The test sets the state.
-    }
-
-    @Override
-    public void onSilent(InstanceId target) {
-      silences++;
-    }
-
-    @Override
-    public void onSignOfLife() {
-      // The test sets the state.
-    }
-
-    @Override
-    public boolean isIsolated() {
-      return isIsolated;
-    }
-
-    @Override
-    public boolean isImpaired() {
-      return isIsolated || isImpaired;
-    }
-  }
-
-  private final List<Flux<ResponsePart>> responses = new ArrayList<>();
-  private final List<InstanceId> attempts = new ArrayList<>();
-  private final List<Target> targets = new ArrayList<>();
-  private final List<InstanceId> stalledTargets = new ArrayList<>();
-  private VirtualTimeScheduler scheduler;
-  private SimpleMeterRegistry registry;
-  private TargetPlacer placer;
-  private Forwarder forwarder;
-  private int running;
-  private int allowedRetries;
-  private FakeRelay relay;
-  private FakeReachability reachability;
-
-  /** Starts a forwarder with two targets. */
-  @BeforeMethod
-  public void setUp() {
-    scheduler = VirtualTimeScheduler.getOrSet();
-    responses.clear();
-    attempts.clear();
-    stalledTargets.clear();
-    targets.clear();
-    targets.add(ForwardFixtures.newTarget("one"));
-    targets.add(ForwardFixtures.newTarget("two"));
-    running = 0;
-    allowedRetries = 10;
-    relay = new FakeRelay();
-    reachability = new FakeReachability();
-    PlacementSettings placement = PlacementSettings.ofDefaults();
-    registry = new SimpleMeterRegistry();
-    placer =
-        new TargetPlacer(
-            placement,
-            ForwardFixtures.ZONE,
-            RandomSource.XO_RO_SHI_RO_128_PP.create(1),
-            ForwardFixtures.newSchedule());
-    forwarder =
-        new Forwarder(
-            ForwardFixtures.newView(targets, () -> true),
-            placer,
-            new StallDetector(placement),
-            this::send,
-            new ServiceRetryBudgets(0, Duration.ofSeconds(10), () -> allowedRetries),
-            ForwardFixtures.newCrashGuard(),
-            () -> now().toNanos(),
-            stalledTargets::add,
-            registry,
-            reachability,
-            relay,
-            ByteBudget.unlimited(() -> now().toNanos()));
-    forwarder.start();
-  }
-
-  /** Stops the forwarder and checks that no attempt was left running. */
-  @AfterMethod(alwaysRun = true)
-  public void tearDown() {
-    try {
-      advance(TIMEOUT.multipliedBy(2));
-      forwarder.stop();
-      assertEquals(running, 0, "attempts that still run");
-    } finally {
-      VirtualTimeScheduler.reset();
-    }
-  }
-
-  private Duration now() {
-    return Duration.ofNanos(scheduler.now(TimeUnit.NANOSECONDS));
-  }
-
-  private void advance(Duration duration) {
-    scheduler.advanceTimeBy(duration);
-  }
-
-  private Flux<ResponsePart> send(
-      Target target, RoutedRequest routed, Duration remaining, OptionalLong lastEventId) {
-    Flux<ResponsePart> response = responses.get(attempts.size());
-    attempts.add(target.id());
-    return Flux.concat(Mono.just(ForwardFixtures.newHead(ID, 200)), response)
-        .doOnSubscribe(s -> running++)
-        .doFinally(s -> running--);
-  }
-
-  private static String event(int id) {
-    return "id: " + id + "\ndata: " + id + "\n\n";
-  }
-
-  /** Returns a part of a body that is sent after a delay. */
-  private static Flux<ResponsePart> after(Duration delay, String text) {
-    return Mono.delay(delay).map(t -> ForwardFixtures.newBodyChunk(text)).flux();
-  }
-
-  /** Returns bytes that are sent in intervals without end. */
-  private static Flux<ResponsePart> trickle(String text) {
-    return Flux.interval(Duration.ofMillis(300))
-        .onBackpressureDrop()
-        .map(t -> ForwardFixtures.newBodyChunk(text));
-  }
-
-  private static Flux<ResponsePart> silent() {
-    return Flux.never();
-  }
-
-  private static Route newStreamRoute(boolean isResumable) {
-    return ForwardFixtures.newRoute(RequestKind.STREAM, isResumable, TIMEOUT);
-  }
-
-  private Caller startStream() {
-    return new Caller(newStreamRoute(true));
-  }
+public class ForwarderSilenceTest extends SilenceTestBase {
 
   private void assertNoRetry() {
     assertEquals(attempts.size(), 1);
@@ -280,10 +27,6 @@
     assertEquals(stalledTargets, List.of());
   }
 
-  private void assertNoFailure() {
-    assertTrue(registry.find("fireflyshed.forward.failures").counters().isEmpty());
-  }
-
   @Test
   public void streamThatPausesForAMomentIsNotCut() {
     responses.add(
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/SilenceSchedule.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/SilenceSchedule.java
@@ -39,8 +39,9 @@
 import reactor.test.scheduler.VirtualTimeScheduler;
 
 /**
- * Runs the forwarders of a deployment in virtual time while its targets fall silent together again
- * and again, and counts the attempts that reach the targets.
+ * Runs the forwarders of a deployment in virtual time while its targets fall silent again and
+ * again, together or one after the other, and counts the attempts that reach the targets and the
+ * streams that end although no target broke one off.
  *
  * <p>A silent target accepts connections. It reads the requests, also those that were given up, and
  * goes on with its responses when the silence ends.
@@ -56,6 +57,8 @@
    * @param maxAttempts the attempts that the route allows
    * @param silenceMillis the length of a silence
    * @param periodMillis the time from the start of a silence to that of the next
+   * @param staggerMillis the time from the start of the silence of one target to that of the next
+   *     target, 0 if they fall silent together
    * @param silentShare the fraction of the targets that are silent
    * @param cutEntries the entries whose new connections fail from half a second before a silence to
    *     two seconds after its start
@@ -69,6 +72,7 @@
       int maxAttempts,
       int silenceMillis,
       int periodMillis,
+      int staggerMillis,
       double silentShare,
       int cutEntries,
       int restartedEntries,
@@ -83,6 +87,7 @@
     private final Set<InstanceId> runs = new HashSet<>();
     private int entry;
     private Disposable forwarding;
+    private boolean isLost;
 
     Request(Route route, long sentMillis, boolean isCallerRetry) {
       this.route = route;
@@ -257,6 +262,7 @@
 
   /** Has the caller retry once, where the route or the outcome allows it. */
   private void onFailure(String id, Request request, Throwable error) {
+    request.isLost = isLost(error);
     if (request.isCallerRetry || !(error instanceof ForwardException failure)) {
       return;
     }
@@ -265,6 +271,12 @@
     }
   }
 
+  /** Tests whether a request that targets may have run ended before its timeout. */
+  private static boolean isLost(Throwable error) {
+    return !(error instanceof ForwardException failure)
+        || failure.getOutcome() != Outcome.NOT_RUN && !failure.isTimeout();
+  }
+
   private void restart() {
     for (int i = 0; i < load.restartedEntries(); i++) {
       int index = random.nextInt(ENTRIES);
@@ -290,9 +302,14 @@
     return since < 0 ? since : since % load.periodMillis();
   }
 
+  /** Returns the time since the start of the silence of a target. */
+  private long getPhaseMillis(Target target, long millis) {
+    return getPhaseMillis(millis - (long) targets.indexOf(target) * load.staggerMillis());
+  }
+
   /** Returns the time from which a target is not silent. */
   private long getAwakeMillis(Target target, long millis) {
-    long phase = getPhaseMillis(millis);
+    long phase = getPhaseMillis(target, millis);
     boolean isSilent =
         targets.indexOf(target) < load.silentShare() * targets.size()
             && phase >= 0
@@ -450,6 +467,13 @@
             });
   }
 
+  /** Counts the streams that targets may have run and that ended before their timeout. */
+  long countLostStreams() {
+    return requests.values().stream()
+        .filter(r -> r.isLost && r.route.kind() == RequestKind.STREAM)
+        .count();
+  }
+
   /** Finds the window that exceeds the allowed repeats most, or returns an empty text. */
   String findExcess() {
     int[] sent = new int[STEPS];
@@ -553,6 +577,8 @@
         + " arrivals, "
         + rejections
         + " rejections, "
+        + countLostStreams()
+        + " streams lost, "
         + countExcessiveRuns()
         + " with too many runs, "
         + countOverlongRepeats()
