--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptHistory.java
@@ -0,0 +1,108 @@
+package io.fireflyshed.transport.forward;
+
+import io.fireflyshed.coordination.attempt.Outcome;
+import io.fireflyshed.state.instance.InstanceId;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/** Records at which targets the attempts of one request may have run it. Not thread safe. */
+final class AttemptHistory {
+
+  private final int maxAttempts;
+  private final Set<InstanceId> triedTargets = new HashSet<>();
+
+  /**
+   * The targets that another entry must not try: those that may have run the request, since a
+   * second run may end differently, and those that rejected it. Targets that could not be connected
+   * are not among them, as the other entry may reach them, nor are those at which a stream may go
+   * on.
+   */
+  private final Set<InstanceId> excludedTargets = new HashSet<>();
+
+  private Outcome outcome = Outcome.NOT_RUN;
+  private int possibleRuns;
+  private int notRunAttempts;
+
+  /**
+   * Creates a history without attempts.
+   *
+   * @param maxAttempts the number of targets that may run the request
+   */
+  AttemptHistory(int maxAttempts) {
+    this.maxAttempts = maxAttempts;
+  }
+
+  /** Records targets that must not get the request. */
+  void addTried(Set<InstanceId> targets) {
+    triedTargets.addAll(targets);
+  }
+
+  /** Records that an attempt starts. */
+  void onStart(InstanceId target) {
+    triedTargets.add(target);
+  }
+
+  /**
+   * Records the end of an attempt of this entry.
+   *
+   * @param target the target, not null
+   * @param attemptOutcome whether the target may have run the request, not null
+   * @param isTriableElsewhere whether another entry may send the request to the target
+   */
+  void onEnd(InstanceId target, Outcome attemptOutcome, boolean isTriableElsewhere) {
+    outcome = outcome.join(attemptOutcome);
+    if (attemptOutcome == Outcome.NOT_RUN) {
+      notRunAttempts++;
+    } else {
+      possibleRuns++;
+    }
+    if (!isTriableElsewhere) {
+      excludedTargets.add(target);
+    }
+  }
+
+  /**
+   * Records the end of an attempt of another entry that may have had the request run.
+   *
+   * @param attempt the attempt, not null
+   * @param attemptOutcome whether a target may have run the request, not null
+   */
+  void onRelayEnd(OpenAttempt attempt, Outcome attemptOutcome) {
+    outcome = outcome.join(attemptOutcome);
+    possibleRuns += attempt.getGrantedAttempts();
+    RelayedAttempts relayed = attempt.getRelayed();
+    List<InstanceId> targets = relayed.getTargets();
+    triedTargets.addAll(targets);
+    boolean isContinuable = attempt.getStream().getEvents() > 0;
+    // The target of a stream whose entry was lost may go on for another entry.
+    int kept = isContinuable && !relayed.isEnded() ? 1 : 0;
+    excludedTargets.addAll(targets.subList(0, Math.max(0, targets.size() - kept)));
+    if (!relayed.areKnown(attempt.getGrantedAttempts()) && !isContinuable) {
+      possibleRuns = Math.max(possibleRuns, maxAttempts);
+    }
+  }
+
+  Set<InstanceId> getTriedTargets() {
+    return triedTargets;
+  }
+
+  Set<InstanceId> getExcludedTargets() {
+    return excludedTargets;
+  }
+
+  /** Returns the joined outcome of the attempts that ended. */
+  Outcome getOutcome() {
+    return outcome;
+  }
+
+  /** Returns the number of targets that ended attempts may have had the request run at. */
+  int getPossibleRuns() {
+    return possibleRuns;
+  }
+
+  /** Returns the number of attempts of this entry that no target ran. */
+  int getNotRunAttempts() {
+    return notRunAttempts;
+  }
+}
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptLog.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptLog.java
@@ -109,6 +109,36 @@
         verdict);
   }
 
+  /** Logs that another attempt runs beside a silent one from now on. */
+  void logSuccessor(String peer, int events, Duration silence) {
+    LOG.info(
+        "silent attempt gets a successor",
+        "request",
+        getId(),
+        "target",
+        peer,
+        "events",
+        events,
+        "silent_ms",
+        silence.toMillis());
+  }
+
+  /** Logs that an attempt ended because another one went on before it. */
+  void logSuperseded(String peer, int events, String winner) {
+    LOG.info(
+        "attempt superseded",
+        "request",
+        getId(),
+        "service",
+        routed.service(),
+        "target",
+        peer,
+        "events",
+        events,
+        "by",
+        winner);
+  }
+
   void logKept(String peer, RetryVerdict verdict) {
     LOG.info("silent attempt goes on", "request", getId(), "target", peer, "retry", verdict);
   }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptOptions.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptOptions.java
@@ -5,14 +5,15 @@
 import io.fireflyshed.state.instance.InstanceId;
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.List;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import reactor.core.publisher.Mono;
 
 /**
- * Decides what may follow one attempt of a request, with the limits that hold during the attempt.
- * Thread safe.
+ * Decides what may run beside the open attempts of a request, with the limits that hold while these
+ * are open. Thread safe.
  */
 record AttemptOptions(
     ForwardContext context,
@@ -21,24 +22,23 @@
     RetryCharger charger,
     AttemptLog log,
     String peer,
-    Set<InstanceId> triedTargets,
-    RelayedAttempts relayed,
-    int grantedAttempts,
+    Set<InstanceId> usedTargets,
+    List<OpenAttempt> openAttempts,
     OptionalLong lastEventId,
-    boolean isReplaceable,
+    BooleanSupplier isAttemptAllowed,
     BooleanSupplier isRelayAllowed)
     implements SuccessorSearch.Options {
 
   @Override
   public boolean isAllowed() {
-    return isReplaceable
-        && relayed.areKnown(grantedAttempts)
+    return isAttemptAllowed.getAsBoolean()
+        && openAttempts.stream().allMatch(a -> a.getRelayed().areKnown(a.getGrantedAttempts()))
         && getRemainingTime().compareTo(AttemptSequence.MIN_ATTEMPT_TIME) >= 0;
   }
 
   private Set<InstanceId> getExcludedTargets() {
-    Set<InstanceId> excluded = new HashSet<>(triedTargets);
-    excluded.addAll(relayed.getTargets());
+    Set<InstanceId> excluded = new HashSet<>(usedTargets);
+    openAttempts.forEach(a -> excluded.addAll(a.getRelayed().getTargets()));
     return excluded;
   }
 
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptSequence.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptSequence.java
@@ -7,27 +7,33 @@
 import io.fireflyshed.coordination.attempt.TargetUnreachableException;
 import io.fireflyshed.coordination.placement.Placement;
 import io.fireflyshed.coordination.poison.RequestFingerprints;
-import io.fireflyshed.protocol.traffic.TargetAnswer;
 import io.fireflyshed.state.instance.InstanceId;
 import io.fireflyshed.state.target.Target;
 import io.fireflyshed.state.traffic.RequestKind;
+import io.fireflyshed.transport.entry.AttemptEvents;
 import io.fireflyshed.transport.entry.StreamUtils;
-import io.netty.handler.codec.http.HttpMethod;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import java.util.function.Supplier;
+import reactor.core.Exceptions;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
+import reactor.core.publisher.Signal;
+import reactor.core.publisher.Sinks;
 
 /**
  * Makes the attempts of one request at targets and, where none can be reached, through other
- * entries. Its methods are never called concurrently.
+ * entries.
+ *
+ * <p>An attempt that is only silent stays open while another one runs beside it. The first of them
+ * that goes on becomes the response, and the others are cancelled; one that fails costs the others
+ * nothing. Events of the attempts are handled one after the other.
  */
 final class AttemptSequence {
 
@@ -43,9 +49,12 @@
    */
   private static final int LATENCY_TARGETS_PER_ATTEMPT = 3;
 
-  /** The interval in which a late attempt is replaced if it can be. */
+  /** The interval in which a successor of a late attempt is looked for. */
   private static final Duration REPLACEMENT_INTERVAL = Duration.ofMillis(50);
 
+  /** The wait after a successor that failed, so that targets that reject are not asked at once. */
+  private static final Duration SUCCESSOR_RETRY_DELAY = Duration.ofMillis(250);
+
   private static final Duration RETRY_AFTER_FAILURE = Duration.ofMillis(300);
 
   /** Limits the entries that are asked to forward a request, besides this one. */
@@ -57,11 +66,7 @@
    */
   private static final Duration RELAY_MARGIN = Duration.ofMillis(200);
 
-  /** Leaves parts that the caller doesn't take yet in the connection. */
-  private static final int PREFETCHED_PARTS = 4;
-
   private static final String STEP = "forward";
-  private static final String RELAY_STEP = "relay";
   private static final String RELAY_PEER = "entry";
 
   private final ForwardContext context;
@@ -70,33 +75,26 @@
   private final AttemptLog log;
   private final RequestPlacer placer;
   private final RetryCharger charger;
+  private final ResponseReader reader;
   private final boolean isStream;
-  private final Set<InstanceId> triedTargets = new HashSet<>();
-
-  /**
-   * The targets that another entry must not try: those that may have run the request, since a
-   * second run may end differently, and those that rejected it. Targets that could not be connected
-   * are not among them, as the other entry may reach them, nor are those at which a stream may go
-   * on.
-   */
-  private final Set<InstanceId> excludedTargets = new HashSet<>();
-
   private final CallerStream stream;
   private final int maxAttempts;
   private final boolean isRelayed;
   private final RelayListener relayListener;
-  private Outcome outcome = Outcome.NOT_RUN;
-  private int possibleRuns;
-  private int notRunAttempts;
+  private final ResponseMemory memory;
+  private final AttemptHistory history;
+  private final AttemptEvents<ResponsePart> events = new AttemptEvents<>();
+
+  /** The attempts that have not ended, the newest last. */
+  private final List<OpenAttempt> openAttempts = new ArrayList<>();
+
   private int sentAttempts;
   private int relays;
 
   /** Whether an attempt of this request failed as when the path to its target is cut. */
   private boolean hasLostContact;
 
-  private StreamAttempt attempt;
   private List<ResponsePart> errorResponse = List.of();
-  private final ResponseMemory memory;
 
   /** Whether parts of a response that isn't a stream were passed on. */
   private boolean isPassedOn;
@@ -121,7 +119,7 @@
         relayed.maxAttempts(),
         true,
         relayed.listener());
-    triedTargets.addAll(relayed.excludedTargets());
+    history.addTried(relayed.excludedTargets());
   }
 
   private AttemptSequence(
@@ -137,10 +135,11 @@
     this.log = new AttemptLog(routed, fingerprints);
     this.placer = new RequestPlacer(context, routed, isRelayed);
     this.charger = new RetryCharger(context, routed, placer);
+    this.reader = new ResponseReader(context, routed, fingerprints, placer);
     this.isStream = routed.route().kind() == RequestKind.STREAM;
     this.stream = new CallerStream(lastEventId);
-    this.attempt = stream.newAttempt(RELAY_PEER);
     this.maxAttempts = maxAttempts;
+    this.history = new AttemptHistory(maxAttempts);
     this.isRelayed = isRelayed;
     this.relayListener = relayListener;
     this.memory = new ResponseMemory(context.budget(), routed.route().name());
@@ -153,33 +152,39 @@
    *     ForwardException}
    */
   Flux<ResponsePart> start() {
-    Duration remaining = routed.getRemainingTime(context.clock().nanoTime());
+    events.add(Flux.just(() -> proceed(placeNext())));
     return StreamUtils.failOn(
-            Flux.defer(() -> proceed(placeNext())),
-            Mono.delay(remaining),
-            this::newTimeoutException)
+            events.asFlux(), Mono.delay(getRemainingTime()), this::newTimeoutException)
         .doFinally(signal -> memory.close());
   }
 
+  private Duration getRemainingTime() {
+    return routed.getRemainingTime(context.clock().nanoTime());
+  }
+
   private Placement placeNext() {
-    return placer.place(triedTargets, hasLostContact, isRelayAllowed());
+    return placer.place(history.getTriedTargets(), hasLostContact, isRelayAllowed());
   }
 
   private boolean isRelayAllowed() {
     return !isRelayed && relays < MAX_RELAYS && context.relay().isAvailable();
   }
 
-  private Flux<ResponsePart> proceed(Placement placement) {
-    Duration remaining = routed.getRemainingTime(context.clock().nanoTime());
+  private List<ResponsePart> proceed(Placement placement) {
+    Duration remaining = getRemainingTime();
     if (remaining.compareTo(MIN_ATTEMPT_TIME) < 0) {
-      return Flux.error(newTimeoutException());
+      throw newTimeoutException();
     }
-    if (placement instanceof Placement.Refuse refusal) {
-      return placer.isRelayable(refusal, excludedTargets, isRelayAllowed())
-          ? relay(refusal, remaining, context.relay()::relay)
-          : refuse(refusal);
+    if (placement instanceof Placement.Send send) {
+      send(send.target(), remaining);
+      return List.of();
     }
-    return send(((Placement.Send) placement).target(), remaining);
+    Placement.Refuse refusal = (Placement.Refuse) placement;
+    if (!placer.isRelayable(refusal, history.getExcludedTargets(), isRelayAllowed())) {
+      return refuse(refusal);
+    }
+    relay(refusal, remaining, context.relay()::relay);
+    return List.of();
   }
 
   /** Tests whether a target returned an error response that can still be sent to the caller. */
@@ -187,46 +192,39 @@
     return !errorResponse.isEmpty() && !stream.isHeadSent() && !isPassedOn;
   }
 
-  private Flux<ResponsePart> refuse(Placement.Refuse refusal) {
+  private List<ResponsePart> endWithErrorResponse() {
+    events.complete();
+    return errorResponse;
+  }
+
+  private List<ResponsePart> refuse(Placement.Refuse refusal) {
     if (hasErrorResponse()) {
-      return Flux.fromIterable(errorResponse);
+      return endWithErrorResponse();
     }
-    log.logRefusal(refusal, placer.getCandidates().size(), triedTargets, outcome);
-    return Flux.error(
-        new ForwardException(
-            "place", "entry", refusal.reason(), outcome, refusal.retryAfter(), false));
+    log.logRefusal(
+        refusal, placer.getCandidates().size(), history.getTriedTargets(), history.getOutcome());
+    throw new ForwardException(
+        "place", "entry", refusal.reason(), history.getOutcome(), refusal.retryAfter(), false);
   }
 
-  private Flux<ResponsePart> send(Target target, Duration remaining) {
-    triedTargets.add(target.id());
-    relayListener.onAttempt(target.id());
+  private void send(Target target, Duration remaining) {
+    InstanceId id = target.id();
+    history.onStart(id);
+    relayListener.onAttempt(id);
     sentAttempts++;
-    attempt = stream.newAttempt(target.id().value());
-    memory.start(target.id().value());
-    context.placer().onStart(target.id());
+    OpenAttempt attempt =
+        OpenAttempt.ofTarget(target, stream.newAttempt(id.value()), memory.start(id.value()));
+    OptionalLong lastEventId = stream.getLastEventId();
     context.metrics().recordAttempt(routed.service());
     log.logStart(
-        target.id(),
-        remaining,
-        stream.getLastEventId(),
-        isRelayed,
-        sentAttempts,
-        context.placer().getRequestLimit(target.id()));
+        id, remaining, lastEventId, isRelayed, sentAttempts, context.placer().getRequestLimit(id));
     Flux<ResponsePart> parts =
-        onceCallerIsThere(
-                () -> context.client().send(target, routed, remaining, stream.getLastEventId()))
-            .doOnNext(this::onPart);
-    SuccessorSearch successors = newSuccessorSearch(target.id().value(), new RelayedAttempts(), 0);
-    Flux<ResponsePart> response =
-        isStream
-            ? streamResponse(target, parts, successors)
-            : collectResponse(target, parts, successors);
-    return response
-        .doFinally(
-            signal ->
-                context.placer().onEnd(routed.getPool(), target.id(), context.clock().nanoTime()))
-        .doFinally(signal -> successors.close())
-        .onErrorResume(AttemptException.class, e -> handleFailure(target, e, successors));
+        onceCallerIsThere(() -> context.client().send(target, routed, remaining, lastEventId));
+    if (isStream) {
+      openStream(attempt, target, parts);
+    } else {
+      openLookup(attempt, target, parts);
+    }
   }
 
   /**
@@ -237,149 +235,28 @@
     return routed.caller().awaitReads().thenMany(Flux.defer(start));
   }
 
-  private void onPart(ResponsePart part) {
-    context.reachability().onSignOfLife();
-    if (part instanceof ResponsePart.Head && !routed.route().isRetryable()) {
-      // The target ran the request, which can't be sent again.
-      routed.body().close();
-    }
-  }
-
-  /** Holds a response that is not a stream, as far as it is short, so that it can be replaced. */
-  private Flux<ResponsePart> collectResponse(
-      Target target, Flux<ResponsePart> parts, SuccessorSearch successors) {
-    Duration timeout = routed.route().latencyTarget().multipliedBy(LATENCY_TARGETS_PER_ATTEMPT);
-    boolean[] isSuccess = new boolean[1];
-    boolean[] isLate = new boolean[1];
-    Flux<ResponsePart> recorded =
-        parts.doOnNext(
-            part -> {
-              if (part instanceof ResponsePart.Head head) {
-                placer.onResponse(target, head.response());
-                isSuccess[0] = head.response().isSuccess();
-              }
-            });
-    return hold(
-            target.id().value(),
-            recorded,
-            timeout,
-            () -> {
-              if (!isLate[0]) {
-                isLate[0] = true;
-                context.reachability().onSilent(target.id());
-              }
-              return successors.isSecured();
-            },
-            () ->
-                newTargetLostException(
-                    target,
-                    "given up by this entry after "
-                        + timeout.toMillis()
-                        + " ms without a complete response of a connected target"))
-        .doOnComplete(
-            () -> context.placer().onResult(target.id(), isSuccess[0], context.clock().nanoTime()));
+  /** Adds an attempt to those that are open and subscribes to its response. */
+  private <T> void open(
+      OpenAttempt attempt, Flux<T> response, Function<T, List<ResponsePart>> onNext) {
+    openAttempts.add(attempt);
+    searchSuccessors(attempt, Duration.ZERO);
+    events.add(
+        attempt
+            .untilClosed(response.materialize())
+            .map(signal -> () -> onSignal(attempt, signal, onNext)));
   }
 
   /**
-   * Holds a response until it is complete or too long.
+   * Prepares the search for what may run beside the open attempts, the newest of which is given.
    *
-   * @param peer the target or entry that responds
-   * @param parts the parts of the response
-   * @param timeout the time for which an idempotent request waits for it, unless it is passed on
-   * @param isReplaceable tells whether another attempt is ready to take over after that time
-   * @param newLateException supplies the error with which the attempt fails then
+   * @param delay the time in which nothing is looked for
    */
-  private Flux<ResponsePart> hold(
-      String peer,
-      Flux<ResponsePart> parts,
-      Duration timeout,
-      BooleanSupplier isReplaceable,
-      Supplier<Throwable> newLateException) {
-    boolean hasBody = !routed.request().method().equals(HttpMethod.HEAD);
-    HeldResponse held = new HeldResponse(peer, memory, routed.route().isRetryable(), hasBody);
-    Flux<ResponsePart> limitedParts =
-        routed.route().kind() == RequestKind.IDEMPOTENT
-            ? StreamUtils.failOn(
-                parts,
-                Flux.interval(timeout, REPLACEMENT_INTERVAL)
-                    .filter(t -> !held.isPassedOn() && isReplaceable.getAsBoolean())
-                    .next(),
-                newLateException)
-            : parts;
-    return limitedParts
-        .concatMapIterable(part -> add(held, part), PREFETCHED_PARTS)
-        .concatWith(Flux.defer(() -> end(peer, held)));
-  }
-
-  private Flux<ResponsePart> end(String peer, HeldResponse held) {
-    held.end();
-    return held.isPassedOn() ? Flux.empty() : evaluate(peer, held.getParts());
-  }
-
-  private List<ResponsePart> add(HeldResponse held, ResponsePart part) {
-    List<ResponsePart> passedOn = held.add(part);
-    if (held.isPassedOn() && !isPassedOn) {
-      isPassedOn = true;
-      context.crashGuard().onSuccess(fingerprints);
-    }
-    return passedOn;
-  }
-
-  /** Returns a complete response, or fails the attempt if it is an error that may be retried. */
-  private Flux<ResponsePart> evaluate(String peer, List<ResponsePart> parts) {
-    if (parts.isEmpty()) {
-      return Flux.error(
-          new AttemptException(STEP, peer, Outcome.UNKNOWN, "the response has no head", null));
-    }
-    TargetAnswer response = ((ResponsePart.Head) parts.get(0)).response();
-    context.crashGuard().onSuccess(fingerprints);
-    if (response.isSuccess() || !routed.route().isRetryable()) {
-      return Flux.fromIterable(parts);
-    }
-    keepErrorResponse(parts);
-    String message = "the target responded with status " + response.status();
-    return Flux.error(new AttemptException(STEP, peer, Outcome.RAN, message, null));
-  }
-
-  /** Forwards the complete events of a stream; its head is held back until the first of them. */
-  private Flux<ResponsePart> streamResponse(
-      Target target, Flux<ResponsePart> parts, SuccessorSearch successors) {
-    Object streamKey = new Object();
-    StreamAttempt current = attempt;
-    Flux<StreamAttempt.Delivery> events =
-        ResponseUtils.limitErrorSize(target.id().value(), parts)
-            .concatMapIterable(
-                part -> processPart(target, streamKey, current, part, successors), PREFETCHED_PARTS)
-            .concatWith(Flux.defer(() -> endStream(current, false)));
-    return context
-        .stallWatch()
-        .watch(
-            streamKey,
-            target.id(),
-            events,
-            routed.caller(),
-            successors::isSecured,
-            silence ->
-                newTargetLostException(
-                    target,
-                    "given up by this entry after "
-                        + silence.toMillis()
-                        + " ms without an event of a connected target"))
-        .map(stream::deliver)
-        .doOnComplete(
-            () -> context.placer().onResult(target.id(), true, context.clock().nanoTime()));
-  }
-
-  /**
-   * Creates the search for what may follow the attempt that starts now.
-   *
-   * @param peer the target or entry of the attempt
-   * @param relayed collects the targets at which another entry tries the request
-   * @param grantedAttempts the number of these targets, 0 for an attempt of this entry
-   */
-  private SuccessorSearch newSuccessorSearch(
-      String peer, RelayedAttempts relayed, int grantedAttempts) {
-    int runs = Math.max(1, grantedAttempts);
+  private void searchSuccessors(OpenAttempt attempt, Duration delay) {
+    Set<InstanceId> used = new HashSet<>(history.getTriedTargets());
+    boolean isLeft =
+        routed.route().isRetryable()
+            && history.getNotRunAttempts() <= MAX_NOT_RUN_RETRIES
+            && history.getPossibleRuns() + countOpenRuns() < maxAttempts;
     AttemptOptions options =
         new AttemptOptions(
             context,
@@ -387,250 +264,373 @@
             placer,
             charger,
             log,
-            peer,
-            Set.copyOf(triedTargets),
-            relayed,
-            grantedAttempts,
+            attempt.getPeer(),
+            used,
+            List.copyOf(openAttempts),
             stream.getLastEventId(),
-            routed.route().isRetryable() && possibleRuns + runs < maxAttempts,
+            () -> isLeft && isInTime(),
             this::isRelayAllowed);
-    return new SuccessorSearch(context.clock(), options);
+    attempt.setSuccessors(new SuccessorSearch(context.clock(), options, delay));
+  }
+
+  private int countOpenRuns() {
+    return openAttempts.stream().mapToInt(OpenAttempt::countPossibleRuns).sum();
+  }
+
+  /**
+   * Tests whether further targets may get the request. The entry that relayed a lookup sends it to
+   * another target after this time, and no target may get it twice.
+   */
+  private boolean isInTime() {
+    Duration elapsed = routed.timeout().minus(getRemainingTime());
+    return !isRelayed
+        || routed.route().kind() != RequestKind.IDEMPOTENT
+        || elapsed.compareTo(getLookupTimeout(maxAttempts)) < 0;
   }
 
-  private List<StreamAttempt.Delivery> processPart(
-      Target target,
-      Object streamKey,
-      StreamAttempt current,
-      ResponsePart part,
-      SuccessorSearch successors) {
-    if (part instanceof ResponsePart.Head received) {
-      placer.onResponse(target, received.response());
+  private Duration getLookupTimeout(int attempts) {
+    return routed
+        .route()
+        .latencyTarget()
+        .multipliedBy((long) LATENCY_TARGETS_PER_ATTEMPT * attempts);
+  }
+
+  private <T> List<ResponsePart> onSignal(
+      OpenAttempt attempt, Signal<T> signal, Function<T, List<ResponsePart>> onNext) {
+    if (!openAttempts.contains(attempt)) {
+      return List.of();
+    }
+    if (signal.isOnNext()) {
+      return onNext.apply(signal.get());
     }
-    int eventsBefore = current.getEvents();
-    int repeatedBefore = current.getRepeatedEvents();
-    List<StreamAttempt.Delivery> deliveries = add(current, part);
-    int repeated = current.getRepeatedEvents() - repeatedBefore;
-    if (repeated > 0) {
-      context.stallWatch().onRepeatedEvent(streamKey);
+    if (signal.isOnComplete()) {
+      return complete(attempt);
+    }
+    if (signal.getThrowable() instanceof AttemptException error) {
+      return attempt
+          .getTarget()
+          .map(target -> handleFailure(attempt, target, error))
+          .orElseGet(() -> handleRelayFailure(attempt, error));
+    }
+    throw Exceptions.propagate(signal.getThrowable());
+  }
+
+  private List<ResponsePart> complete(OpenAttempt attempt) {
+    select(attempt);
+    events.complete();
+    return takeHead(attempt);
+  }
+
+  /** Makes an attempt that goes on the only one. */
+  private void select(OpenAttempt attempt) {
+    if (openAttempts.size() == 1) {
+      return;
+    }
+    boolean isNewest = openAttempts.indexOf(attempt) == openAttempts.size() - 1;
+    for (OpenAttempt other : List.copyOf(openAttempts)) {
+      if (other != attempt) {
+        supersede(other, attempt, isNewest);
+      }
     }
-    for (int i = eventsBefore + repeated; i < current.getEvents(); i++) {
-      recordProgress(target, streamKey);
-      successors.onProgress();
+    if (!isNewest) {
+      searchSuccessors(attempt, Duration.ZERO);
     }
-    return deliveries;
   }
 
-  private List<StreamAttempt.Delivery> add(StreamAttempt current, ResponsePart part) {
-    boolean hadEvents = current.getEvents() > 0;
-    List<StreamAttempt.Delivery> deliveries = current.add(part);
-    if (!memory.tryHold(current.getHeldBytes())) {
-      throw new AttemptException(
-          STEP,
-          "entry",
-          current.isError() ? Outcome.RAN : Outcome.UNKNOWN,
-          "no memory is left for the response",
-          null);
+  private void supersede(OpenAttempt attempt, OpenAttempt winner, boolean isSilent) {
+    int received = attempt.getStream().getEvents();
+    context.metrics().recordSuperseded(routed.service(), isSilent);
+    log.logSuperseded(attempt.getPeer(), received, winner.getPeer());
+    close(attempt);
+    if (attempt.getTarget().isEmpty()) {
+      history.onRelayEnd(attempt, Outcome.UNKNOWN);
+      return;
     }
-    if (!hadEvents && current.getEvents() > 0) {
-      context.crashGuard().onSuccess(fingerprints);
+    InstanceId target = attempt.getTarget().orElseThrow().id();
+    history.onEnd(target, Outcome.UNKNOWN, isStream && received > 0);
+    if (isSilent) {
+      context.placer().onResult(target, false, context.clock().nanoTime());
     }
-    return deliveries;
   }
 
-  private void recordProgress(Target target, Object streamKey) {
-    long gapNanos = context.stallWatch().onEvent(streamKey);
-    if (gapNanos >= 0) {
-      context.placer().onProgress(target.id(), Duration.ofNanos(gapNanos));
+  private void close(OpenAttempt attempt) {
+    openAttempts.remove(attempt);
+    attempt.close();
+  }
+
+  /**
+   * Looks for a successor each time an attempt is found to be late, and starts it. An attempt whose
+   * events wait for the caller is not late.
+   */
+  private void startSuccessors(OpenAttempt attempt, Flux<Duration> late) {
+    events.add(
+        attempt
+            .untilClosed(
+                late.filter(s -> !attempt.isWaiting() && attempt.getSuccessors().isSecured()))
+            .map(silence -> () -> startSuccessor(attempt, silence)));
+  }
+
+  private List<ResponsePart> startSuccessor(OpenAttempt attempt, Duration silence) {
+    Duration remaining = getRemainingTime();
+    boolean isWanted = openAttempts.contains(attempt) && !attempt.isWaiting() && !isPassedOn;
+    if (!isWanted || remaining.compareTo(MIN_ATTEMPT_TIME) < 0) {
+      attempt.getSuccessors().close();
+      return List.of();
+    }
+    attempt
+        .getSuccessors()
+        .takeSecured()
+        .ifPresent(successor -> startSuccessor(attempt, silence, successor, remaining));
+    return List.of();
+  }
+
+  private void startSuccessor(
+      OpenAttempt attempt,
+      Duration silence,
+      SuccessorSearch.Successor successor,
+      Duration remaining) {
+    context.metrics().recordFailure(routed.service(), RetryVerdict.CHARGED);
+    log.logSuccessor(attempt.getPeer(), attempt.getStream().getEvents(), silence);
+    attempt
+        .getTarget()
+        .ifPresent(
+            target -> {
+              hasLostContact = true;
+              context.reachability().onSilent(target.id());
+            });
+    if (successor instanceof SuccessorSearch.ToEntry entry) {
+      relay(entry.reason(), remaining, entry.relay()::send);
     } else {
-      context.placer().onFirstEvent(target.id());
+      send(((SuccessorSearch.ToTarget) successor).placement().target(), remaining);
     }
   }
 
-  private Flux<StreamAttempt.Delivery> endStream(StreamAttempt current, boolean isEndVerified) {
-    try {
-      return Flux.fromIterable(current.end(isEndVerified));
-    } catch (AttemptException e) {
-      if (e.getOutcome() == Outcome.RAN) {
-        keepErrorResponse(current.getErrorResponse());
-      }
-      return Flux.error(e);
+  /** Opens an attempt whose response is not a stream. */
+  private void openLookup(OpenAttempt attempt, Target target, Flux<ResponsePart> parts) {
+    open(attempt, reader.readWhole(attempt, target, parts), part -> passOn(attempt, part));
+    Duration timeout = getLookupTimeout(1);
+    Mono<Void> onLate = Mono.fromRunnable(() -> context.reachability().onSilent(target.id()));
+    startLookupSuccessors(
+        attempt, timeout, Mono.delay(timeout).then(onLate).thenMany(newTicks(Duration.ZERO)));
+  }
+
+  private void startLookupSuccessors(OpenAttempt attempt, Duration timeout, Flux<Long> ticks) {
+    if (routed.route().kind() == RequestKind.IDEMPOTENT) {
+      startSuccessors(attempt, ticks.filter(t -> !attempt.isPassedOn()).map(t -> timeout));
     }
   }
 
-  private void keepErrorResponse(List<ResponsePart> parts) {
-    errorResponse = parts;
-    memory.keep();
+  private static Flux<Long> newTicks(Duration delay) {
+    return Flux.interval(delay, REPLACEMENT_INTERVAL).onBackpressureDrop();
   }
 
-  private AttemptException newTargetLostException(Target target, String message) {
-    return new TargetLostException(STEP, target.id().value(), Outcome.UNKNOWN, message, null);
+  /** Passes on a part of a response that is complete or too long to be held. */
+  private List<ResponsePart> passOn(OpenAttempt attempt, ResponsePart part) {
+    select(attempt);
+    isPassedOn |= attempt.isPassedOn();
+    return List.of(part);
   }
 
-  private Flux<ResponsePart> handleFailure(
-      Target target, AttemptException error, SuccessorSearch successors) {
+  /** Opens an attempt that forwards the complete events of a stream. */
+  private void openStream(OpenAttempt attempt, Target target, Flux<ResponsePart> parts) {
+    Sinks.Many<Duration> late = Sinks.many().multicast().directBestEffort();
+    open(
+        attempt,
+        reader.readStream(attempt, target, parts, late::tryEmitNext),
+        delivery -> deliver(attempt, delivery));
+    startSuccessors(attempt, late.asFlux());
+  }
+
+  private List<ResponsePart> deliver(OpenAttempt attempt, StreamAttempt.Delivery delivery) {
+    attempt.onTaken();
+    if (delivery.part() instanceof ResponsePart.Head) {
+      attempt.setHead(delivery);
+      return List.of();
+    }
+    if (delivery.isProgress()) {
+      select(attempt);
+    } else if (openAttempts.size() > 1) {
+      // A comment doesn't tell which of the attempts goes on.
+      return List.of();
+    }
+    List<ResponsePart> parts = takeHead(attempt);
+    parts.add(stream.deliver(delivery));
+    return parts;
+  }
+
+  private List<ResponsePart> takeHead(OpenAttempt attempt) {
+    List<ResponsePart> parts = new ArrayList<>();
+    attempt.takeHead().ifPresent(head -> parts.add(stream.deliver(head)));
+    return parts;
+  }
+
+  private List<ResponsePart> handleFailure(
+      OpenAttempt attempt, Target target, AttemptException error) {
     if (error.getOutcome() == Outcome.NOT_RUN) {
-      notRunAttempts++;
       relayListener.onAttempt(target.id());
-    } else {
-      possibleRuns++;
     }
-    recordFailure(target, error);
+    recordFailure(attempt, target, error);
     // An isolated entry loses all its connections, which says nothing about its requests.
     if (error instanceof ConnectionLostException
-        && attempt.getEvents() == 0
+        && attempt.getStream().getEvents() == 0
         && !context.reachability().isIsolated()) {
       context.crashGuard().onInterrupted(fingerprints, target);
     }
-    return replaceOrRetry(target.id().value(), error, successors, RETRY_AFTER_FAILURE);
+    return replaceOrRetry(attempt, error, RETRY_AFTER_FAILURE);
+  }
+
+  private List<ResponsePart> replaceOrRetry(
+      OpenAttempt attempt, AttemptException error, Duration retryAfter) {
+    if (!attempt.getErrorResponse().isEmpty()) {
+      errorResponse = attempt.getErrorResponse();
+      attempt.getMemory().keep();
+    }
+    Optional<SuccessorSearch.Successor> successor =
+        isPassedOn ? Optional.empty() : attempt.getSuccessors().take();
+    boolean isNewest = openAttempts.indexOf(attempt) == openAttempts.size() - 1;
+    close(attempt);
+    if (successor.isPresent()) {
+      return replace(attempt, error, successor.get());
+    }
+    return openAttempts.isEmpty()
+        ? retryOrFail(attempt, error, retryAfter)
+        : leaveToOthers(attempt, error, isNewest);
+  }
+
+  /** Leaves the request to the attempts that are open beside one that failed. */
+  private List<ResponsePart> leaveToOthers(
+      OpenAttempt attempt, AttemptException error, boolean isNewest) {
+    recordVerdict(attempt, error, RetryVerdict.OTHER_ATTEMPT);
+    if (isNewest) {
+      searchSuccessors(openAttempts.get(openAttempts.size() - 1), SUCCESSOR_RETRY_DELAY);
+    }
+    return List.of();
   }
 
-  private Flux<ResponsePart> replaceOrRetry(
-      String peer, AttemptException error, SuccessorSearch successors, Duration retryAfter) {
-    return (isPassedOn ? Optional.<SuccessorSearch.Successor>empty() : successors.take())
-        .map(s -> replace(peer, error, s))
-        .orElseGet(() -> retryOrFail(peer, error, retryAfter));
+  private void recordVerdict(OpenAttempt attempt, AttemptException error, RetryVerdict verdict) {
+    context.metrics().recordFailure(routed.service(), verdict);
+    log.logFailure(attempt.getPeer(), attempt.getStream().getEvents(), error, verdict);
   }
 
   /** Starts the successor of an attempt, for which the retry budget was charged. */
-  private Flux<ResponsePart> replace(
-      String peer, AttemptException error, SuccessorSearch.Successor successor) {
-    outcome = outcome.join(error.getOutcome());
-    context.metrics().recordFailure(routed.service(), RetryVerdict.CHARGED);
-    log.logFailure(peer, attempt.getEvents(), error, RetryVerdict.CHARGED);
+  private List<ResponsePart> replace(
+      OpenAttempt attempt, AttemptException error, SuccessorSearch.Successor successor) {
+    recordVerdict(attempt, error, RetryVerdict.CHARGED);
     if (successor instanceof SuccessorSearch.ToEntry entry) {
-      Duration remaining = routed.getRemainingTime(context.clock().nanoTime());
-      return relay(entry.reason(), remaining, entry.relay()::send);
+      relay(entry.reason(), getRemainingTime(), entry.relay()::send);
+      return List.of();
     }
     return proceed(((SuccessorSearch.ToTarget) successor).placement());
   }
 
   /** Starts the next attempt if a retry is allowed, otherwise fails the request. */
-  private Flux<ResponsePart> retryOrFail(String peer, AttemptException error, Duration retryAfter) {
-    outcome = outcome.join(error.getOutcome());
+  private List<ResponsePart> retryOrFail(
+      OpenAttempt attempt, AttemptException error, Duration retryAfter) {
     Optional<Placement> next =
         isRepeatable(error) && isAttemptLeft(error) ? Optional.of(placeNext()) : Optional.empty();
     RetryVerdict verdict =
-        next.map(n -> charger.charge(error, n, excludedTargets, isRelayAllowed()))
+        next.map(n -> charger.charge(error, n, history.getExcludedTargets(), isRelayAllowed()))
             .orElse(
                 isRepeatable(error) ? RetryVerdict.TOO_MANY_ATTEMPTS : RetryVerdict.NOT_REPEATABLE);
-    context.metrics().recordFailure(routed.service(), verdict);
-    log.logFailure(peer, attempt.getEvents(), error, verdict);
+    recordVerdict(attempt, error, verdict);
     if (next.isPresent() && verdict != RetryVerdict.NO_BUDGET) {
       return proceed(next.orElseThrow());
     }
     if (hasErrorResponse()) {
-      return Flux.fromIterable(errorResponse);
+      return endWithErrorResponse();
     }
-    return Flux.error(
-        new ForwardException(STEP, peer, error.getMessage(), outcome, retryAfter, false));
+    throw new ForwardException(
+        STEP, attempt.getPeer(), error.getMessage(), history.getOutcome(), retryAfter, false);
   }
 
   /** Has another entry forward the request. */
-  private Flux<ResponsePart> relay(
+  private void relay(
       Placement.Refuse reason,
       Duration remaining,
       Function<RelayedRequest, Flux<ResponsePart>> relay) {
-    int grantedAttempts = getGrantedAttempts();
+    int grantedAttempts = countGrantedAttempts();
     relays++;
-    attempt = stream.newAttempt(RELAY_PEER);
-    memory.start(RELAY_PEER);
+    OpenAttempt attempt =
+        OpenAttempt.ofRelay(
+            RELAY_PEER, stream.newAttempt(RELAY_PEER), memory.start(RELAY_PEER), grantedAttempts);
+    Set<InstanceId> excluded = getTargetsForNoOtherEntry();
     context
         .metrics()
         .recordRelay(
             routed.service(), context.reachability().isIsolated() ? "isolated" : "unreachable");
-    log.logRelay(
-        reason.reason(), remaining, stream.getLastEventId(), grantedAttempts, excludedTargets);
-    RelayedAttempts attempts = new RelayedAttempts();
+    log.logRelay(reason.reason(), remaining, stream.getLastEventId(), grantedAttempts, excluded);
     RelayedRequest relayed =
         new RelayedRequest(
             routed,
             remaining,
             stream.getLastEventId(),
             grantedAttempts,
-            excludedTargets,
-            attempts,
+            excluded,
+            attempt.getRelayed(),
             charger::tryChargeAfterRelay);
     Flux<ResponsePart> parts =
         onceCallerIsThere(() -> relay.apply(relayed)).onErrorMap(RelayException::of);
-    SuccessorSearch successors = newSuccessorSearch(RELAY_PEER, attempts, grantedAttempts);
-    Flux<ResponsePart> response =
-        isStream ? streamRelayed(parts) : collectRelayed(parts, grantedAttempts, successors);
-    return response
-        .doFinally(signal -> successors.close())
-        .onErrorResume(
-            AttemptException.class,
-            e -> handleRelayFailure(e, grantedAttempts, attempts, successors));
+    if (isStream) {
+      open(
+          attempt,
+          reader.readRelayedStream(attempt, parts),
+          delivery -> deliver(attempt, delivery));
+    } else {
+      openRelayedLookup(attempt, parts);
+    }
+  }
+
+  /** Returns the targets that another entry must not try, with those of open attempts. */
+  private Set<InstanceId> getTargetsForNoOtherEntry() {
+    Set<InstanceId> targets = new HashSet<>(history.getExcludedTargets());
+    for (OpenAttempt attempt : openAttempts) {
+      attempt.getTarget().ifPresent(target -> targets.add(target.id()));
+      targets.addAll(attempt.getRelayed().getTargets());
+    }
+    return targets;
   }
 
   /** Returns the attempts for the next entry, which leave one for an entry after it. */
-  private int getGrantedAttempts() {
-    int left = maxAttempts - possibleRuns;
+  private int countGrantedAttempts() {
+    int left = maxAttempts - history.getPossibleRuns() - countOpenRuns();
     return relays + 1 < MAX_RELAYS ? Math.max(1, left - 1) : left;
   }
 
-  private Flux<ResponsePart> streamRelayed(Flux<ResponsePart> parts) {
-    StreamAttempt current = attempt;
-    return ResponseUtils.limitErrorSize(RELAY_PEER, parts)
-        .concatMapIterable(part -> add(current, part), PREFETCHED_PARTS)
-        .concatWith(Flux.defer(() -> endStream(current, true)))
-        .map(stream::deliver);
-  }
-
-  private Flux<ResponsePart> collectRelayed(
-      Flux<ResponsePart> parts, int grantedAttempts, SuccessorSearch successors) {
-    Duration timeout =
-        routed
-            .route()
-            .latencyTarget()
-            .multipliedBy((long) LATENCY_TARGETS_PER_ATTEMPT * grantedAttempts)
-            .plus(RELAY_MARGIN);
-    return hold(
-        RELAY_PEER,
-        parts,
-        timeout,
-        successors::isSecured,
-        () ->
-            new AttemptException(
-                RELAY_STEP, RELAY_PEER, Outcome.UNKNOWN, "no complete response in time", null));
-  }
-
-  private Flux<ResponsePart> handleRelayFailure(
-      AttemptException error,
-      int grantedAttempts,
-      RelayedAttempts attempts,
-      SuccessorSearch successors) {
-    Duration retryAfter =
-        error instanceof RelayException failure ? failure.getRetryAfter() : RETRY_AFTER_FAILURE;
-    if (error.getOutcome() == Outcome.NOT_RUN) {
-      return proceedWithoutRelay(
-          new Placement.Refuse(
-              Placement.Cause.UNREACHABLE, "no entry: " + error.getMessage(), retryAfter));
-    }
-    possibleRuns += grantedAttempts;
-    recordRelayedAttempts(attempts, grantedAttempts);
-    return replaceOrRetry(error.getPeer(), error, successors, retryAfter);
+  /**
+   * Opens an attempt of another entry whose response is not a stream. Its time is counted from the
+   * first attempt of that entry, which makes none after that time.
+   */
+  private void openRelayedLookup(OpenAttempt attempt, Flux<ResponsePart> parts) {
+    Duration timeout = getLookupTimeout(attempt.getGrantedAttempts()).plus(RELAY_MARGIN);
+    open(attempt, reader.readRelayed(attempt, parts), part -> passOn(attempt, part));
+    startLookupSuccessors(
+        attempt, timeout, attempt.getRelayed().whenStarted().thenMany(newTicks(timeout)));
   }
 
-  /** Records at which targets another entry may have had the request run. */
-  private void recordRelayedAttempts(RelayedAttempts attempts, int grantedAttempts) {
-    List<InstanceId> targets = attempts.getTargets();
-    boolean isContinuable = attempt.getEvents() > 0;
-    boolean areKnown = attempts.areKnown(grantedAttempts);
-    log.logRelayFailure(targets, areKnown);
-    triedTargets.addAll(targets);
-    // The target of a stream whose entry was lost may go on for another entry.
-    int kept = isContinuable && !attempts.isEnded() ? 1 : 0;
-    excludedTargets.addAll(targets.subList(0, Math.max(0, targets.size() - kept)));
-    if (!areKnown && !isContinuable) {
-      possibleRuns = Math.max(possibleRuns, maxAttempts);
+  private List<ResponsePart> handleRelayFailure(OpenAttempt attempt, AttemptException error) {
+    Duration retryAfter =
+        error instanceof RelayException failure ? failure.getRetryAfter() : RETRY_AFTER_FAILURE;
+    if (error.getOutcome() != Outcome.NOT_RUN) {
+      log.logRelayFailure(
+          attempt.getRelayed().getTargets(),
+          attempt.getRelayed().areKnown(attempt.getGrantedAttempts()));
+      history.onRelayEnd(attempt, error.getOutcome());
+      return replaceOrRetry(attempt, error, retryAfter);
     }
+    boolean isNewest = openAttempts.indexOf(attempt) == openAttempts.size() - 1;
+    close(attempt);
+    return openAttempts.isEmpty()
+        ? proceedWithoutRelay(
+            new Placement.Refuse(
+                Placement.Cause.UNREACHABLE, "no entry: " + error.getMessage(), retryAfter))
+        : leaveToOthers(attempt, error, isNewest);
   }
 
   /**
    * Goes on after the relay found no entry, which it has asked already. An entry that isn't
    * isolated may have sound targets of its own.
    */
-  private Flux<ResponsePart> proceedWithoutRelay(Placement.Refuse refusal) {
+  private List<ResponsePart> proceedWithoutRelay(Placement.Refuse refusal) {
     relays = MAX_RELAYS;
     boolean isOwnAllowed = !charger.isDeniedAfterRelay() && !context.reachability().isIsolated();
     Placement own = isOwnAllowed ? placeNext() : refusal;
@@ -644,26 +644,25 @@
   private boolean isAttemptLeft(AttemptException error) {
     boolean isLeft =
         error.getOutcome() == Outcome.NOT_RUN
-            ? notRunAttempts <= MAX_NOT_RUN_RETRIES
-            : possibleRuns < maxAttempts;
-    return isLeft && !isPassedOn;
+            ? history.getNotRunAttempts() <= MAX_NOT_RUN_RETRIES
+            : history.getPossibleRuns() < maxAttempts;
+    return isLeft && !isPassedOn && isInTime();
   }
 
-  private void recordFailure(Target target, AttemptException error) {
+  private void recordFailure(OpenAttempt attempt, Target target, AttemptException error) {
     if (error instanceof RequestRejectedException rejection && !rejection.isMisdirected()) {
       placer.onRequestLimit(target, rejection.getResponse());
     }
     if (error instanceof RequestRejectedException) {
       context.reachability().onSignOfLife();
     }
-    if (isContactLost(error)) {
+    if (isContactLost(attempt, error)) {
       hasLostContact = true;
       recordLostContact(target, error);
     }
-    if (!(error instanceof TargetUnreachableException) && !isContinuable(error)) {
-      excludedTargets.add(target.id());
-    }
-    if (error instanceof TargetUnreachableException) {
+    boolean isUnreachable = error instanceof TargetUnreachableException;
+    history.onEnd(target.id(), error.getOutcome(), isUnreachable || isContinuable(attempt, error));
+    if (isUnreachable) {
       context.placer().onUnreachable(target.id(), context.clock().nanoTime());
     } else if (error.getOutcome() != Outcome.NOT_RUN) {
       context.placer().onResult(target.id(), false, context.clock().nanoTime());
@@ -678,23 +677,23 @@
     }
   }
 
-  /** Tests whether the current attempt was a stream that its target may continue for others. */
-  private boolean isContinuable(AttemptException error) {
-    return isStream && error instanceof TargetLostException && attempt.getEvents() > 0;
+  /** Tests whether an attempt was a stream that its target may continue for others. */
+  private boolean isContinuable(OpenAttempt attempt, AttemptException error) {
+    return isStream && error instanceof TargetLostException && attempt.getStream().getEvents() > 0;
   }
 
   /** Tests whether an attempt failed as when the path to its target is cut. */
-  private boolean isContactLost(AttemptException error) {
+  private static boolean isContactLost(OpenAttempt attempt, AttemptException error) {
     return error instanceof TargetUnreachableException
         || error instanceof TargetLostException
-        || error instanceof ConnectionLostException && attempt.getEvents() == 0;
+        || error instanceof ConnectionLostException && attempt.getStream().getEvents() == 0;
   }
 
   private ForwardException newTimeoutException() {
     boolean isStarted = sentAttempts + relays > 0;
-    Outcome combined = isStarted ? outcome.join(Outcome.UNKNOWN) : Outcome.NOT_RUN;
-    log.logTimeout(triedTargets, combined);
+    Outcome outcome = isStarted ? history.getOutcome().join(Outcome.UNKNOWN) : Outcome.NOT_RUN;
+    log.logTimeout(history.getTriedTargets(), outcome);
     return new ForwardException(
-        STEP, "entry", "the timeout of the request expired", combined, RETRY_AFTER_FAILURE, true);
+        STEP, "entry", "the timeout of the request expired", outcome, RETRY_AFTER_FAILURE, true);
   }
 }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/ForwardMetrics.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/ForwardMetrics.java
@@ -51,6 +51,18 @@
         .increment();
   }
 
+  /**
+   * Records that one of two open attempts ended because the other one went on.
+   *
+   * @param isSilent whether the silent attempt ended, rather than its successor
+   */
+  void recordSuperseded(ServiceName service, boolean isSilent) {
+    getCounter(
+            "fireflyshed.forward.superseded",
+            Tags.of("service", service.value(), "attempt", isSilent ? "silent" : "successor"))
+        .increment();
+  }
+
   private static String getLabel(RetryVerdict verdict) {
     return verdict.name().toLowerCase(Locale.ROOT);
   }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/HeldResponse.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/HeldResponse.java
@@ -24,7 +24,7 @@
   private static final String STEP = "forward";
 
   private final String peer;
-  private final ResponseMemory memory;
+  private final ResponseMemory.Share memory;
   private final boolean isErrorReplaceable;
   private final boolean hasBody;
   private final List<ResponsePart> parts = new ArrayList<>();
@@ -40,7 +40,8 @@
    * @param isErrorReplaceable whether another attempt may follow a response that states an error
    * @param hasBody whether the response has the body whose length it states, unlike one to HEAD
    */
-  HeldResponse(String peer, ResponseMemory memory, boolean isErrorReplaceable, boolean hasBody) {
+  HeldResponse(
+      String peer, ResponseMemory.Share memory, boolean isErrorReplaceable, boolean hasBody) {
     this.peer = peer;
     this.memory = memory;
     this.isErrorReplaceable = isErrorReplaceable;
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/RelayedAttempts.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/RelayedAttempts.java
@@ -4,15 +4,23 @@
 import io.fireflyshed.state.instance.InstanceId;
 import java.util.ArrayList;
 import java.util.List;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
 
 /** Collects the targets at which other entries tried a relayed request. Thread safe. */
 final class RelayedAttempts implements RelayListener {
 
   private final List<InstanceId> targets = new ArrayList<>();
+  private final Sinks.Empty<Void> started = Sinks.empty();
   private boolean isEnded;
 
   @Override
-  public synchronized void onAttempt(InstanceId target) {
+  public void onAttempt(InstanceId target) {
+    toggle(target);
+    started.tryEmitEmpty();
+  }
+
+  private synchronized void toggle(InstanceId target) {
     if (!targets.remove(target)) {
       targets.add(target);
     }
@@ -27,6 +35,11 @@
     }
   }
 
+  /** Returns a signal that completes with the first attempt of the other entry. */
+  Mono<Void> whenStarted() {
+    return started.asMono();
+  }
+
   /** Returns the targets that may have run the request, in the order of the attempts. */
   synchronized List<InstanceId> getTargets() {
     return List.copyOf(targets);
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/ResponseMemory.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/ResponseMemory.java
@@ -4,21 +4,62 @@
 import io.fireflyshed.coordination.budget.ByteClaim;
 import io.fireflyshed.coordination.budget.ByteOwner;
 import io.fireflyshed.coordination.budget.ByteUse;
+import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
 
 /**
- * Counts the bytes that are held of the responses to one request: of the current one, and of one
- * that is kept. Thread safe.
+ * Counts the bytes that are held of the responses to one request: of those of its open attempts,
+ * and of one that is kept. Thread safe.
  */
 final class ResponseMemory {
 
   private final ByteBudget budget;
   private final ByteOwner route;
-  private Optional<ByteBudget.Reservation> reservation = Optional.empty();
+  private final Set<ByteBudget.Reservation> open = new HashSet<>();
   private Optional<ByteBudget.Reservation> kept = Optional.empty();
   private boolean isClosed;
 
+  /** Counts the bytes that are held of one response. Thread safe. */
+  final class Share {
+    private Optional<ByteBudget.Reservation> reservation;
+
+    private Share(Optional<ByteBudget.Reservation> reservation) {
+      this.reservation = reservation;
+    }
+
+    /**
+     * Makes sure that some bytes of the response can be held.
+     *
+     * @param bytes the bytes that are held then, not negative
+     * @return whether there is room for them; never after the release
+     */
+    boolean tryHold(long bytes) {
+      synchronized (ResponseMemory.this) {
+        return reservation.map(r -> r.tryGrow(Math.max(0, bytes - r.getBytes()))).orElse(false);
+      }
+    }
+
+    /** Keeps the response until the end, in place of one that was kept before. */
+    void keep() {
+      synchronized (ResponseMemory.this) {
+        kept.ifPresent(ByteBudget.Reservation::close);
+        kept = reservation;
+        reservation.ifPresent(open::remove);
+        reservation = Optional.empty();
+      }
+    }
+
+    /** Releases what is held, unless it is kept. */
+    void release() {
+      synchronized (ResponseMemory.this) {
+        reservation.ifPresent(open::remove);
+        reservation.ifPresent(ByteBudget.Reservation::close);
+        reservation = Optional.empty();
+      }
+    }
+  }
+
   /**
    * Creates a memory that holds nothing.
    *
@@ -30,43 +71,23 @@
     this.route = new ByteOwner(ByteOwner.Kind.ROUTE, route);
   }
 
-  /** Releases what is held, except what is kept, and starts the response of a peer. */
-  synchronized void start(String peer) {
-    release();
-    if (!isClosed) {
-      ByteOwner owner = new ByteOwner(ByteOwner.Kind.TARGET, peer);
-      reservation =
-          budget.tryReserve(new ByteClaim(ByteUse.RESPONSE, Set.of(route, owner), false), 0);
+  /** Starts the response of a peer, which holds nothing at first. */
+  synchronized Share start(String peer) {
+    if (isClosed) {
+      return new Share(Optional.empty());
     }
-  }
-
-  /**
-   * Makes sure that some bytes of the current response can be held.
-   *
-   * @param bytes the bytes that are held then, not negative
-   * @return whether there is room for them
-   */
-  synchronized boolean tryHold(long bytes) {
-    return reservation.map(r -> r.tryGrow(Math.max(0, bytes - r.getBytes()))).orElse(false);
-  }
-
-  /** Keeps the current response until the end, in place of one that was kept before. */
-  synchronized void keep() {
-    kept.ifPresent(ByteBudget.Reservation::close);
-    kept = reservation;
-    reservation = Optional.empty();
-  }
-
-  /** Releases what is held of the current response. */
-  synchronized void release() {
-    reservation.ifPresent(ByteBudget.Reservation::close);
-    reservation = Optional.empty();
+    ByteOwner owner = new ByteOwner(ByteOwner.Kind.TARGET, peer);
+    Optional<ByteBudget.Reservation> reservation =
+        budget.tryReserve(new ByteClaim(ByteUse.RESPONSE, Set.of(route, owner), false), 0);
+    reservation.ifPresent(open::add);
+    return new Share(reservation);
   }
 
   /** Releases everything, also of responses that start later. */
   synchronized void close() {
     isClosed = true;
-    release();
+    open.forEach(ByteBudget.Reservation::close);
+    open.clear();
     kept.ifPresent(ByteBudget.Reservation::close);
   }
 }
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/ResponseReader.java
@@ -0,0 +1,235 @@
+package io.fireflyshed.transport.forward;
+
+import io.fireflyshed.coordination.attempt.AttemptException;
+import io.fireflyshed.coordination.attempt.Outcome;
+import io.fireflyshed.coordination.poison.RequestFingerprints;
+import io.fireflyshed.protocol.traffic.TargetAnswer;
+import io.fireflyshed.state.target.Target;
+import io.netty.handler.codec.http.HttpMethod;
+import java.time.Duration;
+import java.util.List;
+import java.util.function.Consumer;
+import reactor.core.publisher.Flux;
+
+/**
+ * Reads the responses to the attempts of one request and learns from them. Thread safe, as long as
+ * each attempt is read once.
+ */
+final class ResponseReader {
+
+  /** Leaves parts that the caller doesn't take yet in the connection. */
+  private static final int PREFETCHED_PARTS = 4;
+
+  private static final String STEP = "forward";
+
+  private final ForwardContext context;
+  private final RoutedRequest routed;
+  private final RequestFingerprints fingerprints;
+  private final RequestPlacer placer;
+
+  ResponseReader(
+      ForwardContext context,
+      RoutedRequest routed,
+      RequestFingerprints fingerprints,
+      RequestPlacer placer) {
+    this.context = context;
+    this.routed = routed;
+    this.fingerprints = fingerprints;
+    this.placer = placer;
+  }
+
+  /**
+   * Reads the response of a target that is not a stream.
+   *
+   * @param parts the response as it was received, not null
+   * @return the parts of a complete response, or those of one that is too long to be held; it fails
+   *     with an {@link AttemptException} if the response may be replaced or breaks off
+   */
+  Flux<ResponsePart> readWhole(OpenAttempt attempt, Target target, Flux<ResponsePart> parts) {
+    boolean[] isSuccess = new boolean[1];
+    Flux<ResponsePart> recorded =
+        parts
+            .doOnNext(this::onPart)
+            .doOnNext(
+                part -> {
+                  if (part instanceof ResponsePart.Head head) {
+                    placer.onResponse(target, head.response());
+                    isSuccess[0] = head.response().isSuccess();
+                  }
+                });
+    return countLoad(
+        target,
+        hold(attempt, recorded)
+            .doOnComplete(
+                () ->
+                    context
+                        .placer()
+                        .onResult(target.id(), isSuccess[0], context.clock().nanoTime())));
+  }
+
+  /** Does the same with a response that another entry passes on. */
+  Flux<ResponsePart> readRelayed(OpenAttempt attempt, Flux<ResponsePart> parts) {
+    return hold(attempt, parts);
+  }
+
+  /**
+   * Reads a stream of a target.
+   *
+   * @param parts the response as it was received, not null
+   * @param stallListener is told the time since the last event again and again while the stream
+   *     stalls, not null
+   * @return the head and the complete events that the caller should get; it fails with an {@link
+   *     AttemptException} if the stream is not complete
+   */
+  Flux<StreamAttempt.Delivery> readStream(
+      OpenAttempt attempt,
+      Target target,
+      Flux<ResponsePart> parts,
+      Consumer<Duration> stallListener) {
+    Object streamKey = new Object();
+    Flux<StreamAttempt.Delivery> deliveries =
+        ResponseUtils.limitErrorSize(target.id().value(), parts.doOnNext(this::onPart))
+            .concatMapIterable(
+                part -> processPart(attempt, target, streamKey, part), PREFETCHED_PARTS)
+            .concatWith(Flux.defer(() -> endStream(attempt, false)));
+    return countLoad(
+        target,
+        context
+            .stallWatch()
+            .watch(streamKey, target.id(), deliveries, routed.caller(), stallListener)
+            .doOnComplete(
+                () -> context.placer().onResult(target.id(), true, context.clock().nanoTime())));
+  }
+
+  /** Does the same with a stream that another entry passes on, which watches it. */
+  Flux<StreamAttempt.Delivery> readRelayedStream(OpenAttempt attempt, Flux<ResponsePart> parts) {
+    return ResponseUtils.limitErrorSize(attempt.getPeer(), parts)
+        .concatMapIterable(part -> add(attempt, part), PREFETCHED_PARTS)
+        .concatWith(Flux.defer(() -> endStream(attempt, true)));
+  }
+
+  /** Counts an attempt as load of its target while it is subscribed to. */
+  private <T> Flux<T> countLoad(Target target, Flux<T> response) {
+    return Flux.defer(
+        () -> {
+          context.placer().onStart(target.id());
+          return response.doFinally(
+              signal ->
+                  context
+                      .placer()
+                      .onEnd(routed.getPool(), target.id(), context.clock().nanoTime()));
+        });
+  }
+
+  private void onPart(ResponsePart part) {
+    context.reachability().onSignOfLife();
+    if (part instanceof ResponsePart.Head && !routed.route().isRetryable()) {
+      // The target ran the request, which can't be sent again.
+      routed.body().close();
+    }
+  }
+
+  /** Holds a response until it is complete or too long. */
+  private Flux<ResponsePart> hold(OpenAttempt attempt, Flux<ResponsePart> parts) {
+    boolean hasBody = !routed.request().method().equals(HttpMethod.HEAD);
+    HeldResponse held =
+        new HeldResponse(
+            attempt.getPeer(), attempt.getMemory(), routed.route().isRetryable(), hasBody);
+    return parts
+        .concatMapIterable(part -> add(attempt, held, part), PREFETCHED_PARTS)
+        .concatWith(Flux.defer(() -> end(attempt, held)));
+  }
+
+  private Flux<ResponsePart> end(OpenAttempt attempt, HeldResponse held) {
+    held.end();
+    return held.isPassedOn() ? Flux.empty() : evaluate(attempt, held.getParts());
+  }
+
+  private List<ResponsePart> add(OpenAttempt attempt, HeldResponse held, ResponsePart part) {
+    List<ResponsePart> passedOn = held.add(part);
+    if (held.isPassedOn() && !attempt.isPassedOn()) {
+      attempt.setPassedOn();
+      context.crashGuard().onSuccess(fingerprints);
+    }
+    return passedOn;
+  }
+
+  /** Returns a complete response, or fails the attempt if it is an error that may be retried. */
+  private Flux<ResponsePart> evaluate(OpenAttempt attempt, List<ResponsePart> parts) {
+    if (parts.isEmpty()) {
+      return Flux.error(
+          new AttemptException(
+              STEP, attempt.getPeer(), Outcome.UNKNOWN, "the response has no head", null));
+    }
+    TargetAnswer response = ((ResponsePart.Head) parts.get(0)).response();
+    context.crashGuard().onSuccess(fingerprints);
+    if (response.isSuccess() || !routed.route().isRetryable()) {
+      return Flux.fromIterable(parts);
+    }
+    attempt.setErrorResponse(parts);
+    String message = "the target responded with status " + response.status();
+    return Flux.error(new AttemptException(STEP, attempt.getPeer(), Outcome.RAN, message, null));
+  }
+
+  private List<StreamAttempt.Delivery> processPart(
+      OpenAttempt attempt, Target target, Object streamKey, ResponsePart part) {
+    if (part instanceof ResponsePart.Head received) {
+      placer.onResponse(target, received.response());
+    }
+    StreamAttempt current = attempt.getStream();
+    int eventsBefore = current.getEvents();
+    int repeatedBefore = current.getRepeatedEvents();
+    List<StreamAttempt.Delivery> deliveries = add(attempt, part);
+    int repeated = current.getRepeatedEvents() - repeatedBefore;
+    if (repeated > 0) {
+      context.stallWatch().onRepeatedEvent(streamKey);
+    }
+    for (int i = eventsBefore + repeated; i < current.getEvents(); i++) {
+      recordProgress(target, streamKey);
+      attempt.getSuccessors().onProgress();
+    }
+    return deliveries;
+  }
+
+  private List<StreamAttempt.Delivery> add(OpenAttempt attempt, ResponsePart part) {
+    StreamAttempt current = attempt.getStream();
+    boolean hadEvents = current.getEvents() > 0;
+    List<StreamAttempt.Delivery> deliveries = current.add(part);
+    attempt.onWaiting(deliveries.size());
+    if (!attempt.getMemory().tryHold(current.getHeldBytes())) {
+      throw new AttemptException(
+          STEP,
+          "entry",
+          current.isError() ? Outcome.RAN : Outcome.UNKNOWN,
+          "no memory is left for the response",
+          null);
+    }
+    if (!hadEvents && current.getEvents() > 0) {
+      context.crashGuard().onSuccess(fingerprints);
+    }
+    return deliveries;
+  }
+
+  private void recordProgress(Target target, Object streamKey) {
+    long gapNanos = context.stallWatch().onEvent(streamKey);
+    if (gapNanos >= 0) {
+      context.placer().onProgress(target.id(), Duration.ofNanos(gapNanos));
+    } else {
+      context.placer().onFirstEvent(target.id());
+    }
+  }
+
+  private static Flux<StreamAttempt.Delivery> endStream(
+      OpenAttempt attempt, boolean isEndVerified) {
+    try {
+      List<StreamAttempt.Delivery> deliveries = attempt.getStream().end(isEndVerified);
+      attempt.onWaiting(deliveries.size());
+      return Flux.fromIterable(deliveries);
+    } catch (AttemptException e) {
+      if (e.getOutcome() == Outcome.RAN) {
+        attempt.setErrorResponse(attempt.getStream().getErrorResponse());
+      }
+      return Flux.error(e);
+    }
+  }
+}
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/RetryVerdict.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/RetryVerdict.java
@@ -12,6 +12,8 @@
   TOO_MANY_ATTEMPTS(false),
   /** The request crashed several targets and must not be sent to another one. */
   REFUSED(false),
+  /** Another attempt of the request is open and goes on. */
+  OTHER_ATTEMPT(false),
   /** No other target can take the request. */
   NO_TARGET(false),
   /** The retry budget is exhausted. */
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/StallWatch.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/StallWatch.java
@@ -3,23 +3,19 @@
 import io.fireflyshed.coordination.placement.StallDetector;
 import io.fireflyshed.state.clock.MonotonicClock;
 import io.fireflyshed.state.instance.InstanceId;
-import io.fireflyshed.transport.entry.StreamUtils;
 import io.fireflyshed.transport.log.EventLog;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.atomic.AtomicReference;
-import java.util.function.BooleanSupplier;
-import java.util.function.Function;
+import java.util.function.Consumer;
 import reactor.core.Disposable;
 import reactor.core.Disposables;
 import reactor.core.publisher.Flux;
-import reactor.core.publisher.Sinks;
 
 /**
- * Periodically finds silent and stalled targets and cancels streams that may be resumed elsewhere.
+ * Periodically finds silent and stalled targets and the streams that may be resumed elsewhere.
  * Thread safe.
  */
 final class StallWatch {
@@ -51,15 +47,9 @@
   private final Listener listener;
   private final EventLog log = new EventLog("forward");
 
-  /**
-   * A stream that may be cancelled.
-   *
-   * @param isReplaceable tells whether another attempt is ready to take over
-   * @param cancelSignal emits the time since the last event to cancel the stream
-   */
-  private record Cancellable(BooleanSupplier isReplaceable, Sinks.One<Duration> cancelSignal) {}
+  /** Are told at each check for how long their stream has had no event. */
+  private final Map<Object, Consumer<Duration>> stallListeners = new ConcurrentHashMap<>();
 
-  private final Map<Object, Cancellable> cancellables = new ConcurrentHashMap<>();
   private final Map<Object, CallerLink> callers = new ConcurrentHashMap<>();
   private Disposable checking = Disposables.disposed();
   private Set<InstanceId> silentTargets = Set.of();
@@ -111,10 +101,10 @@
       }
     }
     silentTargets = silent;
-    cancelStalledStreams(now);
+    reportStalledStreams(now);
   }
 
-  private void cancelStalledStreams(long now) {
+  private void reportStalledStreams(long now) {
     Set<InstanceId> stalled = new HashSet<>();
     for (StallDetector.Stall stall : detector.findStalls(now)) {
       if (stall.isTargetStalled() && stalled.add(stall.target())) {
@@ -124,42 +114,36 @@
           log.warn("target stands still", "target", stall.target());
         }
       }
-      Cancellable cancellable = cancellables.get(stall.key());
-      if (cancellable != null && cancellable.isReplaceable().getAsBoolean()) {
-        cancellable.cancelSignal().tryEmitValue(detector.getSilence(stall.key(), now));
+      Consumer<Duration> stallListener = stallListeners.get(stall.key());
+      if (stallListener != null) {
+        stallListener.accept(detector.getSilence(stall.key(), now));
       }
     }
     stalledTargets = stalled;
   }
 
   /**
-   * Tracks a stream while it is subscribed to, and fails it if it stalls and can be replaced. A
-   * stream whose caller doesn't read does not stall.
+   * Tracks a stream while it is subscribed to. A stream whose caller doesn't read does not stall.
    *
-   * @param isReplaceable tells whether another attempt is ready to take over; asked at each check
-   *     while the stream stalls
-   * @param error creates the error with which the stream fails from the time since its last event
+   * @param stallListener is told the time since the last event at each check while the stream
+   *     stalls; called on the thread of the checks
    */
   <T> Flux<T> watch(
       Object key,
       InstanceId target,
       Flux<T> stream,
       CallerLink caller,
-      BooleanSupplier isReplaceable,
-      Function<Duration, Throwable> error) {
-    Sinks.One<Duration> cancelSignal = Sinks.one();
-    AtomicReference<Duration> silence = new AtomicReference<>(Duration.ZERO);
-    return StreamUtils.failOn(
-            stream, cancelSignal.asMono().doOnNext(silence::set), () -> error.apply(silence.get()))
+      Consumer<Duration> stallListener) {
+    return stream
         .doOnSubscribe(
             s -> {
-              cancellables.put(key, new Cancellable(isReplaceable, cancelSignal));
+              stallListeners.put(key, stallListener);
               callers.put(key, caller);
               detector.start(key, target, clock.nanoTime());
             })
         .doFinally(
             signal -> {
-              cancellables.remove(key);
+              stallListeners.remove(key);
               callers.remove(key);
               detector.end(key);
             });
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/StreamAttempt.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/StreamAttempt.java
@@ -22,8 +22,9 @@
    *
    * @param part the part, not null
    * @param eventId the id of the event, empty for the head and for events without an id, not null
+   * @param isProgress whether the part advances the stream, unlike the head and comments
    */
-  record Delivery(ResponsePart part, OptionalLong eventId) {}
+  record Delivery(ResponsePart part, OptionalLong eventId, boolean isProgress) {}
 
   private static final String STEP = "forward";
 
@@ -106,7 +107,8 @@
         checkContinuation(event);
         addHead(deliveries);
         lastEventId = event.id().isPresent() ? event.id() : lastEventId;
-        deliveries.add(new Delivery(new ResponsePart.BodyChunk(event.bytes()), event.id()));
+        deliveries.add(
+            new Delivery(new ResponsePart.BodyChunk(event.bytes()), event.id(), !event.isBlank()));
       }
     }
     return deliveries;
@@ -153,7 +155,7 @@
   private void addHead(List<Delivery> deliveries) {
     if (!isHeadSent) {
       isHeadSent = true;
-      deliveries.add(new Delivery(head, OptionalLong.empty()));
+      deliveries.add(new Delivery(head, OptionalLong.empty(), false));
     }
   }
 
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/SuccessorSearch.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/SuccessorSearch.java
@@ -9,8 +9,8 @@
 import reactor.core.publisher.Mono;
 
 /**
- * Secures what follows a silent attempt before the attempt is given up. Until then it is left to
- * its target, which may still go on. Thread safe.
+ * Secures an attempt that may run beside a silent one, until one of them goes on. Until then the
+ * silent one is left to its target alone. Thread safe.
  */
 final class SuccessorSearch {
 
@@ -20,7 +20,7 @@
   /** The time for which an accepted offer may be used; the other entry waits for a second. */
   private static final Duration MAX_ACCEPTANCE_AGE = Duration.ofMillis(500);
 
-  /** Takes over from an attempt that is given up; the retry budget was charged for it. */
+  /** May run beside the silent attempt; the retry budget was charged for it. */
   sealed interface Successor {}
 
   /** An attempt at a target. */
@@ -29,11 +29,11 @@
   /** An attempt through an entry that has accepted the request. */
   record ToEntry(Placement.Refuse reason, AcceptedRelay relay) implements Successor {}
 
-  /** Decides what may follow the attempt. Implementations are called under a lock. */
+  /** Decides what may run beside the attempt. Implementations are called under a lock. */
   interface Options {
 
     /**
-     * Tests whether the attempt may be replaced: an attempt and time are left, and all targets are
+     * Tests whether another attempt is allowed: an attempt and time are left, and all targets are
      * known at which another entry may have had the request run.
      */
     boolean isAllowed();
@@ -56,12 +56,13 @@
     /** Charges the retry budget for a successor if it suffices. */
     boolean tryCharge();
 
-    /** Is told once why the attempt is not given up yet. */
+    /** Is told once why nothing runs beside the attempt yet. */
     void onKept(RetryVerdict verdict);
   }
 
   private final MonotonicClock clock;
   private final Options options;
+  private final long earliestNanos;
   private final Disposable.Swap offer = Disposables.swap();
 
   /** The entry that accepted the request, for which the retry budget is not charged yet. */
@@ -75,17 +76,23 @@
   private boolean isEnded;
   private boolean isKept;
 
-  SuccessorSearch(MonotonicClock clock, Options options) {
+  /**
+   * Creates a search.
+   *
+   * @param clock the monotonic clock, not null
+   * @param options decides what may run beside the attempt, not null
+   * @param delay the time in which nothing is looked for, not null
+   */
+  SuccessorSearch(MonotonicClock clock, Options options, Duration delay) {
     this.clock = clock;
     this.options = options;
+    this.earliestNanos = clock.nanoTime() + delay.toNanos();
   }
 
-  /**
-   * Tests whether a successor is ready to take over, and looks for one if not. Once there is one,
-   * the attempt must be given up.
-   */
+  /** Tests whether a successor is ready, and looks for one if not. */
   synchronized boolean isSecured() {
-    if (!isEnded && !isOfferPending && successor.isEmpty()) {
+    boolean isDue = clock.nanoTime() - earliestNanos >= 0;
+    if (isDue && !isEnded && !isOfferPending && successor.isEmpty()) {
       search();
     }
     return successor.isPresent();
@@ -178,6 +185,11 @@
     offer.update(Disposables.disposed());
   }
 
+  /** Ends the search and returns the successor if there is one, and goes on otherwise. */
+  synchronized Optional<Successor> takeSecured() {
+    return successor.isPresent() ? take() : Optional.empty();
+  }
+
   /** Ends the search and returns the successor, empty if none was secured. */
   synchronized Optional<Successor> take() {
     isEnded = true;
