Keep silent completions of serve at their replicas until another one goes on

Callers of `serve` lost a completion whose replica was silent for longer than the timeout for the next token, if the replica that was to take over failed, was silent too, or the retry budget was empty.

CompletionRunner failed a silent attempt before it had another.

Change: the next attempt starts beside the silent one, and the first that sends tokens is kept. Each attempt has a StreamAssembler of its own, which starts at the offset that was delivered. A replica that left the view still counts as lost for the search for crashing requests.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/stream/StreamAssembler.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/stream/StreamAssembler.java
@@ -53,10 +53,22 @@
    * @param maxBuffered the most events to buffer while one before them is missing, 0 or more
    */
   public StreamAssembler(int maxBuffered) {
-    if (maxBuffered < 0) {
-      throw new IllegalArgumentException("maxBuffered must not be negative: " + maxBuffered);
+    this(maxBuffered, 0);
+  }
+
+  /**
+   * Creates an assembler for the rest of an answer.
+   *
+   * @param maxBuffered the most events to buffer while one before them is missing, 0 or more
+   * @param delivered the number of offsets that were delivered before, 0 or more
+   */
+  public StreamAssembler(int maxBuffered, long delivered) {
+    if (maxBuffered < 0 || delivered < 0) {
+      throw new IllegalArgumentException(
+          "maxBuffered and delivered must not be negative: " + maxBuffered + ", " + delivered);
     }
     this.maxBuffered = maxBuffered;
+    this.nextOffset = delivered;
   }
 
   /**
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/entry/CompletionRunner.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/entry/CompletionRunner.java
@@ -3,6 +3,7 @@
 import io.fireflyshed.coordination.attempt.AttemptException;
 import io.fireflyshed.coordination.attempt.Outcome;
 import io.fireflyshed.coordination.attempt.TargetLostException;
+import io.fireflyshed.coordination.poison.PoisonVerdict;
 import io.fireflyshed.coordination.retry.RetryDecision;
 import io.fireflyshed.coordination.retry.RetryPolicy;
 import io.fireflyshed.coordination.routing.ReplicaRouter;
@@ -29,14 +30,19 @@
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import reactor.core.Exceptions;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
-import reactor.core.publisher.SynchronousSink;
+import reactor.core.publisher.Signal;
+import reactor.core.publisher.Sinks;
 
 /**
  * Runs completions on open replicas and retries them on other replicas until the answer is complete
@@ -121,7 +127,54 @@
     return new StreamChunk(first.offset(), tokens, frames.flip(), last.isEnd());
   }
 
-  /** The progress of one request. Its methods never run concurrently. */
+  /** An attempt that has not ended. */
+  private final class OpenAttempt {
+    private final String id;
+    private final Assignment replica;
+    private final RouteRequest route;
+    private final Span span;
+    private final StallDetector stallDetector;
+    private final StreamAssembler<StreamChunk> assembler;
+    private final Sinks.Empty<Void> closing = Sinks.empty();
+    private final AtomicBoolean isClosed = new AtomicBoolean();
+    private boolean isLossRecorded;
+
+    OpenAttempt(
+        String id,
+        Assignment replica,
+        RouteRequest route,
+        Span span,
+        StallDetector stallDetector,
+        long offset) {
+      this.id = id;
+      this.replica = replica;
+      this.route = route;
+      this.span = span;
+      this.stallDetector = stallDetector;
+      this.assembler = new StreamAssembler<>(MAX_BUFFERED_CHUNKS, offset);
+      assembler.begin(id);
+    }
+
+    String getPeer() {
+      return replica.getHead().getAddressText();
+    }
+
+    /** Cancels the attempt unless it has ended. Thread safe. */
+    void close() {
+      if (isClosed.compareAndSet(false, true)) {
+        closing.tryEmitEmpty();
+        router.onEnd(replica.id(), route);
+        span.end();
+      }
+    }
+  }
+
+  /**
+   * The progress of one request. Its methods never run concurrently.
+   *
+   * <p>An attempt whose replica is silent stays open while another one runs beside it. The first of
+   * them that goes on is kept, and the others are cancelled.
+   */
   private final class CompletionRun {
 
     private final CompletionRequest request;
@@ -129,11 +182,16 @@
     private final Context context;
     private final String body;
     private final Set<ReplicaId> triedReplicas = new HashSet<>();
-    private final StreamAssembler<StreamChunk> assembler =
-        new StreamAssembler<>(MAX_BUFFERED_CHUNKS);
+    private final AttemptEvents<StreamChunk> events = new AttemptEvents<>();
+
+    /** The attempts that have not ended, the newest last. */
+    private final List<OpenAttempt> openAttempts = new CopyOnWriteArrayList<>();
+
     private final long deadlineNanos;
     private Outcome outcome = Outcome.NOT_RUN;
     private int attempts;
+    private long delivered;
+    private boolean isSuccessorPending;
 
     CompletionRun(CompletionRequest request, String requestId, Context context) {
       this.request = request;
@@ -145,68 +203,55 @@
 
     Flux<StreamChunk> start() {
       retryPolicy.onRequest();
-      return startAttempt(null);
+      events.add(Flux.just(() -> startAttempt(null)));
+      return events.asFlux().doFinally(signal -> openAttempts.forEach(OpenAttempt::close));
+    }
+
+    private List<StreamChunk> startAttempt(AttemptException lastError) {
+      PoisonVerdict verdict = poisonGuard.getVerdict(request);
+      if (verdict == PoisonVerdict.REFUSED) {
+        throw newPoisonError();
+      }
+      if (verdict == PoisonVerdict.UNDECIDED) {
+        schedule(VERDICT_POLL_INTERVAL, () -> startAttempt(lastError));
+        return List.of();
+      }
+      runAttempt(chooseReplica(verdict).orElseThrow(() -> newFailure(lastError)));
+      return List.of();
     }
 
-    private Flux<StreamChunk> startAttempt(AttemptException lastError) {
-      return switch (poisonGuard.getVerdict(request)) {
-        case REFUSED -> Flux.error(newPoisonError());
-        case UNDECIDED ->
-            Mono.delay(VERDICT_POLL_INTERVAL).thenMany(Flux.defer(() -> startAttempt(lastError)));
-        case SUSPECTED -> startIsolatedAttempt(lastError);
-        case CLEAR -> startRoutedAttempt(lastError);
-      };
+    private void schedule(Duration delay, Supplier<List<StreamChunk>> task) {
+      events.add(Mono.delay(delay).map(tick -> task).flux());
     }
 
-    private Flux<StreamChunk> startRoutedAttempt(AttemptException lastError) {
-      RouteRequest route = newRouteRequest();
-      return router
-          .choose(views.get(), route, clock.nanoTime())
-          .map(replica -> runAttempt(replica.assignment(), route))
-          .orElseGet(() -> Flux.error(newFailure(lastError)));
+    private Optional<Assignment> chooseReplica(PoisonVerdict verdict) {
+      if (verdict == PoisonVerdict.CLEAR) {
+        return router
+            .choose(views.get(), newRouteRequest(), clock.nanoTime())
+            .map(OpenReplica::assignment);
+      }
+      return verdict == PoisonVerdict.SUSPECTED ? isolate() : Optional.empty();
     }
 
-    /** Starts an attempt on a replica that runs no other suspect of this process. */
-    private Flux<StreamChunk> startIsolatedAttempt(AttemptException lastError) {
+    /** Chooses a replica that runs no other suspect of this process. */
+    private Optional<Assignment> isolate() {
       List<Assignment> open =
           views.get().getOpen(request.model()).stream()
               .filter(replica -> replica.isOpen(clock.nanoTime()))
               .map(OpenReplica::assignment)
               .filter(replica -> !triedReplicas.contains(replica.id()))
               .toList();
-      return poisonGuard
-          .isolate(request, open)
-          .map(replica -> runAttempt(replica, newRouteRequest()))
-          .orElseGet(() -> Flux.error(newFailure(lastError)));
+      return poisonGuard.isolate(request, open);
     }
 
     private RouteRequest newRouteRequest() {
       return new RouteRequest(request.model(), request.prompt(), triedReplicas);
     }
 
-    private Flux<StreamChunk> runAttempt(Assignment replica, RouteRequest route) {
+    private void runAttempt(Assignment replica) {
+      RouteRequest route = newRouteRequest();
       attempts++;
       triedReplicas.add(replica.id());
-      return streamAttempt(replica, route)
-          .doOnComplete(() -> poisonGuard.recordCompletion(request))
-          .onErrorResume(AttemptException.class, e -> retryOrFail(replica, e));
-    }
-
-    private Flux<StreamChunk> retryOrFail(Assignment replica, AttemptException error) {
-      LOG.info("entry: attempt on replica {} failed: {}", replica.id(), error.getMessage());
-      outcome = outcome.join(error.getOutcome());
-      if (error instanceof TargetLostException) {
-        poisonGuard.recordLoss(request, replica);
-      }
-      Duration remaining = Duration.ofNanos(deadlineNanos - clock.nanoTime());
-      RetryDecision decision = retryPolicy.decide(error.getOutcome(), true, attempts, remaining);
-      if (decision instanceof RetryDecision.Retry retry) {
-        return Mono.delay(retry.delay()).thenMany(Flux.defer(() -> startAttempt(error)));
-      }
-      return Flux.error(newFailure(error));
-    }
-
-    private Flux<StreamChunk> streamAttempt(Assignment replica, RouteRequest route) {
       String attemptId = requestId + "-" + attempts;
       Span span = tracer.start("attempt", SpanKind.CLIENT, context);
       span.setAttribute("fireflyshed.attempt", attemptId);
@@ -218,55 +263,166 @@
               replica,
               request.kind(),
               body,
-              assembler.begin(attemptId),
+              delivered,
               tracer.inject(context.with(span)));
-      String peer = replica.getHead().getAddressText();
-      StallDetector stallDetector = new StallDetector(settings, clock, () -> isOpen(replica), peer);
+      OpenAttempt attempt =
+          new OpenAttempt(
+              attemptId,
+              replica,
+              route,
+              span,
+              new StallDetector(settings, clock, () -> isOpen(replica)),
+              delivered);
       router.onStart(replica.id(), route);
-      return stallDetector
-          .watch(engine.stream(engineRequest))
-          .doOnNext(chunk -> router.onTokens(replica.id(), route, chunk.tokens(), clock.nanoTime()))
-          .<StreamChunk>handle((chunk, sink) -> assemble(attemptId, peer, chunk, sink))
-          .takeUntil(chunk -> assembler.isComplete())
-          .concatWith(Flux.defer(() -> failIfIncomplete(peer)))
-          .doOnError(e -> span.setStatus(StatusCode.ERROR, String.valueOf(e.getMessage())))
-          .doFinally(
-              signal -> {
-                router.onEnd(replica.id(), route);
-                span.end();
-              });
+      openAttempts.add(attempt);
+      Flux<StreamChunk> chunks =
+          attempt
+              .stallDetector
+              .watch(engine.stream(engineRequest))
+              .doOnNext(
+                  chunk -> router.onTokens(replica.id(), route, chunk.tokens(), clock.nanoTime()));
+      events.add(
+          chunks
+              .materialize()
+              .takeUntilOther(attempt.closing.asMono())
+              .map(signal -> () -> onSignal(attempt, signal)));
+      events.add(
+          attempt
+              .stallDetector
+              .findStalls()
+              .takeUntilOther(attempt.closing.asMono())
+              .map(tick -> () -> onStalled(attempt)));
     }
 
-    private void assemble(
-        String attemptId, String peer, StreamChunk chunk, SynchronousSink<StreamChunk> sink) {
+    private List<StreamChunk> onSignal(OpenAttempt attempt, Signal<StreamChunk> signal) {
+      if (!openAttempts.contains(attempt)) {
+        return List.of();
+      }
+      if (signal.isOnNext()) {
+        return onChunk(attempt, signal.get());
+      }
+      if (signal.isOnComplete()) {
+        return onFailure(
+            attempt,
+            new AttemptException(
+                STEP,
+                attempt.getPeer(),
+                Outcome.RAN,
+                "the stream ended before the answer was complete",
+                null));
+      }
+      if (signal.getThrowable() instanceof AttemptException error) {
+        return onFailure(attempt, error);
+      }
+      throw Exceptions.propagate(signal.getThrowable());
+    }
+
+    private List<StreamChunk> onChunk(OpenAttempt attempt, StreamChunk chunk) {
       List<StreamChunk> ready;
       try {
-        ready = assembler.accept(attemptId, chunk.offset(), chunk.tokens(), chunk);
+        ready = attempt.assembler.accept(attempt.id, chunk.offset(), chunk.tokens(), chunk);
       } catch (IllegalStateException e) {
-        sink.error(new AttemptException(STEP, peer, Outcome.RAN, e.getMessage(), e));
-        return;
+        return onFailure(
+            attempt, new AttemptException(STEP, attempt.getPeer(), Outcome.RAN, e.getMessage(), e));
       }
       if (ready.isEmpty()) {
-        return;
+        return List.of();
       }
+      select(attempt);
       StreamChunk last = ready.get(ready.size() - 1);
+      delivered = attempt.assembler.getDelivered();
       if (last.isEnd()) {
-        assembler.end(attemptId, last.getNextOffset());
+        attempt.assembler.end(attempt.id, last.getNextOffset());
+      }
+      if (attempt.assembler.isComplete()) {
+        poisonGuard.recordCompletion(request);
+        events.complete();
+      }
+      return List.of(ready.size() == 1 ? last : concatenate(ready));
+    }
+
+    /** Makes an attempt that goes on the only one. */
+    private void select(OpenAttempt attempt) {
+      for (OpenAttempt other : openAttempts) {
+        if (other != attempt) {
+          LOG.info("entry: attempt {} superseded by attempt {}", other.id, attempt.id);
+          outcome =
+              outcome.join(other.stallDetector.hasReceivedChunk() ? Outcome.RAN : Outcome.UNKNOWN);
+          close(other);
+        }
+      }
+    }
+
+    private void close(OpenAttempt attempt) {
+      openAttempts.remove(attempt);
+      attempt.close();
+    }
+
+    /** Starts another attempt beside the newest one while its replica is silent. */
+    private List<StreamChunk> onStalled(OpenAttempt attempt) {
+      if (!openAttempts.contains(attempt)) {
+        return List.of();
+      }
+      if (!isOpen(attempt.replica) && !attempt.isLossRecorded) {
+        attempt.isLossRecorded = true;
+        poisonGuard.recordLoss(request, attempt.replica);
+      }
+      if (!isSuccessorPending && isSilent(attempt) && isReplicaLeft()) {
+        Outcome known = attempt.stallDetector.hasReceivedChunk() ? Outcome.RAN : Outcome.UNKNOWN;
+        if (retryPolicy.decide(known, true, attempts, getRemainingTime())
+            instanceof RetryDecision.Retry retry) {
+          isSuccessorPending = true;
+          schedule(retry.delay(), () -> startSuccessor(attempt));
+        }
+      }
+      return List.of();
+    }
+
+    private boolean isSilent(OpenAttempt attempt) {
+      return openAttempts.indexOf(attempt) == openAttempts.size() - 1
+          && attempt.stallDetector.isStalled();
+    }
+
+    private boolean isReplicaLeft() {
+      return chooseReplica(poisonGuard.getVerdict(request)).isPresent();
+    }
+
+    private List<StreamChunk> startSuccessor(OpenAttempt attempt) {
+      isSuccessorPending = false;
+      if (openAttempts.contains(attempt) && isSilent(attempt)) {
+        chooseReplica(poisonGuard.getVerdict(request))
+            .ifPresent(
+                replica -> {
+                  LOG.info("entry: attempt {} is silent, another one starts", attempt.id);
+                  runAttempt(replica);
+                });
+      }
+      return List.of();
+    }
+
+    private List<StreamChunk> onFailure(OpenAttempt attempt, AttemptException error) {
+      LOG.info("entry: attempt on replica {} failed: {}", attempt.replica.id(), error.getMessage());
+      attempt.span.setStatus(StatusCode.ERROR, String.valueOf(error.getMessage()));
+      close(attempt);
+      outcome = outcome.join(error.getOutcome());
+      if (error instanceof TargetLostException && !attempt.isLossRecorded) {
+        poisonGuard.recordLoss(request, attempt.replica);
+      }
+      return openAttempts.isEmpty() ? retryOrFail(error) : List.of();
+    }
+
+    private List<StreamChunk> retryOrFail(AttemptException error) {
+      RetryDecision decision =
+          retryPolicy.decide(error.getOutcome(), true, attempts, getRemainingTime());
+      if (decision instanceof RetryDecision.Retry retry) {
+        schedule(retry.delay(), () -> startAttempt(error));
+        return List.of();
       }
-      sink.next(ready.size() == 1 ? last : concatenate(ready));
+      throw newFailure(error);
     }
 
-    /** Completes if the answer is complete, and fails the attempt otherwise. */
-    private Flux<StreamChunk> failIfIncomplete(String peer) {
-      return assembler.isComplete()
-          ? Flux.empty()
-          : Flux.error(
-              new AttemptException(
-                  STEP,
-                  peer,
-                  Outcome.RAN,
-                  "the stream ended before the answer was complete",
-                  null));
+    private Duration getRemainingTime() {
+      return Duration.ofNanos(deadlineNanos - clock.nanoTime());
     }
 
     private boolean isOpen(Assignment replica) {
@@ -291,7 +447,7 @@
 
     /** Creates the error for a request that exceeded its timeout. */
     private ProblemException newTimeoutError() {
-      Outcome attemptsOutcome = assembler.getDelivered() > 0 ? Outcome.RAN : Outcome.UNKNOWN;
+      Outcome attemptsOutcome = delivered > 0 ? Outcome.RAN : Outcome.UNKNOWN;
       return new ProblemException(
           new Problem(
               504,
