Choose ports for servers of tests and trials that outgoing connections don't take

Cause: the port was chosen by binding port 0 and closing it, so that a connection of another process could get it before the server bound it. LocalPortUtils chooses free ports below the range of outgoing connections, in place of three copies of the same function.

--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/EntrySite.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/EntrySite.java
@@ -18,6 +18,7 @@
 import io.fireflyshed.state.traffic.Route;
 import io.fireflyshed.state.traffic.RouteTable;
 import io.fireflyshed.state.traffic.TrafficConfiguration;
+import io.fireflyshed.transport.http.LocalPortUtils;
 import io.fireflyshed.transport.peer.EntryRelay;
 import io.fireflyshed.transport.peer.EntryServices;
 import io.fireflyshed.transport.peer.PeerSettings;
@@ -122,8 +123,8 @@
   private final TargetCaller caller = new TargetCaller(codec, MonotonicClock.system());
   private final List<AutoCloseable> opened = new ArrayList<>();
   private final List<Target> targets = new ArrayList<>();
-  private final InetSocketAddress address = findFreeAddress();
-  private final InetSocketAddress isolatedAddress = findFreeAddress();
+  private final InetSocketAddress address = LocalPortUtils.findFreeAddress();
+  private final InetSocketAddress isolatedAddress = LocalPortUtils.findFreeAddress();
   private final TrafficServer server;
   private final TrafficServer isolatedServer;
   private final EntryRelay relay;
@@ -283,9 +284,9 @@
         new TrafficServer(
             new TrafficServerSettings(
                 callerAddress,
-                findFreeAddress(),
+                LocalPortUtils.findFreeAddress(),
                 "/readyz",
-                findFreeAddress(),
+                LocalPortUtils.findFreeAddress(),
                 Duration.ZERO,
                 Duration.ZERO),
             codec,
@@ -336,14 +337,6 @@
         isResumable);
   }
 
-  private static InetSocketAddress findFreeAddress() {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return InetSocketAddress.createUnresolved("127.0.0.1", socket.getLocalPort());
-    } catch (IOException e) {
-      throw new UncheckedIOException("no free port was found", e);
-    }
-  }
-
   @Override
   public void close() throws Exception {
     for (int i = opened.size() - 1; i >= 0; i--) {
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/StoppingServer.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/StoppingServer.java
@@ -16,15 +16,13 @@
 import io.fireflyshed.state.traffic.Route;
 import io.fireflyshed.state.traffic.RouteTable;
 import io.fireflyshed.state.traffic.TrafficConfiguration;
+import io.fireflyshed.transport.http.LocalPortUtils;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
-import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
@@ -56,7 +54,7 @@
   private static final Duration EVENT_INTERVAL = Duration.ofMillis(20);
   private static final int TARGETS = 50;
 
-  private final InetSocketAddress address = findFreeAddress();
+  private final InetSocketAddress address = LocalPortUtils.findFreeAddress();
   private final Set<String> sentRequests = ConcurrentHashMap.newKeySet();
   private final TrafficServer server;
 
@@ -66,9 +64,9 @@
         new TrafficServer(
             new TrafficServerSettings(
                 address,
-                findFreeAddress(),
+                LocalPortUtils.findFreeAddress(),
                 "/readyz",
-                findFreeAddress(),
+                LocalPortUtils.findFreeAddress(),
                 DRAIN_DELAY,
                 DRAIN_TIMEOUT),
             new Codec(),
@@ -184,14 +182,6 @@
         route.isResumable());
   }
 
-  private static InetSocketAddress findFreeAddress() {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return InetSocketAddress.createUnresolved("127.0.0.1", socket.getLocalPort());
-    } catch (IOException e) {
-      throw new UncheckedIOException("no free port was found", e);
-    }
-  }
-
   private static void occupy(Duration time) {
     try {
       Thread.sleep(time.toMillis());
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/RehearseCommand.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/RehearseCommand.java
@@ -8,11 +8,8 @@
 import io.fireflyshed.standins.fleet.FleetCaller;
 import io.fireflyshed.standins.fleet.FleetStandIn;
 import io.fireflyshed.state.instance.AvailabilityZone;
-import java.io.IOException;
+import io.fireflyshed.transport.http.LocalPortUtils;
 import java.io.PrintStream;
-import java.io.UncheckedIOException;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -98,10 +95,10 @@
         0,
         1,
         true,
-        findFreeAddress(),
-        findFreeAddress(),
-        findFreeAddress(),
-        Optional.of(findFreeAddress()),
+        LocalPortUtils.findFreeAddress(),
+        LocalPortUtils.findFreeAddress(),
+        LocalPortUtils.findFreeAddress(),
+        Optional.of(LocalPortUtils.findFreeAddress()),
         fleet.getStore().getAddress(),
         Duration.ofSeconds(5),
         Duration.ofSeconds(8),
@@ -112,12 +109,4 @@
         1,
         memoryBytes);
   }
-
-  private static InetSocketAddress findFreeAddress() {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return InetSocketAddress.createUnresolved("127.0.0.1", socket.getLocalPort());
-    } catch (IOException e) {
-      throw new UncheckedIOException("cannot find a free port for the entry", e);
-    }
-  }
 }
