--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/stream/StreamAssemblerTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/stream/StreamAssemblerTest.java
@@ -39,6 +39,15 @@
     assertEquals(answer.begin("attempt-2"), 2);
   }
 
+  @Test
+  public void restOfAnAnswerStartsAfterWhatWasDelivered() {
+    StreamAssembler<String> rest = new StreamAssembler<>(16, 2);
+    assertEquals(rest.begin("attempt-2"), 2);
+    assertEquals(rest.accept("attempt-2", 1, 1, "repeated"), List.of());
+    assertEquals(rest.accept("attempt-2", 2, 1, "c"), List.of("c"));
+    assertEquals(rest.end("attempt-2", 3), EndState.COMPLETE);
+  }
+
   @Test
   public void endWithGapIsIncomplete() {
     answer.accept("attempt-1", 1, 1, "b");
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/StoppingServer.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/StoppingServer.java
@@ -149,6 +149,7 @@
     return head.concatWith(
         Flux.interval(EVENT_INTERVAL)
             .take(events)
+            .onBackpressureBuffer()
             .map(n -> ForwardFixtures.newBodyChunk("id: " + n + "\ndata: " + id + "\n\n")));
   }
 
