Leave relayed requests to an entry that is silent until another attempt goes on

Change: a silent link takes no more requests, and a new one is opened for those. The requests in flight stay and are told (RelayListener.onSilent); a stream or lookup may get a successor beside them.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptOptions.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptOptions.java
@@ -32,7 +32,7 @@
   @Override
   public boolean isAllowed() {
     return isAttemptAllowed.getAsBoolean()
-        && openAttempts.stream().allMatch(a -> a.getRelayed().areKnown(a.getGrantedAttempts()))
+        && openAttempts.stream().allMatch(OpenAttempt::isSuccessorAllowed)
         && getRemainingTime().compareTo(AttemptSequence.MIN_ATTEMPT_TIME) >= 0;
   }
 
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptSequence.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptSequence.java
@@ -578,6 +578,7 @@
     } else {
       openRelayedLookup(attempt, parts);
     }
+    startSuccessors(attempt, attempt.getRelayed().findSilence(REPLACEMENT_INTERVAL));
   }
 
   /** Returns the targets that another entry must not try, with those of open attempts. */
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/OpenAttempt.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/OpenAttempt.java
@@ -88,6 +88,14 @@
     return grantedAttempts;
   }
 
+  /**
+   * Tests whether the targets are known that may run the request, or a stream may go on there, so
+   * that another attempt is allowed. Thread safe.
+   */
+  boolean isSuccessorAllowed() {
+    return relayed.areKnown(grantedAttempts) || stream.getEvents() > 0;
+  }
+
   /** Returns the number of targets that may run the request by this attempt. */
   int countPossibleRuns() {
     return Math.max(1, grantedAttempts);
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/RelayListener.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/RelayListener.java
@@ -17,6 +17,14 @@
    */
   void onAttempt(InstanceId target);
 
+  /**
+   * Records that nothing comes from the other entry, or that it responds again. What it sent the
+   * request to may still go on.
+   *
+   * @param isSilent whether nothing comes from the other entry
+   */
+  default void onSilent(boolean isSilent) {}
+
   /**
    * Records that the other entry makes no more attempts.
    *
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/RelayedAttempts.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/RelayedAttempts.java
@@ -2,8 +2,10 @@
 
 import io.fireflyshed.coordination.attempt.Outcome;
 import io.fireflyshed.state.instance.InstanceId;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
 
@@ -12,7 +14,9 @@
 
   private final List<InstanceId> targets = new ArrayList<>();
   private final Sinks.Empty<Void> started = Sinks.empty();
+  private final Sinks.Empty<Void> silent = Sinks.empty();
   private boolean isEnded;
+  private boolean isSilent;
 
   @Override
   public void onAttempt(InstanceId target) {
@@ -26,6 +30,36 @@
     }
   }
 
+  @Override
+  public void onSilent(boolean newSilent) {
+    setSilent(newSilent);
+    if (newSilent) {
+      silent.tryEmitEmpty();
+    }
+  }
+
+  private synchronized void setSilent(boolean newSilent) {
+    isSilent = newSilent;
+  }
+
+  private synchronized boolean isSilent() {
+    return isSilent;
+  }
+
+  /**
+   * Returns a signal that emits while nothing comes from the other entry.
+   *
+   * @param interval the interval in which it emits, not null
+   * @return the time since nothing came for the first time, never null
+   */
+  Flux<Duration> findSilence(Duration interval) {
+    return silent
+        .asMono()
+        .thenMany(Flux.interval(interval).onBackpressureDrop())
+        .filter(t -> isSilent())
+        .map(t -> interval.multipliedBy(t + 1));
+  }
+
   @Override
   public synchronized void onEnd(Outcome outcome) {
     if (outcome == Outcome.NOT_RUN) {
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/LinkCall.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/LinkCall.java
@@ -20,6 +20,9 @@
   /** Handles that frames can be written again without waiting. */
   default void onWritable() {}
 
+  /** Handles that nothing comes from the other entry although it is probed, or something again. */
+  default void onSilent(boolean isSilent) {}
+
   /** Handles the end of the link, which has removed this call. */
   void onLinkLost(String reason);
 }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayClient.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayClient.java
@@ -220,7 +220,7 @@
 
   private RelayLink getLink(EntryPeer peer) {
     RelayLink link = links.get(peer.id());
-    if (link != null && link.getPeer().address().equals(peer.address())) {
+    if (link != null && link.getPeer().address().equals(peer.address()) && !link.isSilent()) {
       return link;
     }
     if (link != null) {
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayExchange.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayExchange.java
@@ -409,6 +409,13 @@
     }
   }
 
+  @Override
+  public void onSilent(boolean isSilent) {
+    if (isSent) {
+      request.listener().onSilent(isSilent);
+    }
+  }
+
   @Override
   public void onLinkLost(String reason) {
     if (isEnded) {
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayLink.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayLink.java
@@ -32,6 +32,7 @@
   private boolean isRetired;
   private boolean isClosed;
   private boolean isProbing;
+  private boolean isSilent;
 
   RelayLink(EntryPeer peer, PeerConnections connections, MonotonicClock clock, RelayTiming timing) {
     this.peer = peer;
@@ -121,6 +122,19 @@
 
   void onReceived() {
     receivedNanos = clock.nanoTime();
+    if (isSilent) {
+      setSilent(false);
+    }
+  }
+
+  private void setSilent(boolean newSilent) {
+    isSilent = newSilent;
+    getCalls().forEach(call -> call.onSilent(newSilent));
+  }
+
+  /** Tests whether the entry doesn't answer probes; its requests in flight may still end. */
+  boolean isSilent() {
+    return isSilent;
   }
 
   boolean isWritable() {
@@ -136,6 +150,7 @@
     if (!isProbing) {
       isProbing = true;
       receivedNanos = clock.nanoTime();
+      isSilent = false;
       scheduleProbe();
     }
   }
@@ -149,9 +164,10 @@
   private void probe() {
     if (isClosed || calls.values().stream().noneMatch(LinkCall::isSent)) {
       isProbing = false;
-    } else if (clock.nanoTime() - receivedNanos >= timing.maxSilence().toNanos()) {
-      channel.close();
     } else {
+      if (!isSilent && clock.nanoTime() - receivedNanos >= timing.maxSilence().toNanos()) {
+        setSilent(true);
+      }
       write(PeerProto.Frame.newBuilder().setPing(PeerProto.Ping.getDefaultInstance()).build());
       scheduleProbe();
     }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayTiming.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayTiming.java
@@ -10,7 +10,8 @@
  * @param firstOfferTimeout the longest wait for a new connection and the answer to the first offer
  *     on it, not null
  * @param probeInterval the delay between two probes while requests are in flight, not null
- * @param maxSilence the silence after which a link with requests in flight is lost, not null
+ * @param maxSilence the silence after which a link takes no more requests and those in flight may
+ *     get successors, not null
  */
 record RelayTiming(
     Duration offerTimeout,
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/SuccessorFailureTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/SuccessorFailureTest.java
@@ -366,6 +366,52 @@
     assertDone(caller);
   }
 
+  /** Starts a stream through an entry that is silent from its first event on for a while. */
+  private Caller startStreamThroughSilentEntry(Duration silence) {
+    relay.isAvailable = true;
+    reachability.isIsolated = true;
+    relay.response =
+        Flux.concat(
+            Mono.just(ForwardFixtures.newHead(ID, 200)),
+            after(FIRST_EVENT, event(1)),
+            after(silence, event(2)));
+    Caller caller = startStream();
+    advance(FIRST_EVENT.multipliedBy(2));
+    reachability.isIsolated = false;
+    relay.requests.get(0).listener().onAttempt(new InstanceId("other"));
+    relay.requests.get(0).listener().onSilent(true);
+    return caller;
+  }
+
+  @Test
+  public void streamThroughASilentEntryIsResumedBesideIt() {
+    responses.add(after(FIRST_EVENT, event(2)));
+    Caller caller = startStreamThroughSilentEntry(TIMEOUT);
+    advance(Duration.ofMillis(500));
+    caller.assertTwoEvents();
+    assertEquals(attempts.size(), 1);
+  }
+
+  @Test(dataProvider = "failures")
+  public void streamGoesOnThroughItsSilentEntryIfItsSuccessorFails(
+      String name, Flux<ResponsePart> failure) {
+    addHeadless(failure);
+    responses.add(silent());
+    Caller caller = startStreamThroughSilentEntry(SILENCE);
+    advance(TIMEOUT);
+    caller.assertTwoEvents();
+    assertTrue(attempts.size() >= 1, name);
+  }
+
+  @Test
+  public void streamThroughAnEntryThatRespondsAgainGetsNoSuccessor() {
+    Caller caller = startStreamThroughSilentEntry(SILENCE);
+    relay.requests.get(0).listener().onSilent(false);
+    advance(TIMEOUT);
+    caller.assertTwoEvents();
+    assertEquals(attempts.size(), 0);
+  }
+
   /** Accepts a request and tells after a delay at which target it is tried. */
   private AcceptedRelay newAcceptance(
       Flux<ResponsePart> response, Duration delay, InstanceId target) {
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/peer/RelayTestBase.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/peer/RelayTestBase.java
@@ -2,6 +2,8 @@
 
 import static org.testng.Assert.assertEquals;
 
+import io.fireflyshed.protocol.peer.generated.PeerProto;
+import io.fireflyshed.protocol.peer.generated.PeerProto.Frame.BodyCase;
 import io.fireflyshed.transport.forward.ResponsePart;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -31,6 +33,21 @@
     return connection;
   }
 
+  static PeerProto.Frame newHead(long id) {
+    return RelayFrameUtils.toHead(id, 0, RelayFixtures.newAnswer("raw-answer"));
+  }
+
+  /** Answers each offer with an acceptance and leaves the rest to another script. */
+  static RawPeer.Script accepting(RawPeer.Script next) {
+    return (frame, connection) -> {
+      if (frame.getBodyCase() == BodyCase.RELAY_OFFER) {
+        connection.write(RelayFrameUtils.toAcceptance(frame.getRequest()));
+      } else {
+        next.onFrame(frame, connection);
+      }
+    };
+  }
+
   /** Closes everything that the test opened. */
   @AfterMethod(alwaysRun = true)
   public void tearDown() throws Exception {
