Look for a successor again if a stream went on before its first one could start

Found by reading. A successor that was secured while the caller of a stream didn't read was dropped if the stream turned out to have gone on, and the search had ended with it: the stream would get no successor when it fell silent later.

Change: the search begins anew. Successors are cancelled by themselves.

StreamDeliveryTest.streamThatWentOnWhileItsCallerDidNotReadIsResumedLater plays the case, but holds without the change, too: the events that wait were handled before the successor there. It stays as a regression test.

Also: an attempt of a completion that starts while its caller leaves closes itself.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/entry/CompletionRunner.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/entry/CompletionRunner.java
@@ -192,6 +192,7 @@
     private int attempts;
     private long delivered;
     private boolean isSuccessorPending;
+    private volatile boolean isEnded;
 
     CompletionRun(CompletionRequest request, String requestId, Context context) {
       this.request = request;
@@ -204,7 +205,13 @@
     Flux<StreamChunk> start() {
       retryPolicy.onRequest();
       events.add(Flux.just(() -> startAttempt(null)));
-      return events.asFlux().doFinally(signal -> openAttempts.forEach(OpenAttempt::close));
+      return events.asFlux().doFinally(signal -> end());
+    }
+
+    /** Closes the attempts; one that starts meanwhile closes itself. */
+    private void end() {
+      isEnded = true;
+      openAttempts.forEach(OpenAttempt::close);
     }
 
     private List<StreamChunk> startAttempt(AttemptException lastError) {
@@ -292,6 +299,9 @@
               .findStalls()
               .takeUntilOther(attempt.closing.asMono())
               .map(tick -> () -> onStalled(attempt)));
+      if (isEnded) {
+        attempt.close();
+      }
     }
 
     private List<StreamChunk> onSignal(OpenAttempt attempt, Signal<StreamChunk> signal) {
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptHistory.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptHistory.java
@@ -91,6 +91,16 @@
     return excludedTargets;
   }
 
+  /** Returns the targets that another entry must not try, with those of open attempts. */
+  Set<InstanceId> getExcludedTargets(List<OpenAttempt> openAttempts) {
+    Set<InstanceId> targets = new HashSet<>(excludedTargets);
+    for (OpenAttempt attempt : openAttempts) {
+      attempt.getTarget().ifPresent(target -> targets.add(target.id()));
+      targets.addAll(attempt.getRelayed().getTargets());
+    }
+    return targets;
+  }
+
   /** Returns the joined outcome of the attempts that ended. */
   Outcome getOutcome() {
     return outcome;
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptSequence.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptSequence.java
@@ -371,24 +371,22 @@
   }
 
   private List<ResponsePart> startSuccessor(OpenAttempt attempt, Duration silence) {
-    Duration remaining = getRemainingTime();
-    boolean isWanted = openAttempts.contains(attempt) && !attempt.isWaiting() && !isPassedOn;
-    if (!isWanted || remaining.compareTo(MIN_ATTEMPT_TIME) < 0) {
-      attempt.getSuccessors().close();
-      return List.of();
-    }
     attempt
         .getSuccessors()
         .takeSecured()
-        .ifPresent(successor -> startSuccessor(attempt, silence, successor, remaining));
+        .ifPresent(successor -> startSuccessor(attempt, silence, successor));
     return List.of();
   }
 
   private void startSuccessor(
-      OpenAttempt attempt,
-      Duration silence,
-      SuccessorSearch.Successor successor,
-      Duration remaining) {
+      OpenAttempt attempt, Duration silence, SuccessorSearch.Successor successor) {
+    Duration remaining = getRemainingTime();
+    if (attempt.isWaiting() || isPassedOn || remaining.compareTo(MIN_ATTEMPT_TIME) < 0) {
+      // The attempt went on before its successor could start.
+      successor.cancel();
+      searchSuccessors(attempt, SUCCESSOR_RETRY_DELAY);
+      return;
+    }
     context.metrics().recordFailure(routed.service(), RetryVerdict.CHARGED);
     log.logSuccessor(attempt.getPeer(), attempt.getStream().getEvents(), silence);
     attempt
@@ -553,7 +551,7 @@
     OpenAttempt attempt =
         OpenAttempt.ofRelay(
             RELAY_PEER, stream.newAttempt(RELAY_PEER), memory.start(RELAY_PEER), grantedAttempts);
-    Set<InstanceId> excluded = getTargetsForNoOtherEntry();
+    Set<InstanceId> excluded = history.getExcludedTargets(openAttempts);
     context
         .metrics()
         .recordRelay(
@@ -581,16 +579,6 @@
     startSuccessors(attempt, attempt.getRelayed().findSilence(REPLACEMENT_INTERVAL));
   }
 
-  /** Returns the targets that another entry must not try, with those of open attempts. */
-  private Set<InstanceId> getTargetsForNoOtherEntry() {
-    Set<InstanceId> targets = new HashSet<>(history.getExcludedTargets());
-    for (OpenAttempt attempt : openAttempts) {
-      attempt.getTarget().ifPresent(target -> targets.add(target.id()));
-      targets.addAll(attempt.getRelayed().getTargets());
-    }
-    return targets;
-  }
-
   /** Returns the attempts for the next entry, which leave one for an entry after it. */
   private int countGrantedAttempts() {
     int left = maxAttempts - history.getPossibleRuns() - countOpenRuns();
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/SuccessorSearch.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/SuccessorSearch.java
@@ -21,13 +21,22 @@
   private static final Duration MAX_ACCEPTANCE_AGE = Duration.ofMillis(500);
 
   /** May run beside the silent attempt; the retry budget was charged for it. */
-  sealed interface Successor {}
+  sealed interface Successor {
+
+    /** Withdraws what was arranged for a successor that doesn't start. */
+    default void cancel() {}
+  }
 
   /** An attempt at a target. */
   record ToTarget(Placement.Send placement) implements Successor {}
 
   /** An attempt through an entry that has accepted the request. */
-  record ToEntry(Placement.Refuse reason, AcceptedRelay relay) implements Successor {}
+  record ToEntry(Placement.Refuse reason, AcceptedRelay relay) implements Successor {
+    @Override
+    public void cancel() {
+      relay.cancel();
+    }
+  }
 
   /** Decides what may run beside the attempt. Implementations are called under a lock. */
   interface Options {
@@ -180,7 +189,7 @@
 
   private void withdraw() {
     isOfferPending = false;
-    accepted.ifPresent(entry -> entry.relay().cancel());
+    accepted.ifPresent(Successor::cancel);
     accepted = Optional.empty();
     offer.update(Disposables.disposed());
   }
@@ -201,12 +210,6 @@
 
   /** Ends the search and withdraws a successor that was not taken. */
   void close() {
-    take()
-        .ifPresent(
-            unused -> {
-              if (unused instanceof ToEntry entry) {
-                entry.relay().cancel();
-              }
-            });
+    take().ifPresent(Successor::cancel);
   }
 }
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/StreamDeliveryTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/StreamDeliveryTest.java
@@ -17,20 +17,32 @@
 import java.util.OptionalLong;
 import java.util.concurrent.CopyOnWriteArrayList;
 import org.apache.commons.rng.simple.RandomSource;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
 import reactor.test.StepVerifier;
 
 /** Tests that a caller that reads slowly gets each event of a resumed stream once. */
 public class StreamDeliveryTest {
 
-  private static final int EVENTS = 4;
+  private static final int EVENTS = 5;
   private static final int EVENTS_BEFORE_STALL = 3;
 
   /** Longer than the silence after which a stream is resumed elsewhere. */
   private static final Duration STALL = Duration.ofSeconds(2);
 
   private final List<OptionalLong> resumedAfter = new CopyOnWriteArrayList<>();
+  private Flux<ResponsePart> goesOn;
+  private int endBeforeStall;
+
+  /** Starts with a first attempt that stalls for good. */
+  @BeforeMethod
+  public void setUp() {
+    resumedAfter.clear();
+    goesOn = Flux.empty();
+    endBeforeStall = EVENTS_BEFORE_STALL;
+  }
 
   /** Sends the events at once; the first attempt stalls before the last one. */
   private Flux<ResponsePart> send(
@@ -38,15 +50,15 @@
     resumedAfter.add(lastEventId);
     StringBuilder events = new StringBuilder();
     boolean isFirst = resumedAfter.size() == 1;
-    int end = isFirst ? EVENTS_BEFORE_STALL : EVENTS;
+    int end = isFirst ? endBeforeStall : EVENTS;
     for (long i = lastEventId.orElse(0) + 1; i <= end; i++) {
-      events.append("id: ").append(i).append("\ndata: token\n\n");
+      events.append(event(i));
     }
     Flux<ResponsePart> parts =
         Flux.just(
             ForwardFixtures.newHead(routed.request().id(), 200),
             ForwardFixtures.newBodyChunk(events.toString()));
-    return isFirst ? parts.concatWith(Flux.never()) : parts;
+    return isFirst ? parts.concatWith(goesOn).concatWith(Flux.never()) : parts;
   }
 
   private Forwarder newForwarder() {
@@ -86,12 +98,36 @@
         .expectComplete()
         .verify(Duration.ofSeconds(10));
     forwarder.stop();
-    assertEquals(
-        body.toString(),
-        "id: 1\ndata: token\n\nid: 2\ndata: token\n\nid: 3\ndata: token\n\nid: 4\ndata: token\n\n");
+    assertEquals(body.toString(), event(1) + event(2) + event(3) + event(4) + event(5));
     assertEquals(resumedAfter, List.of(OptionalLong.empty(), OptionalLong.of(EVENTS_BEFORE_STALL)));
   }
 
+  @Test
+  public void streamThatWentOnWhileItsCallerDidNotReadIsResumedLater() {
+    goesOn = Mono.delay(STALL).map(t -> ForwardFixtures.newBodyChunk(event(3) + event(4))).flux();
+    endBeforeStall = 2;
+    Route route = ForwardFixtures.newRoute(RequestKind.STREAM, true, Duration.ofSeconds(8));
+    StringBuilder body = new StringBuilder();
+    Forwarder forwarder = newForwarder();
+    forwarder.start();
+    StepVerifier.create(
+            forwarder.forward(ForwardFixtures.newRequest("id", route, System.nanoTime())), 2)
+        .expectNextCount(1)
+        .consumeNextWith(part -> append(body, part))
+        .expectNoEvent(STALL.plusMillis(500))
+        .thenRequest(10)
+        .thenConsumeWhile(part -> true, part -> append(body, part))
+        .expectComplete()
+        .verify(Duration.ofSeconds(10));
+    forwarder.stop();
+    assertEquals(body.toString(), event(1) + event(2) + event(3) + event(4) + event(5));
+    assertEquals(resumedAfter, List.of(OptionalLong.empty(), OptionalLong.of(4)));
+  }
+
+  private static String event(long id) {
+    return "id: " + id + "\ndata: token\n\n";
+  }
+
   private static void append(StringBuilder body, ResponsePart part) {
     body.append(new String(((ResponsePart.BodyChunk) part).bytes(), StandardCharsets.UTF_8));
   }
