--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/entry/CompletionRunnerTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/entry/CompletionRunnerTest.java
@@ -11,37 +11,23 @@
 import io.fireflyshed.coordination.routing.LeastInFlightRouter;
 import io.fireflyshed.protocol.completion.CompletionKind;
 import io.fireflyshed.protocol.completion.CompletionRequest;
-import io.fireflyshed.protocol.engine.EngineOrder;
 import io.fireflyshed.protocol.engine.EngineRequest;
-import io.fireflyshed.protocol.engine.LoadReport;
-import io.fireflyshed.protocol.engine.ModelEngine;
 import io.fireflyshed.protocol.engine.StreamChunk;
 import io.fireflyshed.protocol.problem.Problem;
 import io.fireflyshed.protocol.problem.ProblemException;
-import io.fireflyshed.state.instance.AvailabilityZone;
-import io.fireflyshed.state.instance.FabricDomain;
-import io.fireflyshed.state.instance.InstanceId;
-import io.fireflyshed.state.instance.InstanceRecord;
 import io.fireflyshed.state.peer.LonePeerBus;
 import io.fireflyshed.state.peer.PeerId;
-import io.fireflyshed.state.replica.Assignment;
-import io.fireflyshed.state.replica.MemberHealth;
-import io.fireflyshed.state.replica.OpenReplica;
-import io.fireflyshed.state.replica.ReplicaId;
 import io.fireflyshed.state.replica.ServiceName;
 import io.fireflyshed.state.replica.ServingView;
 import io.fireflyshed.transport.trace.RequestTracer;
 import io.opentelemetry.api.OpenTelemetry;
 import io.opentelemetry.context.Context;
-import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.apache.commons.rng.simple.RandomSource;
 import org.testng.annotations.AfterMethod;
@@ -62,27 +48,12 @@
    * Fails successive attempts with the given errors and repeats the last one. Without errors, it
    * sends tokens endlessly or, if silent, nothing.
    */
-  private static final class FailingEngine implements ModelEngine {
+  private static final class FailingEngine implements StreamingEngine {
     private final List<AttemptException> errors = new ArrayList<>();
     private int attempts;
     private int cancelledAttempts;
     private boolean isSilent;
 
-    @Override
-    public CompletableFuture<MemberHealth> probe(InstanceRecord instance) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public CompletableFuture<LoadReport> readLoad(InstanceRecord instance) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public CompletableFuture<Void> order(InstanceRecord instance, EngineOrder order) {
-      throw new UnsupportedOperationException();
-    }
-
     @Override
     public Flux<StreamChunk> stream(EngineRequest request) {
       if (isSilent) {
@@ -112,7 +83,7 @@
     time = VirtualTimeScheduler.create();
     VirtualTimeScheduler.set(time);
     engine = new FailingEngine();
-    view = newView();
+    view = ViewFixtures.newView(SERVICE, REPLICAS);
     runner =
         new CompletionRunner(
             () -> view,
@@ -135,24 +106,6 @@
     VirtualTimeScheduler.reset();
   }
 
-  private static ServingView newView() {
-    List<OpenReplica> open = new ArrayList<>();
-    for (int i = 0; i < REPLICAS; i++) {
-      InstanceRecord head =
-          new InstanceRecord(
-              new InstanceId("i" + i),
-              InetSocketAddress.createUnresolved("127.0.0.1", 1 + i),
-              new AvailabilityZone("a"),
-              new FabricDomain("f"),
-              8,
-              false,
-              Optional.empty());
-      Assignment replica = new Assignment(new ReplicaId("r" + i), SERVICE, 1, List.of(head));
-      open.add(new OpenReplica(replica, Long.MAX_VALUE));
-    }
-    return new ServingView(Map.of(), Map.of(SERVICE, open), Map.of());
-  }
-
   private Problem runToFailure() {
     String body = "{\"model\":\"cards\",\"prompt\":\"p\"}";
     CompletionRequest request =
@@ -221,7 +174,7 @@
     assertEquals(engine.attempts, 1);
     engine.isSilent = false;
     engine.errors.add(new TargetLostException("stream", "engine", Outcome.RAN, "lost", null));
-    view = newView();
+    view = ViewFixtures.newView(SERVICE, REPLICAS);
     assertEquals(runToFailure().type(), "poison-request");
     assertEquals(engine.attempts, 2, "the loss of the silent replica counts as the first crash");
   }
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/entry/CompletionSchedule.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/entry/CompletionSchedule.java
@@ -11,10 +11,7 @@
 import io.fireflyshed.faults.FaultPlan;
 import io.fireflyshed.protocol.completion.CompletionKind;
 import io.fireflyshed.protocol.completion.CompletionRequest;
-import io.fireflyshed.protocol.engine.EngineOrder;
 import io.fireflyshed.protocol.engine.EngineRequest;
-import io.fireflyshed.protocol.engine.LoadReport;
-import io.fireflyshed.protocol.engine.ModelEngine;
 import io.fireflyshed.protocol.engine.StreamChunk;
 import io.fireflyshed.protocol.problem.ProblemException;
 import io.fireflyshed.state.instance.AvailabilityZone;
@@ -24,7 +21,6 @@
 import io.fireflyshed.state.peer.LonePeerBus;
 import io.fireflyshed.state.peer.PeerId;
 import io.fireflyshed.state.replica.Assignment;
-import io.fireflyshed.state.replica.MemberHealth;
 import io.fireflyshed.state.replica.OpenReplica;
 import io.fireflyshed.state.replica.ReplicaId;
 import io.fireflyshed.state.replica.ServiceName;
@@ -41,7 +37,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
@@ -224,22 +219,7 @@
   /**
    * An engine that generates answers, counts its runs of each request and fails at random steps.
    */
-  private final class FaultyEngine implements ModelEngine {
-
-    @Override
-    public CompletableFuture<MemberHealth> probe(InstanceRecord instance) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public CompletableFuture<LoadReport> readLoad(InstanceRecord instance) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public CompletableFuture<Void> order(InstanceRecord instance, EngineOrder order) {
-      throw new UnsupportedOperationException();
-    }
+  private final class FaultyEngine implements StreamingEngine {
 
     @Override
     public Flux<StreamChunk> stream(EngineRequest request) {
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/entry/ShutdownOutcomeTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/entry/ShutdownOutcomeTest.java
@@ -12,10 +12,7 @@
 import io.fireflyshed.protocol.completion.CompletionKind;
 import io.fireflyshed.protocol.desk.DeskReply;
 import io.fireflyshed.protocol.desk.PlainService;
-import io.fireflyshed.protocol.engine.EngineOrder;
 import io.fireflyshed.protocol.engine.EngineRequest;
-import io.fireflyshed.protocol.engine.LoadReport;
-import io.fireflyshed.protocol.engine.ModelEngine;
 import io.fireflyshed.protocol.engine.StreamChunk;
 import io.fireflyshed.protocol.json.JsonUtils;
 import io.fireflyshed.state.clock.MonotonicClock;
@@ -26,7 +23,6 @@
 import io.fireflyshed.state.peer.LonePeerBus;
 import io.fireflyshed.state.peer.PeerId;
 import io.fireflyshed.state.replica.Assignment;
-import io.fireflyshed.state.replica.MemberHealth;
 import io.fireflyshed.state.replica.ModelServiceSpec;
 import io.fireflyshed.state.replica.OpenReplica;
 import io.fireflyshed.state.replica.ReplicaId;
@@ -281,7 +277,7 @@
   }
 
   /** Tests of completions. */
-  public static class Completions implements ModelEngine {
+  public static class Completions implements StreamingEngine {
     private static final String BODY = "{\"model\":\"cards\",\"prompt\":\"p\"}";
 
     private final Semaphore sentAttempts = new Semaphore(0);
@@ -333,21 +329,6 @@
           handler.handle(CompletionKind.TEXT, request, response, shutdown);
     }
 
-    @Override
-    public CompletableFuture<MemberHealth> probe(InstanceRecord instance) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public CompletableFuture<LoadReport> readLoad(InstanceRecord instance) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public CompletableFuture<Void> order(InstanceRecord instance, EngineOrder order) {
-      throw new UnsupportedOperationException();
-    }
-
     @Override
     public Flux<StreamChunk> stream(EngineRequest request) {
       return Flux.<StreamChunk>never()
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/entry/SilentReplicaTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/entry/SilentReplicaTest.java
@@ -14,36 +14,21 @@
 import io.fireflyshed.coordination.routing.LeastInFlightRouter;
 import io.fireflyshed.protocol.completion.CompletionKind;
 import io.fireflyshed.protocol.completion.CompletionRequest;
-import io.fireflyshed.protocol.engine.EngineOrder;
 import io.fireflyshed.protocol.engine.EngineRequest;
-import io.fireflyshed.protocol.engine.LoadReport;
-import io.fireflyshed.protocol.engine.ModelEngine;
 import io.fireflyshed.protocol.engine.StreamChunk;
-import io.fireflyshed.state.instance.AvailabilityZone;
-import io.fireflyshed.state.instance.FabricDomain;
-import io.fireflyshed.state.instance.InstanceId;
-import io.fireflyshed.state.instance.InstanceRecord;
 import io.fireflyshed.state.peer.LonePeerBus;
 import io.fireflyshed.state.peer.PeerId;
-import io.fireflyshed.state.replica.Assignment;
-import io.fireflyshed.state.replica.MemberHealth;
-import io.fireflyshed.state.replica.OpenReplica;
-import io.fireflyshed.state.replica.ReplicaId;
 import io.fireflyshed.state.replica.ServiceName;
 import io.fireflyshed.state.replica.ServingView;
 import io.fireflyshed.transport.trace.RequestTracer;
 import io.opentelemetry.api.OpenTelemetry;
 import io.opentelemetry.context.Context;
-import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
-import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.apache.commons.rng.simple.RandomSource;
 import org.testng.annotations.AfterMethod;
@@ -59,32 +44,18 @@
 public class SilentReplicaTest {
 
   private static final ServiceName SERVICE = new ServiceName("cards");
+  private static final int REPLICAS = 3;
   private static final Duration MAX_RUN_TIME = Duration.ofMinutes(2);
 
   /** A silence that is longer than the timeout for the next token. */
   private static final Duration SILENCE = Duration.ofSeconds(15);
 
   /** Answers successive attempts with prepared chunks. */
-  private final class ScriptedEngine implements ModelEngine {
+  private final class ScriptedEngine implements StreamingEngine {
     private final List<Flux<StreamChunk>> answers = new ArrayList<>();
     private final List<EngineRequest> requests = new ArrayList<>();
     private int running;
 
-    @Override
-    public CompletableFuture<MemberHealth> probe(InstanceRecord instance) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public CompletableFuture<LoadReport> readLoad(InstanceRecord instance) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public CompletableFuture<Void> order(InstanceRecord instance, EngineOrder order) {
-      throw new UnsupportedOperationException();
-    }
-
     @Override
     public Flux<StreamChunk> stream(EngineRequest request) {
       Flux<StreamChunk> answer = answers.get(requests.size());
@@ -111,7 +82,7 @@
     error = null;
     isComplete = false;
     allowedRetries = 10;
-    ServingView view = newView();
+    ServingView view = ViewFixtures.newView(SERVICE, REPLICAS);
     runner =
         new CompletionRunner(
             () -> view,
@@ -146,24 +117,6 @@
     return time.now(TimeUnit.NANOSECONDS);
   }
 
-  private static ServingView newView() {
-    List<OpenReplica> open = new ArrayList<>();
-    for (int i = 0; i < 3; i++) {
-      InstanceRecord head =
-          new InstanceRecord(
-              new InstanceId("i" + i),
-              InetSocketAddress.createUnresolved("127.0.0.1", 1 + i),
-              new AvailabilityZone("a"),
-              new FabricDomain("f"),
-              8,
-              false,
-              Optional.empty());
-      Assignment replica = new Assignment(new ReplicaId("r" + i), SERVICE, 1, List.of(head));
-      open.add(new OpenReplica(replica, Long.MAX_VALUE));
-    }
-    return new ServingView(Map.of(), Map.of(SERVICE, open), Map.of());
-  }
-
   private static Flux<StreamChunk> after(Duration delay, long offset, boolean isEnd) {
     return Flux.defer(
         () ->
