Keep to the time of another entry before a lookup is sent past it

An entry that serves a lookup for another one makes no attempt after a time, when the other one may use a target itself. The other one counted that time from the first of several entries that took the request, and sent the lookup on sooner if the link was silent. A target could have got a lookup twice, and callers its success where its first run had failed.

Change: the time is counted from the first attempt of the last entry that took it, and a silent link doesn't shorten it. Streams still get successors beside a silent entry.

Evidence: lookupOfAnotherEntryIsLateAfterItsTimeAtTheLastEntryThatTookIt and lookupThroughASilentEntryGetsNoSuccessorBeforeThatEntryMakesNoMoreAttempts fail without the change; SuccessorFailureTest 50 of 50, Relay*Test, SilentEntryTest, Partition*Test and SilentTargets*Test hold.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptSequence.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptSequence.java
@@ -408,20 +408,17 @@
     open(attempt, reader.readWhole(attempt, target, parts), part -> passOn(attempt, part));
     Duration timeout = getLookupTimeout(1);
     Mono<Void> onLate = Mono.fromRunnable(() -> context.reachability().onSilent(target.id()));
+    Flux<Long> ticks = Flux.interval(Duration.ZERO, REPLACEMENT_INTERVAL).onBackpressureDrop();
     startLookupSuccessors(
-        attempt, timeout, Mono.delay(timeout).then(onLate).thenMany(newTicks(Duration.ZERO)));
+        attempt, Mono.delay(timeout).then(onLate).thenMany(ticks).map(t -> timeout));
   }
 
-  private void startLookupSuccessors(OpenAttempt attempt, Duration timeout, Flux<Long> ticks) {
+  private void startLookupSuccessors(OpenAttempt attempt, Flux<Duration> late) {
     if (routed.route().kind() == RequestKind.IDEMPOTENT) {
-      startSuccessors(attempt, ticks.filter(t -> !attempt.isPassedOn()).map(t -> timeout));
+      startSuccessors(attempt, late.filter(silence -> !attempt.isPassedOn()));
     }
   }
 
-  private static Flux<Long> newTicks(Duration delay) {
-    return Flux.interval(delay, REPLACEMENT_INTERVAL).onBackpressureDrop();
-  }
-
   /** Passes on a part of a response that is complete or too long to be held. */
   private List<ResponsePart> passOn(OpenAttempt attempt, ResponsePart part) {
     select(attempt);
@@ -573,10 +570,10 @@
           attempt,
           reader.readRelayedStream(attempt, parts),
           delivery -> deliver(attempt, delivery));
+      startSuccessors(attempt, attempt.getRelayed().findSilence(REPLACEMENT_INTERVAL));
     } else {
       openRelayedLookup(attempt, parts);
     }
-    startSuccessors(attempt, attempt.getRelayed().findSilence(REPLACEMENT_INTERVAL));
   }
 
   /** Returns the attempts for the next entry, which leave one for an entry after it. */
@@ -587,13 +584,13 @@
 
   /**
    * Opens an attempt of another entry whose response is not a stream. Its time is counted from the
-   * first attempt of that entry, which makes none after that time.
+   * first attempt of that entry, which makes none after that time, even if it is silent.
    */
   private void openRelayedLookup(OpenAttempt attempt, Flux<ResponsePart> parts) {
     Duration timeout = getLookupTimeout(attempt.getGrantedAttempts()).plus(RELAY_MARGIN);
     open(attempt, reader.readRelayed(attempt, parts), part -> passOn(attempt, part));
     startLookupSuccessors(
-        attempt, timeout, attempt.getRelayed().whenStarted().thenMany(newTicks(timeout)));
+        attempt, attempt.getRelayed().findLateness(timeout, REPLACEMENT_INTERVAL));
   }
 
   private List<ResponsePart> handleRelayFailure(OpenAttempt attempt, AttemptException error) {
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/RelayedAttempts.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/RelayedAttempts.java
@@ -6,28 +6,31 @@
 import java.util.ArrayList;
 import java.util.List;
 import reactor.core.publisher.Flux;
-import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
 
 /** Collects the targets at which other entries tried a relayed request. Thread safe. */
 final class RelayedAttempts implements RelayListener {
 
   private final List<InstanceId> targets = new ArrayList<>();
-  private final Sinks.Empty<Void> started = Sinks.empty();
+
+  /** Emits the number of entries that began to make attempts, the last one to late subscribers. */
+  private final Sinks.Many<Integer> entryStarts = Sinks.many().replay().latest();
+
   private final Sinks.Empty<Void> silent = Sinks.empty();
   private boolean isEnded;
   private boolean isSilent;
+  private boolean isEntryStarted;
+  private int entries;
 
   @Override
-  public void onAttempt(InstanceId target) {
-    toggle(target);
-    started.tryEmitEmpty();
-  }
-
-  private synchronized void toggle(InstanceId target) {
+  public synchronized void onAttempt(InstanceId target) {
     if (!targets.remove(target)) {
       targets.add(target);
     }
+    if (!isEntryStarted) {
+      isEntryStarted = true;
+      entryStarts.tryEmitNext(++entries);
+    }
   }
 
   @Override
@@ -64,14 +67,25 @@
   public synchronized void onEnd(Outcome outcome) {
     if (outcome == Outcome.NOT_RUN) {
       targets.clear();
+      isEntryStarted = false;
     } else {
       isEnded = true;
     }
   }
 
-  /** Returns a signal that completes with the first attempt of the other entry. */
-  Mono<Void> whenStarted() {
-    return started.asMono();
+  /**
+   * Returns a signal that emits again and again after a time since the first attempt of the other
+   * entry, or of the last one if the request was offered on.
+   *
+   * @param timeout the time until it emits, not null
+   * @param interval the interval in which it emits after that, not null
+   * @return the timeout, never null
+   */
+  Flux<Duration> findLateness(Duration timeout, Duration interval) {
+    return entryStarts
+        .asFlux()
+        .switchMap(entry -> Flux.interval(timeout, interval).onBackpressureDrop())
+        .map(t -> timeout);
   }
 
   /** Returns the targets that may have run the request, in the order of the attempts. */
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/SuccessorFailureTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/SuccessorFailureTest.java
@@ -366,6 +366,43 @@
     assertDone(caller);
   }
 
+  @Test
+  public void lookupOfAnotherEntryIsLateAfterItsTimeAtTheLastEntryThatTookIt() {
+    relay.isAvailable = true;
+    reachability.isIsolated = true;
+    relay.response = Flux.never();
+    Caller caller = new Caller(ForwardFixtures.newRoute(RequestKind.IDEMPOTENT, false, TIMEOUT, 3));
+    reachability.isIsolated = false;
+    responses.add(after(FIRST_EVENT, "done"));
+    RelayListener listener = relay.requests.get(0).listener();
+    listener.onAttempt(new InstanceId("first"));
+    advance(Duration.ofMillis(800));
+    listener.onEnd(Outcome.NOT_RUN);
+    listener.onAttempt(new InstanceId("other"));
+    listener.onAttempt(new InstanceId("another"));
+    advance(LOOKUP_PATIENCE.multipliedBy(2).plusMillis(100));
+    assertEquals(attempts.size(), 0);
+    advance(Duration.ofMillis(500));
+    assertDone(caller);
+  }
+
+  @Test
+  public void lookupThroughASilentEntryGetsNoSuccessorBeforeThatEntryMakesNoMoreAttempts() {
+    relay.isAvailable = true;
+    reachability.isIsolated = true;
+    relay.response = Flux.never();
+    Caller caller = new Caller(ForwardFixtures.newRoute(RequestKind.IDEMPOTENT, false, TIMEOUT, 2));
+    reachability.isIsolated = false;
+    responses.add(after(FIRST_EVENT, "done"));
+    RelayListener listener = relay.requests.get(0).listener();
+    listener.onAttempt(new InstanceId("other"));
+    listener.onSilent(true);
+    advance(LOOKUP_PATIENCE);
+    assertEquals(attempts.size(), 0);
+    advance(Duration.ofMillis(500));
+    assertDone(caller);
+  }
+
   /** Starts a stream through an entry that is silent from its first event on for a while. */
   private Caller startStreamThroughSilentEntry(Duration silence) {
     relay.isAvailable = true;
