Describe requests, their rank and the demand for pools to placement

Cause: the parts for load beyond the capacity all need the same inputs, and placement knows only the name of a pool. A request's rank, its estimate of the output and what callers want of a model reach no decision.

Change: RequestDescriptor replaces pool and kind in the calls of TargetPlacer. Rank is the account's priority, else the route's; a relay carries it and the estimate. The load exchange has optional fields for expected work and for the demand by pool and rank; earlier builds send none and ignore them. RequestLimits holds the request limits that TargetPlacer kept. No decision changes.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/FleetLoad.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/FleetLoad.java
@@ -12,11 +12,14 @@
  *
  * @param loads the load by target, copied, not null; targets without requests may be left out
  * @param entries the number of entries whose loads are included, 0 or more
+ * @param demands what the callers of these entries want of the pools, copied, not null; entries of
+ *     earlier versions tell none
  */
-public record FleetLoad(Map<InstanceId, TargetRequests> loads, int entries) {
+public record FleetLoad(
+    Map<InstanceId, TargetRequests> loads, int entries, Map<PoolDemand.Key, PoolDemand> demands) {
 
   /** The load of no entry. */
-  public static final FleetLoad NONE = new FleetLoad(Map.of(), 0);
+  public static final FleetLoad NONE = new FleetLoad(Map.of(), 0, Map.of());
 
   /**
    * Holds the requests of some entries at one target.
@@ -65,6 +68,17 @@
   /** Copies the map. */
   public FleetLoad {
     loads = Map.copyOf(Objects.requireNonNull(loads, "loads"));
+    demands = Map.copyOf(Objects.requireNonNull(demands, "demands"));
+  }
+
+  /**
+   * Creates a load without the demand of callers, as entries of earlier versions tell it.
+   *
+   * @param loads the load by target, copied, not null
+   * @param entries the number of entries whose loads are included, 0 or more
+   */
+  public FleetLoad(Map<InstanceId, TargetRequests> loads, int entries) {
+    this(loads, entries, Map.of());
   }
 
   /**
@@ -76,7 +90,9 @@
   public FleetLoad plus(FleetLoad other) {
     Map<InstanceId, TargetRequests> sum = new HashMap<>(loads);
     other.loads.forEach((target, load) -> sum.merge(target, load, TargetRequests::plus));
-    return new FleetLoad(sum, entries + other.entries);
+    Map<PoolDemand.Key, PoolDemand> demandSum = new HashMap<>(demands);
+    other.demands.forEach((key, demand) -> demandSum.merge(key, demand, PoolDemand::plus));
+    return new FleetLoad(sum, entries + other.entries, demandSum);
   }
 
   /**
@@ -89,7 +105,10 @@
     Map<InstanceId, TargetRequests> difference = new HashMap<>(loads);
     part.loads.forEach(
         (target, load) -> difference.computeIfPresent(target, (t, sum) -> sum.minus(load)));
-    return new FleetLoad(difference, Math.max(0, entries - part.entries));
+    Map<PoolDemand.Key, PoolDemand> demandDifference = new HashMap<>(demands);
+    part.demands.forEach(
+        (key, demand) -> demandDifference.computeIfPresent(key, (k, sum) -> sum.minus(demand)));
+    return new FleetLoad(difference, Math.max(0, entries - part.entries), demandDifference);
   }
 
   /**
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetPlacer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetPlacer.java
@@ -38,24 +38,18 @@
   /** The age from which the load that other entries told is no longer used. */
   private static final Duration MAX_FLEET_LOAD_AGE = Duration.ofSeconds(1);
 
-  /** The time for which the request limit of an unlisted target is kept. */
-  private static final Duration LIMIT_RETENTION = Duration.ofSeconds(60);
-
-  /** Retry delay until this entry knows its position among all entries. */
-  private static final Duration UNKNOWN_SLOT_WAIT = Duration.ofSeconds(1);
-
   /** Retry delay if no target is available, about the time in which a replica is repaired. */
   private static final Duration NO_TARGET_RETRY_AFTER = Duration.ofMillis(2000);
 
   private final PlacementSettings settings;
   private final AvailabilityZone zone;
   private final UniformRandomProvider random;
-  private final EntrySchedule schedule;
+  private final RequestLimits limits;
+  private final DemandMeter demands = new DemandMeter();
   private final Map<InstanceId, TargetLoad> loads = new HashMap<>();
   private boolean isFleetTold;
   private long fleetNanos;
   private long ownLoadNanos;
-  private final Map<InstanceId, RequestSlots> requestSlots = new HashMap<>();
   private final Map<String, RetryAfterSchedule> retryAfterSchedules = new HashMap<>();
 
   /**
@@ -74,53 +68,42 @@
     this.settings = Objects.requireNonNull(settings, "settings");
     this.zone = Objects.requireNonNull(zone, "zone");
     this.random = Objects.requireNonNull(random, "random");
-    this.schedule = Objects.requireNonNull(schedule, "schedule");
+    this.limits = new RequestLimits(schedule);
   }
 
   /**
    * Places a request.
    *
-   * @param pool the name of a set of interchangeable targets, such as a model, not null
+   * @param request the request, not null
    * @param candidates the targets that could run the request, not null
    * @param excluded the targets that were tried before, not null
-   * @param isModelPool whether the targets are replicas of a model, which queue requests themselves
    * @param nowNanos the current time of the monotonic clock
    * @return the decision, never null
    */
   public synchronized Placement place(
-      String pool,
-      List<Target> candidates,
-      Set<InstanceId> excluded,
-      boolean isModelPool,
-      long nowNanos) {
-    return place(pool, candidates, excluded, isModelPool, false, nowNanos);
+      RequestDescriptor request, List<Target> candidates, Set<InstanceId> excluded, long nowNanos) {
+    return place(request, candidates, excluded, false, nowNanos);
   }
 
   /**
    * Places a request that may also stay at its silent target. A refusal takes no turn among the
    * callers that are told when to retry, as such a request is placed again and again.
    *
-   * @param pool the name of a set of interchangeable targets, such as a model, not null
+   * @param request the request, not null
    * @param candidates the targets that could run the request, not null
    * @param excluded the targets that were tried before, not null
-   * @param isModelPool whether the targets are replicas of a model, which queue requests themselves
    * @param nowNanos the current time of the monotonic clock
    * @return the decision, never null
    */
   public synchronized Placement placeRunning(
-      String pool,
-      List<Target> candidates,
-      Set<InstanceId> excluded,
-      boolean isModelPool,
-      long nowNanos) {
-    return place(pool, candidates, excluded, isModelPool, true, nowNanos);
+      RequestDescriptor request, List<Target> candidates, Set<InstanceId> excluded, long nowNanos) {
+    return place(request, candidates, excluded, true, nowNanos);
   }
 
   private Placement place(
-      String pool,
+      RequestDescriptor request,
       List<Target> candidates,
       Set<InstanceId> excluded,
-      boolean isModelPool,
       boolean isRunning,
       long nowNanos) {
     List<Target> usable = new ArrayList<>();
@@ -152,10 +135,10 @@
       TargetLoad load = getLoad(candidate.id());
       int requests = isFleetKnown ? load.getFleetRequests(fleetNanos) : load.getRequests();
       othersRate += load.getOthersRate();
-      if (requests >= getCapacity(candidate, load, isModelPool)) {
+      if (requests >= getCapacity(candidate, load, request.isModelPool())) {
         continue;
       }
-      long targetWaitNanos = getLimitWaitNanos(candidate.id());
+      long targetWaitNanos = limits.getWaitNanos(candidate.id());
       limitWaitNanos = Math.min(limitWaitNanos, targetWaitNanos);
       if (targetWaitNanos > 0) {
         continue;
@@ -164,7 +147,9 @@
     }
     if (options.isEmpty()) {
       Duration capacityWait =
-          isRunning ? RetryAfterSchedule.MIN_WAIT : getRetryAfterSchedule(pool).next(nowNanos);
+          isRunning
+              ? RetryAfterSchedule.MIN_WAIT
+              : getRetryAfterSchedule(request.pool()).next(nowNanos);
       return refuse(limitWaitNanos, capacityWait);
     }
     // The starts of other entries since they told their load.
@@ -193,12 +178,7 @@
     TargetLoad load = getLoad(candidate.id());
     return !load.isSuspect(nowNanos)
         && load.getRequests() < getCapacity(candidate, load, isModelPool)
-        && getLimitWaitNanos(candidate.id()) <= 0;
-  }
-
-  private long getLimitWaitNanos(InstanceId target) {
-    RequestSlots slots = requestSlots.get(target);
-    return slots == null ? 0 : slots.getWaitNanos().orElse(UNKNOWN_SLOT_WAIT.toNanos());
+        && limits.getWaitNanos(candidate.id()) <= 0;
   }
 
   /**
@@ -243,6 +223,15 @@
     return getLoad(target.id()).getMeanEventIntervalMillis();
   }
 
+  /**
+   * Gets what counts the requests of callers by pool and rank, to tell other entries.
+   *
+   * @return the meter, never null
+   */
+  public DemandMeter getDemands() {
+    return demands;
+  }
+
   /**
    * Records that a request was sent.
    *
@@ -250,10 +239,7 @@
    */
   public synchronized void onStart(InstanceId target) {
     getLoad(target).onStart();
-    RequestSlots slots = requestSlots.get(target);
-    if (slots != null) {
-      slots.onSent();
-    }
+    limits.onSent(target);
   }
 
   /**
@@ -301,7 +287,7 @@
             own.put(target, requests);
           }
         });
-    return new FleetLoad(own, 1);
+    return new FleetLoad(own, 1, demands.take(seconds));
   }
 
   /**
@@ -328,17 +314,7 @@
    * @return whether the limit differs from the one known before
    */
   public synchronized boolean onRequestLimit(InstanceId target, OptionalDouble limit) {
-    RequestSlots slots = requestSlots.get(target);
-    if (slots == null && limit.isEmpty()) {
-      return false;
-    }
-    if (slots == null) {
-      slots = new RequestSlots(target, schedule);
-      requestSlots.put(target, slots);
-    }
-    boolean isChanged = !slots.getLimit().equals(limit);
-    slots.onLimit(limit);
-    return isChanged;
+    return limits.onLimit(target, limit);
   }
 
   /**
@@ -348,8 +324,7 @@
    * @return the requests per second that the target takes, empty without a limit, never null
    */
   public synchronized OptionalDouble getRequestLimit(InstanceId target) {
-    RequestSlots slots = requestSlots.get(target);
-    return slots == null ? OptionalDouble.empty() : slots.getLimit();
+    return limits.get(target);
   }
 
   /**
@@ -358,7 +333,7 @@
    * @return the number of targets
    */
   public synchronized long countLimitedTargets() {
-    return requestSlots.values().stream().filter(s -> s.getLimit().isPresent()).count();
+    return limits.count();
   }
 
   /**
@@ -440,12 +415,7 @@
    */
   public synchronized void retain(Set<InstanceId> listed) {
     loads.entrySet().removeIf(e -> e.getValue().getInFlight() == 0 && !listed.contains(e.getKey()));
-    requestSlots
-        .entrySet()
-        .removeIf(
-            e ->
-                e.getValue().getAge().compareTo(LIMIT_RETENTION) > 0
-                    && !listed.contains(e.getKey()));
+    limits.retain(listed);
   }
 
   /**
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/RequestPlacer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/RequestPlacer.java
@@ -2,6 +2,7 @@
 
 import io.fireflyshed.coordination.attempt.TargetSilentException;
 import io.fireflyshed.coordination.placement.Placement;
+import io.fireflyshed.coordination.placement.RequestDescriptor;
 import io.fireflyshed.protocol.traffic.TargetAnswer;
 import io.fireflyshed.state.instance.InstanceId;
 import io.fireflyshed.state.target.Target;
@@ -24,6 +25,7 @@
 
   private final ForwardContext context;
   private final RoutedRequest routed;
+  private final RequestDescriptor descriptor;
   private final boolean isRelayed;
 
   /**
@@ -36,6 +38,7 @@
   RequestPlacer(ForwardContext context, RoutedRequest routed, boolean isRelayed) {
     this.context = context;
     this.routed = routed;
+    this.descriptor = routed.describe();
     this.isRelayed = isRelayed;
   }
 
@@ -52,12 +55,7 @@
             () ->
                 context
                     .placer()
-                    .place(
-                        routed.getPool(),
-                        getCandidates(),
-                        excluded,
-                        isGeneration(),
-                        context.clock().nanoTime()));
+                    .place(descriptor, getCandidates(), excluded, context.clock().nanoTime()));
   }
 
   /** Places an attempt that may take over from a silent one. */
@@ -68,11 +66,7 @@
                 context
                     .placer()
                     .placeRunning(
-                        routed.getPool(),
-                        getCandidates(),
-                        excluded,
-                        isGeneration(),
-                        context.clock().nanoTime()));
+                        descriptor, getCandidates(), excluded, context.clock().nanoTime()));
   }
 
   /**
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/RoutedRequest.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/RoutedRequest.java
@@ -1,16 +1,19 @@
 package io.fireflyshed.transport.forward;
 
+import io.fireflyshed.coordination.placement.RequestDescriptor;
 import io.fireflyshed.coordination.poison.CrashFingerprint;
 import io.fireflyshed.coordination.poison.RequestFingerprints;
 import io.fireflyshed.protocol.traffic.PromptDescriptor;
 import io.fireflyshed.protocol.traffic.TrafficRequest;
 import io.fireflyshed.state.replica.ServiceName;
+import io.fireflyshed.state.traffic.Rank;
 import io.fireflyshed.state.traffic.Route;
 import io.fireflyshed.transport.http.HeldBody;
 import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.stream.Collectors;
 
 /**
@@ -21,6 +24,7 @@
  * @param route the matching route, not null
  * @param service the service that was selected among those of the route, not null
  * @param account the name of the client account, empty on public routes, not null
+ * @param rank how urgent the request is, not null
  * @param configurationVersion the version of the traffic configuration that was applied, for the
  *     log
  * @param arrivalNanos the arrival time as a reading of the monotonic clock
@@ -33,6 +37,7 @@
     Route route,
     ServiceName service,
     Optional<String> account,
+    Rank rank,
     long configurationVersion,
     long arrivalNanos,
     Duration timeout,
@@ -45,6 +50,7 @@
     Objects.requireNonNull(route, "route");
     Objects.requireNonNull(service, "service");
     Objects.requireNonNull(account, "account");
+    Objects.requireNonNull(rank, "rank");
     Objects.requireNonNull(timeout, "timeout");
     Objects.requireNonNull(caller, "caller");
   }
@@ -58,6 +64,26 @@
     return request.prompt().map(p -> p.model()).orElse(service.value());
   }
 
+  /**
+   * Describes this request for its placement.
+   *
+   * @return the description, never null
+   */
+  public RequestDescriptor describe() {
+    Optional<PromptDescriptor> prompt = request.prompt();
+    return new RequestDescriptor(
+        route.name(),
+        getPool(),
+        prompt.isPresent(),
+        rank,
+        account,
+        prompt.map(PromptDescriptor::promptTokens).orElse(0),
+        prompt.map(PromptDescriptor::estimatedAnswerTokens).orElse(OptionalInt.empty()),
+        prompt.map(PromptDescriptor::maxAnswerTokens).orElse(0),
+        body.getLength(),
+        route.latencyTarget());
+  }
+
   /**
    * Computes the fingerprints that this request shares with its copies and with other requests,
    * whichever entry they reach.
@@ -82,7 +108,16 @@
    */
   RoutedRequest withTimeout(long nanos, Duration newTimeout) {
     return new RoutedRequest(
-        request, body, route, service, account, configurationVersion, nanos, newTimeout, caller);
+        request,
+        body,
+        route,
+        service,
+        account,
+        rank,
+        configurationVersion,
+        nanos,
+        newTimeout,
+        caller);
   }
 
   /**
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/TrafficServer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/TrafficServer.java
@@ -15,6 +15,7 @@
 import io.fireflyshed.state.clock.MonotonicClock;
 import io.fireflyshed.state.traffic.ClientAccount;
 import io.fireflyshed.state.traffic.ClientLimits;
+import io.fireflyshed.state.traffic.Rank;
 import io.fireflyshed.state.traffic.RequestKind;
 import io.fireflyshed.state.traffic.Route;
 import io.fireflyshed.transport.entry.ShutdownSignal;
@@ -492,6 +493,7 @@
         allowed.route(),
         allowed.route().selectService(random.nextDouble()).service(),
         allowed.account().map(ClientAccount::name),
+        Rank.of(allowed.route(), allowed.account()),
         allowed.version(),
         arrivalNanos,
         RequestTimeout.get(request, allowed.route()),
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/LoadFrameUtils.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/LoadFrameUtils.java
@@ -3,9 +3,11 @@
 import io.fireflyshed.coordination.placement.FleetLoad;
 import io.fireflyshed.coordination.placement.FleetLoad.TargetRequests;
 import io.fireflyshed.coordination.placement.LoadReport;
+import io.fireflyshed.coordination.placement.PoolDemand;
 import io.fireflyshed.protocol.peer.generated.PeerProto;
 import io.fireflyshed.state.instance.InstanceId;
 import io.fireflyshed.state.peer.PeerId;
+import io.fireflyshed.state.traffic.Rank;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -22,22 +24,27 @@
   static PeerProto.Frame toQuestion(long id, FleetLoad own, boolean isZone) {
     PeerProto.LoadQuestion.Builder body = PeerProto.LoadQuestion.newBuilder().setIsZone(isZone);
     own.loads().forEach((target, load) -> body.addLoads(toMessage(target, load)));
+    own.demands().forEach((key, demand) -> body.addDemands(toMessage(key, demand)));
     return PeerProto.Frame.newBuilder().setRequest(id).setLoadQuestion(body).build();
   }
 
   static LoadReport fromQuestion(PeerId sender, PeerProto.LoadQuestion message) {
-    return new LoadReport(sender, fromMessages(message.getLoadsList(), 1), message.getIsZone());
+    return new LoadReport(
+        sender,
+        fromMessages(message.getLoadsList(), 1, message.getDemandsList()),
+        message.getIsZone());
   }
 
   static PeerProto.Frame toAnswer(long id, FleetLoad load) {
     PeerProto.LoadAnswer.Builder body =
         PeerProto.LoadAnswer.newBuilder().setEntries(load.entries());
     load.loads().forEach((target, requests) -> body.addLoads(toMessage(target, requests)));
+    load.demands().forEach((key, demand) -> body.addDemands(toMessage(key, demand)));
     return PeerProto.Frame.newBuilder().setRequest(id).setLoadAnswer(body).build();
   }
 
   static FleetLoad fromAnswer(PeerProto.LoadAnswer message) {
-    return fromMessages(message.getLoadsList(), message.getEntries());
+    return fromMessages(message.getLoadsList(), message.getEntries(), message.getDemandsList());
   }
 
   private static PeerProto.TargetLoad toMessage(InstanceId target, TargetRequests load) {
@@ -50,7 +57,19 @@
         .build();
   }
 
-  private static FleetLoad fromMessages(List<PeerProto.TargetLoad> messages, int entries) {
+  private static PeerProto.PoolDemand toMessage(PoolDemand.Key key, PoolDemand demand) {
+    return PeerProto.PoolDemand.newBuilder()
+        .setPool(key.pool())
+        .setRank(key.rank().value())
+        .setArrivalsPerSecond((float) demand.arrivalsPerSecond())
+        .setWorkMsPerSecond((float) demand.workMillisPerSecond())
+        .setRefusalsPerSecond((float) demand.refusalsPerSecond())
+        .setWaiting(demand.waiting())
+        .build();
+  }
+
+  private static FleetLoad fromMessages(
+      List<PeerProto.TargetLoad> messages, int entries, List<PeerProto.PoolDemand> demandMessages) {
     Map<InstanceId, TargetRequests> loads = new HashMap<>();
     for (PeerProto.TargetLoad message : messages) {
       loads.put(
@@ -61,6 +80,16 @@
               message.getSilentEntries(),
               message.getResponsiveEntries()));
     }
-    return new FleetLoad(loads, entries);
+    Map<PoolDemand.Key, PoolDemand> demands = new HashMap<>();
+    for (PeerProto.PoolDemand message : demandMessages) {
+      demands.put(
+          new PoolDemand.Key(message.getPool(), new Rank(message.getRank())),
+          new PoolDemand(
+              message.getArrivalsPerSecond(),
+              message.getWorkMsPerSecond(),
+              message.getRefusalsPerSecond(),
+              message.getWaiting()));
+    }
+    return new FleetLoad(loads, entries, demands);
   }
 }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayFrameUtils.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayFrameUtils.java
@@ -10,6 +10,7 @@
 import io.fireflyshed.protocol.traffic.TrafficRequest;
 import io.fireflyshed.state.instance.InstanceId;
 import io.fireflyshed.state.replica.ServiceName;
+import io.fireflyshed.state.traffic.Rank;
 import io.fireflyshed.state.traffic.RequestKind;
 import io.fireflyshed.state.traffic.Route;
 import io.fireflyshed.state.traffic.WeightedService;
@@ -30,6 +31,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.stream.Collectors;
 
@@ -132,7 +134,8 @@
             .setRemainingMs(toMillis(remaining))
             .setMaxAttempts(relayed.maxAttempts())
             .setBodyBytes(routed.body().getLength())
-            .setCredit(credit);
+            .setCredit(credit)
+            .setRank(routed.rank().value());
     for (Map.Entry<String, String> header : request.headers()) {
       // The request is authorized already, and the key must not spread.
       if (!HttpHeaderNames.AUTHORIZATION.contentEqualsIgnoreCase(header.getKey())) {
@@ -175,13 +178,15 @@
             message.hasCallerEventId()
                 ? OptionalLong.of(message.getCallerEventId())
                 : OptionalLong.empty());
+    Route route = fromRoute(message.getRoute());
     RoutedRequest routed =
         new RoutedRequest(
             request,
             body,
-            fromRoute(message.getRoute()),
+            route,
             new ServiceName(message.getService()),
             message.hasAccount() ? Optional.of(message.getAccount()) : Optional.empty(),
+            message.hasRank() ? new Rank(message.getRank()) : Rank.of(route, Optional.empty()),
             message.getConfigurationVersion(),
             nowNanos,
             remaining,
@@ -319,12 +324,14 @@
   }
 
   private static PeerProto.RelayPrompt toPrompt(PromptDescriptor prompt) {
-    return PeerProto.RelayPrompt.newBuilder()
-        .setModel(prompt.model())
-        .setPromptTokens(prompt.promptTokens())
-        .setMaxAnswerTokens(prompt.maxAnswerTokens())
-        .addAllSharedParts(prompt.sharedParts())
-        .build();
+    PeerProto.RelayPrompt.Builder message =
+        PeerProto.RelayPrompt.newBuilder()
+            .setModel(prompt.model())
+            .setPromptTokens(prompt.promptTokens())
+            .setMaxAnswerTokens(prompt.maxAnswerTokens())
+            .addAllSharedParts(prompt.sharedParts());
+    prompt.estimatedAnswerTokens().ifPresent(message::setEstimatedAnswerTokens);
+    return message.build();
   }
 
   private static PromptDescriptor fromPrompt(PeerProto.RelayPrompt prompt) {
@@ -332,6 +339,9 @@
         prompt.getModel(),
         prompt.getPromptTokens(),
         prompt.getMaxAnswerTokens(),
+        prompt.hasEstimatedAnswerTokens()
+            ? OptionalInt.of(prompt.getEstimatedAnswerTokens())
+            : OptionalInt.empty(),
         prompt.getSharedPartsList());
   }
 
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/placement/FleetLoadRun.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/placement/FleetLoadRun.java
@@ -169,7 +169,8 @@
   private void arrive() {
     boolean isCounted = clock.nanoTime() > Duration.ofSeconds(2).toNanos();
     TargetPlacer placer = placers.get(random.nextInt(placers.size()));
-    Placement placement = placer.place(POOL, targets, Set.of(), true, clock.nanoTime());
+    Placement placement =
+        placer.place(RequestDescriptor.ofPool(POOL, true), targets, Set.of(), clock.nanoTime());
     arrivals += isCounted ? 1 : 0;
     if (placement instanceof Placement.Send send) {
       Replica replica = replicasById.get(send.target().id());
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/placement/TargetPlacerTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/placement/TargetPlacerTest.java
@@ -72,7 +72,7 @@
   }
 
   private Placement place(long nowMillis) {
-    return placer.place(POOL, targets, Set.of(), true, millis(nowMillis));
+    return placer.place(RequestDescriptor.ofPool(POOL, true), targets, Set.of(), millis(nowMillis));
   }
 
   /** A request that ends at a given time. */
@@ -361,7 +361,7 @@
   }
 
   private Placement.Cause getRefusalCause(Set<InstanceId> excluded) {
-    Placement placement = placer.place(POOL, targets, excluded, true, 0);
+    Placement placement = placer.place(RequestDescriptor.ofPool(POOL, true), targets, excluded, 0);
     return ((Placement.Refuse) placement).cause();
   }
 
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwardFixtures.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwardFixtures.java
@@ -11,6 +11,7 @@
 import io.fireflyshed.state.instance.InstanceId;
 import io.fireflyshed.state.replica.ServiceName;
 import io.fireflyshed.state.target.Target;
+import io.fireflyshed.state.traffic.Rank;
 import io.fireflyshed.state.traffic.RequestKind;
 import io.fireflyshed.state.traffic.Route;
 import io.fireflyshed.state.traffic.WeightedService;
@@ -24,6 +25,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.function.BooleanSupplier;
 
@@ -165,7 +167,7 @@
             Optional.empty(),
             Optional.empty(),
             isStream
-                ? Optional.of(new PromptDescriptor(MODEL, 10, 10, List.of()))
+                ? Optional.of(new PromptDescriptor(MODEL, 10, 10, OptionalInt.empty(), List.of()))
                 : Optional.empty(),
             OptionalLong.empty());
     return new RoutedRequest(
@@ -174,6 +176,7 @@
         route,
         SERVICE,
         Optional.empty(),
+        Rank.of(route, Optional.empty()),
         1,
         arrivalNanos,
         route.timeout(),
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ReachabilityWatchTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ReachabilityWatchTest.java
@@ -9,6 +9,7 @@
 import io.fireflyshed.coordination.placement.PlacementSettings;
 import io.fireflyshed.coordination.placement.ReachabilityMonitor;
 import io.fireflyshed.coordination.placement.ReachabilitySettings;
+import io.fireflyshed.coordination.placement.RequestDescriptor;
 import io.fireflyshed.coordination.placement.TargetPlacer;
 import io.fireflyshed.state.target.Target;
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
@@ -106,7 +107,7 @@
   }
 
   private Placement place() {
-    return placer.place("pool", targets, Set.of(), false, nanoTime());
+    return placer.place(RequestDescriptor.ofPool("pool", false), targets, Set.of(), nanoTime());
   }
 
   @Test
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/RequestGateTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/RequestGateTest.java
@@ -18,6 +18,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -43,7 +44,7 @@
         7,
         routes,
         Map.of(),
-        Map.of("key", new ClientAccount("account", 1)),
+        Map.of("key", new ClientAccount("account", OptionalInt.of(1))),
         true,
         new ClientLimits(1, 1, Duration.ofSeconds(1), Duration.ofSeconds(1)));
   }
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/StoppingServer.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/StoppingServer.java
@@ -27,6 +27,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -284,7 +285,7 @@
           Optional.empty(),
           Optional.of(Duration.ofMillis(Long.parseLong(headers.get("X-Deadline")))),
           uri.startsWith(STREAM_PATH)
-              ? Optional.of(new PromptDescriptor("m", 10, 10, List.of()))
+              ? Optional.of(new PromptDescriptor("m", 10, 10, OptionalInt.empty(), List.of()))
               : Optional.empty(),
           OptionalLong.empty());
     }
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/peer/RelayFixtures.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/peer/RelayFixtures.java
@@ -8,6 +8,7 @@
 import io.fireflyshed.protocol.traffic.TrafficRequest;
 import io.fireflyshed.state.instance.InstanceId;
 import io.fireflyshed.state.replica.ServiceName;
+import io.fireflyshed.state.traffic.Rank;
 import io.fireflyshed.state.traffic.RequestKind;
 import io.fireflyshed.state.traffic.Route;
 import io.fireflyshed.state.traffic.WeightedService;
@@ -24,6 +25,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
@@ -81,7 +83,7 @@
             headers,
             Optional.of("secret"),
             Optional.of(Duration.ofMillis(2500)),
-            Optional.of(new PromptDescriptor("m", 10, 20, List.of("a", "b"))),
+            Optional.of(new PromptDescriptor("m", 10, 20, OptionalInt.empty(), List.of("a", "b"))),
             OptionalLong.of(4));
     Route route =
         new Route(
@@ -104,6 +106,7 @@
             route,
             SERVICE,
             Optional.of("account"),
+            Rank.FIRST,
             17,
             0,
             Duration.ofSeconds(30),
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/registry/LoadExchangeTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/registry/LoadExchangeTest.java
@@ -10,6 +10,7 @@
 import io.fireflyshed.coordination.placement.LoadReport;
 import io.fireflyshed.coordination.placement.Placement;
 import io.fireflyshed.coordination.placement.PlacementSettings;
+import io.fireflyshed.coordination.placement.RequestDescriptor;
 import io.fireflyshed.coordination.placement.StallDetector;
 import io.fireflyshed.coordination.placement.TargetPlacer;
 import io.fireflyshed.state.clock.ManualClock;
@@ -76,7 +77,8 @@
 
     /** Returns the target that this entry would choose. */
     Optional<InstanceId> choose() {
-      Placement placement = placer.place(POOL, targets, Set.of(), true, clock.nanoTime());
+      Placement placement =
+          placer.place(RequestDescriptor.ofPool(POOL, true), targets, Set.of(), clock.nanoTime());
       return placement instanceof Placement.Send send
           ? Optional.of(send.target().id())
           : Optional.empty();
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/RelayRehearsal.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/RelayRehearsal.java
@@ -15,6 +15,7 @@
 import io.fireflyshed.state.table.RowKey;
 import io.fireflyshed.state.table.TableChanges;
 import io.fireflyshed.state.table.TableQuestion;
+import io.fireflyshed.state.traffic.Rank;
 import io.fireflyshed.state.traffic.RequestKind;
 import io.fireflyshed.state.traffic.Route;
 import io.fireflyshed.state.traffic.WeightedService;
@@ -39,6 +40,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -146,7 +148,7 @@
             new DefaultHttpHeaders().add("a", "b"),
             Optional.empty(),
             Optional.of(TIMEOUT),
-            Optional.of(new PromptDescriptor("model", 1, 1, List.of("part"))),
+            Optional.of(new PromptDescriptor("model", 1, 1, OptionalInt.empty(), List.of("part"))),
             OptionalLong.empty());
     Route route =
         new Route(
@@ -168,6 +170,7 @@
             route,
             SERVICE,
             Optional.of("account"),
+            Rank.FIRST,
             1,
             0,
             TIMEOUT,
--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/DeploymentRequestLimitTest.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/DeploymentRequestLimitTest.java
@@ -5,6 +5,7 @@
 import io.fireflyshed.coordination.placement.EntrySchedule;
 import io.fireflyshed.coordination.placement.Placement;
 import io.fireflyshed.coordination.placement.PlacementSettings;
+import io.fireflyshed.coordination.placement.RequestDescriptor;
 import io.fireflyshed.coordination.placement.TargetPlacer;
 import io.fireflyshed.coordination.retry.RetryAllowance;
 import io.fireflyshed.standins.platform.InMemoryTableService;
@@ -163,7 +164,7 @@
     }
 
     Placement place(long nowNanos) {
-      return placer.place(POOL, targets, Set.of(), true, nowNanos);
+      return placer.place(RequestDescriptor.ofPool(POOL, true), targets, Set.of(), nowNanos);
     }
   }
 
