Send nothing to the targets of evacuated availability zones

Cause: the operator's rows that evacuate a zone are read by no one.

Change: the read of the configuration also states the evacuated zones, so they have its currency at each entry. EvacuatedZones keeps them; EvacuationFilter leaves their targets out of the candidates of all attempts, and the zone's coordinator pauses until the zone is taken back. The creation of the memory budget moves out of PlatformEntry.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/formation/FormationController.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/formation/FormationController.java
@@ -1,5 +1,6 @@
 package io.fireflyshed.transport.formation;
 
+import io.fireflyshed.coordination.evacuation.EvacuatedZones;
 import io.fireflyshed.coordination.formation.FormationOrder;
 import io.fireflyshed.coordination.formation.FormationPlanner;
 import io.fireflyshed.coordination.formation.FormationSettings;
@@ -55,6 +56,7 @@
   private final FormationSettings settings;
   private final BooleanSupplier areLoadsUnlimited;
   private final BooleanSupplier isCutOff;
+  private final EvacuatedZones evacuated;
   private final ScheduledExecutorService control;
   private final MonotonicClock clock;
   private final EventLog log = new EventLog("formation");
@@ -62,7 +64,7 @@
   private final GenerationCounter generations = new GenerationCounter();
   private final Set<CompletableFuture<OrderReply>> pendingOrders = new HashSet<>();
   private Optional<LeaseGrant> grant = Optional.empty();
-  private boolean wasCutOff;
+  private boolean wasPaused;
 
   /**
    * Creates a controller.
@@ -77,6 +79,7 @@
    * @param areLoadsUnlimited whether no request has arrived yet since the first start, not null
    * @param isCutOff whether this entry probably reaches no or few engines, so that their failures
    *     show nothing; called on the control thread, not null
+   * @param evacuated the zones whose engines must get no orders, not null
    * @param control the control thread, not null
    * @param clock the clock of this process, which includes suspended time, not null
    */
@@ -90,6 +93,7 @@
       FormationSettings settings,
       BooleanSupplier areLoadsUnlimited,
       BooleanSupplier isCutOff,
+      EvacuatedZones evacuated,
       ScheduledExecutorService control,
       MonotonicClock clock) {
     this.zone = zone;
@@ -101,6 +105,7 @@
     this.settings = settings;
     this.areLoadsUnlimited = areLoadsUnlimited;
     this.isCutOff = isCutOff;
+    this.evacuated = evacuated;
     this.control = control;
     this.clock = clock;
   }
@@ -180,7 +185,7 @@
       long now = clock.nanoTime();
       lease.next(now).ifPresent(this::perform);
       updateGrant(now);
-      if (grant.isPresent() && !pauseIfCutOff(now)) {
+      if (grant.isPresent() && !pauseIfNeeded(now)) {
         coordinate(now);
       }
     } catch (RuntimeException e) {
@@ -232,19 +237,21 @@
   }
 
   /**
-   * Tests whether coordination must pause since this entry is cut off. After the pause, the
-   * planners start from fresh reports, since the failures before and during it may be the entry's
-   * own.
+   * Tests whether coordination must pause since this entry is cut off or the zone is evacuated.
+   * After the pause, the planners start from fresh reports, since the failures before and during it
+   * may be the entry's own.
    */
-  private boolean pauseIfCutOff(long now) {
-    boolean isPaused = isCutOff.getAsBoolean();
-    if (isPaused && !wasCutOff) {
-      log.warn("cut off, coordination pauses", "zone", zone);
-    } else if (!isPaused && wasCutOff) {
+  private boolean pauseIfNeeded(long now) {
+    boolean isEvacuated = evacuated.contains(zone);
+    boolean isPaused = isEvacuated || isCutOff.getAsBoolean();
+    if (isPaused && !wasPaused) {
+      log.warn(
+          "coordination pauses", "zone", zone, "reason", isEvacuated ? "evacuated" : "cut off");
+    } else if (!isPaused && wasPaused) {
       log.info("coordination goes on", "zone", zone);
       planners.values().forEach(p -> p.forget(now));
     }
-    wasCutOff = isPaused;
+    wasPaused = isPaused;
     return isPaused;
   }
 
@@ -275,7 +282,7 @@
       }
       if (target.zone().equals(zone)) {
         zoneTargets.add(target);
-      } else if (target.isOpenHead()) {
+      } else if (target.isOpenHead() && !evacuated.contains(target.zone())) {
         replicasInOtherZones.merge(target.membership().orElseThrow().getModel(), 1, Integer::sum);
       }
     }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/registry/ConfigurationWatcher.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/registry/ConfigurationWatcher.java
@@ -1,5 +1,6 @@
 package io.fireflyshed.transport.registry;
 
+import io.fireflyshed.coordination.evacuation.EvacuatedZones;
 import io.fireflyshed.state.clock.MonotonicClock;
 import io.fireflyshed.state.error.HistoryLostException;
 import io.fireflyshed.state.traffic.ConfigurationReadResult;
@@ -15,7 +16,7 @@
 
 /**
  * Keeps the latest accepted traffic configuration and the time since it was last confirmed to be
- * the latest.
+ * the latest. Tells the evacuated zones, which the same source states, with the same currency.
  *
  * <p>Versions never decrease. The age is measured from before the last successful read was sent,
  * since the response reflects what was accepted until then. A wait that ended without a change may
@@ -39,6 +40,7 @@
   private final ScheduledExecutorService control;
   private final MonotonicClock clock;
   private final Consumer<TrafficConfiguration> listener;
+  private final EvacuatedZones evacuated;
   private final EventLog log = new EventLog("configuration");
   private volatile Optional<TrafficConfiguration> current = Optional.empty();
   private volatile long confirmedNanos;
@@ -54,16 +56,19 @@
    * @param control the executor of the control thread, not null
    * @param clock the monotonic clock of this process, which includes suspensions, not null
    * @param listener is notified of each new configuration on the control thread, not null
+   * @param evacuated is told of the evacuated zones on the control thread, not null
    */
   public ConfigurationWatcher(
       TrafficConfigurationSource source,
       ScheduledExecutorService control,
       MonotonicClock clock,
-      Consumer<TrafficConfiguration> listener) {
+      Consumer<TrafficConfiguration> listener,
+      EvacuatedZones evacuated) {
     this.source = source;
     this.control = control;
     this.clock = clock;
     this.listener = listener;
+    this.evacuated = evacuated;
   }
 
   /** Starts to read and watch the configuration. */
@@ -119,7 +124,16 @@
     }
     isSourceLost = false;
     isFullReadNeeded = false;
-    if (isFullRead || result.configuration().isPresent()) {
+    boolean isEvacuationChanged = evacuated.apply(result.evacuations(), clock.nanoTime());
+    if (isEvacuationChanged) {
+      log.info(
+          "evacuated zones changed",
+          "zones",
+          evacuated.get(),
+          "source_version",
+          result.sourceVersion());
+    }
+    if (isFullRead || isEvacuationChanged || result.configuration().isPresent()) {
       sourceVersion = Math.max(sourceVersion, result.sourceVersion());
       versionReadNanos = sentNanos;
     }
--- /dev/null
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/evacuation/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the evacuation of availability zones. */
+package io.fireflyshed.coordination.evacuation;
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/formation/FormationControllerTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/formation/FormationControllerTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import io.fireflyshed.coordination.evacuation.EvacuatedZones;
 import io.fireflyshed.coordination.formation.FormationSettings;
 import io.fireflyshed.coordination.lease.LeaseTiming;
 import io.fireflyshed.coordination.lease.ZoneLease;
@@ -26,6 +27,7 @@
 import io.fireflyshed.state.target.Target;
 import io.fireflyshed.state.traffic.ClientLimits;
 import io.fireflyshed.state.traffic.EngineProfile;
+import io.fireflyshed.state.traffic.EvacuationChanges;
 import io.fireflyshed.state.traffic.ModelProfile;
 import io.fireflyshed.state.traffic.RouteTable;
 import io.fireflyshed.state.traffic.ServiceProfile;
@@ -112,6 +114,7 @@
   private final List<SentOrder> orders = new ArrayList<>();
   private int reports;
   private boolean isCutOff;
+  private EvacuatedZones evacuated;
   private ManualClock clock;
   private ManualScheduler control;
   private Table table;
@@ -128,6 +131,7 @@
     orders.clear();
     reports = 0;
     isCutOff = false;
+    evacuated = new EvacuatedZones();
     clock = new ManualClock();
     control = new ManualScheduler(clock);
     table = new Table();
@@ -152,6 +156,7 @@
         FormationSettings.of(Duration.ofSeconds(5), 1),
         () -> true,
         () -> isCutOff,
+        evacuated,
         control,
         clock);
   }
@@ -273,6 +278,21 @@
     advanceToTheFirstOrder();
   }
 
+  @Test
+  public void evacuatedZoneGetsNoOrdersUntilItIsTakenBack() {
+    int steps = advanceToTheFirstOrder();
+    setUp();
+    advance(STEP.multipliedBy(steps - 1));
+    evacuated.apply(new EvacuationChanges(false, Set.of(ZONE), Set.of()), clock.nanoTime());
+    advance(Duration.ofSeconds(20));
+    assertEquals(orders, List.of(), "orders in an evacuated zone");
+    evacuated.apply(new EvacuationChanges(false, Set.of(), Set.of(ZONE)), clock.nanoTime());
+    int reportsBefore = reports;
+    advance(STEP);
+    assertTrue(reports > reportsBefore, "no report was requested at once");
+    advanceToTheFirstOrder();
+  }
+
   @Test
   public void processWhoseLeaseLapsesDuringAPassSendsNoOrder() {
     int steps = advanceToTheFirstOrder();
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/registry/ConfigurationWatcherTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/registry/ConfigurationWatcherTest.java
@@ -4,11 +4,14 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import io.fireflyshed.coordination.evacuation.EvacuatedZones;
 import io.fireflyshed.state.clock.ManualClock;
 import io.fireflyshed.state.clock.ManualScheduler;
 import io.fireflyshed.state.error.HistoryLostException;
+import io.fireflyshed.state.instance.AvailabilityZone;
 import io.fireflyshed.state.traffic.ClientLimits;
 import io.fireflyshed.state.traffic.ConfigurationReadResult;
+import io.fireflyshed.state.traffic.EvacuationChanges;
 import io.fireflyshed.state.traffic.RouteTable;
 import io.fireflyshed.state.traffic.TrafficConfiguration;
 import io.fireflyshed.state.traffic.TrafficConfigurationSource;
@@ -17,6 +20,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.testng.annotations.BeforeMethod;
@@ -34,6 +38,7 @@
   ManualClock clock;
   ManualScheduler control;
   ConfigurationWatcher watcher;
+  EvacuatedZones evacuated;
   Consumer<TrafficConfiguration> listener;
 
   /** Starts a watcher, whose first read remains pending. */
@@ -57,8 +62,9 @@
             return newRead(false, sourceVersion);
           }
         };
+    evacuated = new EvacuatedZones();
     listener = c -> acceptedVersions.add(c.version());
-    watcher = new ConfigurationWatcher(source, control, clock, c -> listener.accept(c));
+    watcher = new ConfigurationWatcher(source, control, clock, c -> listener.accept(c), evacuated);
     watcher.start();
     control.runDue();
   }
@@ -153,6 +159,7 @@
             throw new IllegalStateException("listener failed");
           };
       completeRead(10, 3L);
+      evacuated = new EvacuatedZones();
       listener = c -> acceptedVersions.add(c.version());
       control.advance(Duration.ofMillis(200));
       assertTrue(getLastRead().isFullRead());
@@ -187,4 +194,46 @@
       assertTrue(reads.stream().skip(1).anyMatch(PendingRead::isFullRead));
     }
   }
+
+  /** Tests the evacuated zones. */
+  public static class EvacuationTests extends ConfigurationWatcherTest {
+
+    private static final AvailabilityZone ZONE = new AvailabilityZone("a");
+
+    private void completeRead(long sourceVersion, boolean isWhole, AvailabilityZone... zones) {
+      getLastRead()
+          .result()
+          .complete(
+              new ConfigurationReadResult(
+                  sourceVersion,
+                  Optional.empty(),
+                  new EvacuationChanges(isWhole, Set.of(zones), Set.of())));
+      control.runDue();
+    }
+
+    @Test
+    public void nextWaitStartsAfterAChangeOfTheZones() {
+      completeRead(10, true);
+      completeRead(20, false, ZONE);
+      assertEquals(evacuated.get(), Set.of(ZONE));
+      assertEquals(getLastRead().sourceVersion(), 20);
+    }
+
+    @Test
+    public void zoneStaysEvacuatedWhileTheSourceIsLost() {
+      completeRead(10, true, ZONE);
+      failRead(new IllegalStateException("unavailable"));
+      control.advance(Duration.ofMinutes(1));
+      assertTrue(evacuated.contains(ZONE));
+    }
+
+    @Test
+    public void fullReadShowsTheEndOfAnEvacuationWhoseNotificationWasDropped() {
+      completeRead(10, true, ZONE);
+      failRead(new HistoryLostException("await", "store"));
+      completeRead(30, true);
+      assertEquals(evacuated.get(), Set.of());
+      assertEquals(evacuated.getEndNanos(ZONE).orElseThrow(), clock.nanoTime());
+    }
+  }
 }
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
@@ -2,6 +2,7 @@
 
 import io.fireflyshed.coordination.budget.ByteBudget;
 import io.fireflyshed.coordination.directory.ReaderSelector;
+import io.fireflyshed.coordination.evacuation.EvacuatedZones;
 import io.fireflyshed.coordination.formation.FormationSettings;
 import io.fireflyshed.coordination.lease.LeaseTiming;
 import io.fireflyshed.coordination.lease.ZoneLease;
@@ -36,9 +37,9 @@
 import io.fireflyshed.state.target.Target;
 import io.fireflyshed.state.traffic.ServiceProfile;
 import io.fireflyshed.state.traffic.TrafficConfiguration;
-import io.fireflyshed.transport.budget.BudgetReporter;
 import io.fireflyshed.transport.control.LeaseStore;
 import io.fireflyshed.transport.formation.FormationController;
+import io.fireflyshed.transport.forward.EvacuationFilter;
 import io.fireflyshed.transport.forward.Forwarder;
 import io.fireflyshed.transport.forward.HealthCheckValidator;
 import io.fireflyshed.transport.forward.ReachabilityWatch;
@@ -69,7 +70,6 @@
 import io.fireflyshed.transport.registry.TargetFollower;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
-import io.netty.util.internal.PlatformDependent;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
@@ -141,15 +141,6 @@
   /** The used fraction of the allowed retries, since targets count them slightly later. */
   private static final double RETRY_MARGIN_FACTOR = 0.9;
 
-  /** Leaves the rest to the buffers of the connections. */
-  private static final double BUDGET_FRACTION_OF_DIRECT_MEMORY = 0.6;
-
-  /** Leaves the rest to the state of the process and to garbage. */
-  private static final double BUDGET_FRACTION_OF_HEAP = 0.4;
-
-  /** Leaves the rest to the heap, the code and the threads of the process. */
-  private static final double BUDGET_FRACTION_OF_MEMORY = 0.15;
-
   /** The longest wait of connections for the configuration; callers leave after about a second. */
   private static final Duration MAX_ACCEPT_DELAY = Duration.ofMillis(600);
 
@@ -180,6 +171,7 @@
   private final SharedTableFeed tables;
   private final LoadExchange loads;
   private final TargetFollower targets;
+  private final EvacuatedZones evacuated = new EvacuatedZones();
   private final ConfigurationWatcher configuration;
   private final EntryRegistrar registrar;
   private final Optional<EntryRelay> relay;
@@ -210,7 +202,7 @@
   PlatformEntry(PlatformSettings settings, Duration maxAcceptDelay) {
     this.settings = settings;
     this.maxAcceptDelay = maxAcceptDelay;
-    budget = newBudget();
+    budget = MemoryBudgetFactory.newBudget(settings.memoryBytes(), trafficClock, metrics);
     storeCaller = new HttpCaller("platform", HttpCaller.MAX_BODY_BYTES, budget);
     engineCaller = new HttpCaller("engines", MAX_REPORT_BYTES, budget);
     healthCaller = new HttpCaller("health", MAX_HEALTH_BYTES, budget);
@@ -223,6 +215,7 @@
     EntrySchedule schedule = new EntrySchedule(settings.zoneRank(), settings.zones(), sharedClock);
     placer = new TargetPlacer(placement, settings.zone(), random, schedule);
     metrics.gauge("fireflyshed.limited.targets", placer, TargetPlacer::countLimitedTargets);
+    metrics.gauge("fireflyshed.evacuated.zones", evacuated, e -> e.get().size());
     tables = newTables(store);
     targets =
         new TargetFollower(
@@ -234,7 +227,11 @@
             this::onRegistryFailed);
     configuration =
         new ConfigurationWatcher(
-            new StoreConfigurationSource(tables), control, clock, c -> acceptOnceRoutable());
+            new StoreConfigurationSource(tables),
+            control,
+            clock,
+            c -> acceptOnceRoutable(),
+            evacuated);
     reachability = newReachability(random);
     validator = newValidator();
     formation = newFormation(store, random);
@@ -247,7 +244,7 @@
     crashReports = newCrashReports(store, random);
     forwarder =
         new Forwarder(
-            targets,
+            new EvacuationFilter(targets, evacuated),
             placer,
             stalls,
             targetCaller,
@@ -295,21 +292,6 @@
         metrics);
   }
 
-  private ByteBudget newBudget() {
-    ByteBudget created =
-        new ByteBudget(getBudgetBytes(settings), trafficClock, new BudgetReporter());
-    BudgetReporter.publish(created, metrics);
-    return created;
-  }
-
-  /** Returns the bytes of messages that this process may hold, on the heap and outside of it. */
-  private static long getBudgetBytes(PlatformSettings settings) {
-    double direct = PlatformDependent.maxDirectMemory() * BUDGET_FRACTION_OF_DIRECT_MEMORY;
-    double heap = Runtime.getRuntime().maxMemory() * BUDGET_FRACTION_OF_HEAP;
-    double memory = settings.memoryBytes().orElse(Long.MAX_VALUE) * BUDGET_FRACTION_OF_MEMORY;
-    return (long) Math.min(Math.min(direct, heap), memory);
-  }
-
   /** Creates the feed of the tables that one entry of each availability zone reads for all. */
   private SharedTableFeed newTables(StoreClient store) {
     return new SharedTableFeed(
@@ -460,6 +442,7 @@
         FormationSettings.of(settings.loadWindow(), settings.zones()),
         this::areLoadsUnlimited,
         reachability::isIsolated,
+        evacuated,
         control,
         clock);
   }
