Use cold targets in turns of all entries

Cause: a service may state the rate that its targets bear shortly after their start, and nothing reads it. Each entry sends what it likes to a cold target.

Change: ColdTargets keeps which targets are cold, from their registrations, their answers to health checks and the ends of evacuations. Cold targets get no health checks. Without a stated rate nothing changes. The settings of the shared tables move out of PlatformEntry.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/RequestLimits.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/RequestLimits.java
@@ -1,14 +1,19 @@
 package io.fireflyshed.coordination.placement;
 
 import io.fireflyshed.state.instance.InstanceId;
+import io.fireflyshed.state.target.Target;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
 
-/** Keeps the limits that targets state for the requests of all entries. Not thread safe. */
+/**
+ * Keeps the limits that targets state for the requests of all entries, and the turns at these and
+ * other targets that the entries use in turns. Not thread safe.
+ */
 final class RequestLimits {
 
   /** The time for which the request limit of an unlisted target is kept. */
@@ -29,10 +34,19 @@
     this.schedule = Objects.requireNonNull(schedule, "schedule");
   }
 
-  /** Returns the time until the limit of a target admits a request, 0 for now. */
-  long getWaitNanos(InstanceId target) {
-    RequestSlots found = slots.get(target);
-    return found == null ? 0 : found.getWaitNanos().orElse(UNKNOWN_SLOT_WAIT.toNanos());
+  /** Returns the time until the rate of a target admits a request, 0 for now. */
+  long getWaitNanos(Target target) {
+    Optional<TurnRate> rate = schedule.getRates().get(target);
+    RequestSlots found = slots.get(target.id());
+    if (found == null && rate.isEmpty()) {
+      return 0;
+    }
+    if (found == null) {
+      found = new RequestSlots(target.id(), schedule);
+      slots.put(target.id(), found);
+    }
+    found.setRate(rate);
+    return found.getWaitNanos().orElse(UNKNOWN_SLOT_WAIT.toNanos());
   }
 
   /** Records a request that is sent now. */
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/RequestSlots.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/RequestSlots.java
@@ -3,6 +3,7 @@
 import io.fireflyshed.coordination.directory.EntryPosition;
 import io.fireflyshed.state.instance.InstanceId;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 
@@ -26,6 +27,10 @@
   private final long shift;
 
   private OptionalDouble limit = OptionalDouble.empty();
+
+  /** The rate that binds in each second, apart from the limit that the target states. */
+  private Optional<TurnRate> rate = Optional.empty();
+
   private long toldNanos;
 
   /** The start of the last used slot, or the time of the last request without a limit. */
@@ -58,9 +63,21 @@
     return Duration.ofNanos(schedule.getSharedNanos() - toldNanos);
   }
 
-  /** Returns the time until the limit admits a request, 0 for now, empty if it is not known. */
+  /** Sets the rate that binds apart from the limit, empty for none. */
+  void setRate(Optional<TurnRate> rate) {
+    this.rate = rate;
+  }
+
+  private boolean isInTurns() {
+    return limit.isPresent() || rate.isPresent();
+  }
+
+  /**
+   * Returns the time until the limit and the rate admit a request, 0 for now, empty if it is not
+   * known.
+   */
   OptionalLong getWaitNanos() {
-    if (limit.isEmpty()) {
+    if (!isInTurns()) {
       return OptionalLong.of(0);
     }
     long now = schedule.getSharedNanos();
@@ -71,26 +88,41 @@
   /** Records a request that is sent now. */
   void onSent() {
     long now = schedule.getSharedNanos();
-    lastUsedNanos = limit.isEmpty() ? now : findSlot(now).orElse(now);
+    lastUsedNanos = isInTurns() ? findSlot(now).orElse(now) : now;
+    if (rate.isPresent()) {
+      schedule.getRates().onTurnUsed();
+    }
   }
 
   /** Returns the start of the first slot of this entry that is neither used nor too old. */
   private OptionalLong findSlot(long nowNanos) {
-    return schedule.getPosition().stream().mapToLong(p -> findSlot(p, nowNanos)).findFirst();
+    Optional<EntryPosition> position =
+        rate.isPresent() ? schedule.getAgreedPosition() : schedule.getPosition();
+    return position.stream().mapToLong(p -> findSlot(p, nowNanos)).findFirst();
   }
 
   private long findSlot(EntryPosition position, long nowNanos) {
-    long slotNanos = getSlotNanos();
+    TurnRate binding = getBindingRate();
+    long slotNanos = getSlotNanos(binding);
+    long period = rate.isPresent() ? schedule.getLongestPeriod() : position.getPeriod();
     // A changed limit moves the slots; the distance keeps the entry from using two of one round.
-    long distance = (position.getPeriod() - 1) * slotNanos;
+    long distance = (period - 1) * slotNanos;
     long lastNanos = Math.min(lastUsedNanos, nowNanos) + distance;
-    long oldestNanos = Math.max(nowNanos - SLOT_LIFETIME.toNanos(), lastNanos);
+    long oldestNanos = Math.max(nowNanos - binding.lifetime().toNanos(), lastNanos);
     long next = Math.floorDiv(oldestNanos, slotNanos) + 1;
     return (position.getNextSlot(next + shift) - shift) * slotNanos;
   }
 
-  private long getSlotNanos() {
-    long nanos = Math.round(NANOS_PER_SECOND / limit.orElseThrow());
+  private TurnRate getBindingRate() {
+    Optional<TurnRate> stated =
+        limit.stream().mapToObj(l -> new TurnRate(l, SLOT_LIFETIME)).findFirst();
+    return stated.isEmpty()
+        ? rate.orElseThrow()
+        : rate.map(stated.get()::restrict).orElse(stated.get());
+  }
+
+  private static long getSlotNanos(TurnRate binding) {
+    long nanos = Math.round(NANOS_PER_SECOND / binding.requestsPerSecond());
     return Math.max(1, Math.min(MAX_SLOT_LENGTH.toNanos(), nanos));
   }
 }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetPlacer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetPlacer.java
@@ -138,7 +138,7 @@
       if (requests >= getCapacity(candidate, load, request.isModelPool())) {
         continue;
       }
-      long targetWaitNanos = limits.getWaitNanos(candidate.id());
+      long targetWaitNanos = limits.getWaitNanos(candidate);
       limitWaitNanos = Math.min(limitWaitNanos, targetWaitNanos);
       if (targetWaitNanos > 0) {
         continue;
@@ -178,7 +178,7 @@
     TargetLoad load = getLoad(candidate.id());
     return !load.isSuspect(nowNanos)
         && load.getRequests() < getCapacity(candidate, load, isModelPool)
-        && limits.getWaitNanos(candidate.id()) <= 0;
+        && limits.getWaitNanos(candidate) <= 0;
   }
 
   /**
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
@@ -17,6 +17,8 @@
 import io.fireflyshed.coordination.poison.CrashSettings;
 import io.fireflyshed.coordination.retry.RetryAllowance;
 import io.fireflyshed.coordination.retry.ServiceRetryBudgets;
+import io.fireflyshed.coordination.warmup.ColdBounds;
+import io.fireflyshed.coordination.warmup.ColdTargets;
 import io.fireflyshed.platform.HttpEngineControl;
 import io.fireflyshed.platform.HttpHealthCheck;
 import io.fireflyshed.platform.PlatformSettings;
@@ -31,7 +33,6 @@
 import io.fireflyshed.state.peer.EntryPeer;
 import io.fireflyshed.state.peer.PeerId;
 import io.fireflyshed.state.replica.ServiceName;
-import io.fireflyshed.state.table.Row;
 import io.fireflyshed.state.table.TableChanges;
 import io.fireflyshed.state.table.TableQuestion;
 import io.fireflyshed.state.target.Target;
@@ -52,6 +53,7 @@
 import io.fireflyshed.transport.forward.TcpTargetProbe;
 import io.fireflyshed.transport.forward.TrafficServer;
 import io.fireflyshed.transport.forward.TrafficServerSettings;
+import io.fireflyshed.transport.forward.WarmHealthCheck;
 import io.fireflyshed.transport.http.HttpCaller;
 import io.fireflyshed.transport.log.EventLog;
 import io.fireflyshed.transport.log.LoggingScheduler;
@@ -61,11 +63,11 @@
 import io.fireflyshed.transport.poison.CrashReportExchange;
 import io.fireflyshed.transport.poison.RemoteReportWriter;
 import io.fireflyshed.transport.poison.ReportWriter;
+import io.fireflyshed.transport.registry.ColdTargetRegistry;
 import io.fireflyshed.transport.registry.ConfigurationWatcher;
 import io.fireflyshed.transport.registry.EntryRegistrar;
 import io.fireflyshed.transport.registry.LoadExchange;
 import io.fireflyshed.transport.registry.SharedTableFeed;
-import io.fireflyshed.transport.registry.SharedTableFeed.TableSettings;
 import io.fireflyshed.transport.registry.SharedTableService;
 import io.fireflyshed.transport.registry.TargetFollower;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
@@ -73,7 +75,6 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -114,24 +115,6 @@
   /** Limits the answers to health checks, which say nothing beyond their heads. */
   private static final int MAX_HEALTH_BYTES = 16 << 10;
 
-  /** The shortest time between two reads of the targets for the entries of a zone. */
-  private static final Duration TARGETS_INTERVAL = Duration.ofMillis(400);
-
-  /** The shortest time between two reads of the configuration for the entries of a zone. */
-  private static final Duration CONFIGURATION_INTERVAL = Duration.ofMillis(400);
-
-  /** The shortest time between two reads of the crash reports for the entries of a zone. */
-  private static final Duration CRASH_REPORTS_INTERVAL = Duration.ofMillis(300);
-
-  /** The longest wait for a crash report, after which a reader that fell silent shows. */
-  private static final Duration CRASH_REPORTS_WAIT = Duration.ofSeconds(2);
-
-  /** The shortest time between two reads of the entries for the entries of a zone. */
-  private static final Duration ENTRIES_INTERVAL = Duration.ofSeconds(1);
-
-  /** The shortest time between two reads of the leases for the entries of a zone. */
-  private static final Duration LEASES_INTERVAL = Duration.ofMillis(600);
-
   /** The longest wait for the entry that writes crash reports to take one. */
   private static final Duration CRASH_REPORT_TIMEOUT = Duration.ofMillis(500);
 
@@ -172,6 +155,7 @@
   private final LoadExchange loads;
   private final TargetFollower targets;
   private final EvacuatedZones evacuated = new EvacuatedZones();
+  private final ColdTargets cold;
   private final ConfigurationWatcher configuration;
   private final EntryRegistrar registrar;
   private final Optional<EntryRelay> relay;
@@ -212,19 +196,14 @@
     PlacementSettings placement = PlacementSettings.ofDefaults();
     stalls = new StallDetector(placement);
     targetCaller = new TargetCaller(codec, trafficClock);
-    EntrySchedule schedule = new EntrySchedule(settings.zoneRank(), settings.zones(), sharedClock);
+    cold = newColdTargets();
+    EntrySchedule schedule =
+        new EntrySchedule(settings.zoneRank(), settings.zones(), sharedClock, cold);
     placer = new TargetPlacer(placement, settings.zone(), random, schedule);
     metrics.gauge("fireflyshed.limited.targets", placer, TargetPlacer::countLimitedTargets);
     metrics.gauge("fireflyshed.evacuated.zones", evacuated, e -> e.get().size());
     tables = newTables(store);
-    targets =
-        new TargetFollower(
-            new StoreTargetRegistry(tables, metrics),
-            TARGETS_READ_DELAY,
-            control,
-            clock,
-            this::onTargetsChanged,
-            this::onRegistryFailed);
+    targets = newTargets();
     configuration =
         new ConfigurationWatcher(
             new StoreConfigurationSource(tables),
@@ -260,9 +239,32 @@
     server = newServer(codec, random);
   }
 
+  private ColdTargets newColdTargets() {
+    return new ColdTargets(
+        new ColdBounds(settings.coldOvershoot(), settings.coldSlack()),
+        service -> getProfile(service).flatMap(ServiceProfile::coldStart),
+        evacuated,
+        clock);
+  }
+
+  private TargetFollower newTargets() {
+    return new TargetFollower(
+        new ColdTargetRegistry(new StoreTargetRegistry(tables, metrics), cold, metrics),
+        TARGETS_READ_DELAY,
+        control,
+        clock,
+        this::onTargetsChanged,
+        this::onRegistryFailed);
+  }
+
   private TargetValidator newValidator() {
     return new HealthCheckValidator(
-        new HttpHealthCheck(healthCaller, this::getHealthPath),
+        new WarmHealthCheck(
+            new HttpHealthCheck(
+                healthCaller,
+                service -> getProfile(service).flatMap(ServiceProfile::healthPath),
+                cold::onReported),
+            cold),
         targetProbe,
         placer,
         reachability,
@@ -270,11 +272,8 @@
         metrics);
   }
 
-  private Optional<String> getHealthPath(ServiceName service) {
-    return configuration
-        .get()
-        .map(c -> c.services().get(service))
-        .flatMap(ServiceProfile::healthPath);
+  private Optional<ServiceProfile> getProfile(ServiceName service) {
+    return configuration.get().map(c -> c.services().get(service));
   }
 
   private TrafficServer newServer(WireHeaders codec, UniformRandomProvider random) {
@@ -299,17 +298,7 @@
         this::askEntry,
         this::getAskableEntries,
         newSelector(),
-        Map.of(
-            StoreTargetRegistry.TABLE,
-            new TableSettings(TARGETS_INTERVAL, Duration.ZERO, StoreTargetRegistry::getDigest),
-            StoreConfigurationSource.TABLE,
-            new TableSettings(CONFIGURATION_INTERVAL, Duration.ZERO, Row::value),
-            CrashReportExchange.TABLE,
-            new TableSettings(CRASH_REPORTS_INTERVAL, CRASH_REPORTS_WAIT, Row::value),
-            EntryRegistrar.TABLE,
-            new TableSettings(ENTRIES_INTERVAL, Duration.ZERO, Row::version),
-            LeaseStore.TABLE,
-            new TableSettings(LEASES_INTERVAL, Duration.ZERO, Row::value)),
+        EntryTables.getSettings(),
         control,
         clock,
         metrics);
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/RehearseCommand.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/RehearseCommand.java
@@ -107,6 +107,8 @@
         Duration.ofSeconds(10),
         Duration.ofSeconds(5),
         1,
+        0,
+        1,
         memoryBytes);
   }
 }
--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/DeploymentRetryBudgetTest.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/DeploymentRetryBudgetTest.java
@@ -73,6 +73,8 @@
           Duration.ofSeconds(10),
           Duration.ofSeconds(5),
           1,
+          0,
+          1,
           OptionalLong.empty());
 
   /** Counts the requests for a service and the retries at it in each step. */
--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/soak/SharedAddressMain.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/soak/SharedAddressMain.java
@@ -46,6 +46,8 @@
         settings.repeatSlack(),
         settings.repeatWindow(),
         settings.loadWindow(),
+        settings.coldOvershoot(),
+        settings.coldSlack(),
         settings.cores(),
         settings.memoryBytes());
   }
