--- /dev/null
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/warmup/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the use of cold targets. */
+package io.fireflyshed.coordination.warmup;
