Take the turn at a cold target when a request is placed

Cause: many requests may be placed before the first of them is sent, for example after an entry was suspended, and all of them would use the same turn.

Change: a target with a rate loses the turn when it is chosen; limits that targets state are counted when requests are sent, as before.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/RequestLimits.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/RequestLimits.java
@@ -49,6 +49,18 @@
     return found.getWaitNanos().orElse(UNKNOWN_SLOT_WAIT.toNanos());
   }
 
+  /**
+   * Takes the turn of a request that was placed. Many requests may be placed before the first of
+   * them is sent, and a rate binds in each second.
+   */
+  Target use(Target target) {
+    RequestSlots found = slots.get(target.id());
+    if (found != null) {
+      found.onPlaced();
+    }
+    return target;
+  }
+
   /** Records a request that is sent now. */
   void onSent(InstanceId target) {
     RequestSlots found = slots.get(target);
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/RequestSlots.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/RequestSlots.java
@@ -85,13 +85,24 @@
     return start.isEmpty() ? start : OptionalLong.of(Math.max(0, start.getAsLong() - now));
   }
 
+  /** Records a request that was placed, whose turn nobody else can use. */
+  void onPlaced() {
+    if (rate.isPresent()) {
+      use();
+      schedule.getRates().onTurnUsed();
+    }
+  }
+
   /** Records a request that is sent now. */
   void onSent() {
+    if (rate.isEmpty()) {
+      use();
+    }
+  }
+
+  private void use() {
     long now = schedule.getSharedNanos();
     lastUsedNanos = isInTurns() ? findSlot(now).orElse(now) : now;
-    if (rate.isPresent()) {
-      schedule.getRates().onTurnUsed();
-    }
   }
 
   /** Returns the start of the first slot of this entry that is neither used nor too old. */
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetPlacer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetPlacer.java
@@ -154,7 +154,7 @@
     }
     // The starts of other entries since they told their load.
     double unseenStarts = isFleetKnown ? othersRate * (nowNanos - fleetNanos) / 1e9 : 0;
-    return new Placement.Send(LevelFiller.choose(options, unseenStarts, random));
+    return new Placement.Send(limits.use(LevelFiller.choose(options, unseenStarts, random)));
   }
 
   private boolean isFleetLoadKnown(long nowNanos) {
