Take targets that were not reached as cold when they come back

Cause: a target that crashed and is back within a heartbeat is cold, and its registration still says otherwise for up to two seconds.

Change: a target that was silent or couldn't be reached counts as cold for the cold start time of its service since then. The refusal at request limits moves from TargetPlacer to RequestLimits.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/RequestLimits.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/RequestLimits.java
@@ -1,5 +1,6 @@
 package io.fireflyshed.coordination.placement;
 
+import io.fireflyshed.coordination.retry.RetryAfterSchedule;
 import io.fireflyshed.state.instance.InstanceId;
 import io.fireflyshed.state.target.Target;
 import java.time.Duration;
@@ -69,6 +70,26 @@
     }
   }
 
+  /**
+   * Creates the refusal of a request that only limits and rates of targets keep from being sent.
+   *
+   * @param limitWaitNanos the time until one of them admits the next request
+   * @param capacityWait the time until a target is expected to have capacity, not null
+   */
+  static Placement newRefusal(long limitWaitNanos, Duration capacityWait) {
+    // The caller may return to another entry, whose next slot is about as near.
+    long wait = Math.min(limitWaitNanos, RetryAfterSchedule.MAX_WAIT.toNanos());
+    return new Placement.Refuse(
+        Placement.Cause.AT_REQUEST_LIMIT,
+        "all targets with capacity are at their request limits",
+        Duration.ofNanos(Math.max(wait, capacityWait.toNanos())));
+  }
+
+  /** Records that a target was silent or couldn't be reached. */
+  void onContactLost(InstanceId target) {
+    schedule.getRates().onContactLost(target);
+  }
+
   /** Records the limit that a target stated; returns whether it differs from the one before. */
   boolean onLimit(InstanceId target, OptionalDouble limit) {
     if (limit.isEmpty() && !slots.containsKey(target)) {
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetPlacer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetPlacer.java
@@ -193,12 +193,7 @@
       return new Placement.Refuse(
           Placement.Cause.AT_CAPACITY, "all targets are at capacity", capacityWait);
     }
-    // The caller may return to another entry, whose next slot is about as near.
-    long wait = Math.min(limitWaitNanos, RetryAfterSchedule.MAX_WAIT.toNanos());
-    return new Placement.Refuse(
-        Placement.Cause.AT_REQUEST_LIMIT,
-        "all targets with capacity are at their request limits",
-        Duration.ofNanos(Math.max(wait, capacityWait.toNanos())));
+    return RequestLimits.newRefusal(limitWaitNanos, capacityWait);
   }
 
   private int getCapacity(Target target, TargetLoad load, boolean isModelPool) {
@@ -363,6 +358,7 @@
    * @param nowNanos the current time of the monotonic clock
    */
   public synchronized void onSilent(InstanceId target, long nowNanos) {
+    limits.onContactLost(target);
     getLoad(target).suspectAtLeastUntil(nowNanos + settings.silenceHold().toNanos(), nowNanos);
   }
 
@@ -373,6 +369,7 @@
    * @param nowNanos the current time of the monotonic clock
    */
   public synchronized void suspect(InstanceId target, long nowNanos) {
+    limits.onContactLost(target);
     getLoad(target).suspectUntil(nowNanos + settings.suspectTime().toNanos());
   }
 
@@ -383,6 +380,7 @@
    * @param nowNanos the current time of the monotonic clock
    */
   public synchronized void onUnreachable(InstanceId target, long nowNanos) {
+    limits.onContactLost(target);
     getLoad(target)
         .onUnreachable(nowNanos, settings.initialUnreachableTime(), settings.suspectTime());
   }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TurnRates.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TurnRates.java
@@ -1,5 +1,6 @@
 package io.fireflyshed.coordination.placement;
 
+import io.fireflyshed.state.instance.InstanceId;
 import io.fireflyshed.state.target.Target;
 import java.util.Optional;
 
@@ -20,6 +21,13 @@
   /** Records that a turn was used. */
   void onTurnUsed();
 
+  /**
+   * Records that a target was silent or couldn't be reached, after which it may have restarted.
+   *
+   * @param target the target, not null
+   */
+  void onContactLost(InstanceId target);
+
   /**
    * Creates rates without any target.
    *
@@ -34,6 +42,9 @@
 
       @Override
       public void onTurnUsed() {}
+
+      @Override
+      public void onContactLost(InstanceId target) {}
     };
   }
 }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/warmup/ColdTargets.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/warmup/ColdTargets.java
@@ -27,14 +27,18 @@
  * <p>A target is cold from the moment at which its registration or its answer to a health check
  * says so. It is warm once its registration says so; while the registry can't be read, once the
  * time has passed that it stated last. A target that says nothing of it counts as cold for the time
- * of its service after it was listed or restarted, and all targets of an availability zone do after
- * its evacuation. Only targets of services that state a rate count. Thread safe.
+ * of its service after it was listed or restarted; one that was silent or not reached does since
+ * then, and all targets of an availability zone do after its evacuation. Only targets of services
+ * that state a rate count. Thread safe.
  */
 public final class ColdTargets implements TurnRates {
 
   /** The time from a change at a target until the read that shows it, at most. */
   private static final Duration LISTING_LAG = Duration.ofSeconds(2);
 
+  /** The time for which a lost contact is kept, longer than targets are cold. */
+  private static final Duration LOSS_RETENTION = Duration.ofSeconds(60);
+
   /** A registration of a target that isn't known to be warm. */
   private record Listing(long startMillis, Optional<Duration> coldTime, long sinceNanos) {}
 
@@ -47,6 +51,9 @@
   /** The ends of cold times that don't end with a registration. */
   private final Map<InstanceId, Long> endNanos = new ConcurrentHashMap<>();
 
+  /** The times at which targets were last silent or couldn't be reached. */
+  private final Map<InstanceId, Long> lostNanos = new ConcurrentHashMap<>();
+
   private final LongAdder turns = new LongAdder();
   private volatile long readNanos;
 
@@ -86,6 +93,7 @@
     }
     removed.forEach(id -> remove(id, now));
     endNanos.values().removeIf(end -> now - end >= 0);
+    lostNanos.values().removeIf(lost -> now - lost >= LOSS_RETENTION.toNanos());
     readNanos = now;
   }
 
@@ -144,11 +152,13 @@
     Long end = endNanos.get(target.id());
     Listing listing = listings.get(target.id());
     OptionalLong evacuationEnd = evacuated.getEndNanos(target.zone());
-    if (end == null && listing == null && evacuationEnd.isEmpty()) {
+    Long lost = lostNanos.get(target.id());
+    if (end == null && listing == null && lost == null && evacuationEnd.isEmpty()) {
       return false;
     }
     long now = clock.nanoTime();
     return (end != null && now - end < 0)
+        || (lost != null && now - lost < coldStart.toNanos())
         || (listing != null && isCold(listing, coldStart, now))
         || (evacuationEnd.isPresent() && now - evacuationEnd.getAsLong() < coldStart.toNanos());
   }
@@ -159,6 +169,11 @@
         : nowNanos - listing.sinceNanos() < coldStart.toNanos();
   }
 
+  @Override
+  public void onContactLost(InstanceId target) {
+    lostNanos.put(target, clock.nanoTime());
+  }
+
   @Override
   public void onTurnUsed() {
     turns.increment();
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/placement/RequestLimitsTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/placement/RequestLimitsTest.java
@@ -52,6 +52,9 @@
           public void onTurnUsed() {
             turns++;
           }
+
+          @Override
+          public void onContactLost(InstanceId target) {}
         };
     EntrySchedule schedule = new EntrySchedule(0, 1, new SharedClock(clock), rates);
     schedule.setRank(0, 1);
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/warmup/ColdTargetsTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/warmup/ColdTargetsTest.java
@@ -132,6 +132,19 @@
     assertFalse(isCold());
   }
 
+  @Test
+  public void targetThatWasNotReachedIsColdWhenItComesBack() {
+    list(Duration.ZERO);
+    cold.onContactLost(ID);
+    clock.advance(Duration.ofSeconds(2));
+    cold.onContactLost(ID);
+    clock.advance(Duration.ofMillis(2999));
+    list(Duration.ZERO);
+    assertTrue(isCold());
+    clock.advance(Duration.ofMillis(1));
+    assertFalse(isCold());
+  }
+
   @Test
   public void targetsAreColdAfterTheEvacuationOfTheirZone() {
     list(Duration.ZERO);
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/WarmHealthCheckTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/WarmHealthCheckTest.java
@@ -63,6 +63,9 @@
 
           @Override
           public void onTurnUsed() {}
+
+          @Override
+          public void onContactLost(InstanceId target) {}
         };
     health = new WarmHealthCheck(counting, rates);
   }
