Allocate engines by the usage of the models

Cause: models compete for engines by their configured shares.

Change: ModelBalance decides which model needs engines. ShareBalance is the rule of before. UsageBalance goes by the requests in flight at the heads of all zones, keeps two replicas of each model and moves engines only from a model that can spare them. It is in use where the settings say that several machines may be lost at once and the load of the entries is known.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/FormationPlanner.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/FormationPlanner.java
@@ -119,6 +119,17 @@
     allocator.setReplicasInOtherZones(replicas);
   }
 
+  /**
+   * Records how busy the replicas of the models are in all zones.
+   *
+   * @param busyReplicas the requests that run or wait at replicas, divided by the slots of a
+   *     replica, by model, not null
+   * @param nowNanos the current time of the monotonic clock
+   */
+  public void recordUsage(Map<String, Double> busyReplicas, long nowNanos) {
+    allocator.recordUsage(busyReplicas, nowNanos);
+  }
+
   /**
    * Updates the engines from the registry.
    *
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/ReplicaAllocator.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/ReplicaAllocator.java
@@ -21,23 +21,10 @@
  * Forms replicas from free engines, keeps warm spares and moves engines from one model to another.
  * Not thread safe.
  *
- * <p>The coverage of a model is the number of engines that serve it, divided by its share of the
- * work.
+ * <p>A {@link ModelBalance} tells which model needs engines most.
  */
 final class ReplicaAllocator {
 
-  /**
-   * Lower bound for a model's share of the work, so that the coverage of an idle model stays
-   * finite.
-   */
-  private static final double MIN_SHARE = 0.01;
-
-  /** A model gives up engines to the least covered one if its coverage is higher by this factor. */
-  private static final double DONOR_RATIO = 1.8;
-
-  /** The same factor if the domain has free engines that no model can use without further ones. */
-  private static final double DONOR_RATIO_WITH_FREE = 1.2;
-
   /** Free engines of a domain, beyond its usual spares, from which the lower factor applies. */
   private static final int MIN_FREE_FOR_LOWER_RATIO = 3;
 
@@ -46,6 +33,8 @@
   private final FormationState state;
   private final ReplicaMaintainer maintainer;
   private final LoadBudget loadBudget;
+  private final ShareBalance shares = new ShareBalance();
+  private final UsageBalance usage = new UsageBalance();
   private Map<String, Integer> replicasInOtherZones = Map.of();
 
   ReplicaAllocator(
@@ -60,6 +49,15 @@
     this.loadBudget = loadBudget;
   }
 
+  /** Records the usage of the models, by which engines are allocated from then on. */
+  void recordUsage(Map<String, Double> busyReplicas, long nowNanos) {
+    usage.recordUsage(busyReplicas, nowNanos);
+  }
+
+  private ModelBalance getBalance() {
+    return usage.isKnown() ? usage : shares;
+  }
+
   void setReplicasInOtherZones(Map<String, Integer> replicas) {
     replicasInOtherZones = Map.copyOf(replicas);
   }
@@ -139,11 +137,10 @@
    * domain that can be reclaimed.
    */
   private boolean shouldReserve(Candidate candidate, List<EngineState> free, String domain) {
-    Map<String, Double> coverage = getCoverage();
-    ModelProfile leastCovered = getLeastCovered(coverage).orElseThrow();
-    double ratio = coverage.get(candidate.model().name()) / coverage.get(leastCovered.name());
+    Map<String, Integer> replicas = countReplicas();
+    ModelProfile leastCovered = getLeastCovered(replicas).orElseThrow();
     return !candidate.model().name().equals(leastCovered.name())
-        && ratio > DONOR_RATIO_WITH_FREE
+        && getBalance().isMoveWorthwhile(candidate.model(), leastCovered, replicas, true)
         && free.size() + countReclaimable(leastCovered, domain) >= leastCovered.size();
   }
 
@@ -171,9 +168,9 @@
    */
   private Optional<Candidate> chooseCandidate(
       List<EngineState> free, boolean isEngineListSettled, long nowNanos) {
-    Map<String, Double> coverage = getCoverage();
+    Map<String, Integer> replicas = countReplicas();
     if (!isEngineListSettled) {
-      return getLeastCovered(coverage)
+      return getLeastCovered(replicas)
           .filter(m -> free.size() >= m.size())
           .map(m -> newCandidate(m, free, nowNanos));
     }
@@ -183,50 +180,47 @@
         continue;
       }
       Candidate candidate = newCandidate(model, free, nowNanos);
-      if (best == null || isBetter(candidate, best, coverage)) {
+      if (best == null || isBetter(candidate, best, replicas)) {
         best = candidate;
       }
     }
     return Optional.ofNullable(best);
   }
 
-  private Optional<ModelProfile> getLeastCovered(Map<String, Double> coverage) {
+  private Optional<ModelProfile> getLeastCovered(Map<String, Integer> replicas) {
     return profile.models().stream()
         .min(
-            Comparator.comparingDouble((ModelProfile m) -> coverage.get(m.name()))
+            Comparator.comparingDouble((ModelProfile m) -> getCoverage(m, replicas))
                 .thenComparing(Comparator.comparingInt(ModelProfile::size).reversed()));
   }
 
-  private boolean isBetter(Candidate one, Candidate other, Map<String, Double> coverage) {
+  private boolean isBetter(Candidate one, Candidate other, Map<String, Integer> replicas) {
     boolean isQuick = one.formTime().compareTo(settings.quickFormTime()) <= 0;
     boolean isOtherQuick = other.formTime().compareTo(settings.quickFormTime()) <= 0;
     if (isQuick != isOtherQuick) {
       return isQuick;
     }
-    int byCoverage = coverage.get(one.model().name()).compareTo(coverage.get(other.model().name()));
+    int byCoverage =
+        Double.compare(getCoverage(one.model(), replicas), getCoverage(other.model(), replicas));
     return byCoverage != 0 ? byCoverage < 0 : one.model().size() > other.model().size();
   }
 
-  /** Returns the coverage of each model by the replicas in this and other zones. */
-  private Map<String, Double> getCoverage() {
-    Map<String, Double> coverage = new HashMap<>();
+  private double getCoverage(ModelProfile model, Map<String, Integer> replicas) {
+    return getBalance().getCoverage(model, replicas.get(model.name()));
+  }
+
+  /** Counts the replicas of each model in this and other zones. */
+  private Map<String, Integer> countReplicas() {
+    Map<String, Integer> replicas = new HashMap<>();
     for (ModelProfile model : profile.models()) {
-      int otherZoneReplicas = replicasInOtherZones.getOrDefault(model.name(), 0);
-      coverage.put(model.name(), otherZoneReplicas * getReplicaCoverage(model));
+      replicas.put(model.name(), replicasInOtherZones.getOrDefault(model.name(), 0));
     }
     for (ReplicaState replica : state.getReplicas()) {
       if (replica.isLive()) {
-        state
-            .getModel(replica.getModel())
-            .ifPresent(m -> coverage.merge(m.name(), getReplicaCoverage(m), Double::sum));
+        replicas.computeIfPresent(replica.getModel(), (model, count) -> count + 1);
       }
     }
-    return coverage;
-  }
-
-  /** Returns what one replica adds to the coverage of its model. */
-  private static double getReplicaCoverage(ModelProfile model) {
-    return model.size() / Math.max(model.share(), MIN_SHARE);
+    return replicas;
   }
 
   private Candidate newCandidate(ModelProfile model, List<EngineState> free, long nowNanos) {
@@ -320,6 +314,17 @@
     orders.add(FormationOrder.of(spare, join, "keeping the engine as a warm spare"));
   }
 
+  /** Tests whether a replica may be closed for the sake of another model. */
+  private boolean mayGive(
+      ReplicaState replica,
+      ModelProfile receiver,
+      Map<String, Integer> replicas,
+      boolean hasFreeEngines) {
+    Optional<ModelProfile> donor = state.getModel(replica.getModel());
+    return donor.filter(d -> !d.name().equals(receiver.name())).isPresent()
+        && getBalance().isMoveWorthwhile(donor.get(), receiver, replicas, hasFreeEngines);
+  }
+
   /**
    * Moves engines of a domain from models with far more coverage to the least covered one. Stages
    * the model on the engines while they still serve, then closes the replicas that give up engines.
@@ -328,20 +333,21 @@
    */
   private boolean rebalance(
       String domain, List<EngineState> free, long nowNanos, OrderBatch orders) {
-    Map<String, Double> coverage = getCoverage();
-    ModelProfile leastCovered = getLeastCovered(coverage).orElseThrow();
+    Map<String, Integer> replicas = countReplicas();
+    ModelProfile leastCovered = getLeastCovered(replicas).orElseThrow();
     List<EngineState> pool = new ArrayList<>(free);
     List<ReplicaState> donors = new ArrayList<>();
-    double minRatio = free.size() >= MIN_FREE_FOR_LOWER_RATIO ? DONOR_RATIO_WITH_FREE : DONOR_RATIO;
+    boolean hasFreeEngines = free.size() >= MIN_FREE_FOR_LOWER_RATIO;
     for (ReplicaState replica : state.getReplicas()) {
       boolean isOverCovered =
           replica.getStage() == ReplicaState.Stage.SERVING
               && !orders.hasOrderFor(replica.getHead())
-              && !replica.getModel().equals(leastCovered.name())
-              && coverage.getOrDefault(replica.getModel(), 0.0)
-                  > minRatio * coverage.get(leastCovered.name());
+              && mayGive(replica, leastCovered, replicas, hasFreeEngines);
       if (pool.size() < leastCovered.size() && isOverCovered && state.isHeadIn(replica, domain)) {
         donors.add(replica);
+        if (getBalance() == usage) {
+          replicas.merge(replica.getModel(), -1, Integer::sum);
+        }
         replica.getMembers().stream()
             .map(state::getEngine)
             .flatMap(Optional::stream)
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/UsageBalance.java
@@ -0,0 +1,84 @@
+package io.fireflyshed.coordination.formation;
+
+import io.fireflyshed.state.traffic.ModelProfile;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Compares models by how busy their replicas are, and keeps replicas of each model in more than one
+ * place. The usage is smoothed, since engines take many seconds to change their model. Not thread
+ * safe.
+ */
+final class UsageBalance implements ModelBalance {
+
+  /** The replicas that each model should have, so that one that is lost leaves another. */
+  static final int MIN_REPLICAS = 2;
+
+  /** The coverage of a model with fewer replicas than it should have, for each replica. */
+  private static final double SCARCE_COVERAGE = 1e-3;
+
+  /** Lower bound for the busy replicas of a model, so that the coverage stays finite. */
+  private static final double MIN_BUSY = 0.1;
+
+  /** The usage of its replicas from which a model needs more of them. */
+  private static final double HIGH_USAGE = 0.75;
+
+  /** The usage that the replicas of a model may reach by giving one up. */
+  private static final double MODERATE_USAGE = 0.6;
+
+  /** The time in which the smoothed usage covers 63% of the way to a new value. */
+  private static final double SMOOTHING_SECONDS = 5;
+
+  private final Map<String, Double> busyReplicas = new HashMap<>();
+  private long lastNanos;
+
+  /**
+   * Records the usage of all models.
+   *
+   * @param busy the requests that run or wait, divided by the slots of a replica, by model, not
+   *     null
+   * @param nowNanos the current time of the monotonic clock
+   */
+  void recordUsage(Map<String, Double> busy, long nowNanos) {
+    double seconds = (nowNanos - lastNanos) / 1e9;
+    lastNanos = nowNanos;
+    double weight = busyReplicas.isEmpty() ? 1 : 1 - Math.exp(-seconds / SMOOTHING_SECONDS);
+    busy.forEach(
+        (model, value) ->
+            busyReplicas.merge(model, value, (old, next) -> old + weight * (next - old)));
+  }
+
+  /** Tests whether any usage is known. */
+  boolean isKnown() {
+    return !busyReplicas.isEmpty();
+  }
+
+  private double getBusy(ModelProfile model) {
+    return busyReplicas.getOrDefault(model.name(), 0.0);
+  }
+
+  @Override
+  public double getCoverage(ModelProfile model, int replicas) {
+    return replicas < MIN_REPLICAS
+        ? replicas * SCARCE_COVERAGE
+        : replicas / Math.max(getBusy(model), MIN_BUSY);
+  }
+
+  @Override
+  public boolean isMoveWorthwhile(
+      ModelProfile donor,
+      ModelProfile receiver,
+      Map<String, Integer> replicas,
+      boolean hasFreeEngines) {
+    int received = replicas.get(receiver.name());
+    if (received < MIN_REPLICAS) {
+      return canGive(donor, replicas, HIGH_USAGE);
+    }
+    return getBusy(receiver) > HIGH_USAGE * received && canGive(donor, replicas, MODERATE_USAGE);
+  }
+
+  private boolean canGive(ModelProfile donor, Map<String, Integer> replicas, double maxUsage) {
+    int left = replicas.get(donor.name()) - 1;
+    return left >= MIN_REPLICAS && getBusy(donor) < maxUsage * left;
+  }
+}
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/formation/FormationController.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/formation/FormationController.java
@@ -5,9 +5,11 @@
 import io.fireflyshed.coordination.formation.FormationPlanner;
 import io.fireflyshed.coordination.formation.FormationSettings;
 import io.fireflyshed.coordination.formation.GenerationCounter;
+import io.fireflyshed.coordination.formation.UsageMeter;
 import io.fireflyshed.coordination.lease.LeaseAction;
 import io.fireflyshed.coordination.lease.LeaseGrant;
 import io.fireflyshed.coordination.lease.ZoneLease;
+import io.fireflyshed.coordination.placement.FleetLoad;
 import io.fireflyshed.state.clock.MonotonicClock;
 import io.fireflyshed.state.instance.AvailabilityZone;
 import io.fireflyshed.state.instance.InstanceId;
@@ -57,6 +59,7 @@
   private final BooleanSupplier areLoadsUnlimited;
   private final BooleanSupplier isCutOff;
   private final EvacuatedZones evacuated;
+  private final Supplier<Optional<FleetLoad>> fleetLoad;
   private final ScheduledExecutorService control;
   private final MonotonicClock clock;
   private final EventLog log = new EventLog("formation");
@@ -80,6 +83,9 @@
    * @param isCutOff whether this entry probably reaches no or few engines, so that their failures
    *     show nothing; called on the control thread, not null
    * @param evacuated the zones whose engines must get no orders, not null
+   * @param fleetLoad supplies the load that all entries put on targets, by which engines are
+   *     allocated; empty if it isn't known or they are allocated by the configured shares of the
+   *     models; called on the control thread, not null
    * @param control the control thread, not null
    * @param clock the clock of this process, which includes suspended time, not null
    */
@@ -94,6 +100,7 @@
       BooleanSupplier areLoadsUnlimited,
       BooleanSupplier isCutOff,
       EvacuatedZones evacuated,
+      Supplier<Optional<FleetLoad>> fleetLoad,
       ScheduledExecutorService control,
       MonotonicClock clock) {
     this.zone = zone;
@@ -106,6 +113,7 @@
     this.areLoadsUnlimited = areLoadsUnlimited;
     this.isCutOff = isCutOff;
     this.evacuated = evacuated;
+    this.fleetLoad = fleetLoad;
     this.control = control;
     this.clock = clock;
   }
@@ -275,11 +283,15 @@
                     areLoadsUnlimited.getAsBoolean(),
                     now));
     List<Target> zoneTargets = new ArrayList<>();
+    List<Target> heads = new ArrayList<>();
     Map<String, Integer> replicasInOtherZones = new HashMap<>();
     for (Target target : targets.get()) {
       if (!target.service().equals(service)) {
         continue;
       }
+      if (target.isOpenHead() && !evacuated.contains(target.zone())) {
+        heads.add(target);
+      }
       if (target.zone().equals(zone)) {
         zoneTargets.add(target);
       } else if (target.isOpenHead() && !evacuated.contains(target.zone())) {
@@ -287,6 +299,10 @@
       }
     }
     planner.setReplicasInOtherZones(replicasInOtherZones);
+    fleetLoad
+        .get()
+        .map(load -> UsageMeter.getBusyReplicas(profile, heads, load))
+        .ifPresent(busy -> planner.recordUsage(busy, now));
     planner.updateTargets(zoneTargets, now);
     planner.setLoadsUnlimited(areLoadsUnlimited.getAsBoolean());
     planner.pollDueReports(now).forEach(t -> requestReport(planner, t));
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/registry/LoadExchange.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/registry/LoadExchange.java
@@ -61,6 +61,7 @@
   private final EventLog log = new EventLog("loads");
   private final Map<PeerId, Told> reports = new HashMap<>();
   private final Map<AvailabilityZone, Told> zoneLoads = new HashMap<>();
+  private Optional<Told> latest = Optional.empty();
 
   /**
    * Creates an exchange.
@@ -148,11 +149,22 @@
       silenceListener.accept(silent);
     }
     if (total.entries() * 2 > entries.get().size() + 1) {
+      latest = Optional.of(new Told(total, nanos));
       // Most of the loads were told some time before.
       placer.onFleetLoad(total, own, nanos - INTERVAL.toNanos() / 2);
     }
   }
 
+  /**
+   * Gets the load of most entries as it was told last. Must be called on the control thread.
+   *
+   * @return the load, empty if none is recent, never null
+   */
+  public Optional<FleetLoad> getLatest() {
+    long now = clock.nanoTime();
+    return latest.filter(told -> now - told.nanos() <= MAX_REPORT_AGE.toNanos()).map(Told::load);
+  }
+
   private void onFailure(EntryPeer entry, Throwable error) {
     log.info("load not told", "entry", entry.id(), "error", error.getMessage());
     selector.onFailure(entry.id(), clock.nanoTime());
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/FormationSimulation.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/FormationSimulation.java
@@ -70,6 +70,11 @@
   }
 
   FormationSimulation(long seed, int domains, double loadsPerSecond) {
+    this(seed, domains, DOMAIN_SIZE, loadsPerSecond, List.of(LARGE, SMALL));
+  }
+
+  FormationSimulation(
+      long seed, int domains, int domainSize, double loadsPerSecond, List<ModelProfile> models) {
     random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
     profile =
         new EngineProfile(
@@ -84,9 +89,9 @@
             8,
             Duration.ofMillis(300),
             Duration.ofMillis(REPORT_LAG_MILLIS),
-            List.of(LARGE, SMALL));
+            models);
     for (int d = 0; d < domains; d++) {
-      for (int i = 0; i < DOMAIN_SIZE; i++) {
+      for (int i = 0; i < domainSize; i++) {
         add("e" + d + "-" + i, "d" + d);
       }
     }
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/formation/FormationControllerTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/formation/FormationControllerTest.java
@@ -157,6 +157,7 @@
         () -> true,
         () -> isCutOff,
         evacuated,
+        Optional::empty,
         control,
         clock);
   }
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
@@ -443,6 +443,7 @@
         this::areLoadsUnlimited,
         reachability::isIsolated,
         evacuated,
+        () -> settings.toleratedLosses() > 1 ? loads.getLatest() : Optional.empty(),
         control,
         clock);
   }
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/RehearseCommand.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/RehearseCommand.java
@@ -107,6 +107,7 @@
         Duration.ofSeconds(10),
         Duration.ofSeconds(5),
         1,
-        memoryBytes);
+        memoryBytes,
+        1);
   }
 }
--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/DeploymentRetryBudgetTest.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/DeploymentRetryBudgetTest.java
@@ -73,7 +73,8 @@
           Duration.ofSeconds(10),
           Duration.ofSeconds(5),
           1,
-          OptionalLong.empty());
+          OptionalLong.empty(),
+          1);
 
   /** Counts the requests for a service and the retries at it in each step. */
   private static final class Counts {
