--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/RehearseCommand.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/RehearseCommand.java
@@ -109,6 +109,7 @@
         1,
         0,
         1,
-        memoryBytes);
+        memoryBytes,
+        1);
   }
 }
--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/DeploymentRetryBudgetTest.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/DeploymentRetryBudgetTest.java
@@ -75,7 +75,8 @@
           1,
           0,
           1,
-          OptionalLong.empty());
+          OptionalLong.empty(),
+          1);
 
   /** Counts the requests for a service and the retries at it in each step. */
   private static final class Counts {
--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/soak/SharedAddressMain.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/soak/SharedAddressMain.java
@@ -49,6 +49,7 @@
         settings.coldOvershoot(),
         settings.coldSlack(),
         settings.cores(),
-        settings.memoryBytes());
+        settings.memoryBytes(),
+        settings.toleratedLosses());
   }
 }
