Place requests by the expected time to their first event

Cause: a request counts as one wherever it goes, though requests differ by a hundred times in work.

Change: TargetPlacer asks TargetCosts for the rating of a target. RequestCountCosts is what was there. ExpectedWorkCosts rates by prefill, waiting for a slot, memory and the work left, corrected by what ended streams taught. The setting "placement" ("requests", which is the default, or "work") chooses. TargetLoads and PlacementRefusals take parts of TargetPlacer. The load exchange carries the work that is left where an entry tracks it.

--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/cost/package-info.java
@@ -0,0 +1,2 @@
+/** Estimates what requests cost and what work the targets still have to do. */
+package io.fireflyshed.coordination.cost;
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/FleetLoad.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/FleetLoad.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.stream.Collectors;
 
@@ -28,9 +29,15 @@
    * @param startsPerSecond the rate at which requests were started lately
    * @param silentEntries the number of entries whose streams had no event for a moment
    * @param responsiveEntries the number of entries whose streams had one
+   * @param workMillis the time for which these requests will still keep the target busy, in
+   *     milliseconds, empty if no entry told it, not null
    */
   public record TargetRequests(
-      int inFlight, double startsPerSecond, int silentEntries, int responsiveEntries) {
+      int inFlight,
+      double startsPerSecond,
+      int silentEntries,
+      int responsiveEntries,
+      OptionalDouble workMillis) {
 
     /** The requests of no entry. */
     static final TargetRequests NONE = new TargetRequests(0, 0, 0, 0);
@@ -38,11 +45,50 @@
     /** Validates the components. */
     public TargetRequests {
       boolean isNegative = inFlight < 0 || silentEntries < 0 || responsiveEntries < 0;
-      if (isNegative || !(startsPerSecond >= 0)) {
+      if (isNegative || !(startsPerSecond >= 0) || !(workMillis.orElse(0) >= 0)) {
         throw new IllegalArgumentException("negative load");
       }
     }
 
+    /** Creates requests whose work isn't told. */
+    public TargetRequests(
+        int inFlight, double startsPerSecond, int silentEntries, int responsiveEntries) {
+      this(inFlight, startsPerSecond, silentEntries, responsiveEntries, OptionalDouble.empty());
+    }
+
+    /** Returns these requests with their work. */
+    TargetRequests withWork(OptionalDouble millis) {
+      return new TargetRequests(
+          inFlight, startsPerSecond, silentEntries, responsiveEntries, millis);
+    }
+
+    /** Returns the work, with the requests of entries that tell none at the mean of the others. */
+    private OptionalDouble addWork(TargetRequests other) {
+      if (workMillis.isPresent() && other.workMillis.isPresent()) {
+        return OptionalDouble.of(workMillis.getAsDouble() + other.workMillis.getAsDouble());
+      }
+      TargetRequests told = workMillis.isPresent() ? this : other;
+      return told.scaleWork(inFlight + other.inFlight);
+    }
+
+    private OptionalDouble subtractWork(TargetRequests other) {
+      if (workMillis.isPresent() && other.workMillis.isPresent()) {
+        return OptionalDouble.of(
+            Math.max(0, workMillis.getAsDouble() - other.workMillis.getAsDouble()));
+      }
+      return scaleWork(Math.max(0, inFlight - other.inFlight));
+    }
+
+    /** Returns the work of another number of requests with the same mean. */
+    private OptionalDouble scaleWork(int requests) {
+      if (workMillis.isEmpty() || requests == inFlight) {
+        return workMillis;
+      }
+      return inFlight == 0
+          ? OptionalDouble.empty()
+          : OptionalDouble.of(workMillis.getAsDouble() * requests / inFlight);
+    }
+
     /** Tests whether entries wait for the target and none has heard of it for a moment. */
     private boolean isSilent() {
       return silentEntries > 0 && responsiveEntries == 0;
@@ -53,7 +99,8 @@
           inFlight + other.inFlight,
           startsPerSecond + other.startsPerSecond,
           silentEntries + other.silentEntries,
-          responsiveEntries + other.responsiveEntries);
+          responsiveEntries + other.responsiveEntries,
+          addWork(other));
     }
 
     private TargetRequests minus(TargetRequests other) {
@@ -61,7 +108,8 @@
           Math.max(0, inFlight - other.inFlight),
           Math.max(0, startsPerSecond - other.startsPerSecond),
           Math.max(0, silentEntries - other.silentEntries),
-          Math.max(0, responsiveEntries - other.responsiveEntries));
+          Math.max(0, responsiveEntries - other.responsiveEntries),
+          subtractWork(other));
     }
   }
 
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/PlacementSettings.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/PlacementSettings.java
@@ -28,6 +28,7 @@
  *     connection; it doubles with each further failure up to {@code suspectTime}, not null
  * @param zonePenalty the load that is added for a target in another zone, as a fraction of its
  *     slots
+ * @param basis what targets are compared by, not null
  */
 public record PlacementSettings(
     int maxQueuedPerReplica,
@@ -39,7 +40,8 @@
     Duration connectionStallTimeout,
     Duration suspectTime,
     Duration initialUnreachableTime,
-    double zonePenalty) {
+    double zonePenalty,
+    PlacementBasis basis) {
 
   /** Validates the components. */
   public PlacementSettings {
@@ -50,6 +52,28 @@
     Objects.requireNonNull(connectionStallTimeout, "connectionStallTimeout");
     Objects.requireNonNull(suspectTime, "suspectTime");
     Objects.requireNonNull(initialUnreachableTime, "initialUnreachableTime");
+    Objects.requireNonNull(basis, "basis");
+  }
+
+  /**
+   * Returns these settings with another basis.
+   *
+   * @param newBasis what targets are compared by, not null
+   * @return the settings, never null
+   */
+  public PlacementSettings withBasis(PlacementBasis newBasis) {
+    return new PlacementSettings(
+        maxQueuedPerReplica,
+        maxQueuedPerSlot,
+        silenceTimeout,
+        firstEventSilenceTimeout,
+        silenceHold,
+        stallTimeout,
+        connectionStallTimeout,
+        suspectTime,
+        initialUnreachableTime,
+        zonePenalty,
+        newBasis);
   }
 
   /**
@@ -68,6 +92,7 @@
         Duration.ofMillis(2500),
         Duration.ofSeconds(6),
         Duration.ofSeconds(1),
-        0.03);
+        0.03,
+        PlacementBasis.REQUESTS);
   }
 }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetLoad.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetLoad.java
@@ -146,6 +146,37 @@
     return slots > 0 ? slots : Math.max(1, listedSlots);
   }
 
+  /**
+   * Describes this target for its rating.
+   *
+   * @param requests the running and waiting requests
+   * @param slots the most requests that the target runs at the same time
+   * @param soundIntervalMillis the interval of events up to which the target isn't slow, 0 if not
+   *     known
+   * @param isOtherZone whether the target is in another zone
+   * @param toldAgeNanos the age of what other entries told, {@code Long.MAX_VALUE} if it isn't used
+   */
+  TargetState getState(
+      int requests,
+      int slots,
+      double soundIntervalMillis,
+      boolean isOtherZone,
+      long toldAgeNanos,
+      long nowNanos) {
+    long reportAgeNanos = isReported ? nowNanos - reportedNanos : Long.MAX_VALUE;
+    double slowness = soundIntervalMillis > 0 ? meanEventIntervalMillis / soundIntervalMillis : 1;
+    return new TargetState(
+        requests,
+        slots,
+        othersLoad.inFlight(),
+        othersLoad.workMillis(),
+        othersLoad.startsPerSecond(),
+        Math.min(toldAgeNanos, reportAgeNanos),
+        Math.max(1, slowness),
+        getFailureRate(nowNanos),
+        isOtherZone);
+  }
+
   /**
    * Returns this entry's own load on the target.
    *
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetPlacer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetPlacer.java
@@ -1,12 +1,10 @@
 package io.fireflyshed.coordination.placement;
 
-import io.fireflyshed.coordination.retry.RetryAfterSchedule;
 import io.fireflyshed.state.instance.AvailabilityZone;
 import io.fireflyshed.state.instance.InstanceId;
 import io.fireflyshed.state.target.Target;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -32,25 +30,14 @@
    */
   private static final double SLOWNESS_TOLERANCE = 1.3;
 
-  /** Load that is added if all attempts at a target fail, as a multiple of its slots. */
-  private static final double FAILURE_PENALTY = 2;
-
-  /** The age from which the load that other entries told is no longer used. */
-  private static final Duration MAX_FLEET_LOAD_AGE = Duration.ofSeconds(1);
-
-  /** Retry delay if no target is available, about the time in which a replica is repaired. */
-  private static final Duration NO_TARGET_RETRY_AFTER = Duration.ofMillis(2000);
-
   private final PlacementSettings settings;
   private final AvailabilityZone zone;
   private final UniformRandomProvider random;
   private final RequestLimits limits;
   private final DemandMeter demands = new DemandMeter();
-  private final Map<InstanceId, TargetLoad> loads = new HashMap<>();
-  private boolean isFleetTold;
-  private long fleetNanos;
-  private long ownLoadNanos;
-  private final Map<String, RetryAfterSchedule> retryAfterSchedules = new HashMap<>();
+  private final TargetCosts costs;
+  private final TargetLoads loads;
+  private final PlacementRefusals refusals = new PlacementRefusals();
 
   /**
    * Creates a placer.
@@ -65,10 +52,30 @@
       AvailabilityZone zone,
       UniformRandomProvider random,
       EntrySchedule schedule) {
+    this(settings, zone, random, schedule, new RequestCountCosts(settings.zonePenalty()));
+  }
+
+  /**
+   * Creates a placer that compares targets in a given way.
+   *
+   * @param settings the limits, not null
+   * @param zone the availability zone of this entry, not null
+   * @param random breaks ties between targets of equal cost, not null
+   * @param schedule tells when this entry may use targets that limit their requests, not null
+   * @param costs rates the targets, not null
+   */
+  public TargetPlacer(
+      PlacementSettings settings,
+      AvailabilityZone zone,
+      UniformRandomProvider random,
+      EntrySchedule schedule,
+      TargetCosts costs) {
     this.settings = Objects.requireNonNull(settings, "settings");
     this.zone = Objects.requireNonNull(zone, "zone");
     this.random = Objects.requireNonNull(random, "random");
     this.limits = new RequestLimits(schedule);
+    this.costs = Objects.requireNonNull(costs, "costs");
+    this.loads = new TargetLoads(costs);
   }
 
   /**
@@ -108,7 +115,7 @@
       long nowNanos) {
     List<Target> usable = new ArrayList<>();
     boolean isAnySuspect = false;
-    long waitNanos = NO_TARGET_RETRY_AFTER.toNanos();
+    long waitNanos = PlacementRefusals.NO_TARGET_RETRY_AFTER.toNanos();
     for (Target candidate : candidates) {
       TargetLoad load = getLoad(candidate.id());
       if (load.isSuspect(nowNanos)) {
@@ -119,21 +126,20 @@
       }
     }
     if (usable.isEmpty()) {
-      Duration retryAfter =
-          Duration.ofNanos(Math.max(waitNanos, RetryAfterSchedule.MIN_WAIT.toNanos()));
-      Placement.Cause cause =
-          isAnySuspect ? Placement.Cause.UNREACHABLE : Placement.Cause.NO_CANDIDATE;
-      return new Placement.Refuse(cause, "no target is available", retryAfter);
+      return PlacementRefusals.refuseUnusable(isAnySuspect, waitNanos);
     }
     double fastest =
         usable.stream().mapToDouble(this::getMeanEventInterval).filter(g -> g > 0).min().orElse(0);
-    boolean isFleetKnown = isFleetLoadKnown(nowNanos);
+    long ageNanos = nowNanos - loads.getFleetNanos();
+    boolean isFleetKnown = loads.isFleetKnown(nowNanos);
+    TargetCosts.Rater rater = costs.newRater(request, nowNanos);
     List<LevelFiller.Option<Target>> options = new ArrayList<>();
     double othersRate = 0;
     long limitWaitNanos = Long.MAX_VALUE;
     for (Target candidate : usable) {
       TargetLoad load = getLoad(candidate.id());
-      int requests = isFleetKnown ? load.getFleetRequests(fleetNanos) : load.getRequests();
+      int requests =
+          isFleetKnown ? load.getFleetRequests(loads.getFleetNanos()) : load.getRequests();
       othersRate += load.getOthersRate();
       if (requests >= getCapacity(candidate, load, request.isModelPool())) {
         continue;
@@ -143,24 +149,26 @@
       if (targetWaitNanos > 0) {
         continue;
       }
-      options.add(newOption(candidate, load, requests, fastest, nowNanos));
+      boolean isOtherZone = !candidate.zone().equals(zone);
+      TargetState state =
+          load.getState(
+              requests,
+              load.getSlots(candidate.slots()),
+              fastest * SLOWNESS_TOLERANCE,
+              isOtherZone,
+              isFleetKnown ? ageNanos : Long.MAX_VALUE,
+              nowNanos);
+      TargetRating rating = rater.rate(candidate, state);
+      options.add(new LevelFiller.Option<>(candidate, rating.cost(), rating.costOfRequest()));
     }
     if (options.isEmpty()) {
-      Duration capacityWait =
-          isRunning
-              ? RetryAfterSchedule.MIN_WAIT
-              : getRetryAfterSchedule(request.pool()).next(nowNanos);
-      return refuse(limitWaitNanos, capacityWait);
+      return refusals.refuseFull(request.pool(), isRunning, limitWaitNanos, nowNanos);
     }
     // The starts of other entries since they told their load.
-    double unseenStarts = isFleetKnown ? othersRate * (nowNanos - fleetNanos) / 1e9 : 0;
+    double unseenStarts = isFleetKnown ? costs.countUnseenStarts(request, othersRate, ageNanos) : 0;
     return new Placement.Send(LevelFiller.choose(options, unseenStarts, random));
   }
 
-  private boolean isFleetLoadKnown(long nowNanos) {
-    return isFleetTold && nowNanos - fleetNanos < MAX_FLEET_LOAD_AGE.toNanos();
-  }
-
   /**
    * Tests whether a request could be placed now. It doesn't reserve anything.
    *
@@ -181,26 +189,6 @@
         && limits.getWaitNanos(candidate.id()) <= 0;
   }
 
-  /**
-   * Refuses a request.
-   *
-   * @param limitWaitNanos the time until the request limit of a target with capacity admits the
-   *     next request, {@code Long.MAX_VALUE} if no target has capacity
-   * @param capacityWait the time until a target is expected to have capacity
-   */
-  private static Placement refuse(long limitWaitNanos, Duration capacityWait) {
-    if (limitWaitNanos == Long.MAX_VALUE) {
-      return new Placement.Refuse(
-          Placement.Cause.AT_CAPACITY, "all targets are at capacity", capacityWait);
-    }
-    // The caller may return to another entry, whose next slot is about as near.
-    long wait = Math.min(limitWaitNanos, RetryAfterSchedule.MAX_WAIT.toNanos());
-    return new Placement.Refuse(
-        Placement.Cause.AT_REQUEST_LIMIT,
-        "all targets with capacity are at their request limits",
-        Duration.ofNanos(Math.max(wait, capacityWait.toNanos())));
-  }
-
   private int getCapacity(Target target, TargetLoad load, boolean isModelPool) {
     int slots = load.getSlots(target.slots());
     return isModelPool
@@ -208,17 +196,6 @@
         : slots * (1 + settings.maxQueuedPerSlot());
   }
 
-  private LevelFiller.Option<Target> newOption(
-      Target target, TargetLoad load, int requests, double fastest, long nowNanos) {
-    double slowness =
-        fastest > 0 ? getMeanEventInterval(target) / (fastest * SLOWNESS_TOLERANCE) : 1;
-    double costOfRequest = Math.max(1, slowness) / load.getSlots(target.slots());
-    double zonePenalty = target.zone().equals(zone) ? 0 : settings.zonePenalty();
-    double failurePenalty = FAILURE_PENALTY * load.getFailureRate(nowNanos);
-    double cost = (requests + 1.0) * costOfRequest + zonePenalty + failurePenalty;
-    return new LevelFiller.Option<>(target, cost, costOfRequest);
-  }
-
   private double getMeanEventInterval(Target target) {
     return getLoad(target.id()).getMeanEventIntervalMillis();
   }
@@ -232,6 +209,17 @@
     return demands;
   }
 
+  /**
+   * Creates what follows an attempt of a request at a target.
+   *
+   * @param request the request, not null
+   * @param target the target, not null
+   * @return the run, not started yet, never null
+   */
+  public RequestRun newRun(RequestDescriptor request, InstanceId target) {
+    return costs.newRun(request, target);
+  }
+
   /**
    * Records that a request was sent.
    *
@@ -251,7 +239,7 @@
    */
   public synchronized void onEnd(String pool, InstanceId target, long nowNanos) {
     getLoad(target).onEnd();
-    getRetryAfterSchedule(pool).onEnd(nowNanos);
+    refusals.onEnd(pool, nowNanos);
   }
 
   /**
@@ -276,17 +264,8 @@
    */
   public synchronized FleetLoad takeOwnLoad(
       Set<InstanceId> silent, Set<InstanceId> responsive, long nowNanos) {
-    double seconds = ownLoadNanos == 0 ? 0 : (nowNanos - ownLoadNanos) / 1e9;
-    ownLoadNanos = nowNanos;
-    Map<InstanceId, FleetLoad.TargetRequests> own = new HashMap<>();
-    loads.forEach(
-        (target, load) -> {
-          FleetLoad.TargetRequests requests =
-              load.takeOwnLoad(seconds, silent.contains(target), responsive.contains(target));
-          if (!requests.equals(FleetLoad.TargetRequests.NONE)) {
-            own.put(target, requests);
-          }
-        });
+    double seconds = loads.takeSeconds(nowNanos);
+    Map<InstanceId, FleetLoad.TargetRequests> own = loads.takeOwn(seconds, silent, responsive);
     return new FleetLoad(own, 1, demands.take(seconds));
   }
 
@@ -298,11 +277,7 @@
    * @param toldNanos the time of the load as a reading of the monotonic clock
    */
   public synchronized void onFleetLoad(FleetLoad total, FleetLoad own, long toldNanos) {
-    isFleetTold = true;
-    fleetNanos = toldNanos;
-    Map<InstanceId, FleetLoad.TargetRequests> others = total.minus(own).loads();
-    others.keySet().forEach(this::getLoad);
-    loads.forEach((target, load) -> load.setOthersLoad(others.get(target)));
+    loads.setFleet(total, own, toldNanos);
   }
 
   /**
@@ -393,7 +368,7 @@
    * @param targets the targets, not null
    */
   public synchronized void forgetFailures(Set<InstanceId> targets) {
-    targets.stream().map(loads::get).filter(Objects::nonNull).forEach(TargetLoad::forgetFailures);
+    loads.forgetFailures(targets);
   }
 
   /**
@@ -414,7 +389,7 @@
    * @param listed the targets that still exist, not null
    */
   public synchronized void retain(Set<InstanceId> listed) {
-    loads.entrySet().removeIf(e -> e.getValue().getInFlight() == 0 && !listed.contains(e.getKey()));
+    loads.retain(listed);
     limits.retain(listed);
   }
 
@@ -425,19 +400,10 @@
    * @param target the target, not null
    */
   public synchronized void reset(InstanceId target) {
-    TargetLoad load = loads.get(target);
-    if (load != null && load.getInFlight() == 0) {
-      loads.remove(target);
-    } else if (load != null) {
-      load.forgetFailures();
-    }
+    loads.reset(target);
   }
 
   private TargetLoad getLoad(InstanceId target) {
-    return loads.computeIfAbsent(target, t -> new TargetLoad());
-  }
-
-  private RetryAfterSchedule getRetryAfterSchedule(String pool) {
-    return retryAfterSchedules.computeIfAbsent(pool, p -> new RetryAfterSchedule());
+    return loads.get(target);
   }
 }
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetRating.java
@@ -0,0 +1,9 @@
+package io.fireflyshed.coordination.placement;
+
+/**
+ * Rates a target for a request. All ratings of one placement have the same unit.
+ *
+ * @param cost the cost of the request at the target
+ * @param costOfRequest by how much each request raises the cost, positive
+ */
+public record TargetRating(double cost, double costOfRequest) {}
--- a/fireflyshed-core/src/main/java/io/fireflyshed/state/traffic/EngineProfile.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/state/traffic/EngineProfile.java
@@ -23,6 +23,7 @@
  * @param openTime the time that a replica needs to open, not null
  * @param reportLag the delay with which reports reflect the state of an engine, not null
  * @param models the models, copied, not null
+ * @param context what the context of requests costs, not null
  */
 public record EngineProfile(
     int slots,
@@ -36,7 +37,8 @@
     int fullSpeedLoads,
     Duration openTime,
     Duration reportLag,
-    List<ModelProfile> models) {
+    List<ModelProfile> models,
+    ContextProfile context) {
 
   /** Validates the components. */
   public EngineProfile {
@@ -45,9 +47,40 @@
     Objects.requireNonNull(openTime, "openTime");
     Objects.requireNonNull(reportLag, "reportLag");
     models = List.copyOf(models);
+    Objects.requireNonNull(context, "context");
     if (slots < 1 || stepsPerPass < 1 || !(prefillTokensPerSecond > 0) || !(loadsPerSecond > 0)) {
       throw new IllegalArgumentException(
           "slots, steps per pass, prefill rate and load rate must be positive");
     }
   }
+
+  /** Creates a profile that states nothing about the context of requests. */
+  public EngineProfile(
+      int slots,
+      Duration stepTime,
+      Duration stepTimePerSequence,
+      int stepsPerPass,
+      double prefillTokensPerSecond,
+      int prefillChunkTokens,
+      int meanOutputTokens,
+      double loadsPerSecond,
+      int fullSpeedLoads,
+      Duration openTime,
+      Duration reportLag,
+      List<ModelProfile> models) {
+    this(
+        slots,
+        stepTime,
+        stepTimePerSequence,
+        stepsPerPass,
+        prefillTokensPerSecond,
+        prefillChunkTokens,
+        meanOutputTokens,
+        loadsPerSecond,
+        fullSpeedLoads,
+        openTime,
+        reportLag,
+        models,
+        ContextProfile.NONE);
+  }
 }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/RequestPlacer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/RequestPlacer.java
@@ -3,6 +3,7 @@
 import io.fireflyshed.coordination.attempt.TargetSilentException;
 import io.fireflyshed.coordination.placement.Placement;
 import io.fireflyshed.coordination.placement.RequestDescriptor;
+import io.fireflyshed.coordination.placement.RequestRun;
 import io.fireflyshed.protocol.traffic.TargetAnswer;
 import io.fireflyshed.state.instance.InstanceId;
 import io.fireflyshed.state.target.Target;
@@ -129,6 +130,11 @@
     return context.getCandidates(routed.service(), routed.getPool(), isGeneration());
   }
 
+  /** Creates what follows an attempt at a target. */
+  RequestRun newRun(Target target) {
+    return context.placer().newRun(descriptor, target.id());
+  }
+
   /** Asks the other targets once one turned out silent, so that further ones are known sooner. */
   void onSilent(TargetSilentException silence) {
     if (silence.isFirst()) {
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/ResponseReader.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/ResponseReader.java
@@ -3,6 +3,7 @@
 import io.fireflyshed.coordination.attempt.AttemptException;
 import io.fireflyshed.coordination.attempt.Outcome;
 import io.fireflyshed.coordination.attempt.TargetSilentException;
+import io.fireflyshed.coordination.placement.RequestRun;
 import io.fireflyshed.coordination.poison.RequestFingerprints;
 import io.fireflyshed.protocol.traffic.TargetAnswer;
 import io.fireflyshed.state.target.Target;
@@ -50,6 +51,7 @@
    */
   Flux<List<ResponsePart>> readWhole(OpenAttempt attempt, Target target, Flux<ResponsePart> parts) {
     boolean[] isSuccess = new boolean[1];
+    RequestRun run = placer.newRun(target);
     Flux<ResponsePart> recorded =
         parts
             .doOnNext(this::onPart)
@@ -66,11 +68,15 @@
                 });
     return countLoad(
         target,
+        run,
         hold(
             attempt,
             recorded,
-            () ->
-                context.placer().onResult(target.id(), isSuccess[0], context.clock().nanoTime())));
+            () -> {
+              long now = context.clock().nanoTime();
+              context.placer().onResult(target.id(), isSuccess[0], now);
+              run.onEnd(isSuccess[0], now);
+            }));
   }
 
   private void recordPart(OpenAttempt attempt, Target target) {
@@ -112,18 +118,24 @@
       Flux<ResponsePart> parts,
       Consumer<Duration> stallListener) {
     Object streamKey = new Object();
+    RequestRun run = placer.newRun(target);
     Flux<StreamAttempt.Delivery> deliveries =
         ResponseUtils.limitErrorSize(target.id().value(), parts.doOnNext(this::onPart))
             .concatMapIterable(
-                part -> processPart(attempt, target, streamKey, part), PREFETCHED_PARTS)
+                part -> processPart(attempt, target, run, streamKey, part), PREFETCHED_PARTS)
             .concatWith(Flux.defer(() -> endStream(attempt, false)));
     return countLoad(
         target,
+        run,
         context
             .stallWatch()
             .watch(streamKey, target.id(), deliveries, routed.caller(), stallListener)
             .doOnComplete(
-                () -> context.placer().onResult(target.id(), true, context.clock().nanoTime())));
+                () -> {
+                  long now = context.clock().nanoTime();
+                  context.placer().onResult(target.id(), true, now);
+                  run.onEnd(true, now);
+                }));
   }
 
   /** Does the same with a stream that another entry passes on, which watches it. */
@@ -134,15 +146,17 @@
   }
 
   /** Counts an attempt as load of its target while it is subscribed to. */
-  private <T> Flux<T> countLoad(Target target, Flux<T> response) {
+  private <T> Flux<T> countLoad(Target target, RequestRun run, Flux<T> response) {
     return Flux.defer(
         () -> {
           context.placer().onStart(target.id());
+          run.onStart(context.clock().nanoTime());
           return response.doFinally(
-              signal ->
-                  context
-                      .placer()
-                      .onEnd(routed.getPool(), target.id(), context.clock().nanoTime()));
+              signal -> {
+                long now = context.clock().nanoTime();
+                run.onEnd(false, now);
+                context.placer().onEnd(routed.getPool(), target.id(), now);
+              });
         });
   }
 
@@ -206,7 +220,7 @@
   }
 
   private List<StreamAttempt.Delivery> processPart(
-      OpenAttempt attempt, Target target, Object streamKey, ResponsePart part) {
+      OpenAttempt attempt, Target target, RequestRun run, Object streamKey, ResponsePart part) {
     if (part instanceof ResponsePart.Head received) {
       placer.onResponse(target, received.response());
     }
@@ -214,6 +228,9 @@
     int eventsBefore = current.getEvents();
     int repeatedBefore = current.getRepeatedEvents();
     List<StreamAttempt.Delivery> deliveries = add(attempt, part);
+    if (current.getEvents() > eventsBefore) {
+      run.onEvents(current.getEvents(), context.clock().nanoTime());
+    }
     int repeated = current.getRepeatedEvents() - repeatedBefore;
     if (repeated > 0) {
       context.stallWatch().onRepeatedEvent(streamKey);
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/LoadFrameUtils.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/LoadFrameUtils.java
@@ -11,6 +11,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 
 /**
  * Converts the loads that entries tell each other to frames and back.
@@ -48,13 +49,15 @@
   }
 
   private static PeerProto.TargetLoad toMessage(InstanceId target, TargetRequests load) {
-    return PeerProto.TargetLoad.newBuilder()
-        .setTarget(target.value())
-        .setInFlight(load.inFlight())
-        .setStartsPerSecond((float) load.startsPerSecond())
-        .setSilentEntries(load.silentEntries())
-        .setResponsiveEntries(load.responsiveEntries())
-        .build();
+    PeerProto.TargetLoad.Builder message =
+        PeerProto.TargetLoad.newBuilder()
+            .setTarget(target.value())
+            .setInFlight(load.inFlight())
+            .setStartsPerSecond((float) load.startsPerSecond())
+            .setSilentEntries(load.silentEntries())
+            .setResponsiveEntries(load.responsiveEntries());
+    load.workMillis().ifPresent(work -> message.setWorkMs((float) work));
+    return message.build();
   }
 
   private static PeerProto.PoolDemand toMessage(PoolDemand.Key key, PoolDemand demand) {
@@ -78,7 +81,10 @@
               message.getInFlight(),
               message.getStartsPerSecond(),
               message.getSilentEntries(),
-              message.getResponsiveEntries()));
+              message.getResponsiveEntries(),
+              message.hasWorkMs()
+                  ? OptionalDouble.of(message.getWorkMs())
+                  : OptionalDouble.empty()));
     }
     Map<PoolDemand.Key, PoolDemand> demands = new HashMap<>();
     for (PeerProto.PoolDemand message : demandMessages) {
--- /dev/null
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/cost/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the estimates of work. */
+package io.fireflyshed.coordination.cost;
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
@@ -209,12 +209,10 @@
     UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create();
     WireHeaders codec = new WireHeaders();
     StoreClient store = new StoreClient(storeCaller, settings.store());
-    PlacementSettings placement = PlacementSettings.ofDefaults();
-    stalls = new StallDetector(placement);
+    stalls = new StallDetector(PlacementSettings.ofDefaults());
     targetCaller = new TargetCaller(codec, trafficClock);
     EntrySchedule schedule = new EntrySchedule(settings.zoneRank(), settings.zones(), sharedClock);
-    placer = new TargetPlacer(placement, settings.zone(), random, schedule);
-    metrics.gauge("fireflyshed.limited.targets", placer, TargetPlacer::countLimitedTargets);
+    placer = new PlacerFactory(settings, metrics).newPlacer(random, schedule, this::getNewest);
     metrics.gauge("fireflyshed.evacuated.zones", evacuated, e -> e.get().size());
     tables = newTables(store);
     targets =
@@ -271,10 +269,11 @@
   }
 
   private Optional<String> getHealthPath(ServiceName service) {
-    return configuration
-        .get()
-        .map(c -> c.services().get(service))
-        .flatMap(ServiceProfile::healthPath);
+    return getNewest().map(c -> c.services().get(service)).flatMap(ServiceProfile::healthPath);
+  }
+
+  private Optional<TrafficConfiguration> getNewest() {
+    return configuration.get();
   }
 
   private TrafficServer newServer(WireHeaders codec, UniformRandomProvider random) {
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/RehearseCommand.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/RehearseCommand.java
@@ -1,5 +1,6 @@
 package io.fireflyshed.daemon.platform;
 
+import io.fireflyshed.coordination.placement.PlacementBasis;
 import io.fireflyshed.daemon.command.Command;
 import io.fireflyshed.daemon.command.Logging;
 import io.fireflyshed.daemon.settings.Setting;
@@ -107,6 +108,7 @@
         Duration.ofSeconds(10),
         Duration.ofSeconds(5),
         1,
-        memoryBytes);
+        memoryBytes,
+        PlacementBasis.REQUESTS);
   }
 }
--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/DeploymentRetryBudgetTest.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/DeploymentRetryBudgetTest.java
@@ -4,6 +4,7 @@
 
 import io.fireflyshed.coordination.attempt.Outcome;
 import io.fireflyshed.coordination.placement.EntrySchedule;
+import io.fireflyshed.coordination.placement.PlacementBasis;
 import io.fireflyshed.coordination.retry.RetryAllowance;
 import io.fireflyshed.coordination.retry.ServiceRetryBudgets;
 import io.fireflyshed.platform.PlatformSettings;
@@ -73,7 +74,8 @@
           Duration.ofSeconds(10),
           Duration.ofSeconds(5),
           1,
-          OptionalLong.empty());
+          OptionalLong.empty(),
+          PlacementBasis.REQUESTS);
 
   /** Counts the requests for a service and the retries at it in each step. */
   private static final class Counts {
--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/soak/SharedAddressMain.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/soak/SharedAddressMain.java
@@ -47,6 +47,7 @@
         settings.repeatWindow(),
         settings.loadWindow(),
         settings.cores(),
-        settings.memoryBytes());
+        settings.memoryBytes(),
+        settings.placementBasis());
   }
 }
