--- /dev/null
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/cost/ExpectedWorkCostsTest.java
@@ -0,0 +1,194 @@
+package io.fireflyshed.coordination.cost;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.fireflyshed.coordination.placement.RequestRun;
+import io.fireflyshed.coordination.placement.TargetRating;
+import io.fireflyshed.coordination.placement.TargetState;
+import io.fireflyshed.state.instance.AvailabilityZone;
+import io.fireflyshed.state.instance.InstanceId;
+import io.fireflyshed.state.replica.ServiceName;
+import io.fireflyshed.state.target.Target;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.OptionalInt;
+import java.util.Set;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests {@link ExpectedWorkCosts}. */
+public class ExpectedWorkCostsTest {
+
+  private static final long MILLI = 1_000_000;
+  private static final int TARGETS = 5;
+
+  private ExpectedWorkCosts costs;
+
+  /** Provides seeds. */
+  @DataProvider
+  public static Object[][] seeds() {
+    return new Object[][] {{1L}, {2L}, {3L}, {4L}, {5L}, {6L}, {7L}, {8L}};
+  }
+
+  /** Forgets what was learned. */
+  @BeforeMethod
+  public void reset() {
+    costs = new ExpectedWorkCosts(() -> Optional.of(CostFixtures.newConfiguration()), 0.03);
+  }
+
+  private static Target newTarget(int number) {
+    return new Target(
+        new InstanceId("t" + number),
+        new ServiceName("s"),
+        InetSocketAddress.createUnresolved("127.0.0.1", 1),
+        new AvailabilityZone("z"),
+        false,
+        21,
+        1,
+        Optional.empty());
+  }
+
+  private TargetRating rate(int target, int promptTokens, int requests, OptionalDouble work) {
+    TargetState state = new TargetState(requests, 21, requests, work, 0, 0, 1, 0, false);
+    return costs
+        .newRater(CostFixtures.newRequest("r", promptTokens, OptionalInt.of(100)), 0)
+        .rate(newTarget(target), state);
+  }
+
+  private RequestRun start(int target, String route, int promptTokens, long nowNanos) {
+    RequestRun run =
+        costs.newRun(
+            CostFixtures.newRequest(route, promptTokens, OptionalInt.of(60)),
+            newTarget(target).id());
+    run.onStart(nowNanos);
+    return run;
+  }
+
+  private double getWork(int target) {
+    return costs.getOwnWorkMillis(newTarget(target).id()).orElseThrow();
+  }
+
+  @Test(dataProvider = "seeds")
+  public void noWorkIsLeftAfterAllRunsEndedInAnyWay(long seed) {
+    UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+    List<RequestRun> open = new ArrayList<>();
+    List<RequestRun> closed = new ArrayList<>();
+    long now = 0;
+    for (int i = 0; i < 20_000; i++) {
+      now += random.nextInt(20) * MILLI;
+      boolean isStarted = random.nextInt(10) > 0;
+      if (open.size() < 200 && random.nextInt(3) == 0) {
+        int tokens = random.nextInt(6000);
+        RequestRun run =
+            costs.newRun(
+                CostFixtures.newRequest(
+                    "r" + random.nextInt(9), tokens, OptionalInt.of(random.nextInt(900))),
+                newTarget(random.nextInt(TARGETS)).id());
+        open.add(run);
+        if (isStarted) {
+          run.onStart(now);
+        }
+      } else if (!open.isEmpty()) {
+        RequestRun run = open.get(random.nextInt(open.size()));
+        switch (random.nextInt(4)) {
+          case 0 -> {
+            run.onEnd(random.nextBoolean(), now);
+            open.remove(run);
+            closed.add(run);
+          }
+          case 1 -> run.onStart(now);
+          default -> run.onEvents(random.nextInt(300), now);
+        }
+      }
+      if (!closed.isEmpty() && random.nextInt(4) == 0) {
+        RequestRun late = closed.get(random.nextInt(closed.size()));
+        late.onEvents(1000, now);
+        late.onEnd(true, now);
+        late.onStart(now);
+      }
+      if (random.nextInt(500) == 0) {
+        costs.retain(Set.of(newTarget(0).id()));
+        costs.reset(newTarget(1).id());
+      }
+      for (int t = 0; t < TARGETS; t++) {
+        assertTrue(getWork(t) >= 0, "negative work");
+      }
+    }
+    for (RequestRun run : open) {
+      run.onEnd(false, now);
+    }
+    for (int t = 0; t < TARGETS; t++) {
+      assertEquals(getWork(t), 0.0, "work left at target " + t);
+    }
+  }
+
+  @Test
+  public void workShrinksWithTheEventsOfAStream() {
+    RequestRun run = start(0, "r", 2000, 0);
+    double whole = getWork(0);
+    run.onEvents(1, 50 * MILLI);
+    double decoding = getWork(0);
+    run.onEvents(8, 400 * MILLI);
+    assertTrue(whole - decoding > 35, "the prompt was read: " + whole + ", " + decoding);
+    assertTrue(getWork(0) < decoding / 2, "left: " + getWork(0) + " of " + decoding);
+    run.onEvents(500, 9000 * MILLI);
+    assertTrue(getWork(0) > decoding, "a stream that is far too long is expected to go on");
+  }
+
+  @Test
+  public void longPromptsAtATargetMakeItDear() {
+    start(0, "r", 40, 0);
+    start(1, "r", 5880, 0);
+    TargetRating small = rate(0, 100, 1, OptionalDouble.empty());
+    TargetRating large = rate(1, 100, 1, OptionalDouble.empty());
+    assertTrue(large.cost() > small.cost() + 100, small + ", " + large);
+  }
+
+  @Test
+  public void workThatOthersTellCounts() {
+    TargetRating light = rate(0, 100, 10, OptionalDouble.of(100));
+    TargetRating heavy = rate(1, 100, 10, OptionalDouble.of(3000));
+    assertTrue(heavy.cost() > light.cost() + 50, light + ", " + heavy);
+  }
+
+  @Test
+  public void waitingBehindFullSlotsIsDear() {
+    TargetRating full = rate(0, 100, 23, OptionalDouble.of(2300));
+    TargetRating free = rate(1, 100, 20, OptionalDouble.of(2000));
+    assertTrue(full.cost() > free.cost() + 250, free + ", " + full);
+  }
+
+  @Test
+  public void aSlowTargetIsUsedByWhatItCanDoAndRecovers() {
+    long now = 0;
+    for (int i = 0; i < 40; i++) {
+      for (int t = 0; t < TARGETS; t++) {
+        RequestRun run = start(t, "r", 500, now);
+        run.onEvents(1, now + 50 * MILLI);
+        run.onEvents(11, now + (50 + (t == 0 ? 2000 : 400)) * MILLI);
+        run.onEnd(true, now + 3000 * MILLI);
+      }
+      now += 100 * MILLI;
+    }
+    TargetRating slow = rateAt(0, now + 3000 * MILLI);
+    TargetRating sound = rateAt(1, now + 3000 * MILLI);
+    double factor = slow.cost() / sound.cost();
+    assertTrue(factor > 2.5 && factor < 6, "factor " + factor);
+    double later = rateAt(0, now + 30_000 * MILLI).cost() / sound.cost();
+    assertTrue(later < 1.5, "factor without samples for long: " + later);
+  }
+
+  private TargetRating rateAt(int target, long nowNanos) {
+    TargetState state = new TargetState(0, 21, 0, OptionalDouble.empty(), 0, 0, 1, 0, false);
+    return costs
+        .newRater(CostFixtures.newRequest("r", 500, OptionalInt.of(60)), nowNanos)
+        .rate(newTarget(target), state);
+  }
+}
