--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/cost/ExpectedWorkCosts.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/cost/ExpectedWorkCosts.java
@@ -249,8 +249,8 @@
   }
 
   @Override
-  public RequestRun newRun(RequestDescriptor request, InstanceId target) {
-    return new Run(request, target);
+  public RequestRun newRun(RequestDescriptor request, InstanceId target, long eventsBefore) {
+    return new Run(request, target, eventsBefore);
   }
 
   @Override
@@ -275,6 +275,7 @@
 
     private final RequestDescriptor request;
     private final InstanceId target;
+    private final long eventsBefore;
     private Optional<EngineTimes> engine = Optional.empty();
     private TargetWork.Item item;
     private boolean isEnded;
@@ -286,9 +287,10 @@
     private long startNanos;
     private long eventNanos;
 
-    Run(RequestDescriptor request, InstanceId target) {
+    Run(RequestDescriptor request, InstanceId target, long eventsBefore) {
       this.request = request;
       this.target = target;
+      this.eventsBefore = eventsBefore;
     }
 
     @Override
@@ -306,7 +308,9 @@
         expectedMillis = last.expectedMillis;
         requestsAtStart = last.requests;
         startNanos = nowNanos;
-        item = work.start(target, estimate(request, engine, last.slots));
+        double tokensBefore =
+            engine.map(e -> (double) eventsBefore * e.profile().stepsPerPass()).orElse(0.0);
+        item = work.start(target, estimate(request, engine, last.slots), tokensBefore);
       }
     }
 
@@ -347,7 +351,7 @@
         if (isComplete) {
           getMeans(request, engine).addRun((nowNanos - startNanos) / NANOS_PER_MILLI);
         }
-        if (isComplete && engine.isPresent() && events > 0) {
+        if (isComplete && engine.isPresent() && events > 0 && eventsBefore == 0) {
           estimator.onOutput(request, getTokens());
         } else if (isComplete && engine.isEmpty()) {
           onServiceEnd((nowNanos - startNanos) / NANOS_PER_MILLI, nowNanos);
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/cost/TargetWork.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/cost/TargetWork.java
@@ -50,15 +50,19 @@
     private long prefillMicros;
     private long decodeMicros;
     private final long memoryTokens;
+    private final double tokensBefore;
     private boolean isEnded;
 
-    private Item(Sums sums, WorkEstimate estimate) {
+    private Item(Sums sums, WorkEstimate estimate, double tokensBefore) {
       this.sums = sums;
       this.estimate = estimate;
       this.memoryTokens = Math.round(estimate.memoryTokens());
       sums.runs++;
       sums.memoryTokens += memoryTokens;
-      set(toMicros(estimate.prefillMillis()), toMicros(estimate.getDecodeMillis()));
+      double mostBefore = estimate.steps() * (1 - OVERRUN_FRACTION);
+      this.tokensBefore = Math.max(0, Math.min(tokensBefore, mostBefore));
+      double rest = Math.max(1, estimate.steps() - this.tokensBefore);
+      set(toMicros(estimate.prefillMillis()), toMicros(rest * estimate.stepMillis()));
     }
 
     private void set(long newPrefillMicros, long newDecodeMicros) {
@@ -68,9 +72,10 @@
       decodeMicros = newDecodeMicros;
     }
 
-    /** Records how many tokens were delivered, which shows that the prompt was read. */
-    void onTokens(double delivered) {
+    /** Records how many tokens the target delivered, which shows that the prompt was read. */
+    void onTokens(double newTokens) {
       if (!isEnded) {
+        double delivered = tokensBefore + newTokens;
         double rest = Math.max(estimate.steps() - delivered, delivered * OVERRUN_FRACTION);
         set(0, toMicros(Math.max(1, rest) * estimate.stepMillis()));
       }
@@ -96,8 +101,13 @@
     return sums.getOrDefault(target, NONE);
   }
 
-  Item start(InstanceId target, WorkEstimate estimate) {
-    return new Item(sums.computeIfAbsent(target, t -> new Sums()), estimate);
+  /**
+   * Adds the work of an attempt.
+   *
+   * @param tokensBefore the tokens that the target won't deliver, since a stream goes on after them
+   */
+  Item start(InstanceId target, WorkEstimate estimate, double tokensBefore) {
+    return new Item(sums.computeIfAbsent(target, t -> new Sums()), estimate, tokensBefore);
   }
 
   /** Removes the targets that no longer exist and have no requests. */
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/FleetLoad.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/FleetLoad.java
@@ -45,8 +45,9 @@
     /** Validates the components. */
     public TargetRequests {
       boolean isNegative = inFlight < 0 || silentEntries < 0 || responsiveEntries < 0;
-      if (isNegative || !(startsPerSecond >= 0) || !(workMillis.orElse(0) >= 0)) {
-        throw new IllegalArgumentException("negative load");
+      double work = workMillis.orElse(0);
+      if (isNegative || !(startsPerSecond >= 0) || !(work >= 0) || Double.isInfinite(work)) {
+        throw new IllegalArgumentException("negative or infinite load");
       }
     }
 
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/RequestCountCosts.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/RequestCountCosts.java
@@ -51,7 +51,7 @@
   }
 
   @Override
-  public RequestRun newRun(RequestDescriptor request, InstanceId target) {
+  public RequestRun newRun(RequestDescriptor request, InstanceId target, long eventsBefore) {
     return RequestRun.NONE;
   }
 
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetCosts.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetCosts.java
@@ -54,9 +54,11 @@
    *
    * @param request the request, not null
    * @param target the target, not null
+   * @param eventsBefore the number of events that the target won't send, as a stream goes on after
+   *     them; 0 for a new stream and for other requests
    * @return the run, not started yet, never null
    */
-  RequestRun newRun(RequestDescriptor request, InstanceId target);
+  RequestRun newRun(RequestDescriptor request, InstanceId target, long eventsBefore);
 
   /**
    * Gets how long this entry's own requests will still keep a target busy.
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetPlacer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetPlacer.java
@@ -214,10 +214,12 @@
    *
    * @param request the request, not null
    * @param target the target, not null
+   * @param eventsBefore the number of events that the target won't send, as a stream goes on after
+   *     them; 0 for a new stream and for other requests
    * @return the run, not started yet, never null
    */
-  public RequestRun newRun(RequestDescriptor request, InstanceId target) {
-    return costs.newRun(request, target);
+  public RequestRun newRun(RequestDescriptor request, InstanceId target, long eventsBefore) {
+    return costs.newRun(request, target, eventsBefore);
   }
 
   /**
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/RequestPlacer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/RequestPlacer.java
@@ -130,9 +130,9 @@
     return context.getCandidates(routed.service(), routed.getPool(), isGeneration());
   }
 
-  /** Creates what follows an attempt at a target. */
-  RequestRun newRun(Target target) {
-    return context.placer().newRun(descriptor, target.id());
+  /** Creates what follows an attempt at a target, which goes on after some events. */
+  RequestRun newRun(Target target, long eventsBefore) {
+    return context.placer().newRun(descriptor, target.id(), eventsBefore);
   }
 
   /** Asks the other targets once one turned out silent, so that further ones are known sooner. */
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/ResponseReader.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/ResponseReader.java
@@ -51,7 +51,7 @@
    */
   Flux<List<ResponsePart>> readWhole(OpenAttempt attempt, Target target, Flux<ResponsePart> parts) {
     boolean[] isSuccess = new boolean[1];
-    RequestRun run = placer.newRun(target);
+    RequestRun run = placer.newRun(target, 0);
     Flux<ResponsePart> recorded =
         parts
             .doOnNext(this::onPart)
@@ -118,7 +118,8 @@
       Flux<ResponsePart> parts,
       Consumer<Duration> stallListener) {
     Object streamKey = new Object();
-    RequestRun run = placer.newRun(target);
+    // Events are numbered from 1; other ids only make the estimate worse.
+    RequestRun run = placer.newRun(target, attempt.getStream().getLastEventId().orElse(0));
     Flux<StreamAttempt.Delivery> deliveries =
         ResponseUtils.limitErrorSize(target.id().value(), parts.doOnNext(this::onPart))
             .concatMapIterable(
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/StreamAttempt.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/StreamAttempt.java
@@ -201,6 +201,11 @@
     return !errorParts.isEmpty();
   }
 
+  /** Returns the id of the last event that the caller has or will get, empty for none. */
+  OptionalLong getLastEventId() {
+    return lastEventId;
+  }
+
   /** Returns the number of events of the response, including repeated ones. */
   int getEvents() {
     return events;
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/cost/CostFixtures.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/cost/CostFixtures.java
@@ -17,7 +17,7 @@
 import java.util.OptionalInt;
 
 /** Creates requests and the engine that runs them. */
-final class CostFixtures {
+public final class CostFixtures {
 
   static final String POOL = "model";
 
@@ -26,7 +26,7 @@
     {40, 3}, {120, 12}, {250, 40}, {600, 20}, {900, 30}, {1400, 12}, {2600, 30}, {5880, 78}
   };
 
-  private static final TrafficConfiguration CONFIGURATION = newConfiguration(new ServiceName("s"));
+  private static final TrafficConfiguration CONFIGURATION = newConfiguration(POOL);
 
   private CostFixtures() {}
 
@@ -48,7 +48,9 @@
         Duration.ofMillis(400));
   }
 
-  private static TrafficConfiguration newConfiguration(ServiceName service) {
+  /** Returns a configuration whose only service runs a model of a given name. */
+  public static TrafficConfiguration newConfiguration(String model) {
+    ServiceName service = new ServiceName("s");
     EngineProfile engine =
         new EngineProfile(
             21,
@@ -62,7 +64,7 @@
             8,
             Duration.ofMillis(300),
             Duration.ofMillis(200),
-            List.of(new ModelProfile(POOL, 1, 1, 1, Duration.ZERO, Duration.ZERO)),
+            List.of(new ModelProfile(model, 1, 1, 1, Duration.ZERO, Duration.ZERO)),
             new ContextProfile(1400, Duration.ofNanos(20_000), Duration.ofMillis(3), 200_000));
     return new TrafficConfiguration(
         1,
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/cost/ExpectedWorkCostsTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/cost/ExpectedWorkCostsTest.java
@@ -66,7 +66,8 @@
     RequestRun run =
         costs.newRun(
             CostFixtures.newRequest(route, promptTokens, OptionalInt.of(60)),
-            newTarget(target).id());
+            newTarget(target).id(),
+            0);
     run.onStart(nowNanos);
     return run;
   }
@@ -90,7 +91,8 @@
             costs.newRun(
                 CostFixtures.newRequest(
                     "r" + random.nextInt(9), tokens, OptionalInt.of(random.nextInt(900))),
-                newTarget(random.nextInt(TARGETS)).id());
+                newTarget(random.nextInt(TARGETS)).id(),
+                random.nextInt(4) == 0 ? random.nextInt(100_000) : 0);
         open.add(run);
         if (isStarted) {
           run.onStart(now);
@@ -142,6 +144,17 @@
     assertTrue(getWork(0) > decoding, "a stream that is far too long is expected to go on");
   }
 
+  @Test
+  public void aResumedStreamCountsWithItsRest() {
+    start(0, "r", 100, 0);
+    RequestRun resumed =
+        costs.newRun(
+            CostFixtures.newRequest("r", 100, OptionalInt.of(60)), newTarget(1).id(), 1_000_000);
+    resumed.onStart(0);
+    assertTrue(getWork(1) < getWork(0) / 2, getWork(1) + " of " + getWork(0));
+    assertTrue(getWork(1) > 2, "the prompt is read again: " + getWork(1));
+  }
+
   @Test
   public void longPromptsAtATargetMakeItDear() {
     start(0, "r", 40, 0);
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/cost/WorkloadRun.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/cost/WorkloadRun.java
@@ -271,8 +271,8 @@
     }
 
     @Override
-    public RequestRun newRun(RequestDescriptor request, InstanceId target) {
-      return costs.newRun(request, target);
+    public RequestRun newRun(RequestDescriptor request, InstanceId target, long eventsBefore) {
+      return costs.newRun(request, target, eventsBefore);
     }
 
     @Override
@@ -358,7 +358,7 @@
             ? List.of(pick(), pick()).stream().distinct().toList()
             : targets;
     if (placer.place(request, candidates, Set.of(), now) instanceof Placement.Send send) {
-      RequestRun run = placer.newRun(request, send.target().id());
+      RequestRun run = placer.newRun(request, send.target().id(), 0);
       placer.onStart(send.target().id());
       run.onStart(now);
       replicas.get(targets.indexOf(send.target())).add(new Job(request, placer, run, outputEvents));
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/StreamDeliveryTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/StreamDeliveryTest.java
@@ -2,11 +2,14 @@
 
 import static org.testng.Assert.assertEquals;
 
+import io.fireflyshed.coordination.cost.CostFixtures;
+import io.fireflyshed.coordination.cost.ExpectedWorkCosts;
 import io.fireflyshed.coordination.placement.PlacementSettings;
 import io.fireflyshed.coordination.placement.StallDetector;
 import io.fireflyshed.coordination.placement.TargetPlacer;
 import io.fireflyshed.coordination.retry.ServiceRetryBudgets;
 import io.fireflyshed.state.clock.MonotonicClock;
+import io.fireflyshed.state.instance.InstanceId;
 import io.fireflyshed.state.target.Target;
 import io.fireflyshed.state.traffic.RequestKind;
 import io.fireflyshed.state.traffic.Route;
@@ -14,6 +17,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CopyOnWriteArrayList;
 import org.apache.commons.rng.simple.RandomSource;
@@ -35,6 +39,7 @@
   private final List<OptionalLong> resumedAfter = new CopyOnWriteArrayList<>();
   private Flux<ResponsePart> goesOn;
   private int endBeforeStall;
+  private ExpectedWorkCosts costs;
 
   /** Starts with a first attempt that stalls for good. */
   @BeforeMethod
@@ -42,6 +47,7 @@
     resumedAfter.clear();
     goesOn = Flux.empty();
     endBeforeStall = EVENTS_BEFORE_STALL;
+    costs = new ExpectedWorkCosts(() -> Optional.of(CostFixtures.newConfiguration("m")), 0);
   }
 
   /** Sends the events at once; the first attempt stalls before the last one. */
@@ -71,7 +77,8 @@
             placement,
             ForwardFixtures.ZONE,
             RandomSource.XO_RO_SHI_RO_128_PP.create(1),
-            ForwardFixtures.newSchedule()),
+            ForwardFixtures.newSchedule(),
+            costs),
         new StallDetector(placement),
         this::send,
         new ServiceRetryBudgets(0, Duration.ofSeconds(10), () -> 10),
@@ -122,6 +129,11 @@
     forwarder.stop();
     assertEquals(body.toString(), event(1) + event(2) + event(3) + event(4) + event(5));
     assertEquals(resumedAfter, List.of(OptionalLong.empty(), OptionalLong.of(4)));
+    for (String target : List.of("one", "two")) {
+      InstanceId id = ForwardFixtures.newTarget(target).id();
+      assertEquals(costs.getOwnWorkMillis(id).orElseThrow(), 0.0, "work left at " + target);
+    }
+    assertEquals(costs.getStatistics().getSamples(), 2, "first events");
   }
 
   private static String event(long id) {
