--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/cost/ExpectedWorkCosts.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/cost/ExpectedWorkCosts.java
@@ -258,6 +258,12 @@
     return OptionalDouble.of(work.get(target).getWorkMillis());
   }
 
+  @Override
+  public synchronized OptionalDouble getExpectedMillis(InstanceId target) {
+    LastRating last = lastRatings.get(target);
+    return last == null ? OptionalDouble.empty() : OptionalDouble.of(last.expectedMillis);
+  }
+
   @Override
   public synchronized void retain(Set<InstanceId> listed) {
     work.retain(listed);
@@ -366,12 +372,5 @@
       estimator.onServiceTime(request, ratio * serviceMillis / slowness);
       paces.add(request.pool(), target, ratio, nowNanos);
     }
-
-    @Override
-    public double getExpectedMillis() {
-      synchronized (ExpectedWorkCosts.this) {
-        return expectedMillis;
-      }
-    }
   }
 }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/RequestCountCosts.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/RequestCountCosts.java
@@ -60,6 +60,11 @@
     return OptionalDouble.empty();
   }
 
+  @Override
+  public OptionalDouble getExpectedMillis(InstanceId target) {
+    return OptionalDouble.empty();
+  }
+
   @Override
   public void retain(Set<InstanceId> listed) {}
 
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/RequestRun.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/RequestRun.java
@@ -17,11 +17,6 @@
 
         @Override
         public void onEnd(boolean isComplete, long nowNanos) {}
-
-        @Override
-        public double getExpectedMillis() {
-          return 0;
-        }
       };
 
   /**
@@ -46,11 +41,4 @@
    * @param nowNanos the current time
    */
   void onEnd(boolean isComplete, long nowNanos);
-
-  /**
-   * Gets the time from the start to the first event that was expected.
-   *
-   * @return the time in milliseconds, 0 if nothing was expected
-   */
-  double getExpectedMillis();
 }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetCosts.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetCosts.java
@@ -68,6 +68,14 @@
    */
   OptionalDouble getOwnWorkMillis(InstanceId target);
 
+  /**
+   * Gets the time to the first event that was expected when the target was last rated.
+   *
+   * @param target the target, not null
+   * @return the time in milliseconds, empty if nothing is expected, never null
+   */
+  OptionalDouble getExpectedMillis(InstanceId target);
+
   /**
    * Forgets targets that no longer exist and have no requests of this entry.
    *
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetPlacer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetPlacer.java
@@ -222,6 +222,16 @@
     return costs.newRun(request, target, eventsBefore);
   }
 
+  /**
+   * Gets the time to the first event that was expected when the target was last rated.
+   *
+   * @param target the target, not null
+   * @return the time in milliseconds, empty if nothing is expected, never null
+   */
+  public OptionalDouble getExpectedMillis(InstanceId target) {
+    return costs.getExpectedMillis(target);
+  }
+
   /**
    * Records that a request was sent.
    *
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptLog.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptLog.java
@@ -7,6 +7,7 @@
 import io.fireflyshed.state.instance.InstanceId;
 import io.fireflyshed.transport.log.EventLog;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
@@ -61,27 +62,31 @@
       OptionalLong lastEventId,
       boolean isRelayed,
       int number,
-      OptionalDouble requestLimit) {
-    LOG.info(
-        "sent",
-        "request",
-        getId(),
-        "fingerprint",
-        fingerprints.request(),
-        "target",
-        target,
-        "left_ms",
-        remaining.toMillis(),
-        "after_event",
-        lastEventId.orElse(-1),
-        "relayed",
-        isRelayed,
-        "configuration",
-        routed.configurationVersion(),
-        "attempt",
-        number,
-        "limit_per_s",
-        requestLimit.orElse(-1));
+      OptionalDouble requestLimit,
+      OptionalDouble expectedMillis) {
+    List<Object> fields = new ArrayList<>();
+    fields.addAll(
+        List.of(
+            "request",
+            getId(),
+            "fingerprint",
+            fingerprints.request(),
+            "target",
+            target,
+            "left_ms",
+            remaining.toMillis(),
+            "after_event",
+            lastEventId.orElse(-1),
+            "relayed",
+            isRelayed,
+            "configuration",
+            routed.configurationVersion(),
+            "attempt",
+            number,
+            "limit_per_s",
+            requestLimit.orElse(-1)));
+    expectedMillis.ifPresent(millis -> fields.addAll(List.of("expected_ms", Math.round(millis))));
+    LOG.info("sent", fields.toArray());
   }
 
   /** Logs that a request waits since all its targets are silent. */
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptSender.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptSender.java
@@ -128,7 +128,8 @@
         lastEventId,
         isRelayed,
         number,
-        context.placer().getRequestLimit(target.id()));
+        context.placer().getRequestLimit(target.id()),
+        context.placer().getExpectedMillis(target.id()));
     return context.client().send(target, routed, remaining, lastEventId, () -> onSend(target.id()));
   }
 
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/cost/ExpectedWorkCostsTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/cost/ExpectedWorkCostsTest.java
@@ -198,6 +198,26 @@
     assertTrue(later < 1.5, "factor without samples for long: " + later);
   }
 
+  @Test
+  public void requestsOfPlainServicesCountByTheTimeOfTheirRoute() {
+    costs = new ExpectedWorkCosts(Optional::empty, 0);
+    for (int i = 0; i < 30; i++) {
+      long start = i * 1000 * MILLI;
+      rateAt(2, start);
+      RequestRun slow = start(2, "slow", 0, start);
+      slow.onEnd(true, start + 700 * MILLI);
+      rateAt(2, start);
+      RequestRun fast = start(2, "fast", 0, start);
+      fast.onEnd(true, start + 30 * MILLI);
+    }
+    double expected = costs.getExpectedMillis(newTarget(2).id()).orElseThrow();
+    assertTrue(expected > 0, "expected " + expected);
+    start(0, "slow", 0, 0);
+    start(1, "fast", 0, 0);
+    assertTrue(getWork(0) > 15 * getWork(1), getWork(0) + ", " + getWork(1));
+    assertTrue(rateAt(0, 0).cost() > rateAt(1, 0).cost(), "the slow request is dearer");
+  }
+
   private TargetRating rateAt(int target, long nowNanos) {
     TargetState state = new TargetState(0, 21, 0, OptionalDouble.empty(), 0, 0, 1, 0, false);
     return costs
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/cost/WorkloadRun.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/cost/WorkloadRun.java
@@ -39,7 +39,12 @@
     LEAST_REQUESTS,
     LEAST_WORK,
     EXPECTED_FIRST_EVENT,
-    TWO_CHOICES_OF_REQUESTS
+    TWO_CHOICES_OF_REQUESTS,
+    TWO_CHOICES_OF_FIRST_EVENT;
+
+    private boolean isOfTwo() {
+      return this == TWO_CHOICES_OF_REQUESTS || this == TWO_CHOICES_OF_FIRST_EVENT;
+    }
   }
 
   /** What callers say of their outputs. */
@@ -243,7 +248,8 @@
           new TargetPlacer(settings, zone, placerRandom, schedule);
       case LEAST_WORK ->
           new TargetPlacer(settings, zone, placerRandom, schedule, new LeastWork(own));
-      case EXPECTED_FIRST_EVENT -> new TargetPlacer(settings, zone, placerRandom, schedule, own);
+      case EXPECTED_FIRST_EVENT, TWO_CHOICES_OF_FIRST_EVENT ->
+          new TargetPlacer(settings, zone, placerRandom, schedule, own);
     };
   }
 
@@ -280,6 +286,11 @@
       return costs.getOwnWorkMillis(target);
     }
 
+    @Override
+    public OptionalDouble getExpectedMillis(InstanceId target) {
+      return costs.getExpectedMillis(target);
+    }
+
     @Override
     public void retain(Set<InstanceId> listed) {}
 
@@ -354,9 +365,7 @@
         CostFixtures.newRequest("r" + kind % 3, size[0], OptionalInt.of(estimate));
     TargetPlacer placer = placers.get(random.nextInt(placers.size()));
     List<Target> candidates =
-        policy == Policy.TWO_CHOICES_OF_REQUESTS
-            ? List.of(pick(), pick()).stream().distinct().toList()
-            : targets;
+        policy.isOfTwo() ? List.of(pick(), pick()).stream().distinct().toList() : targets;
     if (placer.place(request, candidates, Set.of(), now) instanceof Placement.Send send) {
       RequestRun run = placer.newRun(request, send.target().id(), 0);
       placer.onStart(send.target().id());
