--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/RehearseCommand.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/RehearseCommand.java
@@ -1,5 +1,6 @@
 package io.fireflyshed.daemon.platform;
 
+import io.fireflyshed.coordination.placement.PlacementBasis;
 import io.fireflyshed.daemon.command.Command;
 import io.fireflyshed.daemon.command.Logging;
 import io.fireflyshed.daemon.settings.Setting;
@@ -110,6 +111,7 @@
         0,
         1,
         memoryBytes,
-        1);
+        1,
+        PlacementBasis.REQUESTS);
   }
 }
--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/DeploymentRetryBudgetTest.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/DeploymentRetryBudgetTest.java
@@ -4,6 +4,7 @@
 
 import io.fireflyshed.coordination.attempt.Outcome;
 import io.fireflyshed.coordination.placement.EntrySchedule;
+import io.fireflyshed.coordination.placement.PlacementBasis;
 import io.fireflyshed.coordination.retry.RetryAllowance;
 import io.fireflyshed.coordination.retry.ServiceRetryBudgets;
 import io.fireflyshed.platform.PlatformSettings;
@@ -76,7 +77,8 @@
           0,
           1,
           OptionalLong.empty(),
-          1);
+          1,
+          PlacementBasis.REQUESTS);
 
   /** Counts the requests for a service and the retries at it in each step. */
   private static final class Counts {
--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/soak/SharedAddressMain.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/soak/SharedAddressMain.java
@@ -50,6 +50,7 @@
         settings.coldSlack(),
         settings.cores(),
         settings.memoryBytes(),
-        settings.toleratedLosses());
+        settings.toleratedLosses(),
+        settings.placementBasis());
   }
 }
