Tell targets how urgent a request is

Cause: ranks reach no decision. The header that targets admit by is taken off callers' requests and never set, so targets take all requests for equal.

Change: ServiceRanks knows the services whose requests can have two or more ranks, computed once for each configuration. TargetCaller adds the priority for these only, to each attempt: first ones, retries, resumed streams and relayed requests. Ranks 0 to 9 are their own priority, greater ones are numbered in their order. ConfiguredServices takes the lookup of health paths out of PlatformEntry.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/protocol/traffic/TrafficCodec.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/protocol/traffic/TrafficCodec.java
@@ -42,6 +42,15 @@
       Duration remainingTime,
       OptionalLong lastEventId);
 
+  /**
+   * Adds how urgent a request is to its headers for a target. Without it a target takes all
+   * requests for equally urgent.
+   *
+   * @param headers the headers that {@link #newTargetHeaders} created, not null
+   * @param priority the priority from 0 to 9, 0 for the most urgent requests
+   */
+  default void addPriority(HttpHeaders headers, int priority) {}
+
   /**
    * Decodes the head of a target's response.
    *
--- a/fireflyshed-core/src/main/java/io/fireflyshed/state/traffic/RouteTable.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/state/traffic/RouteTable.java
@@ -26,6 +26,15 @@
     routesByHost.values().forEach(hostRoutes -> hostRoutes.sort(LONGEST_PREFIX_FIRST));
   }
 
+  /**
+   * Gets all routes.
+   *
+   * @return the routes in no particular order, never null
+   */
+  public List<Route> getAll() {
+    return routesByHost.values().stream().flatMap(List::stream).toList();
+  }
+
   /**
    * Finds the route with the longest matching prefix.
    *
--- a/fireflyshed-core/src/main/java/io/fireflyshed/state/traffic/TrafficConfiguration.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/state/traffic/TrafficConfiguration.java
@@ -14,6 +14,7 @@
  * @param accounts the client accounts by API key, copied, not null
  * @param isKeyRequired whether requests of routes that are not public need an API key
  * @param limits the limits of callers' requests, not null
+ * @param ranks the services whose requests differ in their ranks, not null
  */
 public record TrafficConfiguration(
     long version,
@@ -21,16 +22,45 @@
     Map<ServiceName, ServiceProfile> services,
     Map<String, ClientAccount> accounts,
     boolean isKeyRequired,
-    ClientLimits limits) {
+    ClientLimits limits,
+    ServiceRanks ranks) {
 
   /** Validates the components and copies the maps. */
   public TrafficConfiguration {
     Objects.requireNonNull(routes, "routes");
     Objects.requireNonNull(limits, "limits");
+    Objects.requireNonNull(ranks, "ranks");
     services = Map.copyOf(services);
     accounts = Map.copyOf(accounts);
   }
 
+  /**
+   * Creates a configuration, whose ranks follow from its routes and accounts.
+   *
+   * @param version the version, which increases with each change
+   * @param routes the routes, not null
+   * @param services the services by name, copied, not null
+   * @param accounts the client accounts by API key, copied, not null
+   * @param isKeyRequired whether requests of routes that are not public need an API key
+   * @param limits the limits of callers' requests, not null
+   */
+  public TrafficConfiguration(
+      long version,
+      RouteTable routes,
+      Map<ServiceName, ServiceProfile> services,
+      Map<String, ClientAccount> accounts,
+      boolean isKeyRequired,
+      ClientLimits limits) {
+    this(
+        version,
+        routes,
+        services,
+        accounts,
+        isKeyRequired,
+        limits,
+        ServiceRanks.of(routes.getAll(), accounts.values(), isKeyRequired));
+  }
+
   /**
    * Finds the client account that an API key belongs to.
    *
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/RoutedRequest.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/RoutedRequest.java
@@ -120,6 +120,26 @@
         caller);
   }
 
+  /**
+   * Returns this request with another rank.
+   *
+   * @param newRank how urgent the request is for its targets, not null
+   * @return the request, never null
+   */
+  RoutedRequest withRank(Rank newRank) {
+    return new RoutedRequest(
+        request,
+        body,
+        route,
+        service,
+        account,
+        newRank,
+        configurationVersion,
+        arrivalNanos,
+        timeout,
+        caller);
+  }
+
   /**
    * Gets the time that remains until the timeout.
    *
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/TargetCaller.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/TargetCaller.java
@@ -9,6 +9,7 @@
 import io.fireflyshed.protocol.traffic.TrafficRequest;
 import io.fireflyshed.state.clock.MonotonicClock;
 import io.fireflyshed.state.target.Target;
+import io.fireflyshed.state.traffic.ServiceRanks;
 import io.fireflyshed.transport.http.FairReads;
 import io.fireflyshed.transport.http.HandOver;
 import io.fireflyshed.transport.http.SurplusResponseGuard;
@@ -21,6 +22,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.Supplier;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.netty.Connection;
@@ -55,17 +57,31 @@
 
   private final TrafficCodec codec;
   private final MonotonicClock clock;
+  private final Supplier<ServiceRanks> ranks;
   private final ConnectionProvider connectionPool;
   private final HttpClient pooledClient;
   private final HttpClient unpooledClient;
 
   /**
-   * Creates a client with a connection pool of its own.
+   * Creates a client that tells targets no priorities.
    *
    * @param codec encodes and decodes headers, not null
    * @param clock the clock of the arrival times of requests, not null
    */
   public TargetCaller(TrafficCodec codec, MonotonicClock clock) {
+    this(codec, clock, () -> ServiceRanks.NONE);
+  }
+
+  /**
+   * Creates a client with a connection pool of its own.
+   *
+   * @param codec encodes and decodes headers, not null
+   * @param clock the clock of the arrival times of requests, not null
+   * @param ranks gets the services whose requests differ in their ranks, as the latest known
+   *     configuration has them, not null
+   */
+  public TargetCaller(TrafficCodec codec, MonotonicClock clock, Supplier<ServiceRanks> ranks) {
+    this.ranks = Objects.requireNonNull(ranks, "ranks");
     this.codec = Objects.requireNonNull(codec, "codec");
     this.clock = Objects.requireNonNull(clock, "clock");
     connectionPool =
@@ -114,8 +130,7 @@
       Runnable onSend) {
     TrafficRequest request = routed.request();
     HandOver handOver = new HandOver();
-    HttpHeaders targetHeaders =
-        codec.newTargetHeaders(request, target, routed.account(), remaining, lastEventId);
+    HttpHeaders targetHeaders = newHeaders(target, routed, remaining, lastEventId);
     HttpClient client = routed.route().isRetryable() ? pooledClient : unpooledClient;
     String peer = target.address().getHostString() + ":" + target.address().getPort();
     HttpClient.RequestSender sender =
@@ -139,6 +154,17 @@
         .onErrorMap(e -> toAttemptException(peer, handOver, e));
   }
 
+  private HttpHeaders newHeaders(
+      Target target, RoutedRequest routed, Duration remaining, OptionalLong lastEventId) {
+    HttpHeaders headers =
+        codec.newTargetHeaders(routed.request(), target, routed.account(), remaining, lastEventId);
+    ranks
+        .get()
+        .getPriority(routed.service(), routed.rank())
+        .ifPresent(priority -> codec.addPriority(headers, priority));
+    return headers;
+  }
+
   /** Adds the headers for the target and removes the user agent that the HTTP client sets. */
   private static void setHeaders(HttpHeaders headers, HttpHeaders targetHeaders) {
     headers.remove(HttpHeaderNames.USER_AGENT);
@@ -157,8 +183,7 @@
       return;
     }
     Duration left = current.compareTo(MIN_REMAINING) < 0 ? MIN_REMAINING : current;
-    HttpHeaders updated =
-        codec.newTargetHeaders(routed.request(), target, routed.account(), left, lastEventId);
+    HttpHeaders updated = newHeaders(target, routed, left, lastEventId);
     updated.names().forEach(name -> headers.set(name, updated.getAll(name)));
   }
 
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/TargetCallerTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/TargetCallerTest.java
@@ -15,8 +15,10 @@
 import io.fireflyshed.state.clock.MonotonicClock;
 import io.fireflyshed.state.instance.InstanceId;
 import io.fireflyshed.state.target.Target;
+import io.fireflyshed.state.traffic.Rank;
 import io.fireflyshed.state.traffic.RequestKind;
 import io.fireflyshed.state.traffic.Route;
+import io.fireflyshed.state.traffic.ServiceRanks;
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -37,10 +39,11 @@
 public class TargetCallerTest {
 
   private static final String REMAINING = "x-left";
+  private static final String PRIORITY = "x-first";
   private static final Duration TIMEOUT = Duration.ofSeconds(2);
   private static final Duration CONNECTION_TIME = Duration.ofMillis(700);
 
-  /** Encodes the remaining time only. */
+  /** Encodes the remaining time and the priority only. */
   private static final class RemainingTimeCodec implements TrafficCodec {
     @Override
     public TrafficRequest decodeRequest(HttpMethod method, String uri, HttpHeaders headers) {
@@ -57,6 +60,11 @@
       return new DefaultHttpHeaders().add(REMAINING, remainingTime.toMillis());
     }
 
+    @Override
+    public void addPriority(HttpHeaders headers, int priority) {
+      headers.set(PRIORITY, priority);
+    }
+
     @Override
     public TargetAnswer decodeAnswer(int status, HttpHeaders headers) {
       return ((ResponsePart.Head) ForwardFixtures.newHead("id", status)).response();
@@ -68,6 +76,54 @@
     }
   }
 
+  @Test
+  public void targetIsToldThePriorityOnlyWhereRanksOfTheServiceDiffer() {
+    Route first = ForwardFixtures.newRoute(RequestKind.IDEMPOTENT, true, TIMEOUT);
+    Route later =
+        new Route(
+            "later",
+            first.host(),
+            "/later/",
+            first.kind(),
+            TIMEOUT,
+            TIMEOUT,
+            first.priority() + 3,
+            first.services(),
+            1,
+            first.isPublic(),
+            false);
+    ServiceRanks ranks = ServiceRanks.of(List.of(first, later), List.of(), true);
+    assertEquals(receivePriorities(ranks), List.of(List.of("0"), List.of("3")));
+    assertEquals(receivePriorities(ServiceRanks.NONE), List.of(List.of(), List.of()));
+  }
+
+  /** Sends requests of two ranks, which get a connection after a while, to a target. */
+  private static List<List<String>> receivePriorities(ServiceRanks ranks) {
+    List<List<String>> received = new CopyOnWriteArrayList<>();
+    DisposableServer server =
+        HttpServer.create()
+            .host("127.0.0.1")
+            .port(0)
+            .handle(
+                (request, response) -> {
+                  received.add(request.requestHeaders().getAll(PRIORITY));
+                  return response.send();
+                })
+            .bindNow();
+    try (TargetCaller caller =
+        new TargetCaller(new RemainingTimeCodec(), CONNECTION_TIME::toNanos, () -> ranks)) {
+      Target target = ForwardFixtures.newTarget("one", (InetSocketAddress) server.address());
+      Route route = ForwardFixtures.newRoute(RequestKind.IDEMPOTENT, true, TIMEOUT);
+      for (int rank : List.of(0, 3)) {
+        RoutedRequest routed = ForwardFixtures.newRequest("id", route, 0).withRank(new Rank(rank));
+        caller.send(target, routed, TIMEOUT, OptionalLong.of(7)).collectList().block(TIMEOUT);
+      }
+    } finally {
+      server.disposeNow();
+    }
+    return received;
+  }
+
   @Test
   public void targetIsHandedTheTimeThatIsLeftOnceItIsConnected() {
     List<String> received = new CopyOnWriteArrayList<>();
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
@@ -30,12 +30,10 @@
 import io.fireflyshed.state.instance.InstanceId;
 import io.fireflyshed.state.peer.EntryPeer;
 import io.fireflyshed.state.peer.PeerId;
-import io.fireflyshed.state.replica.ServiceName;
 import io.fireflyshed.state.table.Row;
 import io.fireflyshed.state.table.TableChanges;
 import io.fireflyshed.state.table.TableQuestion;
 import io.fireflyshed.state.target.Target;
-import io.fireflyshed.state.traffic.ServiceProfile;
 import io.fireflyshed.state.traffic.TrafficConfiguration;
 import io.fireflyshed.transport.control.LeaseStore;
 import io.fireflyshed.transport.formation.FormationController;
@@ -173,6 +171,7 @@
   private final TargetFollower targets;
   private final EvacuatedZones evacuated = new EvacuatedZones();
   private final ConfigurationWatcher configuration;
+  private final ConfiguredServices configured = new ConfiguredServices(this::findConfiguration);
   private final EntryRegistrar registrar;
   private final Optional<EntryRelay> relay;
   private final ReachabilityWatch reachability;
@@ -211,7 +210,7 @@
     StoreClient store = new StoreClient(storeCaller, settings.store());
     PlacementSettings placement = PlacementSettings.ofDefaults();
     stalls = new StallDetector(placement);
-    targetCaller = new TargetCaller(codec, trafficClock);
+    targetCaller = new TargetCaller(codec, trafficClock, configured::getRanks);
     EntrySchedule schedule = new EntrySchedule(settings.zoneRank(), settings.zones(), sharedClock);
     placer = new TargetPlacer(placement, settings.zone(), random, schedule);
     metrics.gauge("fireflyshed.limited.targets", placer, TargetPlacer::countLimitedTargets);
@@ -262,7 +261,7 @@
 
   private TargetValidator newValidator() {
     return new HealthCheckValidator(
-        new HttpHealthCheck(healthCaller, this::getHealthPath),
+        new HttpHealthCheck(healthCaller, configured::getHealthPath),
         targetProbe,
         placer,
         reachability,
@@ -270,11 +269,8 @@
         metrics);
   }
 
-  private Optional<String> getHealthPath(ServiceName service) {
-    return configuration
-        .get()
-        .map(c -> c.services().get(service))
-        .flatMap(ServiceProfile::healthPath);
+  private Optional<TrafficConfiguration> findConfiguration() {
+    return configuration.get();
   }
 
   private TrafficServer newServer(WireHeaders codec, UniformRandomProvider random) {
