Admit requests by rank where room is short

Cause: a full pool refuses whoever asks next, so a burst of the least urgent callers takes the room of the most urgent ones, and all callers are late.

Change: RankAdmission refuses the least urgent first by a threshold on the used room of the pool; it keeps the room that more urgent callers need until loads are told, keeps waits at targets short and has a floor for ranks and accounts. The demand of all entries comes from the load exchange, and an entry that hears nothing multiplies its own. AdmissionGate asks it before the first attempt of callers' requests, only at services whose ranks differ.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/DemandMeter.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/DemandMeter.java
@@ -1,14 +1,22 @@
 package io.fireflyshed.coordination.placement;
 
+import io.fireflyshed.state.traffic.Rank;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 
-/** Measures what the callers of this entry want of each pool, by rank. Thread safe. */
+/**
+ * Measures what the callers of this entry want of each pool, by rank, and knows what those of all
+ * entries want. Thread safe.
+ */
 public final class DemandMeter {
 
   /** Limits the pools and ranks that are told apart, which come from the configuration. */
   private static final int MAX_KEYS = 256;
 
+  /** The age from which the demand that other entries told is no longer used. */
+  private static final Duration MAX_FLEET_AGE = Duration.ofSeconds(1);
+
   private static final class Counts {
     private int arrivals;
     private double workMillis;
@@ -17,6 +25,10 @@
   }
 
   private final Map<PoolDemand.Key, Counts> counts = new HashMap<>();
+  private Map<PoolDemand.Key, PoolDemand> own = Map.of();
+  private Map<PoolDemand.Key, PoolDemand> fleet = Map.of();
+  private int entries = 1;
+  private long fleetNanos;
 
   /**
    * Records a request of a caller of this entry.
@@ -85,6 +97,35 @@
           c.refusals = 0;
         });
     counts.values().removeIf(c -> c.waiting == 0);
+    own = taken;
     return taken;
   }
+
+  /** Records the demand of all entries at a time. */
+  synchronized void onFleetLoad(FleetLoad total, long toldNanos) {
+    fleet = total.demands();
+    entries = Math.max(1, total.entries());
+    fleetNanos = toldNanos;
+  }
+
+  /**
+   * Returns the rates at which callers of all entries send requests for a pool. An entry that has
+   * heard nothing for a second takes the callers of the others for similar to its own.
+   *
+   * @param pool the pool, not null
+   * @param nowNanos the current reading of the monotonic clock
+   * @return the requests per second by rank, never null
+   */
+  public synchronized Map<Rank, Double> getArrivalRates(String pool, long nowNanos) {
+    boolean isTold = nowNanos - fleetNanos < MAX_FLEET_AGE.toNanos() && !fleet.isEmpty();
+    Map<Rank, Double> rates = new HashMap<>();
+    (isTold ? fleet : own)
+        .forEach(
+            (key, demand) -> {
+              if (key.pool().equals(pool)) {
+                rates.put(key.rank(), demand.arrivalsPerSecond() * (isTold ? 1 : entries));
+              }
+            });
+    return rates;
+  }
 }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/PlacementSettings.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/PlacementSettings.java
@@ -70,4 +70,9 @@
         Duration.ofSeconds(1),
         0.03);
   }
+
+  /** Returns the most requests that may run or wait at a target with some slots. */
+  int getCapacity(int slots, boolean isModelPool) {
+    return isModelPool ? slots + maxQueuedPerReplica : slots * (1 + maxQueuedPerSlot);
+  }
 }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetPlacer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetPlacer.java
@@ -50,7 +50,7 @@
   private boolean isFleetTold;
   private long fleetNanos;
   private long ownLoadNanos;
-  private final Map<String, RetryAfterSchedule> retryAfterSchedules = new HashMap<>();
+  private final Refusals refusals = new Refusals();
 
   /**
    * Creates a placer.
@@ -147,10 +147,8 @@
     }
     if (options.isEmpty()) {
       Duration capacityWait =
-          isRunning
-              ? RetryAfterSchedule.MIN_WAIT
-              : getRetryAfterSchedule(request.pool()).next(nowNanos);
-      return refuse(limitWaitNanos, capacityWait);
+          isRunning ? RetryAfterSchedule.MIN_WAIT : refusals.next(request.pool(), nowNanos);
+      return refusals.refuse(limitWaitNanos, capacityWait);
     }
     // The starts of other entries since they told their load.
     double unseenStarts = isFleetKnown ? othersRate * (nowNanos - fleetNanos) / 1e9 : 0;
@@ -174,6 +172,32 @@
     return candidates.stream().anyMatch(c -> isPlaceable(c, isModelPool, nowNanos));
   }
 
+  /**
+   * Measures the room of reachable targets, by the load that all entries told or, where this one
+   * heard nothing lately, by the responses of the targets.
+   *
+   * @param candidates the targets, not null
+   * @param isModelPool whether the targets are replicas of a model
+   * @param nowNanos the current time of the monotonic clock
+   * @return the room, never null
+   */
+  public synchronized PoolRoom measureRoom(
+      List<Target> candidates, boolean isModelPool, long nowNanos) {
+    boolean isFleetKnown = isFleetLoadKnown(nowNanos);
+    int slots = 0;
+    int capacity = 0;
+    int used = 0;
+    for (Target candidate : candidates) {
+      TargetLoad load = getLoad(candidate.id());
+      if (!load.isSuspect(nowNanos)) {
+        slots += load.getSlots(candidate.slots());
+        capacity += getCapacity(candidate, load, isModelPool);
+        used += isFleetKnown ? load.getFleetRequests(fleetNanos) : load.getRequests();
+      }
+    }
+    return new PoolRoom(slots, capacity, used);
+  }
+
   private boolean isPlaceable(Target candidate, boolean isModelPool, long nowNanos) {
     TargetLoad load = getLoad(candidate.id());
     return !load.isSuspect(nowNanos)
@@ -181,31 +205,8 @@
         && limits.getWaitNanos(candidate.id()) <= 0;
   }
 
-  /**
-   * Refuses a request.
-   *
-   * @param limitWaitNanos the time until the request limit of a target with capacity admits the
-   *     next request, {@code Long.MAX_VALUE} if no target has capacity
-   * @param capacityWait the time until a target is expected to have capacity
-   */
-  private static Placement refuse(long limitWaitNanos, Duration capacityWait) {
-    if (limitWaitNanos == Long.MAX_VALUE) {
-      return new Placement.Refuse(
-          Placement.Cause.AT_CAPACITY, "all targets are at capacity", capacityWait);
-    }
-    // The caller may return to another entry, whose next slot is about as near.
-    long wait = Math.min(limitWaitNanos, RetryAfterSchedule.MAX_WAIT.toNanos());
-    return new Placement.Refuse(
-        Placement.Cause.AT_REQUEST_LIMIT,
-        "all targets with capacity are at their request limits",
-        Duration.ofNanos(Math.max(wait, capacityWait.toNanos())));
-  }
-
   private int getCapacity(Target target, TargetLoad load, boolean isModelPool) {
-    int slots = load.getSlots(target.slots());
-    return isModelPool
-        ? slots + settings.maxQueuedPerReplica()
-        : slots * (1 + settings.maxQueuedPerSlot());
+    return settings.getCapacity(load.getSlots(target.slots()), isModelPool);
   }
 
   private LevelFiller.Option<Target> newOption(
@@ -251,7 +252,7 @@
    */
   public synchronized void onEnd(String pool, InstanceId target, long nowNanos) {
     getLoad(target).onEnd();
-    getRetryAfterSchedule(pool).onEnd(nowNanos);
+    refusals.onEnd(pool, nowNanos);
   }
 
   /**
@@ -299,6 +300,7 @@
    */
   public synchronized void onFleetLoad(FleetLoad total, FleetLoad own, long toldNanos) {
     isFleetTold = true;
+    demands.onFleetLoad(total, toldNanos);
     fleetNanos = toldNanos;
     Map<InstanceId, FleetLoad.TargetRequests> others = total.minus(own).loads();
     others.keySet().forEach(this::getLoad);
@@ -436,8 +438,4 @@
   private TargetLoad getLoad(InstanceId target) {
     return loads.computeIfAbsent(target, t -> new TargetLoad());
   }
-
-  private RetryAfterSchedule getRetryAfterSchedule(String pool) {
-    return retryAfterSchedules.computeIfAbsent(pool, p -> new RetryAfterSchedule());
-  }
 }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/Forwarder.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/Forwarder.java
@@ -1,5 +1,6 @@
 package io.fireflyshed.transport.forward;
 
+import io.fireflyshed.coordination.admission.RankAdmission;
 import io.fireflyshed.coordination.budget.ByteBudget;
 import io.fireflyshed.coordination.placement.StallDetector;
 import io.fireflyshed.coordination.placement.TargetPlacer;
@@ -7,9 +8,11 @@
 import io.fireflyshed.state.clock.MonotonicClock;
 import io.fireflyshed.state.instance.InstanceId;
 import io.fireflyshed.state.replica.ServiceName;
+import io.fireflyshed.state.traffic.ServiceRanks;
 import io.fireflyshed.transport.entry.ShutdownSignal;
 import io.micrometer.core.instrument.MeterRegistry;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import reactor.core.publisher.Flux;
 
 /**
@@ -27,6 +30,7 @@
 
   private final ForwardContext context;
   private final StallWatch stallWatch;
+  private final AdmissionGate admission;
   private final StopSignal stop = new StopSignal();
   private final ShutdownSignal shutdown = new ShutdownSignal();
 
@@ -114,7 +118,7 @@
   }
 
   /**
-   * Creates a forwarder.
+   * Creates a forwarder that admits requests of all ranks alike.
    *
    * @param targetView lists the targets, not null
    * @param placer selects targets, not null
@@ -144,6 +148,57 @@
       Reachability reachability,
       RequestRelay relay,
       ByteBudget budget) {
+    this(
+        targetView,
+        placer,
+        stallDetector,
+        client,
+        validator,
+        retryBudgets,
+        crashGuard,
+        clock,
+        stallListener,
+        registry,
+        reachability,
+        relay,
+        budget,
+        () -> ServiceRanks.NONE);
+  }
+
+  /**
+   * Creates a forwarder.
+   *
+   * @param targetView lists the targets, not null
+   * @param placer selects targets, not null
+   * @param stallDetector detects stalled streams, not null
+   * @param client sends requests to targets, not null
+   * @param validator finds out whether targets respond, not null
+   * @param retryBudgets limits the retries at each service, not null
+   * @param crashGuard refuses requests that crash targets, not null
+   * @param clock the monotonic clock of this process, not null
+   * @param stallListener is notified of targets whose streams have all stalled, not null
+   * @param registry registers the counters of requests, attempts and retries, not null
+   * @param reachability tells whether this entry has lost all targets, not null
+   * @param relay has requests forwarded by other entries, not null
+   * @param budget counts the bytes that this process holds, not null
+   * @param ranks gets the services whose requests differ in their ranks, not null
+   */
+  public Forwarder(
+      TargetView targetView,
+      TargetPlacer placer,
+      StallDetector stallDetector,
+      TargetClient client,
+      TargetValidator validator,
+      ServiceRetryBudgets retryBudgets,
+      CrashGuard crashGuard,
+      MonotonicClock clock,
+      Consumer<InstanceId> stallListener,
+      MeterRegistry registry,
+      Reachability reachability,
+      RequestRelay relay,
+      ByteBudget budget,
+      Supplier<ServiceRanks> ranks) {
+    this.admission = new AdmissionGate(new RankAdmission(placer.getDemands()), ranks, registry);
     this.stallWatch =
         new StallWatch(
             stallDetector, clock, newStallListener(placer, reachability, stallListener, clock));
@@ -212,7 +267,7 @@
         () -> {
           context.retryBudgets().onRequest(routed.service(), context.clock().nanoTime());
           context.metrics().recordRequest(routed.service());
-          return new AttemptSequence(context, routed).start();
+          return new AttemptSequence(context, admission.admit(context, routed)).start();
         });
   }
 
--- /dev/null
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/admission/package-info.java
@@ -0,0 +1,2 @@
+/** Tests which requests run where callers of several ranks compete. */
+package io.fireflyshed.coordination.admission;
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
@@ -255,7 +255,8 @@
             metrics,
             reachability,
             relay.map(RequestRelay.class::cast).orElseGet(RequestRelay::none),
-            budget);
+            budget,
+            configured::getRanks);
     server = newServer(codec, random);
   }
 
