--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/admission/RankAdmission.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/admission/RankAdmission.java
@@ -144,7 +144,7 @@
     // Behind the more urgent requests at the targets it would not start, either.
     return room.used() < room.capacity()
             && isBelow(state.getCounts(), RANK_FLOOR * pool.counts.getPart())
-        ? pool.ranks.firstKey()
+        ? pool.ranks.lowerKey(request.rank())
         : null;
   }
 
