--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/PlacementSettings.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/PlacementSettings.java
@@ -95,4 +95,9 @@
         0.03,
         PlacementBasis.REQUESTS);
   }
+
+  /** Returns the most requests that may run or wait at a target with some slots. */
+  int getCapacity(int slots, boolean isModelPool) {
+    return isModelPool ? slots + maxQueuedPerReplica : slots * (1 + maxQueuedPerSlot);
+  }
 }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetPlacer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetPlacer.java
@@ -182,6 +182,32 @@
     return candidates.stream().anyMatch(c -> isPlaceable(c, isModelPool, nowNanos));
   }
 
+  /**
+   * Measures the room of reachable targets, by the load that all entries told or, where this one
+   * heard nothing lately, by the responses of the targets.
+   *
+   * @param candidates the targets, not null
+   * @param isModelPool whether the targets are replicas of a model
+   * @param nowNanos the current time of the monotonic clock
+   * @return the room, never null
+   */
+  public synchronized PoolRoom measureRoom(
+      List<Target> candidates, boolean isModelPool, long nowNanos) {
+    boolean isFleetKnown = loads.isFleetKnown(nowNanos);
+    int slots = 0;
+    int capacity = 0;
+    int used = 0;
+    for (Target candidate : candidates) {
+      TargetLoad load = getLoad(candidate.id());
+      if (!load.isSuspect(nowNanos)) {
+        slots += load.getSlots(candidate.slots());
+        capacity += getCapacity(candidate, load, isModelPool);
+        used += isFleetKnown ? load.getFleetRequests(loads.getFleetNanos()) : load.getRequests();
+      }
+    }
+    return new PoolRoom(slots, capacity, used);
+  }
+
   private boolean isPlaceable(Target candidate, boolean isModelPool, long nowNanos) {
     TargetLoad load = getLoad(candidate.id());
     return !load.isSuspect(nowNanos)
@@ -190,10 +216,7 @@
   }
 
   private int getCapacity(Target target, TargetLoad load, boolean isModelPool) {
-    int slots = load.getSlots(target.slots());
-    return isModelPool
-        ? slots + settings.maxQueuedPerReplica()
-        : slots * (1 + settings.maxQueuedPerSlot());
+    return settings.getCapacity(load.getSlots(target.slots()), isModelPool);
   }
 
   private double getMeanEventInterval(Target target) {
@@ -290,6 +313,7 @@
    */
   public synchronized void onFleetLoad(FleetLoad total, FleetLoad own, long toldNanos) {
     loads.setFleet(total, own, toldNanos);
+    demands.onFleetLoad(total, toldNanos);
   }
 
   /**
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
@@ -32,11 +32,9 @@
 import io.fireflyshed.state.instance.InstanceId;
 import io.fireflyshed.state.peer.EntryPeer;
 import io.fireflyshed.state.peer.PeerId;
-import io.fireflyshed.state.replica.ServiceName;
 import io.fireflyshed.state.table.TableChanges;
 import io.fireflyshed.state.table.TableQuestion;
 import io.fireflyshed.state.target.Target;
-import io.fireflyshed.state.traffic.ServiceProfile;
 import io.fireflyshed.state.traffic.TrafficConfiguration;
 import io.fireflyshed.transport.control.LeaseStore;
 import io.fireflyshed.transport.formation.FormationController;
@@ -157,6 +155,7 @@
   private final EvacuatedZones evacuated = new EvacuatedZones();
   private final ColdTargets cold;
   private final ConfigurationWatcher configuration;
+  private final ConfiguredServices configured = new ConfiguredServices(this::findConfiguration);
   private final EntryRegistrar registrar;
   private final Optional<EntryRelay> relay;
   private final ReachabilityWatch reachability;
@@ -194,11 +193,12 @@
     WireHeaders codec = new WireHeaders();
     StoreClient store = new StoreClient(storeCaller, settings.store());
     stalls = new StallDetector(PlacementSettings.ofDefaults());
-    targetCaller = new TargetCaller(codec, trafficClock);
+    targetCaller = new TargetCaller(codec, trafficClock, configured::getRanks);
     cold = newColdTargets();
     EntrySchedule schedule =
         new EntrySchedule(settings.zoneRank(), settings.zones(), sharedClock, cold);
-    placer = new PlacerFactory(settings, metrics).newPlacer(random, schedule, this::getNewest);
+    placer =
+        new PlacerFactory(settings, metrics).newPlacer(random, schedule, this::findConfiguration);
     metrics.gauge("fireflyshed.evacuated.zones", evacuated, e -> e.get().size());
     tables = newTables(store);
     targets = newTargets();
@@ -233,14 +233,15 @@
             metrics,
             reachability,
             relay.map(RequestRelay.class::cast).orElseGet(RequestRelay::none),
-            budget);
+            budget,
+            configured::getRanks);
     server = newServer(codec, random);
   }
 
   private ColdTargets newColdTargets() {
     return new ColdTargets(
         new ColdBounds(settings.coldOvershoot(), settings.coldSlack()),
-        service -> getProfile(service).flatMap(ServiceProfile::coldStart),
+        configured::getColdStart,
         evacuated,
         clock);
   }
@@ -258,11 +259,7 @@
   private TargetValidator newValidator() {
     return new HealthCheckValidator(
         new WarmHealthCheck(
-            new HttpHealthCheck(
-                healthCaller,
-                service -> getProfile(service).flatMap(ServiceProfile::healthPath),
-                cold::onReported),
-            cold),
+            new HttpHealthCheck(healthCaller, configured::getHealthPath, cold::onReported), cold),
         targetProbe,
         placer,
         reachability,
@@ -270,11 +267,7 @@
         metrics);
   }
 
-  private Optional<ServiceProfile> getProfile(ServiceName service) {
-    return getNewest().map(c -> c.services().get(service));
-  }
-
-  private Optional<TrafficConfiguration> getNewest() {
+  private Optional<TrafficConfiguration> findConfiguration() {
     return configuration.get();
   }
 
