--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/cost/ExpectedWorkCosts.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/cost/ExpectedWorkCosts.java
@@ -30,12 +30,6 @@
   /** The part of the work of a full target, in the work of one slot, that counts as cost. */
   private static final double BACKLOG_WEIGHT = 1;
 
-  /**
-   * By how much more widely entries with the same picture choose than the mean cost of a request
-   * says, since requests differ.
-   */
-  private static final double SPREAD = 2;
-
   /**
    * The age from which the load that other entries told is no longer used. The older it is, the
    * more unseen starts it is corrected by, until all targets are chosen alike.
@@ -164,7 +158,7 @@
             + (requests >= slots ? workOfRequest : 0);
     return new TargetRating(
         slowness * (nominal + backlog) + zonePenalty + failurePenalty,
-        Math.max(MIN_COST_OF_REQUEST, SPREAD * slowness * costOfRequest));
+        Math.max(MIN_COST_OF_REQUEST, slowness * costOfRequest));
   }
 
   /**
