--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
@@ -165,7 +165,7 @@
   private final TargetCaller targetCaller;
   private final TargetValidator validator;
   private final TargetPlacer placer;
-  private final StallDetector stalls;
+  private final StallDetector stalls = new StallDetector(PlacementSettings.ofDefaults());
   private final SharedTableFeed tables;
   private final LoadExchange loads;
   private final TargetFollower targets;
@@ -209,7 +209,6 @@
     WireHeaders codec = new WireHeaders();
     StoreClient store = new StoreClient(storeCaller, settings.store());
     PlacementSettings placement = PlacementSettings.ofDefaults();
-    stalls = new StallDetector(placement);
     targetCaller = new TargetCaller(codec, trafficClock, configured::getRanks);
     EntrySchedule schedule = new EntrySchedule(settings.zoneRank(), settings.zones(), sharedClock);
     placer = new TargetPlacer(placement, settings.zone(), random, schedule);
