--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
@@ -148,7 +148,7 @@
   private final TargetCaller targetCaller;
   private final TargetValidator validator;
   private final TargetPlacer placer;
-  private final StallDetector stalls;
+  private final StallDetector stalls = new StallDetector(PlacementSettings.ofDefaults());
   private final SharedTableFeed tables;
   private final LoadExchange loads;
   private final TargetFollower targets;
@@ -192,7 +192,6 @@
     UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create();
     WireHeaders codec = new WireHeaders();
     StoreClient store = new StoreClient(storeCaller, settings.store());
-    stalls = new StallDetector(PlacementSettings.ofDefaults());
     targetCaller = new TargetCaller(codec, trafficClock, configured::getRanks);
     cold = newColdTargets();
     EntrySchedule schedule =
