Rate whether a full target would begin a request in time

Cause: a rating says what a request costs at a target, and not whether its response would still be on time.

Change: TargetRating carries whether the request would wait for a slot until after its latency target; the placement leaves such targets out for first attempts, and refuses if none is left. PlacementRefusals states the reason.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/cost/ExpectedWorkCosts.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/cost/ExpectedWorkCosts.java
@@ -158,7 +158,13 @@
             + (requests >= slots ? workOfRequest : 0);
     return new TargetRating(
         slowness * (nominal + backlog) + zonePenalty + failurePenalty,
-        Math.max(MIN_COST_OF_REQUEST, slowness * costOfRequest));
+        Math.max(MIN_COST_OF_REQUEST, slowness * costOfRequest),
+        engine.isPresent() && requests >= slots && isLate(request, last.expectedMillis));
+  }
+
+  private static boolean isLate(RequestDescriptor request, double expectedMillis) {
+    double targetMillis = request.latencyTarget().toNanos() / NANOS_PER_MILLI;
+    return targetMillis > 0 && expectedMillis > targetMillis;
   }
 
   /**
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/PlacementRefusals.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/PlacementRefusals.java
@@ -55,6 +55,17 @@
         Duration.ofNanos(Math.max(wait, capacityWait.toNanos())));
   }
 
+  /**
+   * Refuses a request that every target would begin too late, as a caller that returns once there
+   * is room is served better than one that waits beside others that are late, too.
+   */
+  Placement refuseLate(String pool, long nowNanos) {
+    return new Placement.Refuse(
+        Placement.Cause.AT_CAPACITY,
+        "all targets are expected to respond late",
+        getSchedule(pool).next(nowNanos));
+  }
+
   private RetryAfterSchedule getSchedule(String pool) {
     return schedules.computeIfAbsent(pool, p -> new RetryAfterSchedule());
   }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/RequestCountCosts.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/RequestCountCosts.java
@@ -47,7 +47,7 @@
     double zonePenalty = state.isOtherZone() ? otherZonePenalty : 0;
     double failurePenalty = FAILURE_PENALTY * state.failureRate();
     double cost = (state.requests() + 1.0) * costOfRequest + zonePenalty + failurePenalty;
-    return new TargetRating(cost, costOfRequest);
+    return new TargetRating(cost, costOfRequest, false);
   }
 
   @Override
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetPlacer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetPlacer.java
@@ -134,6 +134,9 @@
     boolean isFleetKnown = loads.isFleetKnown(nowNanos);
     TargetCosts.Rater rater = costs.newRater(request, nowNanos);
     List<LevelFiller.Option<Target>> options = new ArrayList<>();
+    // What was tried before is late already and loses its progress if it is refused.
+    boolean isFirst = !isRunning && excluded.isEmpty();
+    boolean isAnyLate = false;
     double othersRate = 0;
     long limitWaitNanos = Long.MAX_VALUE;
     for (Target candidate : usable) {
@@ -159,10 +162,16 @@
               isFleetKnown ? ageNanos : Long.MAX_VALUE,
               nowNanos);
       TargetRating rating = rater.rate(candidate, state);
+      if (isFirst && rating.isLate()) {
+        isAnyLate = true;
+        continue;
+      }
       options.add(new LevelFiller.Option<>(candidate, rating.cost(), rating.costOfRequest()));
     }
     if (options.isEmpty()) {
-      return refusals.refuseFull(request.pool(), isRunning, limitWaitNanos, nowNanos);
+      return isAnyLate
+          ? refusals.refuseLate(request.pool(), nowNanos)
+          : refusals.refuseFull(request.pool(), isRunning, limitWaitNanos, nowNanos);
     }
     // The starts of other entries since they told their load.
     double unseenStarts = isFleetKnown ? costs.countUnseenStarts(request, othersRate, ageNanos) : 0;
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/cost/CostFixtures.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/cost/CostFixtures.java
@@ -35,6 +35,11 @@
   }
 
   static RequestDescriptor newRequest(String route, int promptTokens, OptionalInt estimate) {
+    return newRequest(route, promptTokens, estimate, Duration.ofMillis(400));
+  }
+
+  static RequestDescriptor newRequest(
+      String route, int promptTokens, OptionalInt estimate, Duration latencyTarget) {
     return new RequestDescriptor(
         route,
         POOL,
@@ -45,7 +50,7 @@
         estimate,
         0,
         promptTokens * 4,
-        Duration.ofMillis(400));
+        latencyTarget);
   }
 
   /** Returns a configuration whose only service runs a model of a given name. */
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/cost/WorkloadRun.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/cost/WorkloadRun.java
@@ -207,6 +207,7 @@
   private final List<ExpectedWorkCosts> costs = new ArrayList<>();
   private final List<Result> results = new ArrayList<>();
   private long order;
+  private Duration latencyTarget = Duration.ofMillis((long) LATENCY_TARGET_MILLIS);
 
   WorkloadRun(Load load, Policy policy, long seed) {
     this.load = load;
@@ -268,7 +269,7 @@
     @Override
     public Rater newRater(RequestDescriptor request, long nowNanos) {
       double work = costs.getExpectedWorkMillis(request);
-      return (target, state) -> new TargetRating(getWork(target, state, work), work);
+      return (target, state) -> new TargetRating(getWork(target, state, work), work, false);
     }
 
     private double getWork(Target target, TargetState state, double work) {
@@ -317,6 +318,12 @@
     at(load.reportPeriod.toNanos(), this::report);
   }
 
+  /** Sends requests without a latency target, so that none is refused for being late. */
+  WorkloadRun withoutLatencyTarget() {
+    latencyTarget = Duration.ZERO;
+    return this;
+  }
+
   /** Plays the load; the first seconds aren't counted. */
   WorkloadRun run(Duration length) {
     scheduleArrival();
@@ -362,7 +369,7 @@
             ? (int) hostile
             : Math.max(1, (int) (outputEvents * STRIDE * Math.exp(deviation)));
     RequestDescriptor request =
-        CostFixtures.newRequest("r" + kind % 3, size[0], OptionalInt.of(estimate));
+        CostFixtures.newRequest("r" + kind % 3, size[0], OptionalInt.of(estimate), latencyTarget);
     TargetPlacer placer = placers.get(random.nextInt(placers.size()));
     List<Target> candidates =
         policy.isOfTwo() ? List.of(pick(), pick()).stream().distinct().toList() : targets;
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/cost/WorkloadTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/cost/WorkloadTest.java
@@ -66,6 +66,27 @@
     assertTrue(worst > best / 2, run.toString());
   }
 
+  /** Provides loads beyond the capacity and the part of the callers that it suffices for. */
+  @DataProvider
+  public static Object[][] overloads() {
+    return new Object[][] {{1.2}, {1.5}, {2.0}};
+  }
+
+  @Test(dataProvider = "overloads")
+  public void overloadLeavesSomeCallersInTime(double utilization) {
+    Load load = new Load(36, 24, utilization, 0, false, Estimates.MEDIAN_RIGHT, 1, PERIOD);
+    double kept = 0;
+    double queued = 0;
+    for (long seed : SEEDS) {
+      WorkloadRun run = new WorkloadRun(load, Policy.EXPECTED_FIRST_EVENT, seed);
+      queued += 1 - run.withoutLatencyTarget().run(LENGTH).getResult().getLateShare();
+      kept += 1 - run(load, Policy.EXPECTED_FIRST_EVENT, seed).getResult().getLateShare();
+    }
+    System.out.printf(
+        "OVERLOAD %.1f in time %.3f, queued %.3f%n", utilization, kept / 3, queued / 3);
+    assertTrue(kept > queued, "in time " + kept + " against " + queued);
+  }
+
   private static WorkloadRun run(Load load, Policy policy, long seed) {
     return new WorkloadRun(load, policy, seed).run(LENGTH);
   }
