Let callers of the placer ask its costs

Change: TargetPlacer.getCosts replaces two methods that passed calls on; TargetCosts tells the expected work of a request, 0 if placement is by requests.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/cost/ExpectedWorkCosts.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/cost/ExpectedWorkCosts.java
@@ -81,12 +81,7 @@
     return statistics;
   }
 
-  /**
-   * Estimates the time for which a request keeps a full target busy.
-   *
-   * @param request the request, not null
-   * @return the time in milliseconds
-   */
+  @Override
   public synchronized double getExpectedWorkMillis(RequestDescriptor request) {
     return estimate(request, engines.get(request.pool()), 1).getWorkMillis();
   }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/RequestCountCosts.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/RequestCountCosts.java
@@ -55,6 +55,11 @@
     return RequestRun.NONE;
   }
 
+  @Override
+  public double getExpectedWorkMillis(RequestDescriptor request) {
+    return 0;
+  }
+
   @Override
   public OptionalDouble getOwnWorkMillis(InstanceId target) {
     return OptionalDouble.empty();
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetCosts.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetCosts.java
@@ -60,6 +60,14 @@
    */
   RequestRun newRun(RequestDescriptor request, InstanceId target, long eventsBefore);
 
+  /**
+   * Estimates how long a request keeps a target busy.
+   *
+   * @param request the request, not null
+   * @return the time in milliseconds, 0 if nothing is expected
+   */
+  double getExpectedWorkMillis(RequestDescriptor request);
+
   /**
    * Gets how long this entry's own requests will still keep a target busy.
    *
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetPlacer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetPlacer.java
@@ -210,26 +210,12 @@
   }
 
   /**
-   * Creates what follows an attempt of a request at a target.
+   * Gets what rates the targets and follows the attempts at them.
    *
-   * @param request the request, not null
-   * @param target the target, not null
-   * @param eventsBefore the number of events that the target won't send, as a stream goes on after
-   *     them; 0 for a new stream and for other requests
-   * @return the run, not started yet, never null
-   */
-  public RequestRun newRun(RequestDescriptor request, InstanceId target, long eventsBefore) {
-    return costs.newRun(request, target, eventsBefore);
-  }
-
-  /**
-   * Gets the time to the first event that was expected when the target was last rated.
-   *
-   * @param target the target, not null
-   * @return the time in milliseconds, empty if nothing is expected, never null
+   * @return the costs, never null
    */
-  public OptionalDouble getExpectedMillis(InstanceId target) {
-    return costs.getExpectedMillis(target);
+  public TargetCosts getCosts() {
+    return costs;
   }
 
   /**
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptSender.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptSender.java
@@ -129,7 +129,7 @@
         isRelayed,
         number,
         context.placer().getRequestLimit(target.id()),
-        context.placer().getExpectedMillis(target.id()));
+        context.placer().getCosts().getExpectedMillis(target.id()));
     return context.client().send(target, routed, remaining, lastEventId, () -> onSend(target.id()));
   }
 
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/RequestPlacer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/RequestPlacer.java
@@ -132,7 +132,7 @@
 
   /** Creates what follows an attempt at a target, which goes on after some events. */
   RequestRun newRun(Target target, long eventsBefore) {
-    return context.placer().newRun(descriptor, target.id(), eventsBefore);
+    return context.placer().getCosts().newRun(descriptor, target.id(), eventsBefore);
   }
 
   /** Asks the other targets once one turned out silent, so that further ones are known sooner. */
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/cost/WorkloadRun.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/cost/WorkloadRun.java
@@ -281,6 +281,11 @@
       return costs.newRun(request, target, eventsBefore);
     }
 
+    @Override
+    public double getExpectedWorkMillis(RequestDescriptor request) {
+      return costs.getExpectedWorkMillis(request);
+    }
+
     @Override
     public OptionalDouble getOwnWorkMillis(InstanceId target) {
       return costs.getOwnWorkMillis(target);
@@ -367,7 +372,7 @@
     List<Target> candidates =
         policy.isOfTwo() ? List.of(pick(), pick()).stream().distinct().toList() : targets;
     if (placer.place(request, candidates, Set.of(), now) instanceof Placement.Send send) {
-      RequestRun run = placer.newRun(request, send.target().id(), 0);
+      RequestRun run = placer.getCosts().newRun(request, send.target().id(), 0);
       placer.onStart(send.target().id());
       run.onStart(now);
       replicas.get(targets.indexOf(send.target())).add(new Job(request, placer, run, outputEvents));
