--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/admission/RankAdmission.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/admission/RankAdmission.java
@@ -141,13 +141,14 @@
         && isBelow(account, ACCOUNT_FLOOR * state.getCounts().getPart())) {
       return request.rank();
     }
-    // Behind the more urgent requests at the targets it would not start, either.
+    // With its own rank it would wait behind all more urgent requests at its target.
     return room.used() < room.capacity()
             && isBelow(state.getCounts(), RANK_FLOOR * pool.counts.getPart())
         ? pool.ranks.lowerKey(request.rank())
         : null;
   }
 
+  /** Computes the limit of a rank from the room and the demand of all ranks. */
   private static Limit computeLimit(
       Pool pool, RankState state, RequestDescriptor request, PoolRoom room) {
     int ranks = 0;
