Let a model that is hardly used give up its second replica

Cause: every model keeps two replicas, whatever it costs the others.

Change: a model keeps one replica. A second one comes from a model that keeps two and stays below the moderate usage, and goes to one that is short. A model without any gets one while the donor's callers still find room.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/UsageBalance.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/UsageBalance.java
@@ -5,17 +5,14 @@
 import java.util.Map;
 
 /**
- * Compares models by how busy their replicas are, and keeps replicas of each model in more than one
- * place. The usage is smoothed, since engines take many seconds to change their model. Not thread
- * safe.
+ * Compares models by how busy their replicas are. Each keeps a replica, and a second one where the
+ * others can spare it. The usage is smoothed, since engines take many seconds to change their
+ * model. Not thread safe.
  */
 final class UsageBalance implements ModelBalance {
 
   /** The replicas that each model should have, so that one that is lost leaves another. */
-  static final int MIN_REPLICAS = 2;
-
-  /** The coverage of a model with fewer replicas than it should have, for each replica. */
-  private static final double SCARCE_COVERAGE = 1e-3;
+  private static final int WANTED_REPLICAS = 2;
 
   /** Lower bound for the busy replicas of a model, so that the coverage stays finite. */
   private static final double MIN_BUSY = 0.1;
@@ -59,9 +56,7 @@
 
   @Override
   public double getCoverage(ModelProfile model, int replicas) {
-    return replicas < MIN_REPLICAS
-        ? replicas * SCARCE_COVERAGE
-        : replicas / Math.max(getBusy(model), MIN_BUSY);
+    return replicas / Math.max(getBusy(model), MIN_BUSY);
   }
 
   @Override
@@ -71,14 +66,15 @@
       Map<String, Integer> replicas,
       boolean hasFreeEngines) {
     int received = replicas.get(receiver.name());
-    if (received < MIN_REPLICAS) {
-      return canGive(donor, replicas, HIGH_USAGE);
-    }
-    return getBusy(receiver) > HIGH_USAGE * received && canGive(donor, replicas, MODERATE_USAGE);
-  }
-
-  private boolean canGive(ModelProfile donor, Map<String, Integer> replicas, double maxUsage) {
     int left = replicas.get(donor.name()) - 1;
-    return left >= MIN_REPLICAS && getBusy(donor) < maxUsage * left;
+    if (left < 1) {
+      return false;
+    }
+    if (received == 0) {
+      return getBusy(donor) < left;
+    }
+    boolean isShort = getBusy(receiver) > HIGH_USAGE * received;
+    boolean isSpare = getBusy(donor) < MODERATE_USAGE * left;
+    return isSpare && (isShort || received < WANTED_REPLICAS && left >= WANTED_REPLICAS);
   }
 }
