Compare models by shares exactly as before usage was known

Cause: ShareBalance multiplied the number of replicas by the engines and divided by the share, and compared a product where a ratio was compared before. Both round differently: at equal coverage (shares 0.7 and 0.3, replicas of 12 and 6 engines) another model was taken for the least covered one, or engines waited where they didn't before, though usage isn't used.

Change: The coverage of replicas is added up as before, first that of other zones. Waiting for more engines is a decision of its own, by the ratio.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/ModelBalance.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/ModelBalance.java
@@ -28,4 +28,14 @@
       ModelProfile receiver,
       Map<String, Integer> replicas,
       boolean hasFreeEngines);
+
+  /**
+   * Tests whether free engines that could form a replica of one model should wait until they
+   * suffice for one of another.
+   *
+   * @param model the model that they could serve, not null
+   * @param other the least covered model, not null
+   * @param replicas the numbers of replicas in all availability zones by model, not null
+   */
+  boolean isWaitWorthwhile(ModelProfile model, ModelProfile other, Map<String, Integer> replicas);
 }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/ReplicaAllocator.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/ReplicaAllocator.java
@@ -60,6 +60,7 @@
 
   void setReplicasInOtherZones(Map<String, Integer> replicas) {
     replicasInOtherZones = Map.copyOf(replicas);
+    shares.setReplicasInOtherZones(replicasInOtherZones);
   }
 
   /**
@@ -140,7 +141,7 @@
     Map<String, Integer> replicas = countReplicas();
     ModelProfile leastCovered = getLeastCovered(replicas).orElseThrow();
     return !candidate.model().name().equals(leastCovered.name())
-        && getBalance().isMoveWorthwhile(candidate.model(), leastCovered, replicas, true)
+        && getBalance().isWaitWorthwhile(candidate.model(), leastCovered, replicas)
         && free.size() + countReclaimable(leastCovered, domain) >= leastCovered.size();
   }
 
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/ShareBalance.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/ShareBalance.java
@@ -15,9 +15,18 @@
   /** The same factor if the domain has free engines that no model can use without further ones. */
   private static final double DONOR_RATIO_WITH_FREE = 1.2;
 
+  private Map<String, Integer> replicasInOtherZones = Map.of();
+
   @Override
   public double getCoverage(ModelProfile model, int replicas) {
-    return replicas * model.size() / Math.max(model.share(), MIN_SHARE);
+    double coverageOfReplica = model.size() / Math.max(model.share(), MIN_SHARE);
+    int elsewhere = replicasInOtherZones.getOrDefault(model.name(), 0);
+    double coverage = elsewhere * coverageOfReplica;
+    // Added one by one, as a product may round differently and thus break ties the other way.
+    for (int i = elsewhere; i < replicas; i++) {
+      coverage += coverageOfReplica;
+    }
+    return coverage;
   }
 
   @Override
@@ -30,4 +39,18 @@
     return getCoverage(donor, replicas.get(donor.name()))
         > ratio * getCoverage(receiver, replicas.get(receiver.name()));
   }
+
+  @Override
+  public boolean isWaitWorthwhile(
+      ModelProfile model, ModelProfile other, Map<String, Integer> replicas) {
+    double ratio =
+        getCoverage(model, replicas.get(model.name()))
+            / getCoverage(other, replicas.get(other.name()));
+    return ratio > DONOR_RATIO_WITH_FREE;
+  }
+
+  /** Records the number of replicas in other zones, which the numbers of all zones contain. */
+  void setReplicasInOtherZones(Map<String, Integer> replicas) {
+    replicasInOtherZones = replicas;
+  }
 }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/UsageBalance.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/UsageBalance.java
@@ -77,6 +77,12 @@
     return getBusy(receiver) > HIGH_USAGE * received && canGive(donor, replicas, MODERATE_USAGE);
   }
 
+  @Override
+  public boolean isWaitWorthwhile(
+      ModelProfile model, ModelProfile other, Map<String, Integer> replicas) {
+    return isMoveWorthwhile(model, other, replicas, true);
+  }
+
   private boolean canGive(ModelProfile donor, Map<String, Integer> replicas, double maxUsage) {
     int left = replicas.get(donor.name()) - 1;
     return left >= MIN_REPLICAS && getBusy(donor) < maxUsage * left;
