Learn times of plain requests from their own rating

Cause: An attempt took the expected time of its target from the last rating of that target, which may be that of another request, or from none. The time that was learned for its route is a multiple of that one, so that routes of different length at the same targets drove each other towards 0 or far up. Times below 1 ms were compared with 1 ms, so that each sample made the learned time smaller, down to 0, from which it never grew again: all targets then cost the same, also those that fail.

Change: What is kept of a rating is the wait, to which an attempt adds its own time. Learned times have a lower bound of 1 us; the bound of 1 ms holds for the pace of targets only, on both sides of the ratio.

Result: Two new tests, which failed: 0.5 ms were learned as 0.0, and 1000 ms beside 10 ms as 0.0. ExpectedWorkCostsTest, CostEstimatorTest, WorkloadTest, PlacementBasisTest and StreamDeliveryTest pass (53 tests).

--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/cost/ExpectedWorkCosts.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/cost/ExpectedWorkCosts.java
@@ -46,13 +46,26 @@
   private static final double FAILURE_PENALTY = 2;
 
   private static final double MIN_COST_OF_REQUEST = 1e-3;
+
+  /** Keeps learned times above 0, from which they couldn't grow again. */
+  private static final double MIN_SERVICE_MILLIS = 1e-3;
+
+  /** Keeps delays of a few microseconds from counting as the pace of a target. */
+  private static final double MIN_PACE_MILLIS = 1;
+
   private static final double NANOS_PER_MILLI = 1e6;
 
   /** Holds what the last rating of a target found. */
   private static final class LastRating {
     private int slots = 1;
     private double requests;
-    private double nominalMillis;
+
+    /** The expected time of another request, without what it takes itself. */
+    private double waitMillis;
+
+    /** The factor by which the target is expected to need longer. */
+    private double slowness = 1;
+
     private double expectedMillis;
   }
 
@@ -153,8 +166,9 @@
     LastRating last = lastRatings.computeIfAbsent(target.id(), t -> new LastRating());
     last.slots = slots;
     last.requests = requests;
-    last.nominalMillis = nominal;
-    last.expectedMillis = nominal * slowness * poolFactor;
+    last.waitMillis = nominal - getOwnMillis(engine, estimate);
+    last.slowness = slowness * poolFactor;
+    last.expectedMillis = nominal * last.slowness;
     double backlog = (allWork + estimate.getWorkMillis() * share) * BACKLOG_WEIGHT / slots;
     double zonePenalty = state.isOtherZone() ? otherZonePenalty * meanWork : 0;
     double failurePenalty = FAILURE_PENALTY * state.failureRate() * slots * meanWork;
@@ -187,6 +201,11 @@
         : meanWork;
   }
 
+  /** Returns the part of the expected time that the request takes itself, apart from passes. */
+  private static double getOwnMillis(Optional<EngineTimes> engine, WorkEstimate estimate) {
+    return engine.isPresent() ? estimate.prefillMillis() : estimate.getWorkMillis();
+  }
+
   /** Returns the time that passes with the decoding of others before and between the reads. */
   private static double getPassWait(EngineTimes engine, double requests, double prefillMillis) {
     double readPerPass =
@@ -310,8 +329,9 @@
         WorkEstimate whole = estimate(request, engine, 1);
         getMeans(request, engine).add(whole);
         serviceMillis = whole.getWorkMillis();
-        nominalMillis = last.nominalMillis;
-        expectedMillis = last.expectedMillis;
+        // Another request may have been rated last.
+        nominalMillis = last.waitMillis + getOwnMillis(engine, whole);
+        expectedMillis = nominalMillis * last.slowness;
         requestsAtStart = last.requests;
         startNanos = nowNanos;
         double tokensBefore =
@@ -367,10 +387,13 @@
 
     private void onServiceEnd(double millis, long nowNanos) {
       statistics.add(expectedMillis, millis);
-      double ratio = millis / Math.max(1, nominalMillis);
+      double ratio = millis / Math.max(MIN_SERVICE_MILLIS, nominalMillis);
       double slowness = paces.getSlowness(request.pool(), target, nowNanos);
-      estimator.onServiceTime(request, ratio * serviceMillis / slowness);
-      paces.add(request.pool(), target, ratio, nowNanos);
+      estimator.onServiceTime(
+          request, Math.max(MIN_SERVICE_MILLIS, ratio * serviceMillis / slowness));
+      double paceRatio =
+          Math.max(MIN_PACE_MILLIS, millis) / Math.max(MIN_PACE_MILLIS, nominalMillis);
+      paces.add(request.pool(), target, paceRatio, nowNanos);
     }
   }
 }
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/cost/ExpectedWorkCostsTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/cost/ExpectedWorkCostsTest.java
@@ -218,10 +218,44 @@
     assertTrue(rateAt(0, 0).cost() > rateAt(1, 0).cost(), "the slow request is dearer");
   }
 
+  @Test
+  public void servicesThatTakeLessThanAMillisecondKeepTheirTime() {
+    costs = new ExpectedWorkCosts(Optional::empty, 0);
+    for (int i = 0; i < 3000; i++) {
+      rateAt(0, i * MILLI);
+      start(0, "r", 0, i * MILLI).onEnd(true, i * MILLI + MILLI / 2);
+    }
+    start(1, "r", 0, 0);
+    assertEquals(getWork(1), 0.5, 0.1);
+  }
+
+  @Test
+  public void timesAreLearnedThoughOtherRequestsAreRatedMeanwhile() {
+    costs = new ExpectedWorkCosts(Optional::empty, 0);
+    for (int i = 0; i < 300; i++) {
+      long now = i * 2000 * MILLI;
+      rateAt("fast", 0, now);
+      start(0, "slow", 0, now).onEnd(true, now + 1000 * MILLI);
+      rateAt("slow", 0, now);
+      start(0, "fast", 0, now).onEnd(true, now + 10 * MILLI);
+      start(1, "rated by no one", 0, now).onEnd(true, now + 50 * MILLI);
+    }
+    start(2, "slow", 0, 0);
+    start(3, "fast", 0, 0);
+    start(4, "rated by no one", 0, 0);
+    assertEquals(getWork(2), 1000, 200);
+    assertEquals(getWork(3), 10, 2);
+    assertEquals(getWork(4), 50, 10);
+  }
+
   private TargetRating rateAt(int target, long nowNanos) {
+    return rateAt("r", target, nowNanos);
+  }
+
+  private TargetRating rateAt(String route, int target, long nowNanos) {
     TargetState state = new TargetState(0, 21, 0, OptionalDouble.empty(), 0, 0, 1, 0, false);
     return costs
-        .newRater(CostFixtures.newRequest("r", 500, OptionalInt.of(60)), nowNanos)
+        .newRater(CostFixtures.newRequest(route, 500, OptionalInt.of(60)), nowNanos)
         .rate(newTarget(target), state);
   }
 }
