Keep a model's last replicas if zones move engines at once

Cause: The coordinators of all zones decide by the same usage and the same list of replicas, which shows a closed replica only after it was staged, closed and read. A model with one replica in each of three zones could thus give up all three at once, though each zone leaves two by its own count.

Change: A zone takes it that the zones with lesser names that have replicas of the model give what the receiver needs. Nothing changes where shares decide.

The load passes the zones before to the planners as the controller does.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/FormationPlanner.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/FormationPlanner.java
@@ -119,6 +119,16 @@
     allocator.setReplicasInOtherZones(replicas);
   }
 
+  /**
+   * Sets how many zones may give up replicas by usage before this one. Zones decide by the same
+   * usage at the same time, so that each leaves to those before it what they may give.
+   *
+   * @param zones the number of these zones that have replicas, by model, not null
+   */
+  public void setZonesBefore(Map<String, Integer> zones) {
+    allocator.setZonesBefore(zones);
+  }
+
   /**
    * Records how busy the replicas of the models are in all zones.
    *
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/ReplicaAllocator.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/ReplicaAllocator.java
@@ -54,6 +54,10 @@
     usage.recordUsage(busyReplicas, nowNanos);
   }
 
+  void setZonesBefore(Map<String, Integer> zones) {
+    usage.setZonesBefore(zones);
+  }
+
   private ModelBalance getBalance() {
     return usage.isKnown() ? usage : shares;
   }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/UsageBalance.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/UsageBalance.java
@@ -30,6 +30,7 @@
   private static final double SMOOTHING_SECONDS = 5;
 
   private final Map<String, Double> busyReplicas = new HashMap<>();
+  private Map<String, Integer> zonesBefore = Map.of();
   private long lastNanos;
 
   /**
@@ -48,6 +49,11 @@
             busyReplicas.merge(model, value, (old, next) -> old + weight * (next - old)));
   }
 
+  /** Records the number of zones with replicas that give some before this one, by model. */
+  void setZonesBefore(Map<String, Integer> zones) {
+    zonesBefore = Map.copyOf(zones);
+  }
+
   /** Tests whether any usage is known. */
   boolean isKnown() {
     return !busyReplicas.isEmpty();
@@ -72,9 +78,10 @@
       boolean hasFreeEngines) {
     int received = replicas.get(receiver.name());
     if (received < MIN_REPLICAS) {
-      return canGive(donor, replicas, HIGH_USAGE);
+      return canGive(donor, receiver, replicas, HIGH_USAGE);
     }
-    return getBusy(receiver) > HIGH_USAGE * received && canGive(donor, replicas, MODERATE_USAGE);
+    return getBusy(receiver) > HIGH_USAGE * received
+        && canGive(donor, receiver, replicas, MODERATE_USAGE);
   }
 
   @Override
@@ -83,8 +90,12 @@
     return isMoveWorthwhile(model, other, replicas, true);
   }
 
-  private boolean canGive(ModelProfile donor, Map<String, Integer> replicas, double maxUsage) {
-    int left = replicas.get(donor.name()) - 1;
+  private boolean canGive(
+      ModelProfile donor, ModelProfile receiver, Map<String, Integer> replicas, double maxUsage) {
+    // Zones with the same picture may give replicas at once.
+    int givenByZone = (receiver.size() + donor.size() - 1) / donor.size();
+    int given = zonesBefore.getOrDefault(donor.name(), 0) * givenByZone;
+    int left = replicas.get(donor.name()) - given - 1;
     return left >= MIN_REPLICAS && getBusy(donor) < maxUsage * left;
   }
 }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/UsageMeter.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/UsageMeter.java
@@ -1,11 +1,14 @@
 package io.fireflyshed.coordination.formation;
 
 import io.fireflyshed.coordination.placement.FleetLoad;
+import io.fireflyshed.state.instance.AvailabilityZone;
 import io.fireflyshed.state.target.Target;
 import io.fireflyshed.state.traffic.EngineProfile;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** Computes how busy the replicas of each model are from the load that entries told. */
 public final class UsageMeter {
@@ -35,4 +38,25 @@
     }
     return busy;
   }
+
+  /**
+   * Counts the zones that give up replicas by usage before a zone, which are those with a lesser
+   * name.
+   *
+   * @param heads the heads of the serving replicas in all availability zones, not null
+   * @param zone the zone, not null
+   * @return the number of these zones that have replicas, by model, never null
+   */
+  public static Map<String, Integer> countZonesBefore(List<Target> heads, AvailabilityZone zone) {
+    Map<String, Set<AvailabilityZone>> zones = new HashMap<>();
+    for (Target head : heads) {
+      if (head.zone().compareTo(zone) < 0) {
+        String model = head.membership().orElseThrow().getModel();
+        zones.computeIfAbsent(model, m -> new HashSet<>()).add(head.zone());
+      }
+    }
+    Map<String, Integer> counts = new HashMap<>();
+    zones.forEach((model, found) -> counts.put(model, found.size()));
+    return counts;
+  }
 }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/formation/FormationController.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/formation/FormationController.java
@@ -299,6 +299,7 @@
       }
     }
     planner.setReplicasInOtherZones(replicasInOtherZones);
+    planner.setZonesBefore(UsageMeter.countZonesBefore(heads, zone));
     fleetLoad
         .get()
         .map(load -> UsageMeter.getBusyReplicas(profile, heads, load))
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/ContinuedLosses.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/ContinuedLosses.java
@@ -80,6 +80,7 @@
     for (long i = 0; i < count; i++) {
       for (FormationSimulation zone : zones) {
         zone.planner.setReplicasInOtherZones(countElsewhere(zone));
+        zone.planner.setZonesBefore(countZonesBefore(zone));
         if (hasCallers && isUsageTold) {
           zone.planner.recordUsage(busyReplicas, Duration.ofMillis(zone.nowMillis).toNanos());
         }
@@ -104,6 +105,16 @@
     return elsewhere;
   }
 
+  private Map<String, Integer> countZonesBefore(FormationSimulation zone) {
+    Map<String, Integer> before = new HashMap<>();
+    for (FormationSimulation other : zones.subList(0, zones.indexOf(zone))) {
+      for (ModelProfile model : List.of(LARGE, SMALL)) {
+        before.merge(model.name(), other.countComplete(model) > 0 ? 1 : 0, Integer::sum);
+      }
+    }
+    return before;
+  }
+
   private void count() {
     steps++;
     for (ModelProfile model : List.of(LARGE, SMALL)) {
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/UsageBalanceTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/UsageBalanceTest.java
@@ -63,6 +63,18 @@
       assertTrue(balance.isMoveWorthwhile(SMALL, LARGE, Map.of("large", 1, "small", 12), true));
     }
 
+    @Test
+    public void zonesThatDecideAtOnceLeaveReplicasInTwoPlaces() {
+      record(0.1, 11);
+      Map<String, Integer> replicas = Map.of("large", 3, "small", 12);
+      int gives = 0;
+      for (int zone = 0; zone < 3; zone++) {
+        balance.setZonesBefore(Map.of("large", zone));
+        gives += balance.isMoveWorthwhile(LARGE, SMALL, replicas, true) ? 1 : 0;
+      }
+      assertEquals(gives, 1);
+    }
+
     @Test
     public void briefPeakChangesLittle() {
       record(1, 4);
