--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/UsageBalance.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/UsageBalance.java
@@ -27,6 +27,7 @@
   private static final double SMOOTHING_SECONDS = 5;
 
   private final Map<String, Double> busyReplicas = new HashMap<>();
+  private Map<String, Integer> zonesBefore = Map.of();
   private long lastNanos;
 
   /**
@@ -45,6 +46,11 @@
             busyReplicas.merge(model, value, (old, next) -> old + weight * (next - old)));
   }
 
+  /** Records the number of zones with replicas that give some before this one, by model. */
+  void setZonesBefore(Map<String, Integer> zones) {
+    zonesBefore = Map.copyOf(zones);
+  }
+
   /** Tests whether any usage is known. */
   boolean isKnown() {
     return !busyReplicas.isEmpty();
@@ -56,7 +62,7 @@
 
   @Override
   public double getCoverage(ModelProfile model, int replicas) {
-    return replicas / Math.max(getBusy(model), MIN_BUSY);
+    return replicas == 0 ? -getBusy(model) : replicas / Math.max(getBusy(model), MIN_BUSY);
   }
 
   @Override
@@ -66,7 +72,7 @@
       Map<String, Integer> replicas,
       boolean hasFreeEngines) {
     int received = replicas.get(receiver.name());
-    int left = replicas.get(donor.name()) - 1;
+    int left = replicas.get(donor.name()) - countGiven(donor, receiver) - 1;
     if (left < 1) {
       return false;
     }
@@ -77,4 +83,16 @@
     boolean isSpare = getBusy(donor) < MODERATE_USAGE * left;
     return isSpare && (isShort || received < WANTED_REPLICAS && left >= WANTED_REPLICAS);
   }
+
+  /** Counts the replicas that zones with the same picture may give at the same time. */
+  private int countGiven(ModelProfile donor, ModelProfile receiver) {
+    int givenByZone = (receiver.size() + donor.size() - 1) / donor.size();
+    return zonesBefore.getOrDefault(donor.name(), 0) * givenByZone;
+  }
+
+  @Override
+  public boolean isWaitWorthwhile(
+      ModelProfile model, ModelProfile other, Map<String, Integer> replicas) {
+    return isMoveWorthwhile(model, other, replicas, true);
+  }
 }
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/UsageBalanceTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/UsageBalanceTest.java
@@ -76,6 +76,25 @@
       assertFalse(balance.isMoveWorthwhile(SMALL, LARGE, Map.of("large", 0, "small", 8), true));
     }
 
+    @Test
+    public void zonesThatDecideAtOnceLeaveAReplica() {
+      record(0.1, 11);
+      Map<String, Integer> replicas = Map.of("large", 3, "small", 12);
+      int gives = 0;
+      for (int zone = 0; zone < 3; zone++) {
+        balance.setZonesBefore(Map.of("large", zone));
+        gives += balance.isMoveWorthwhile(LARGE, SMALL, replicas, true) ? 1 : 0;
+      }
+      assertEquals(gives, 2);
+    }
+
+    @Test
+    public void busierModelComesFirstIfNoneHasAReplica() {
+      record(0.2, 3);
+      balance.recordUsage(Map.of(), Duration.ofSeconds(30).toNanos());
+      assertTrue(balance.getCoverage(SMALL, 0) < balance.getCoverage(LARGE, 0));
+    }
+
     @Test
     public void briefPeakChangesLittle() {
       record(1, 4);
