Show that crowds of callers end a process of an entry

Cause: nothing counts the heads of requests, the trailers of chunked bodies and the requests that wait behind others on a connection. The limit of a head that the configuration states isn't applied at all.

Targets of the stand-in accept heads of 64 KiB, as the crowd's legal heads are over the 8 KiB that they accepted.

--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/soak/EntryLife.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/soak/EntryLife.java
@@ -32,6 +32,10 @@
     return log;
   }
 
+  Process getProcess() {
+    return process;
+  }
+
   long getStartNanos() {
     return startNanos;
   }
--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/soak/EntryNode.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/soak/EntryNode.java
@@ -30,6 +30,8 @@
   private final Path directory;
   private final String classPath;
   private final List<EntryLife> lives = new CopyOnWriteArrayList<>();
+  private String javaOptions = JAVA_OPTIONS;
+  private int memoryMegabytes;
 
   /** Creates a node that runs the program of this build. */
   EntryNode(int index, InetSocketAddress store, Path directory, EntryOptions options) {
@@ -54,6 +56,12 @@
     return new InetSocketAddress(options.ip(), options.readinessPort());
   }
 
+  /** Gives the processes that start from now on other options and states their memory. */
+  void limitMemory(String options, int megabytes) {
+    javaOptions = options;
+    memoryMegabytes = megabytes;
+  }
+
   List<EntryLife> getLives() {
     return lives;
   }
@@ -69,7 +77,7 @@
     Files.writeString(settings, JsonUtils.toText(newSettings()));
     List<String> command = new ArrayList<>();
     command.add(System.getProperty("java.home") + "/bin/java");
-    command.addAll(List.of(JAVA_OPTIONS.split(" ")));
+    command.addAll(List.of(javaOptions.split(" ")));
     command.addAll(List.of("-cp", classPath));
     command.addAll(List.of(options.mainClass().getName(), "entry"));
     ProcessBuilder builder = new ProcessBuilder(command);
@@ -94,6 +102,9 @@
         .put("grace_s", GRACE.toSeconds())
         .put("retry_budget_ratio", options.retryRatio())
         .put("budget_slack", options.retrySlack());
+    if (memoryMegabytes > 0) {
+      settings.putObject("limits").put("memory_mb", memoryMegabytes);
+    }
     options.peerPort().ifPresent(p -> settings.putArray("internal_ports").add(p).add(p));
     return settings;
   }
--- a/fireflyshed-standins/src/main/java/io/fireflyshed/standins/fleet/TargetStandIn.java
+++ b/fireflyshed-standins/src/main/java/io/fireflyshed/standins/fleet/TargetStandIn.java
@@ -41,6 +41,9 @@
   /** The path at which a target of a plain service answers health checks. */
   public static final String HEALTH_PATH = "/healthz";
 
+  /** More than the limits of any configuration and what entries add. */
+  private static final int MAX_HEADER_BYTES = 64 << 10;
+
   private static final int OK = 200;
   private static final int ACCEPTED = 202;
   private static final int MISDIRECTED = 421;
@@ -127,6 +130,7 @@
             .host("127.0.0.1")
             .port(0)
             .runOn(loops)
+            .httpRequestDecoder(spec -> spec.maxHeaderSize(MAX_HEADER_BYTES))
             .handle(this::handleRequest)
             .bindNow();
     register("ready");
