Count heads, trailers and requests sent ahead before they are decoded

Cause: the decoder made objects of up to 64 KiB of header lines or trailers for each connection, and of all requests that one read brought, and nothing counted them. The limit of a head and the time for it in the configuration weren't applied.

Change: RequestGuard stands before and after the decoder. It hands on bytes piece by piece, reserves bytes and 512 bytes a header line, and refuses (431, 408, 503) or closes what is over the limits. No more requests are read while 32 of a connection are unanswered. Connections are bounded by three quarters of the descriptors; idle ones give way. Readiness and metrics have 4 MiB and 128 connections of their own. A counter and at most one log line a second for each reason.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/budget/ByteOwner.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/budget/ByteOwner.java
@@ -16,6 +16,8 @@
     ACCOUNT,
     /** A route, which stands for a kind of request. */
     ROUTE,
+    /** A network address that sends requests, which may stand for many callers. */
+    PEER_ADDRESS,
     /** A target, for the bytes that it sends. */
     TARGET,
     /** Another entry, for the requests that it relays and the responses that it returns. */
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/budget/ByteUse.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/budget/ByteUse.java
@@ -2,6 +2,8 @@
 
 /** Lists what a process holds bytes for. */
 public enum ByteUse {
+  /** The heads of requests, also of those that are not complete. */
+  HEAD(false),
   /** The bodies of requests. */
   REQUEST(false),
   /** Responses of targets that are not complete yet. */
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/TrafficServer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/TrafficServer.java
@@ -23,6 +23,7 @@
 import io.fireflyshed.transport.http.BodyReader;
 import io.fireflyshed.transport.http.FairReads;
 import io.fireflyshed.transport.http.HeldBody;
+import io.fireflyshed.transport.http.RequestGuards;
 import io.fireflyshed.transport.log.EventLog;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.netty.buffer.ByteBuf;
@@ -62,11 +63,6 @@
  */
 public final class TrafficServer {
 
-  /** Limits the request line, which {@link #MAX_HEADER_BYTES} doesn't include. */
-  private static final int MAX_INITIAL_LINE_BYTES = 16 * 1024;
-
-  private static final int MAX_HEADER_BYTES = 64 * 1024;
-
   /** Longer than any idle timeout that a configuration sets for callers. */
   private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(90);
 
@@ -120,6 +116,8 @@
   private final CallerMetrics callerMetrics;
   private final Supplier<HttpServer> newHttpServer;
   private volatile boolean hasRequests;
+  private final RequestGuards guards;
+  private final RequestGuards operatorGuards;
   private final CallerConnections connections = new CallerConnections();
   private final RequestDurations durations = new RequestDurations();
   private final ShutdownSignal endSignal;
@@ -197,6 +195,9 @@
     this.isReady = isReady;
     this.budget = budget;
     this.metrics = metrics;
+    this.guards =
+        new RequestGuards(limitsSupplier, budget, clock, settings.maxConnections(), metrics);
+    this.operatorGuards = RequestGuards.ofOperators(clock, metrics);
     this.callerMetrics = new CallerMetrics(metrics);
     this.newHttpServer = newHttpServer;
     this.inFlight = metrics.gauge("fireflyshed.requests.in.flight", new AtomicInteger());
@@ -208,19 +209,16 @@
    */
   public void start() {
     HttpServer trafficServer =
-        newServer(settings.callerAddress())
+        newServer(guards, settings.callerAddress())
             .idleTimeout(IDLE_TIMEOUT)
             .doOnChannelInit((observer, channel, remoteAddress) -> connections.add(channel))
-            .httpRequestDecoder(
-                spec ->
-                    spec.maxHeaderSize(MAX_HEADER_BYTES)
-                        .maxInitialLineLength(MAX_INITIAL_LINE_BYTES))
             .handle(this::handleRequest);
     HttpServer readinessServer =
-        newServer(settings.readinessAddress())
+        newServer(operatorGuards, settings.readinessAddress())
             .route(r -> r.get(settings.readinessPath(), this::handleReadiness));
     HttpServer metricsServer =
-        newServer(settings.metricsAddress()).route(r -> r.get("/metrics", this::handleMetrics));
+        newServer(operatorGuards, settings.metricsAddress())
+            .route(r -> r.get("/metrics", this::handleMetrics));
     servers = List.of(bind(trafficServer), bind(readinessServer), bind(metricsServer));
   }
 
@@ -244,9 +242,9 @@
     servers.forEach(server -> setAccepting(server, true));
   }
 
-  private HttpServer newServer(InetSocketAddress address) {
-    return newHttpServer
-        .get()
+  private HttpServer newServer(RequestGuards serverGuards, InetSocketAddress address) {
+    return serverGuards
+        .guard(newHttpServer.get())
         .bindAddress(() -> address)
         .option(ChannelOption.SO_BACKLOG, BACKLOG)
         .childOption(ChannelOption.RCVBUF_ALLOCATOR, FairReads.newAllocator());
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/TrafficServerSettings.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/TrafficServerSettings.java
@@ -1,5 +1,7 @@
 package io.fireflyshed.transport.forward;
 
+import com.sun.management.UnixOperatingSystemMXBean;
+import java.lang.management.ManagementFactory;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Objects;
@@ -24,6 +26,25 @@
     Duration drainDelay,
     Duration drainTimeout) {
 
+  /** The fraction of the descriptors of the process that the connections of callers may take. */
+  private static final double CONNECTIONS_FRACTION = 0.75;
+
+  private static final int MIN_CONNECTIONS = 64;
+
+  /**
+   * Returns the number of connections of callers, from the descriptors that the process may open.
+   *
+   * @return the number, positive; unlimited if it is unknown
+   */
+  public int maxConnections() {
+    if (!(ManagementFactory.getOperatingSystemMXBean()
+        instanceof UnixOperatingSystemMXBean system)) {
+      return Integer.MAX_VALUE;
+    }
+    double connections = system.getMaxFileDescriptorCount() * CONNECTIONS_FRACTION;
+    return (int) Math.min(Integer.MAX_VALUE, Math.max(MIN_CONNECTIONS, connections));
+  }
+
   /** Validates the components. */
   public TrafficServerSettings {
     Objects.requireNonNull(callerAddress, "callerAddress");
