Bound the sizes by which callers' requests count

Cause: Prompt tokens and estimates are what callers state. One request that states 2^31 tokens raised the mean cost of its pool, by which penalties and the spread of choices are measured, from 65 ms to 2.8e11 ms: for the next thousands of requests all targets were chosen alike, and work told to other entries could exceed what its sums hold.

Change: A prompt and an output count with at most the memory of the engine, or 1,000,000 tokens if it states none. A sample counts in the means of a pool with at most ten times the mean.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/cost/CostEstimator.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/cost/CostEstimator.java
@@ -39,12 +39,13 @@
     }
     EngineTimes times = engine.get();
     OutputLearner.Prediction output = outputs.predict(request, times.profile().meanOutputTokens());
-    double context = request.promptTokens() + output.tokens() / 2;
+    double prompt = Math.min(request.promptTokens(), times.getMaxTokens());
+    double steps = Math.min(output.tokens(), times.getMaxTokens());
     return new WorkEstimate(
-        times.getPrefillMillis(request.promptTokens()),
-        output.tokens(),
-        times.getStepMillis() / slots + times.getSequenceMillis(context),
-        request.promptTokens() + output.tokens(),
+        times.getPrefillMillis(prompt),
+        steps,
+        times.getStepMillis() / slots + times.getSequenceMillis(prompt + steps / 2),
+        prompt + steps,
         output.spread(),
         output.samples());
   }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/cost/EngineTimes.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/cost/EngineTimes.java
@@ -22,6 +22,9 @@
   /** The mean length of prompts of an engine that states none. */
   private static final int DEFAULT_PROMPT_TOKENS = 500;
 
+  /** The most tokens that a request counts with at an engine that states no memory. */
+  private static final long DEFAULT_MAX_TOKENS = 1_000_000;
+
   /** Finds the engine that runs a model. */
   static Optional<EngineTimes> find(TrafficConfiguration configuration, String model) {
     for (ServiceProfile service : configuration.services().values()) {
@@ -62,6 +65,12 @@
     return profile.stepsPerPass() * (getStepMillis() + running * getSequenceMillis(context));
   }
 
+  /** Returns the most tokens that a prompt or an output counts with, whatever callers state. */
+  double getMaxTokens() {
+    long memory = profile.context().memoryTokens();
+    return memory > 0 ? memory : DEFAULT_MAX_TOKENS;
+  }
+
   int getMeanPromptTokens() {
     int stated = profile.context().meanPromptTokens();
     return stated > 0 ? stated : DEFAULT_PROMPT_TOKENS;
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/cost/PoolMeans.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/cost/PoolMeans.java
@@ -5,6 +5,9 @@
 
   private static final double MIN_WEIGHT = 0.01;
 
+  /** The most by which one request counts as larger than the mean, whatever callers state. */
+  private static final double MAX_FACTOR = 10;
+
   private final RunningMoments prefillMillis = new RunningMoments(MIN_WEIGHT);
   private final RunningMoments workMillis = new RunningMoments(MIN_WEIGHT);
   private final RunningMoments memoryTokens = new RunningMoments(MIN_WEIGHT);
@@ -48,9 +51,14 @@
   }
 
   void add(WorkEstimate estimate) {
-    prefillMillis.add(estimate.prefillMillis());
-    workMillis.add(estimate.getWorkMillis());
-    memoryTokens.add(estimate.memoryTokens());
+    addBounded(prefillMillis, estimate.prefillMillis());
+    addBounded(workMillis, estimate.getWorkMillis());
+    addBounded(memoryTokens, estimate.memoryTokens());
+  }
+
+  private static void addBounded(RunningMoments moments, double sample) {
+    double mean = moments.getMean();
+    moments.add(mean > 0 ? Math.min(sample, mean * MAX_FACTOR) : sample);
   }
 
   double getPrefillMillis() {
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/cost/ExpectedWorkCostsTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/cost/ExpectedWorkCostsTest.java
@@ -171,6 +171,23 @@
     assertTrue(heavy.cost() > light.cost() + 50, light + ", " + heavy);
   }
 
+  @Test
+  public void absurdSizesOfARequestChangeLittleForOthers() {
+    TargetRating before = rate(0, 100, 0, OptionalDouble.empty());
+    for (int i = 0; i < 50; i++) {
+      start(0, "usual", 1400, 0).onEnd(false, 0);
+    }
+    costs
+        .newRun(
+            CostFixtures.newRequest("absurd", Integer.MAX_VALUE, OptionalInt.of(Integer.MAX_VALUE)),
+            newTarget(1).id(),
+            0)
+        .onStart(0);
+    TargetRating after = rate(0, 100, 0, OptionalDouble.empty());
+    assertTrue(after.costOfRequest() < 2 * before.costOfRequest(), before + ", " + after);
+    assertTrue(getWork(1) < 2e6, "more than fills the memory: " + getWork(1));
+  }
+
   @Test
   public void waitingBehindFullSlotsIsDear() {
     TargetRating full = rate(0, 100, 23, OptionalDouble.of(2300));
