Rate plain services without the engine of a model of the same name

Cause: The engine of a request was found by the name of its pool alone. A plain service with the name of a model counted as generations of that model, and its times were never learned. Each rating at a plain service also searched all models.

Change: Only requests for models have an engine.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/cost/ExpectedWorkCosts.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/cost/ExpectedWorkCosts.java
@@ -107,7 +107,7 @@
    * @return the time in milliseconds
    */
   public synchronized double getExpectedWorkMillis(RequestDescriptor request) {
-    return estimate(request, engines.get(request.pool()), 1).getWorkMillis();
+    return estimate(request, findEngine(request), 1).getWorkMillis();
   }
 
   @Override
@@ -118,13 +118,13 @@
   @Override
   public synchronized double countUnseenStarts(
       RequestDescriptor request, double startsPerSecond, long ageNanos) {
-    return getMeans(request, engines.get(request.pool()))
+    return getMeans(request, findEngine(request))
         .countStarted(startsPerSecond, ageNanos / NANOS_PER_MILLI);
   }
 
   @Override
   public synchronized Rater newRater(RequestDescriptor request, long nowNanos) {
-    Optional<EngineTimes> engine = engines.get(request.pool());
+    Optional<EngineTimes> engine = findEngine(request);
     WorkEstimate estimate = estimate(request, engine, 1);
     PoolMeans mean = getMeans(request, engine);
     double poolFactor = paces.getPoolFactor(request.pool());
@@ -233,6 +233,11 @@
     return Math.max(0, lack) / Math.max(1, mean.getMemoryTokens()) * workOfRequest;
   }
 
+  /** Finds the engine of a request; a plain service may have the name of a model. */
+  private Optional<EngineTimes> findEngine(RequestDescriptor request) {
+    return request.isModelPool() ? engines.get(request.pool()) : Optional.empty();
+  }
+
   private WorkEstimate estimate(
       RequestDescriptor request, Optional<EngineTimes> engine, int slotsWithoutEngine) {
     int slots = engine.map(e -> e.profile().slots()).orElse(slotsWithoutEngine);
@@ -325,7 +330,7 @@
           return;
         }
         LastRating last = lastRatings.getOrDefault(target, new LastRating());
-        engine = engines.get(request.pool());
+        engine = findEngine(request);
         WorkEstimate whole = estimate(request, engine, 1);
         getMeans(request, engine).add(whole);
         serviceMillis = whole.getWorkMillis();
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/cost/ExpectedWorkCostsTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/cost/ExpectedWorkCostsTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import io.fireflyshed.coordination.placement.RequestDescriptor;
 import io.fireflyshed.coordination.placement.RequestRun;
 import io.fireflyshed.coordination.placement.TargetRating;
 import io.fireflyshed.coordination.placement.TargetState;
@@ -235,6 +236,17 @@
     assertTrue(rateAt(0, 0).cost() > rateAt(1, 0).cost(), "the slow request is dearer");
   }
 
+  @Test
+  public void plainServiceWithTheNameOfAModelHasNoEngine() {
+    RequestDescriptor plain = RequestDescriptor.ofPool(CostFixtures.POOL, false);
+    for (int i = 0; i < 100; i++) {
+      RequestRun run = costs.newRun(plain, newTarget(0).id(), 0);
+      run.onStart(0);
+      run.onEnd(true, 7 * MILLI);
+    }
+    assertEquals(costs.getExpectedWorkMillis(plain), 7, 1);
+  }
+
   @Test
   public void servicesThatTakeLessThanAMillisecondKeepTheirTime() {
     costs = new ExpectedWorkCosts(Optional::empty, 0);
