--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/ModelBalance.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/ModelBalance.java
@@ -11,7 +11,7 @@
    *
    * @param model the model, not null
    * @param replicas the number of its replicas in all availability zones
-   * @return a number that is comparable among the models, 0 without a replica
+   * @return a number that is comparable among the models, 0 or less without a replica
    */
   double getCoverage(ModelProfile model, int replicas);
 
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/UsageBalance.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/UsageBalance.java
@@ -5,17 +5,14 @@
 import java.util.Map;
 
 /**
- * Compares models by how busy their replicas are, and keeps replicas of each model in more than one
- * place. The usage is smoothed, since engines take many seconds to change their model. Not thread
- * safe.
+ * Compares models by how busy their replicas are. Each keeps a replica, and a second one where the
+ * others can spare it. The usage is smoothed, since engines take many seconds to change their
+ * model. Not thread safe.
  */
 final class UsageBalance implements ModelBalance {
 
   /** The replicas that each model should have, so that one that is lost leaves another. */
-  static final int MIN_REPLICAS = 2;
-
-  /** The coverage of a model with fewer replicas than it should have, for each replica. */
-  private static final double SCARCE_COVERAGE = 1e-3;
+  private static final int WANTED_REPLICAS = 2;
 
   /** Lower bound for the busy replicas of a model, so that the coverage stays finite. */
   private static final double MIN_BUSY = 0.1;
@@ -65,9 +62,7 @@
 
   @Override
   public double getCoverage(ModelProfile model, int replicas) {
-    return replicas < MIN_REPLICAS
-        ? replicas * SCARCE_COVERAGE
-        : replicas / Math.max(getBusy(model), MIN_BUSY);
+    return replicas == 0 ? -getBusy(model) : replicas / Math.max(getBusy(model), MIN_BUSY);
   }
 
   @Override
@@ -77,11 +72,22 @@
       Map<String, Integer> replicas,
       boolean hasFreeEngines) {
     int received = replicas.get(receiver.name());
-    if (received < MIN_REPLICAS) {
-      return canGive(donor, receiver, replicas, HIGH_USAGE);
+    int left = replicas.get(donor.name()) - countGiven(donor, receiver) - 1;
+    if (left < 1) {
+      return false;
+    }
+    if (received == 0) {
+      return getBusy(donor) < left;
     }
-    return getBusy(receiver) > HIGH_USAGE * received
-        && canGive(donor, receiver, replicas, MODERATE_USAGE);
+    boolean isShort = getBusy(receiver) > HIGH_USAGE * received;
+    boolean isSpare = getBusy(donor) < MODERATE_USAGE * left;
+    return isSpare && (isShort || received < WANTED_REPLICAS && left >= WANTED_REPLICAS);
+  }
+
+  /** Counts the replicas that zones with the same picture may give at the same time. */
+  private int countGiven(ModelProfile donor, ModelProfile receiver) {
+    int givenByZone = (receiver.size() + donor.size() - 1) / donor.size();
+    return zonesBefore.getOrDefault(donor.name(), 0) * givenByZone;
   }
 
   @Override
@@ -89,13 +95,4 @@
       ModelProfile model, ModelProfile other, Map<String, Integer> replicas) {
     return isMoveWorthwhile(model, other, replicas, true);
   }
-
-  private boolean canGive(
-      ModelProfile donor, ModelProfile receiver, Map<String, Integer> replicas, double maxUsage) {
-    // Zones with the same picture may give replicas at once.
-    int givenByZone = (receiver.size() + donor.size() - 1) / donor.size();
-    int given = zonesBefore.getOrDefault(donor.name(), 0) * givenByZone;
-    int left = replicas.get(donor.name()) - given - 1;
-    return left >= MIN_REPLICAS && getBusy(donor) < maxUsage * left;
-  }
 }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/UsageMeter.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/UsageMeter.java
@@ -22,19 +22,15 @@
    * @param heads the heads of its serving replicas in all availability zones, not null
    * @param load the load that all entries put on targets, not null
    * @return the requests that run or wait at the heads, divided by the slots of a replica, by
-   *     model, never null
+   *     model; without models that have no head, whose callers find no replica, never null
    */
   public static Map<String, Double> getBusyReplicas(
       EngineProfile profile, List<Target> heads, FleetLoad load) {
     Map<String, Double> busy = new HashMap<>();
-    profile.models().forEach(model -> busy.put(model.name(), 0.0));
     for (Target head : heads) {
       FleetLoad.TargetRequests requests = load.loads().get(head.id());
-      if (requests != null) {
-        String model = head.membership().orElseThrow().getModel();
-        double part = (double) requests.inFlight() / profile.slots();
-        busy.computeIfPresent(model, (m, sum) -> sum + part);
-      }
+      double part = requests == null ? 0 : (double) requests.inFlight() / profile.slots();
+      busy.merge(head.membership().orElseThrow().getModel(), part, Double::sum);
     }
     return busy;
   }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetPlacer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetPlacer.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.apache.commons.rng.UniformRandomProvider;
 
@@ -113,20 +114,12 @@
       Set<InstanceId> excluded,
       boolean isRunning,
       long nowNanos) {
-    List<Target> usable = new ArrayList<>();
-    boolean isAnySuspect = false;
-    long waitNanos = PlacementRefusals.NO_TARGET_RETRY_AFTER.toNanos();
-    for (Target candidate : candidates) {
-      TargetLoad load = getLoad(candidate.id());
-      if (load.isSuspect(nowNanos)) {
-        isAnySuspect = true;
-        waitNanos = Math.min(waitNanos, load.getSuspectNanos(nowNanos));
-      } else if (!excluded.contains(candidate.id())) {
-        usable.add(candidate);
-      }
-    }
+    List<Target> usable =
+        candidates.stream()
+            .filter(c -> !excluded.contains(c.id()) && !getLoad(c.id()).isSuspect(nowNanos))
+            .toList();
     if (usable.isEmpty()) {
-      return PlacementRefusals.refuseUnusable(isAnySuspect, waitNanos);
+      return refuseUnusable(candidates, nowNanos);
     }
     double fastest =
         usable.stream().mapToDouble(this::getMeanEventInterval).filter(g -> g > 0).min().orElse(0);
@@ -134,6 +127,9 @@
     boolean isFleetKnown = loads.isFleetKnown(nowNanos);
     TargetCosts.Rater rater = costs.newRater(request, nowNanos);
     List<LevelFiller.Option<Target>> options = new ArrayList<>();
+    // What was tried before is late already and loses its progress if it is refused.
+    boolean isFirst = !isRunning && excluded.isEmpty();
+    boolean isAnyLate = false;
     double othersRate = 0;
     long limitWaitNanos = Long.MAX_VALUE;
     for (Target candidate : usable) {
@@ -159,16 +155,34 @@
               isFleetKnown ? ageNanos : Long.MAX_VALUE,
               nowNanos);
       TargetRating rating = rater.rate(candidate, state);
+      if (isFirst && rating.isLate()) {
+        isAnyLate = true;
+        continue;
+      }
       options.add(new LevelFiller.Option<>(candidate, rating.cost(), rating.costOfRequest()));
     }
     if (options.isEmpty()) {
-      return refusals.refuseFull(request.pool(), isRunning, limitWaitNanos, nowNanos);
+      return isAnyLate
+          ? refusals.refuseLate(request.pool(), nowNanos)
+          : refusals.refuseFull(request.pool(), isRunning, limitWaitNanos, nowNanos);
     }
     // The starts of other entries since they told their load.
     double unseenStarts = isFleetKnown ? costs.countUnseenStarts(request, othersRate, ageNanos) : 0;
     return new Placement.Send(limits.use(LevelFiller.choose(options, unseenStarts, random)));
   }
 
+  private Placement refuseUnusable(List<Target> candidates, long nowNanos) {
+    OptionalLong suspectNanos =
+        candidates.stream()
+            .map(c -> getLoad(c.id()))
+            .filter(load -> load.isSuspect(nowNanos))
+            .mapToLong(load -> load.getSuspectNanos(nowNanos))
+            .min();
+    long longest = PlacementRefusals.NO_TARGET_RETRY_AFTER.toNanos();
+    return PlacementRefusals.refuseUnusable(
+        suspectNanos.isPresent(), Math.min(longest, suspectNanos.orElse(longest)));
+  }
+
   /**
    * Tests whether a request could be placed now. It doesn't reserve anything.
    *
@@ -233,26 +247,12 @@
   }
 
   /**
-   * Creates what follows an attempt of a request at a target.
+   * Gets what rates the targets and follows the attempts at them.
    *
-   * @param request the request, not null
-   * @param target the target, not null
-   * @param eventsBefore the number of events that the target won't send, as a stream goes on after
-   *     them; 0 for a new stream and for other requests
-   * @return the run, not started yet, never null
-   */
-  public RequestRun newRun(RequestDescriptor request, InstanceId target, long eventsBefore) {
-    return costs.newRun(request, target, eventsBefore);
-  }
-
-  /**
-   * Gets the time to the first event that was expected when the target was last rated.
-   *
-   * @param target the target, not null
-   * @return the time in milliseconds, empty if nothing is expected, never null
+   * @return the costs, never null
    */
-  public OptionalDouble getExpectedMillis(InstanceId target) {
-    return costs.getExpectedMillis(target);
+  public TargetCosts getCosts() {
+    return costs;
   }
 
   /**
