--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/cost/ExpectedWorkCostsTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/cost/ExpectedWorkCostsTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import io.fireflyshed.coordination.placement.RequestDescriptor;
 import io.fireflyshed.coordination.placement.RequestRun;
 import io.fireflyshed.coordination.placement.TargetRating;
 import io.fireflyshed.coordination.placement.TargetState;
@@ -171,6 +172,23 @@
     assertTrue(heavy.cost() > light.cost() + 50, light + ", " + heavy);
   }
 
+  @Test
+  public void absurdSizesOfARequestChangeLittleForOthers() {
+    TargetRating before = rate(0, 100, 0, OptionalDouble.empty());
+    for (int i = 0; i < 50; i++) {
+      start(0, "usual", 1400, 0).onEnd(false, 0);
+    }
+    costs
+        .newRun(
+            CostFixtures.newRequest("absurd", Integer.MAX_VALUE, OptionalInt.of(Integer.MAX_VALUE)),
+            newTarget(1).id(),
+            0)
+        .onStart(0);
+    TargetRating after = rate(0, 100, 0, OptionalDouble.empty());
+    assertTrue(after.costOfRequest() < 2 * before.costOfRequest(), before + ", " + after);
+    assertTrue(getWork(1) < 2e6, "more than fills the memory: " + getWork(1));
+  }
+
   @Test
   public void waitingBehindFullSlotsIsDear() {
     TargetRating full = rate(0, 100, 23, OptionalDouble.of(2300));
@@ -218,6 +236,17 @@
     assertTrue(rateAt(0, 0).cost() > rateAt(1, 0).cost(), "the slow request is dearer");
   }
 
+  @Test
+  public void plainServiceWithTheNameOfAModelHasNoEngine() {
+    RequestDescriptor plain = RequestDescriptor.ofPool(CostFixtures.POOL, false);
+    for (int i = 0; i < 100; i++) {
+      RequestRun run = costs.newRun(plain, newTarget(0).id(), 0);
+      run.onStart(0);
+      run.onEnd(true, 7 * MILLI);
+    }
+    assertEquals(costs.getExpectedWorkMillis(plain), 7, 1);
+  }
+
   @Test
   public void servicesThatTakeLessThanAMillisecondKeepTheirTime() {
     costs = new ExpectedWorkCosts(Optional::empty, 0);
