--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/PlacementRefusals.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/PlacementRefusals.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalLong;
 
 /** Tells callers when to come back. Not thread safe. */
 final class PlacementRefusals {
@@ -21,14 +22,14 @@
   /**
    * Refuses a request that no target may get.
    *
-   * @param isAnySuspect whether there are targets that can't be reached
-   * @param waitNanos the time until one of them is tried again
+   * @param suspectNanos the time until one of those that can't be reached is tried again, empty if
+   *     there is none
    */
-  static Placement refuseUnusable(boolean isAnySuspect, long waitNanos) {
-    Duration retryAfter =
-        Duration.ofNanos(Math.max(waitNanos, RetryAfterSchedule.MIN_WAIT.toNanos()));
+  static Placement refuseUnusable(OptionalLong suspectNanos) {
+    long wait = Math.min(suspectNanos.orElse(Long.MAX_VALUE), NO_TARGET_RETRY_AFTER.toNanos());
+    Duration retryAfter = Duration.ofNanos(Math.max(wait, RetryAfterSchedule.MIN_WAIT.toNanos()));
     Placement.Cause cause =
-        isAnySuspect ? Placement.Cause.UNREACHABLE : Placement.Cause.NO_CANDIDATE;
+        suspectNanos.isPresent() ? Placement.Cause.UNREACHABLE : Placement.Cause.NO_CANDIDATE;
     return new Placement.Refuse(cause, "no target is available", retryAfter);
   }
 
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetPlacer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetPlacer.java
@@ -113,20 +113,17 @@
       Set<InstanceId> excluded,
       boolean isRunning,
       long nowNanos) {
-    List<Target> usable = new ArrayList<>();
-    boolean isAnySuspect = false;
-    long waitNanos = PlacementRefusals.NO_TARGET_RETRY_AFTER.toNanos();
-    for (Target candidate : candidates) {
-      TargetLoad load = getLoad(candidate.id());
-      if (load.isSuspect(nowNanos)) {
-        isAnySuspect = true;
-        waitNanos = Math.min(waitNanos, load.getSuspectNanos(nowNanos));
-      } else if (!excluded.contains(candidate.id())) {
-        usable.add(candidate);
-      }
-    }
+    List<Target> usable =
+        candidates.stream()
+            .filter(c -> !getLoad(c.id()).isSuspect(nowNanos) && !excluded.contains(c.id()))
+            .toList();
     if (usable.isEmpty()) {
-      return PlacementRefusals.refuseUnusable(isAnySuspect, waitNanos);
+      return PlacementRefusals.refuseUnusable(
+          candidates.stream()
+              .map(c -> getLoad(c.id()))
+              .filter(load -> load.isSuspect(nowNanos))
+              .mapToLong(load -> load.getSuspectNanos(nowNanos))
+              .min());
     }
     double fastest =
         usable.stream().mapToDouble(this::getMeanEventInterval).filter(g -> g > 0).min().orElse(0);
@@ -141,8 +138,7 @@
     long limitWaitNanos = Long.MAX_VALUE;
     for (Target candidate : usable) {
       TargetLoad load = getLoad(candidate.id());
-      int requests =
-          isFleetKnown ? load.getFleetRequests(loads.getFleetNanos()) : load.getRequests();
+      int requests = getRequests(load, isFleetKnown);
       othersRate += load.getOthersRate();
       if (requests >= getCapacity(candidate, load, request.isModelPool())) {
         continue;
@@ -152,13 +148,12 @@
       if (targetWaitNanos > 0) {
         continue;
       }
-      boolean isOtherZone = !candidate.zone().equals(zone);
       TargetState state =
           load.getState(
               requests,
               load.getSlots(candidate.slots()),
               fastest * SLOWNESS_TOLERANCE,
-              isOtherZone,
+              !candidate.zone().equals(zone),
               isFleetKnown ? ageNanos : Long.MAX_VALUE,
               nowNanos);
       TargetRating rating = rater.rate(candidate, state);
@@ -211,7 +206,7 @@
       if (!load.isSuspect(nowNanos)) {
         slots += load.getSlots(candidate.slots());
         capacity += getCapacity(candidate, load, isModelPool);
-        used += isFleetKnown ? load.getFleetRequests(loads.getFleetNanos()) : load.getRequests();
+        used += getRequests(load, isFleetKnown);
       }
     }
     return new PoolRoom(slots, capacity, used);
@@ -224,6 +219,10 @@
         && limits.getWaitNanos(candidate) <= 0;
   }
 
+  private int getRequests(TargetLoad load, boolean isFleetKnown) {
+    return isFleetKnown ? load.getFleetRequests(loads.getFleetNanos()) : load.getRequests();
+  }
+
   private int getCapacity(Target target, TargetLoad load, boolean isModelPool) {
     return settings.getCapacity(load.getSlots(target.slots()), isModelPool);
   }
