Compare accounts only with those that have callers

Cause: RankState forgot accounts only at 1,024 of them. One whose callers had left stayed in the mean of its rank, so that the few that still had some were above it and were refused whenever no slot was free; beyond 1,024 each request of a further account went through all of them.

Change: once a second, accounts with less than 0.05 decayed arrivals (about 12 s after a single request) are forgotten.

Result: AccountShareTest: of 100 requests of two accounts of the first rank, a minute after 500 others had one each, 6 were admitted, now 100. RankAdmissionTest passes as before.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/admission/RankState.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/admission/RankState.java
@@ -22,8 +22,12 @@
   /** The demand below which a rank has no callers. */
   private static final double MIN_RATE = 0.1;
 
+  /** An account with fewer arrivals than this has no callers and doesn't count in the mean. */
   private static final double NEGLIGIBLE_ARRIVALS = 0.05;
 
+  /** The time between two searches for accounts without callers. */
+  private static final Duration SWEEP_INTERVAL = Duration.ofSeconds(1);
+
   private final AdmissionCounts counts = new AdmissionCounts();
   private final Map<String, AdmissionCounts> accounts = new HashMap<>();
   private double rate;
@@ -31,6 +35,7 @@
   private double credit = 0.5;
   private double threshold;
   private long retryNanos;
+  private long sweptNanos;
 
   /** Follows the rate of requests of all entries, as it was told last. */
   void follow(double toldRate, long nowNanos) {
@@ -54,9 +59,12 @@
   }
 
   AdmissionCounts getAccount(String account, long nowNanos) {
-    if (accounts.size() >= MAX_ACCOUNTS && !accounts.containsKey(account)) {
+    if (accounts.isEmpty()) {
+      sweptNanos = nowNanos;
+    } else if (nowNanos - sweptNanos >= SWEEP_INTERVAL.toNanos()) {
       accounts.values().forEach(a -> a.decay(nowNanos));
       accounts.values().removeIf(a -> a.getArrived() < NEGLIGIBLE_ARRIVALS);
+      sweptNanos = nowNanos;
     }
     String key =
         accounts.size() < MAX_ACCOUNTS || accounts.containsKey(account) ? account : OTHER_ACCOUNTS;
