Try no silent target without a turn while it is cold

Cause: where all targets of a lookup are silent, each entry tries one of them every four seconds without the placer, so without a turn. Entries that find a cold target silent together may send one request each in one second: 87 where 44 are allowed.

Change: a target that no health check may ask now, such as a cold one, is not tried. The placer sends to it by turns once its silence is no longer recent.

Result: HealthCheckValidatorTest.targetThatIsUsedInTurnsIsNotTried failed before and passes. Targets without a health check were not tried before either, and others are as before.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/HealthCheckValidator.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/HealthCheckValidator.java
@@ -362,14 +362,16 @@
   @Override
   public Optional<Target> takeTrial(Collection<Target> targets) {
     long now = clock.nanoTime();
-    return targets.stream().filter(t -> isTrialDue(t.id(), now)).findFirst().map(this::addTrial);
+    return targets.stream().filter(t -> isTrialDue(t, now)).findFirst().map(this::addTrial);
   }
 
-  private boolean isTrialDue(InstanceId target, long now) {
-    Check check = checks.get(target);
-    Long last = trialNanos.get(target);
+  private boolean isTrialDue(Target target, long now) {
+    Check check = checks.get(target.id());
+    Long last = trialNanos.get(target.id());
+    // A target that must not be asked is used in turns, which a trial would not keep.
     return check != null
         && check.isSilent()
+        && healthCheck.isAvailable(target)
         && check.getAge(now).compareTo(MIN_TRIAL_SILENCE) > 0
         && (last == null || now - last > TRIAL_INTERVAL.toNanos());
   }
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/HealthCheckValidatorTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/HealthCheckValidatorTest.java
@@ -179,6 +179,17 @@
     return validator.takeTrial(List.of(TARGET)).isPresent();
   }
 
+  @Test
+  public void targetThatIsUsedInTurnsIsNotTried() {
+    validate();
+    advance(3100);
+    validate();
+    isAvailable = false;
+    assertFalse(isTried());
+    isAvailable = true;
+    assertTrue(isTried());
+  }
+
   @Test
   public void targetThatIsSilentForLongIsTriedNowAndThen() {
     validate();
