Admit streams that their callers resume

Change: a request that names the last event it received passes the gate. The placement decides on it as before.

Result: AdmissionGateTest.streamThatACallerResumesIsNotAskedAgain failed before and passes; a new request of its rank is refused in the same moment.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AdmissionGate.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AdmissionGate.java
@@ -56,7 +56,11 @@
    * @throws ForwardException if the request is refused
    */
   RoutedRequest admit(ForwardContext context, RoutedRequest routed) {
-    if (!ranks.get().isRanked(routed.service()) || context.reachability().isImpaired()) {
+    // A caller that goes on with an interrupted stream would lose what it has.
+    boolean isResumed = routed.request().lastEventId().isPresent();
+    if (!ranks.get().isRanked(routed.service())
+        || isResumed
+        || context.reachability().isImpaired()) {
       return routed;
     }
     RequestDescriptor request = routed.describe();
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/AdmissionGateTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/AdmissionGateTest.java
@@ -11,6 +11,7 @@
 import io.fireflyshed.coordination.placement.TargetPlacer;
 import io.fireflyshed.coordination.retry.RetryAfterSchedule;
 import io.fireflyshed.coordination.retry.ServiceRetryBudgets;
+import io.fireflyshed.protocol.traffic.TrafficRequest;
 import io.fireflyshed.state.clock.ManualClock;
 import io.fireflyshed.state.target.Target;
 import io.fireflyshed.state.traffic.Rank;
@@ -21,6 +22,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.apache.commons.rng.simple.RandomSource;
 import org.testng.annotations.AfterMethod;
@@ -110,9 +112,14 @@
   }
 
   private void forward(Forwarder forwarder, int number, int rank) {
-    RoutedRequest routed =
+    forward(
+        forwarder,
+        number,
         ForwardFixtures.newRequest("" + number, newRoute(rank), clock.nanoTime())
-            .withRank(new Rank(rank));
+            .withRank(new Rank(rank)));
+  }
+
+  private void forward(Forwarder forwarder, int number, RoutedRequest routed) {
     requests.add(
         forwarder
             .forward(routed)
@@ -164,6 +171,44 @@
             > 0);
   }
 
+  /** Creates a request of a caller that goes on after an event of an interrupted stream. */
+  private RoutedRequest newResumed(int number, int rank) {
+    RoutedRequest routed =
+        ForwardFixtures.newRequest("" + number, newRoute(rank), clock.nanoTime());
+    TrafficRequest request = routed.request();
+    return new RoutedRequest(
+        new TrafficRequest(
+            request.id(),
+            request.method(),
+            request.uri(),
+            request.host(),
+            request.headers(),
+            request.key(),
+            request.deadline(),
+            request.prompt(),
+            OptionalLong.of(12)),
+        routed.body(),
+        routed.route(),
+        routed.service(),
+        routed.account(),
+        new Rank(rank),
+        routed.configurationVersion(),
+        routed.arrivalNanos(),
+        routed.timeout(),
+        routed.caller());
+  }
+
+  @Test
+  public void streamThatACallerResumesIsNotAskedAgain() {
+    Forwarder forwarder = newForwarder(List.of(0, 1));
+    forwardMany(forwarder, 80);
+    forward(forwarder, 80, newResumed(80, 1));
+    assertTrue(events.get(events.size() - 1).startsWith("80 "), "" + events);
+    assertFalse(events.get(events.size() - 1).contains("refused"), "" + events);
+    forward(forwarder, 81, 1);
+    assertTrue(events.get(events.size() - 1).contains("81 refused"), "" + events);
+  }
+
   @Test
   public void decisionsAreTheSameWhereRanksDoNotDiffer() {
     forwardMany(newForwarder(List.of()), 150);
