--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetPlacer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/placement/TargetPlacer.java
@@ -9,7 +9,6 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.OptionalDouble;
-import java.util.OptionalLong;
 import java.util.Set;
 import org.apache.commons.rng.UniformRandomProvider;
 
@@ -116,10 +115,15 @@
       long nowNanos) {
     List<Target> usable =
         candidates.stream()
-            .filter(c -> !excluded.contains(c.id()) && !getLoad(c.id()).isSuspect(nowNanos))
+            .filter(c -> !getLoad(c.id()).isSuspect(nowNanos) && !excluded.contains(c.id()))
             .toList();
     if (usable.isEmpty()) {
-      return refuseUnusable(candidates, nowNanos);
+      return PlacementRefusals.refuseUnusable(
+          candidates.stream()
+              .map(c -> getLoad(c.id()))
+              .filter(load -> load.isSuspect(nowNanos))
+              .mapToLong(load -> load.getSuspectNanos(nowNanos))
+              .min());
     }
     double fastest =
         usable.stream().mapToDouble(this::getMeanEventInterval).filter(g -> g > 0).min().orElse(0);
@@ -134,8 +138,7 @@
     long limitWaitNanos = Long.MAX_VALUE;
     for (Target candidate : usable) {
       TargetLoad load = getLoad(candidate.id());
-      int requests =
-          isFleetKnown ? load.getFleetRequests(loads.getFleetNanos()) : load.getRequests();
+      int requests = getRequests(load, isFleetKnown);
       othersRate += load.getOthersRate();
       if (requests >= getCapacity(candidate, load, request.isModelPool())) {
         continue;
@@ -145,13 +148,12 @@
       if (targetWaitNanos > 0) {
         continue;
       }
-      boolean isOtherZone = !candidate.zone().equals(zone);
       TargetState state =
           load.getState(
               requests,
               load.getSlots(candidate.slots()),
               fastest * SLOWNESS_TOLERANCE,
-              isOtherZone,
+              !candidate.zone().equals(zone),
               isFleetKnown ? ageNanos : Long.MAX_VALUE,
               nowNanos);
       TargetRating rating = rater.rate(candidate, state);
@@ -171,18 +173,6 @@
     return new Placement.Send(limits.use(LevelFiller.choose(options, unseenStarts, random)));
   }
 
-  private Placement refuseUnusable(List<Target> candidates, long nowNanos) {
-    OptionalLong suspectNanos =
-        candidates.stream()
-            .map(c -> getLoad(c.id()))
-            .filter(load -> load.isSuspect(nowNanos))
-            .mapToLong(load -> load.getSuspectNanos(nowNanos))
-            .min();
-    long longest = PlacementRefusals.NO_TARGET_RETRY_AFTER.toNanos();
-    return PlacementRefusals.refuseUnusable(
-        suspectNanos.isPresent(), Math.min(longest, suspectNanos.orElse(longest)));
-  }
-
   /**
    * Tests whether a request could be placed now. It doesn't reserve anything.
    *
@@ -216,7 +206,7 @@
       if (!load.isSuspect(nowNanos)) {
         slots += load.getSlots(candidate.slots());
         capacity += getCapacity(candidate, load, isModelPool);
-        used += isFleetKnown ? load.getFleetRequests(loads.getFleetNanos()) : load.getRequests();
+        used += getRequests(load, isFleetKnown);
       }
     }
     return new PoolRoom(slots, capacity, used);
@@ -229,6 +219,10 @@
         && limits.getWaitNanos(candidate) <= 0;
   }
 
+  private int getRequests(TargetLoad load, boolean isFleetKnown) {
+    return isFleetKnown ? load.getFleetRequests(loads.getFleetNanos()) : load.getRequests();
+  }
+
   private int getCapacity(Target target, TargetLoad load, boolean isModelPool) {
     return settings.getCapacity(load.getSlots(target.slots()), isModelPool);
   }
