Test that targets which were not reached count as cold

Cause: all 23 tests of DeploymentColdTargetTest pass if lost contacts are ignored: 15 requests a second for each target stay within the bound anyway.

Change: the same play with 87 entries and 30 requests a second.

--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/DeploymentColdTargetTest.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/DeploymentColdTargetTest.java
@@ -77,6 +77,9 @@
   /** The same if requests of entries that don't know of a cold target are within the bound. */
   private static final double FEW_REQUESTS = 15;
 
+  /** The requests of a burst in a second for each target, within the bound if spread evenly. */
+  private static final double BURST_REQUESTS = 30;
+
   private static final long MAX_SKEW_MILLIS = 40;
 
   /** A target, which is listed and cold at times. */
@@ -447,8 +450,7 @@
     assertWithinBound(0);
   }
 
-  @Test(dataProvider = "entryCounts")
-  public void targetsThatRestartBeforeTheirRegistrationShowsItKeepTheRate(int entryCount) {
+  private void playRestartThatTheRegistrationShowsLate(int entryCount) {
     newTargets(entryCount);
     targets.stream()
         .filter(t -> t.target.zone().value().equals("zone-0"))
@@ -457,11 +459,23 @@
               t.darkStep = COLD_STEP - MAX_LAG_STEPS;
               t.coldStep = COLD_STEP;
             });
-    requestsPerTarget = FEW_REQUESTS;
     play(entryCount);
     assertWithinBound(0);
   }
 
+  @Test(dataProvider = "entryCounts")
+  public void targetsThatRestartBeforeTheirRegistrationShowsItKeepTheRate(int entryCount) {
+    requestsPerTarget = FEW_REQUESTS;
+    playRestartThatTheRegistrationShowsLate(entryCount);
+  }
+
+  /** Fails if targets that weren't reached don't count as cold. */
+  @Test
+  public void targetsThatRestartUnseenKeepTheRateInABurst() {
+    requestsPerTarget = BURST_REQUESTS;
+    playRestartThatTheRegistrationShowsLate(87);
+  }
+
   @Test
   public void lowerLimitOfAColdTargetBinds() {
     newTargets(9);
