Never take a response without a valid status for an answer

Cause: the entry hands on whatever status a target writes if the response is signed and names the request, also 000, 99, 600 and 999, and responses of HTTP/0.9 and HTTP/2.0. InvalidStatusTest, on lookups, orders and streams, directly and through another entry, gets them as answers in 48 of 78 cases.

Heads that another entry relays are checked again, as entries of earlier versions pass on any status. HttpCaller rejects such responses of engines, health checks and the store.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/TargetCaller.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/TargetCaller.java
@@ -12,6 +12,7 @@
 import io.fireflyshed.state.traffic.ServiceRanks;
 import io.fireflyshed.transport.http.FairReads;
 import io.fireflyshed.transport.http.HandOver;
+import io.fireflyshed.transport.http.StatusLineUtils;
 import io.fireflyshed.transport.http.SurplusResponseGuard;
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -193,6 +194,11 @@
       String peer,
       HttpClientResponse httpResponse,
       Connection connection) {
+    if (!StatusLineUtils.isValid(httpResponse)) {
+      connection.dispose();
+      String message = StatusLineUtils.describe(httpResponse);
+      return Flux.error(new AttemptException(STEP, peer, Outcome.UNKNOWN, message, null));
+    }
     TargetAnswer response =
         codec.decodeAnswer(httpResponse.status().code(), httpResponse.responseHeaders());
     int earlierRequests = SurplusResponseGuard.countEarlierRequests(connection.channel());
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/HttpCaller.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/HttpCaller.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Set;
@@ -146,10 +147,14 @@
             Mono.fromSupplier(
                 () -> Unpooled.wrappedBuffer(call.body().getBytes(StandardCharsets.UTF_8))))
         .response(
-            (response, body) ->
-                isDelimited(response)
-                    ? readBody(body).map(bytes -> toReply(response, bytes))
-                    : Mono.error(new UndelimitedResponseException()))
+            (response, body) -> {
+              if (!StatusLineUtils.isValid(response)) {
+                return Mono.error(new IOException(StatusLineUtils.describe(response)));
+              }
+              return isDelimited(response)
+                  ? readBody(body).map(bytes -> toReply(response, bytes))
+                  : Mono.error(new UndelimitedResponseException());
+            })
         .single()
         .timeout(call.timeout())
         .onErrorMap(e -> toError(call, handOver.isGivenUp(), e))
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/StatusLineUtils.java
@@ -0,0 +1,43 @@
+package io.fireflyshed.transport.http;
+
+import reactor.netty.http.client.HttpClientResponse;
+
+/** Tests whether responses have a status that HTTP defines. */
+public final class StatusLineUtils {
+
+  private static final int MIN_FINAL_STATUS = 200;
+  private static final int MAX_STATUS = 599;
+
+  private StatusLineUtils() {}
+
+  /**
+   * Tests whether a status is that of a final response.
+   *
+   * @param status the status
+   * @return whether it is between 200 and 599
+   */
+  public static boolean isFinalStatus(int status) {
+    return status >= MIN_FINAL_STATUS && status <= MAX_STATUS;
+  }
+
+  /**
+   * Tests whether a response has the status of a final response. What follows any other status
+   * means nothing that can be relied on.
+   *
+   * @param response the response, not null
+   * @return whether its status is valid
+   */
+  public static boolean isValid(HttpClientResponse response) {
+    return isFinalStatus(response.status().code());
+  }
+
+  /**
+   * Describes a status that is not valid.
+   *
+   * @param response the response, not null
+   * @return the description, never null
+   */
+  public static String describe(HttpClientResponse response) {
+    return "the response has the status " + response.status().code();
+  }
+}
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayExchange.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayExchange.java
@@ -4,6 +4,7 @@
 import io.fireflyshed.coordination.budget.ByteBudget;
 import io.fireflyshed.coordination.relay.RelayPeerSelector;
 import io.fireflyshed.protocol.peer.generated.PeerProto;
+import io.fireflyshed.protocol.traffic.TargetAnswer;
 import io.fireflyshed.state.peer.PeerId;
 import io.fireflyshed.transport.forward.AcceptedRelay;
 import io.fireflyshed.transport.forward.ForwardException;
@@ -332,7 +333,14 @@
   private void onHead(PeerProto.RelayHead head) {
     if (isNext(head.getSequence(), nextSequence == 0)) {
       ResponseOrigin origin = ResponseOrigin.ofEntry(link.getPeer().id());
-      sink.next(new ResponsePart.Head(RelayFrameUtils.fromHead(head), origin));
+      TargetAnswer response;
+      try {
+        response = RelayFrameUtils.fromHead(head);
+      } catch (IllegalArgumentException e) {
+        failOnWire(e.getMessage());
+        return;
+      }
+      sink.next(new ResponsePart.Head(response, origin));
     }
   }
 
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayFrameUtils.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayFrameUtils.java
@@ -21,6 +21,7 @@
 import io.fireflyshed.transport.forward.RelayedRequest;
 import io.fireflyshed.transport.forward.RoutedRequest;
 import io.fireflyshed.transport.http.HeldBody;
+import io.fireflyshed.transport.http.StatusLineUtils;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -247,7 +248,11 @@
     return newFrame(id).setRelayHead(body).build();
   }
 
+  /** Converts a head; entries of earlier versions pass on any status of a target. */
   static TargetAnswer fromHead(PeerProto.RelayHead body) {
+    if (!StatusLineUtils.isFinalStatus(body.getStatus())) {
+      throw new IllegalArgumentException("the response has the status " + body.getStatus());
+    }
     PeerProto.RelayLoad load = body.getLoad();
     return new TargetAnswer(
         body.getStatus(),
--- /dev/null
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/InvalidStatusTest.java
@@ -0,0 +1,96 @@
+package io.fireflyshed.transport.forward;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests that responses whose status line is none of HTTP/1 never reach a caller. */
+public class InvalidStatusTest {
+
+  private static final List<String> STATUS_LINES =
+      List.of(
+          "HTTP/1.1 000 OK",
+          "HTTP/1.1 0 OK",
+          "HTTP/1.1 99 OK",
+          "HTTP/1.1 600 OK",
+          "HTTP/1.1 999 OK",
+          "HTTP/1.1 1000 OK",
+          "HTTP/1.1 -200 OK",
+          "HTTP/1.1 abc OK",
+          "HTTP/1.1",
+          "",
+          "HTTP/0.9 200 OK",
+          "HTTP/2.0 200 OK",
+          "HTTP/3.1 200 OK");
+
+  private static final int BAD_GATEWAY = 502;
+
+  private final AtomicInteger runs = new AtomicInteger();
+  private EntrySite site;
+  private int lastId;
+
+  /** Starts the entries and targets. */
+  @BeforeClass
+  public void startSite() {
+    site = new EntrySite(this::answer);
+  }
+
+  /** Forgets the runs of other tests. */
+  @BeforeMethod
+  public void setUp() {
+    runs.set(0);
+  }
+
+  /** Stops the entries and targets. */
+  @AfterClass(alwaysRun = true)
+  public void stopSite() throws Exception {
+    site.close();
+  }
+
+  private void answer(EntrySite.Request request, Socket connection) throws IOException {
+    runs.incrementAndGet();
+    String line = STATUS_LINES.get(Integer.parseInt(request.getName()));
+    String head = request.newHead("200 OK").replaceFirst("[^\r]*", line);
+    String response = head + "Content-Length: 5\r\n\r\nwrong";
+    connection.getOutputStream().write(response.getBytes(StandardCharsets.US_ASCII));
+  }
+
+  /** Provides the kinds of routes, directly and relayed, with each status line. */
+  @DataProvider
+  public Object[][] responses() {
+    List<Object[]> responses = new ArrayList<>();
+    for (int line = 0; line < STATUS_LINES.size(); line++) {
+      for (String path :
+          List.of(EntrySite.LOOKUP_PATH, EntrySite.ORDER_PATH, EntrySite.NOTE_PATH)) {
+        responses.add(new Object[] {STATUS_LINES.get(line), path, line, false});
+        responses.add(new Object[] {STATUS_LINES.get(line), path, line, true});
+      }
+    }
+    return responses.toArray(new Object[0][]);
+  }
+
+  @Test(dataProvider = "responses")
+  public void callerGetsAnErrorWhoseOutcomeIsUnknown(
+      String statusLine, String path, int line, boolean isRelayed) {
+    try (HttpConnection connection = new HttpConnection(site.getAddress(isRelayed))) {
+      connection.send(EntrySite.newRequest("GET", path + line, "id-" + ++lastId));
+      HttpConnection.Response response = connection.read(true).orElseThrow();
+      assertEquals(response.status(), BAD_GATEWAY, response.toString());
+      assertTrue(!response.body().contains("wrong"), response.toString());
+    }
+    if (!path.equals(EntrySite.LOOKUP_PATH)) {
+      assertEquals(runs.get(), 1, "a request that may have run was repeated");
+    }
+  }
+}
