Follow the usage of models only if the settings ask for it

Cause: usage was on wherever several machines may be lost at once, so also on deployments that were served by shares before.

--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
@@ -426,7 +426,7 @@
         this::areLoadsUnlimited,
         reachability::isIsolated,
         evacuated,
-        () -> settings.toleratedLosses() > 1 ? loads.getLatest() : Optional.empty(),
+        () -> settings.isUsageFollowed() ? loads.getLatest() : Optional.empty(),
         control,
         clock);
   }
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/RehearseCommand.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/RehearseCommand.java
@@ -111,7 +111,7 @@
         0,
         1,
         memoryBytes,
-        1,
+        false,
         PlacementBasis.REQUESTS);
   }
 }
--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/DeploymentRetryBudgetTest.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/DeploymentRetryBudgetTest.java
@@ -77,7 +77,7 @@
           0,
           1,
           OptionalLong.empty(),
-          1,
+          false,
           PlacementBasis.REQUESTS);
 
   /** Counts the requests for a service and the retries at it in each step. */
--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/soak/SharedAddressMain.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/soak/SharedAddressMain.java
@@ -50,7 +50,7 @@
         settings.coldSlack(),
         settings.cores(),
         settings.memoryBytes(),
-        settings.toleratedLosses(),
+        settings.isUsageFollowed(),
         settings.placementBasis());
   }
 }
