Log bytes that a decoder may take for another response

Cause: whether bytes arrived while no request waited for a response, and whether the head of a response had more than one status line, could not be told from any log, so the hypotheses about wrong successes look alike.

Change: a handler before the HTTP codec of connections to targets, engines and the store logs both, with the request, the connection and the beginning of the bytes. It decides nothing; all bytes go on as before.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/TargetCaller.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/TargetCaller.java
@@ -12,6 +12,7 @@
 import io.fireflyshed.state.traffic.ServiceRanks;
 import io.fireflyshed.transport.http.FairReads;
 import io.fireflyshed.transport.http.HandOver;
+import io.fireflyshed.transport.http.ResponseMonitor;
 import io.fireflyshed.transport.http.StatusLineUtils;
 import io.fireflyshed.transport.http.SurplusResponseGuard;
 import io.netty.channel.ChannelOption;
@@ -43,6 +44,7 @@
 
   private static final String STEP = "forward";
   private static final String INTERIM_RESPONSE_FILTER = "interimResponseFilter";
+  private static final String RESPONSE_MONITOR = "responseMonitor";
   private static final String SURPLUS_RESPONSE_GUARD = "surplusResponseGuard";
 
   /** Keeps the connections of nine entries together well below what a target accepts. */
@@ -106,6 +108,7 @@
             (observer, channel, address) ->
                 channel
                     .pipeline()
+                    .addBefore(NettyPipeline.HttpCodec, RESPONSE_MONITOR, new ResponseMonitor())
                     .addAfter(
                         NettyPipeline.HttpCodec,
                         INTERIM_RESPONSE_FILTER,
@@ -141,6 +144,7 @@
                 (r, c) -> {
                   handOver.begin();
                   onSend.run();
+                  ResponseMonitor.setRequest(c.channel(), request.id());
                   updateRemaining(r.requestHeaders(), target, routed, remaining, lastEventId);
                 })
             .request(request.method())
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/HttpCaller.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/HttpCaller.java
@@ -41,6 +41,7 @@
   /** Limits a response by default; the largest objects of the platform's store have half of it. */
   public static final int MAX_BODY_BYTES = 16 << 20;
 
+  private static final String RESPONSE_MONITOR = "responseMonitor";
   private static final String SURPLUS_RESPONSE_GUARD = "surplusResponseGuard";
   private static final int NO_CONTENT = 204;
   private static final int CONNECT_TIMEOUT_MILLIS = 1000;
@@ -99,6 +100,7 @@
             (observer, channel, address) ->
                 channel
                     .pipeline()
+                    .addBefore(NettyPipeline.HttpCodec, RESPONSE_MONITOR, new ResponseMonitor())
                     .addAfter(
                         NettyPipeline.HttpCodec,
                         SURPLUS_RESPONSE_GUARD,
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/ResponseHeadScanner.java
@@ -0,0 +1,108 @@
+package io.fireflyshed.transport.http;
+
+import io.netty.buffer.ByteBuf;
+import java.util.Optional;
+
+/**
+ * Reads the bytes of one head of a response and finds what a lenient decoder doesn't. Not thread
+ * safe.
+ */
+final class ResponseHeadScanner {
+
+  /** What is wrong with a head. */
+  enum Defect {
+    /** The status line isn't that of a response of HTTP/1 with a status of three digits. */
+    STATUS_LINE,
+    /** Another status line begins within the head, which is that of a response cut off before. */
+    SECOND_STATUS_LINE
+  }
+
+  /** The start of a status line, in which a zero stands for any digit. */
+  private static final String STATUS_LINE = "HTTP/1.0 000";
+
+  private static final int VERSION_LENGTH = "HTTP/1.".length();
+
+  private final boolean mayFollowResponse;
+  private int position;
+  private int matchedLength;
+  private boolean isLineEmpty;
+  private boolean isEnded;
+  private Optional<Defect> defect = Optional.empty();
+
+  /**
+   * Creates a scanner of one head.
+   *
+   * @param mayFollowResponse whether the peer sent a response on the connection before, a part of
+   *     whose repetition may precede the head
+   */
+  ResponseHeadScanner(boolean mayFollowResponse) {
+    this.mayFollowResponse = mayFollowResponse;
+  }
+
+  /**
+   * Reads bytes up to the end of the head or to a defect.
+   *
+   * @param bytes the bytes, whose indexes are not changed, not null
+   * @param start the index of the first byte
+   * @param end the index behind the last byte
+   * @return the index behind the last byte that was read
+   */
+  int scan(ByteBuf bytes, int start, int end) {
+    int index = start;
+    while (index < end && !isEnded && defect.isEmpty()) {
+      add((char) (bytes.getByte(index++) & 0xff));
+    }
+    return index;
+  }
+
+  private void add(char c) {
+    if (!fitsStatusLine(c)) {
+      defect = Optional.of(Defect.STATUS_LINE);
+    } else if (position > 0 && mayFollowResponse && completesVersion(c)) {
+      defect = Optional.of(Defect.SECOND_STATUS_LINE);
+    }
+    position++;
+    if (c == '\n') {
+      isEnded = isLineEmpty;
+      isLineEmpty = true;
+    } else if (c != '\r') {
+      isLineEmpty = false;
+    }
+  }
+
+  private boolean fitsStatusLine(char c) {
+    if (position > STATUS_LINE.length()) {
+      return true;
+    }
+    if (position == STATUS_LINE.length()) {
+      return c == ' ' || c == '\r' || c == '\n';
+    }
+    char expected = STATUS_LINE.charAt(position);
+    return expected == '0' ? c >= '0' && c <= '9' : c == expected;
+  }
+
+  /**
+   * Tests whether the latest characters are the version of a status line, in upper or lower case.
+   */
+  private boolean completesVersion(char c) {
+    char upper = c >= 'a' && c <= 'z' ? (char) (c - 'a' + 'A') : c;
+    if (upper == STATUS_LINE.charAt(matchedLength)) {
+      matchedLength++;
+    } else {
+      matchedLength = upper == STATUS_LINE.charAt(0) ? 1 : 0;
+    }
+    boolean isComplete = matchedLength == VERSION_LENGTH;
+    matchedLength = isComplete ? 0 : matchedLength;
+    return isComplete;
+  }
+
+  /** Returns whether the empty line behind the head was read. */
+  boolean isEnded() {
+    return isEnded;
+  }
+
+  /** Returns what is wrong with the head as far as it was read, never null. */
+  Optional<Defect> getDefect() {
+    return defect;
+  }
+}
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/SurplusResponseGuard.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/SurplusResponseGuard.java
@@ -24,9 +24,10 @@
   private static final AttributeKey<Integer> REQUESTS =
       AttributeKey.valueOf(SurplusResponseGuard.class, "requests");
 
-  private static final EventLog LOG = new EventLog("http");
+  private static final AttributeKey<Boolean> IS_DUE =
+      AttributeKey.valueOf(SurplusResponseGuard.class, "isDue");
 
-  private boolean isResponseDue;
+  private static final EventLog LOG = new EventLog("http");
 
   /**
    * Counts the requests that preceded the current one on its connection. If there are none, no
@@ -40,10 +41,15 @@
     return requests == null ? -1 : requests - 1;
   }
 
+  /** Tests whether a request waits for a response, or for the rest of it. */
+  static boolean isResponseDue(Channel channel) {
+    return Boolean.TRUE.equals(channel.attr(IS_DUE).get());
+  }
+
   @Override
   public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
     if (message instanceof HttpRequest) {
-      isResponseDue = true;
+      context.channel().attr(IS_DUE).set(true);
       Integer requests = context.channel().attr(REQUESTS).get();
       context.channel().attr(REQUESTS).set(requests == null ? 1 : requests + 1);
     }
@@ -56,7 +62,7 @@
       context.fireChannelRead(message);
       return;
     }
-    if (!isResponseDue) {
+    if (!isResponseDue(context.channel())) {
       ReferenceCountUtil.release(message);
       if (context.channel().isActive()) {
         LOG.warn("response without a request", "peer", context.channel().remoteAddress());
@@ -64,7 +70,7 @@
       }
       return;
     }
-    isResponseDue = !(message instanceof LastHttpContent);
+    context.channel().attr(IS_DUE).set(!(message instanceof LastHttpContent));
     context.fireChannelRead(message);
   }
 }
