--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/EntrySite.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/EntrySite.java
@@ -5,9 +5,6 @@
 import io.fireflyshed.coordination.placement.StallDetector;
 import io.fireflyshed.coordination.placement.TargetPlacer;
 import io.fireflyshed.coordination.retry.ServiceRetryBudgets;
-import io.fireflyshed.protocol.traffic.TargetAnswer;
-import io.fireflyshed.protocol.traffic.TrafficCodec;
-import io.fireflyshed.protocol.traffic.TrafficRequest;
 import io.fireflyshed.state.clock.MonotonicClock;
 import io.fireflyshed.state.instance.InstanceId;
 import io.fireflyshed.state.peer.EntryPeer;
@@ -25,9 +22,6 @@
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
@@ -41,9 +35,6 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalDouble;
-import java.util.OptionalLong;
-import java.util.Set;
 import org.apache.commons.rng.simple.RandomSource;
 
 /**
@@ -119,7 +110,7 @@
 
   private final Script script;
   private final long callerBytes;
-  private final Codec codec = new Codec();
+  private final HeaderCodec codec = new HeaderCodec();
   private final TargetCaller caller = new TargetCaller(codec, MonotonicClock.system());
   private final List<PrometheusMeterRegistry> registries = new ArrayList<>();
   private final List<AutoCloseable> opened = new ArrayList<>();
@@ -352,59 +343,4 @@
       opened.get(i).close();
     }
   }
-
-  /** Passes on all headers except those of a connection. */
-  private static final class Codec implements TrafficCodec {
-
-    private static final Set<String> CONNECTION_HEADERS =
-        Set.of("connection", "transfer-encoding", "content-length");
-
-    @Override
-    public TrafficRequest decodeRequest(HttpMethod method, String uri, HttpHeaders headers) {
-      return new TrafficRequest(
-          headers.get("X-Id"),
-          method,
-          uri,
-          headers.get("Host"),
-          headers,
-          Optional.empty(),
-          Optional.empty(),
-          Optional.empty(),
-          OptionalLong.empty());
-    }
-
-    @Override
-    public HttpHeaders newTargetHeaders(
-        TrafficRequest request,
-        Target target,
-        Optional<String> account,
-        Duration remainingTime,
-        OptionalLong lastEventId) {
-      HttpHeaders headers = new DefaultHttpHeaders();
-      headers.set("X-Id", request.id());
-      lastEventId.ifPresent(id -> headers.set("X-Last-Event", id));
-      return headers;
-    }
-
-    @Override
-    public TargetAnswer decodeAnswer(int status, HttpHeaders headers) {
-      return new TargetAnswer(
-          status,
-          headers,
-          Optional.ofNullable(headers.get("X-Id")),
-          headers.contains("X-Signature"),
-          false,
-          Optional.empty(),
-          OptionalDouble.empty());
-    }
-
-    @Override
-    public HttpHeaders newCallerHeaders(TargetAnswer response) {
-      HttpHeaders headers = new DefaultHttpHeaders();
-      response.headers().entries().stream()
-          .filter(h -> !CONNECTION_HEADERS.contains(h.getKey().toLowerCase(Locale.ROOT)))
-          .forEach(h -> headers.add(h.getKey(), h.getValue()));
-      return headers;
-    }
-  }
 }
