Read on after an interim response that arrives alone

Callers of a target that sends an interim response some time before the response got a timeout: both requests of InterimResponseTest have no response within 5 s.

Cause: connections are read on demand. The decoder asks for more bytes only if it has passed on nothing, and the filter that drops interim responses did not ask either, so nothing was read any more.

Change: the filter asks for more after each interim response that it drops.

Result: InterimResponseTest passes, on kept connections and on others.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/InterimResponseFilter.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/InterimResponseFilter.java
@@ -38,5 +38,9 @@
     }
     isInterim = !(message instanceof LastHttpContent);
     ReferenceCountUtil.release(message);
+    if (!isInterim) {
+      // The decoder asks for more only if it has passed on nothing.
+      context.read();
+    }
   }
 }
