Give the decoder only the bytes of the response that a request waits for

Callers got a success where the target had answered with a failure.

Cause: bytes of a connection went to the decoder whether a request waited or not, and it keeps the beginning of a head. What a target writes after a whole response, and then breaks off, became the first lines of the next head: the status of one response, and the id, signature and body of another. The guard behind the decoder sees objects, and the beginning of a head is none. Class: a decoder whose state outlives the message, on a connection that is used again.

Change: ResponseGuard stands before and behind the decoder. It passes on only bytes from a request on to the end of its response, and closes the connection at others. A beginning that comes between the request and its response can't be told by time, but the merged head then has a second status line within it; such a response fails its attempt with an unknown outcome. A target that did either, or sent the response of another request, gets a connection for each request for 60 s, so that no further request fails for it, and no sound target is refused for a header like that. Targets, engine reports, health checks and the store are read in this way. Malformed responses no longer count as lost connections, which point to crashes. Interim responses are dropped for all readers.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/TargetCaller.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/TargetCaller.java
@@ -10,11 +10,11 @@
 import io.fireflyshed.state.clock.MonotonicClock;
 import io.fireflyshed.state.target.Target;
 import io.fireflyshed.state.traffic.ServiceRanks;
+import io.fireflyshed.transport.http.ConnectionReuse;
 import io.fireflyshed.transport.http.FairReads;
 import io.fireflyshed.transport.http.HandOver;
-import io.fireflyshed.transport.http.ResponseMonitor;
+import io.fireflyshed.transport.http.ResponseGuard;
 import io.fireflyshed.transport.http.StatusLineUtils;
-import io.fireflyshed.transport.http.SurplusResponseGuard;
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -28,7 +28,6 @@
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.netty.Connection;
-import reactor.netty.NettyPipeline;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.http.client.HttpClientResponse;
 import reactor.netty.resources.ConnectionProvider;
@@ -38,14 +37,12 @@
  *
  * <p>Cancelling a response closes its connection, which makes the target abort the request. A
  * request that must not be retried gets a new connection: a target may close a pooled connection
- * while a request is in transit, and then it is unknown whether the request ran.
+ * while a request is in transit, and then it is unknown whether the request ran. So does a request
+ * to a target that sent surplus bytes lately.
  */
 public final class TargetCaller implements TargetClient, AutoCloseable {
 
   private static final String STEP = "forward";
-  private static final String INTERIM_RESPONSE_FILTER = "interimResponseFilter";
-  private static final String RESPONSE_MONITOR = "responseMonitor";
-  private static final String SURPLUS_RESPONSE_GUARD = "surplusResponseGuard";
 
   /** Keeps the connections of nine entries together well below what a target accepts. */
   private static final int MAX_CONNECTIONS_PER_TARGET = 48;
@@ -61,6 +58,7 @@
   private final TrafficCodec codec;
   private final MonotonicClock clock;
   private final Supplier<ServiceRanks> ranks;
+  private final ConnectionReuse reuse;
   private final ConnectionProvider connectionPool;
   private final HttpClient pooledClient;
   private final HttpClient unpooledClient;
@@ -72,7 +70,7 @@
    * @param clock the clock of the arrival times of requests, not null
    */
   public TargetCaller(TrafficCodec codec, MonotonicClock clock) {
-    this(codec, clock, () -> ServiceRanks.NONE);
+    this(codec, clock, () -> ServiceRanks.NONE, new ConnectionReuse(clock));
   }
 
   /**
@@ -82,8 +80,14 @@
    * @param clock the clock of the arrival times of requests, not null
    * @param ranks gets the services whose requests differ in their ranks, as the latest known
    *     configuration has them, not null
+   * @param reuse decides whether a connection to a target may be used again, not null
    */
-  public TargetCaller(TrafficCodec codec, MonotonicClock clock, Supplier<ServiceRanks> ranks) {
+  public TargetCaller(
+      TrafficCodec codec,
+      MonotonicClock clock,
+      Supplier<ServiceRanks> ranks,
+      ConnectionReuse reuse) {
+    this.reuse = Objects.requireNonNull(reuse, "reuse");
     this.ranks = Objects.requireNonNull(ranks, "ranks");
     this.codec = Objects.requireNonNull(codec, "codec");
     this.clock = Objects.requireNonNull(clock, "clock");
@@ -98,25 +102,13 @@
     unpooledClient = configure(HttpClient.newConnection());
   }
 
-  private static HttpClient configure(HttpClient client) {
+  private HttpClient configure(HttpClient client) {
     return client
         .disableRetry(true)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
         .option(ChannelOption.TCP_NODELAY, true)
         .option(ChannelOption.RCVBUF_ALLOCATOR, FairReads.newAllocator())
-        .doOnChannelInit(
-            (observer, channel, address) ->
-                channel
-                    .pipeline()
-                    .addBefore(NettyPipeline.HttpCodec, RESPONSE_MONITOR, new ResponseMonitor())
-                    .addAfter(
-                        NettyPipeline.HttpCodec,
-                        INTERIM_RESPONSE_FILTER,
-                        new InterimResponseFilter())
-                    .addAfter(
-                        INTERIM_RESPONSE_FILTER,
-                        SURPLUS_RESPONSE_GUARD,
-                        new SurplusResponseGuard()));
+        .doOnChannelInit((observer, channel, address) -> ResponseGuard.addTo(channel, reuse));
   }
 
   @Override
@@ -135,7 +127,8 @@
     TrafficRequest request = routed.request();
     HandOver handOver = new HandOver();
     HttpHeaders targetHeaders = newHeaders(target, routed, remaining, lastEventId);
-    HttpClient client = routed.route().isRetryable() ? pooledClient : unpooledClient;
+    boolean isPooled = routed.route().isRetryable() && reuse.isPermitted(target.address());
+    HttpClient client = isPooled ? pooledClient : unpooledClient;
     String peer = target.address().getHostString() + ":" + target.address().getPort();
     HttpClient.RequestSender sender =
         client
@@ -144,7 +137,7 @@
                 (r, c) -> {
                   handOver.begin();
                   onSend.run();
-                  ResponseMonitor.setRequest(c.channel(), request.id());
+                  ResponseGuard.setRequestId(c.channel(), request.id());
                   updateRemaining(r.requestHeaders(), target, routed, remaining, lastEventId);
                 })
             .request(request.method())
@@ -205,9 +198,12 @@
     }
     TargetAnswer response =
         codec.decodeAnswer(httpResponse.status().code(), httpResponse.responseHeaders());
-    int earlierRequests = SurplusResponseGuard.countEarlierRequests(connection.channel());
+    int earlierRequests = ResponseGuard.countEarlierRequests(connection.channel());
     Optional<AttemptException> error = validate(request, peer, response, earlierRequests == 0);
     if (error.isPresent()) {
+      if (isOfAnotherRequest(request, response)) {
+        reuse.suspend(target.address());
+      }
       connection.dispose();
       return Flux.error(error.get());
     }
@@ -239,6 +235,10 @@
     return Optional.empty();
   }
 
+  private static boolean isOfAnotherRequest(TrafficRequest request, TargetAnswer response) {
+    return response.requestId().filter(id -> !id.equals(request.id())).isPresent();
+  }
+
   private static Throwable toAttemptException(String peer, HandOver handOver, Throwable error) {
     if (error instanceof AttemptException) {
       return error;
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/HttpCaller.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/HttpCaller.java
@@ -14,11 +14,11 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import reactor.core.publisher.Mono;
 import reactor.netty.ByteBufFlux;
-import reactor.netty.NettyPipeline;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.http.client.HttpClientResponse;
 import reactor.netty.resources.ConnectionProvider;
@@ -41,8 +41,6 @@
   /** Limits a response by default; the largest objects of the platform's store have half of it. */
   public static final int MAX_BODY_BYTES = 16 << 20;
 
-  private static final String RESPONSE_MONITOR = "responseMonitor";
-  private static final String SURPLUS_RESPONSE_GUARD = "surplusResponseGuard";
   private static final int NO_CONTENT = 204;
   private static final int CONNECT_TIMEOUT_MILLIS = 1000;
 
@@ -51,6 +49,7 @@
   private final HttpClient unpooledClient;
   private final int maxBodyBytes;
   private final ByteBudget budget;
+  private final ConnectionReuse reuse;
 
   /**
    * Creates a caller with a connection pool of its own.
@@ -79,8 +78,21 @@
    * @param budget counts the bytes that this process holds, not null
    */
   public HttpCaller(String name, int maxBodyBytes, ByteBudget budget) {
+    this(name, maxBodyBytes, budget, new ConnectionReuse(MonotonicClock.system()));
+  }
+
+  /**
+   * Creates a caller that shares with others what is known of the peers.
+   *
+   * @param name the name of the connection pool, not null
+   * @param maxBodyBytes the maximum size of the body of a response in bytes, positive
+   * @param budget counts the bytes that this process holds, not null
+   * @param reuse decides whether a connection to a peer may be used again, not null
+   */
+  public HttpCaller(String name, int maxBodyBytes, ByteBudget budget, ConnectionReuse reuse) {
     this.maxBodyBytes = maxBodyBytes;
-    this.budget = budget;
+    this.budget = Objects.requireNonNull(budget, "budget");
+    this.reuse = Objects.requireNonNull(reuse, "reuse");
     connections =
         ConnectionProvider.builder(name)
             .maxConnections(MAX_CONNECTIONS_PER_PEER)
@@ -92,19 +104,11 @@
     unpooledClient = configure(HttpClient.newConnection());
   }
 
-  private static HttpClient configure(HttpClient client) {
+  private HttpClient configure(HttpClient client) {
     return client
         .disableRetry(true)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-        .doOnChannelInit(
-            (observer, channel, address) ->
-                channel
-                    .pipeline()
-                    .addBefore(NettyPipeline.HttpCodec, RESPONSE_MONITOR, new ResponseMonitor())
-                    .addAfter(
-                        NettyPipeline.HttpCodec,
-                        SURPLUS_RESPONSE_GUARD,
-                        new SurplusResponseGuard()));
+        .doOnChannelInit((observer, channel, address) -> ResponseGuard.addTo(channel, reuse));
   }
 
   /**
@@ -124,7 +128,7 @@
    *     the request was not sent and with {@link EffectUnknownException} otherwise
    */
   public CompletableFuture<HttpReply> send(HttpCall call) {
-    return send(client, call);
+    return send(reuse.isPermitted(call.peer()) ? client : unpooledClient, call);
   }
 
   /**
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/ResponseHeadScanner.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/ResponseHeadScanner.java
@@ -11,16 +11,13 @@
 
   /** What is wrong with a head. */
   enum Defect {
-    /** The status line isn't that of a response of HTTP/1 with a status of three digits. */
+    /** The first line isn't the status line of a response of HTTP/1. */
     STATUS_LINE,
     /** Another status line begins within the head, which is that of a response cut off before. */
     SECOND_STATUS_LINE
   }
 
-  /** The start of a status line, in which a zero stands for any digit. */
-  private static final String STATUS_LINE = "HTTP/1.0 000";
-
-  private static final int VERSION_LENGTH = "HTTP/1.".length();
+  private static final String VERSION = "HTTP/1.";
 
   private final boolean mayFollowResponse;
   private int position;
@@ -71,14 +68,7 @@
   }
 
   private boolean fitsStatusLine(char c) {
-    if (position > STATUS_LINE.length()) {
-      return true;
-    }
-    if (position == STATUS_LINE.length()) {
-      return c == ' ' || c == '\r' || c == '\n';
-    }
-    char expected = STATUS_LINE.charAt(position);
-    return expected == '0' ? c >= '0' && c <= '9' : c == expected;
+    return position >= VERSION.length() || c == VERSION.charAt(position);
   }
 
   /**
@@ -86,12 +76,12 @@
    */
   private boolean completesVersion(char c) {
     char upper = c >= 'a' && c <= 'z' ? (char) (c - 'a' + 'A') : c;
-    if (upper == STATUS_LINE.charAt(matchedLength)) {
+    if (upper == VERSION.charAt(matchedLength)) {
       matchedLength++;
     } else {
-      matchedLength = upper == STATUS_LINE.charAt(0) ? 1 : 0;
+      matchedLength = upper == VERSION.charAt(0) ? 1 : 0;
     }
-    boolean isComplete = matchedLength == VERSION_LENGTH;
+    boolean isComplete = matchedLength == VERSION.length();
     matchedLength = isComplete ? 0 : matchedLength;
     return isComplete;
   }
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/TargetCallerTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/TargetCallerTest.java
@@ -19,6 +19,7 @@
 import io.fireflyshed.state.traffic.RequestKind;
 import io.fireflyshed.state.traffic.Route;
 import io.fireflyshed.state.traffic.ServiceRanks;
+import io.fireflyshed.transport.http.ConnectionReuse;
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -111,7 +112,11 @@
                 })
             .bindNow();
     try (TargetCaller caller =
-        new TargetCaller(new RemainingTimeCodec(), CONNECTION_TIME::toNanos, () -> ranks)) {
+        new TargetCaller(
+            new RemainingTimeCodec(),
+            CONNECTION_TIME::toNanos,
+            () -> ranks,
+            new ConnectionReuse(MonotonicClock.system()))) {
       Target target = ForwardFixtures.newTarget("one", (InetSocketAddress) server.address());
       Route route = ForwardFixtures.newRoute(RequestKind.IDEMPOTENT, true, TIMEOUT);
       for (int rank : List.of(0, 3)) {
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
@@ -52,6 +52,7 @@
 import io.fireflyshed.transport.forward.TrafficServer;
 import io.fireflyshed.transport.forward.TrafficServerSettings;
 import io.fireflyshed.transport.forward.WarmHealthCheck;
+import io.fireflyshed.transport.http.ConnectionReuse;
 import io.fireflyshed.transport.http.HttpCaller;
 import io.fireflyshed.transport.log.EventLog;
 import io.fireflyshed.transport.log.LoggingScheduler;
@@ -187,12 +188,14 @@
     this.maxAcceptDelay = maxAcceptDelay;
     budget = MemoryBudgetFactory.newBudget(settings.memoryBytes(), trafficClock, metrics);
     storeCaller = new HttpCaller("platform", HttpCaller.MAX_BODY_BYTES, budget);
-    engineCaller = new HttpCaller("engines", MAX_REPORT_BYTES, budget);
-    healthCaller = new HttpCaller("health", MAX_HEALTH_BYTES, budget);
+    ConnectionReuse reuse = new ConnectionReuse(trafficClock);
+    metrics.gauge("fireflyshed.targets.without.reuse", reuse, ConnectionReuse::countSuspended);
+    engineCaller = new HttpCaller("engines", MAX_REPORT_BYTES, budget, reuse);
+    healthCaller = new HttpCaller("health", MAX_HEALTH_BYTES, budget, reuse);
     UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create();
     WireHeaders codec = new WireHeaders();
     StoreClient store = new StoreClient(storeCaller, settings.store());
-    targetCaller = new TargetCaller(codec, trafficClock, configured::getRanks);
+    targetCaller = new TargetCaller(codec, trafficClock, configured::getRanks, reuse);
     cold = newColdTargets();
     EntrySchedule schedule =
         new EntrySchedule(settings.zoneRank(), settings.zones(), sharedClock, cold);
