Refuse status lines that only look like a number

Callers got a success for responses of targets whose status line was malformed: `0200`, `00200`, `+200`, and two spaces or a tab before the status.

Cause: the decoder reads the status as a number and skips white space before it; what was checked was the number.

The attempt fails with an unknown outcome.

Status lines without a reason, or of HTTP/1.0, are passed on.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/ResponseHeadScanner.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/ResponseHeadScanner.java
@@ -11,7 +11,7 @@
 
   /** What is wrong with a head. */
   enum Defect {
-    /** The first line isn't the status line of a response of HTTP/1. */
+    /** The first line isn't that of a response of HTTP/1 with a status of three digits. */
     STATUS_LINE,
     /** Another status line begins within the head, which is that of a response cut off before. */
     SECOND_STATUS_LINE
@@ -19,6 +19,9 @@
 
   private static final String VERSION = "HTTP/1.";
 
+  /** The start of a status line, in which a zero stands for any digit. */
+  private static final String STATUS_LINE = VERSION + "0 000";
+
   private final boolean mayFollowResponse;
   private int position;
   private int matchedLength;
@@ -68,7 +71,11 @@
   }
 
   private boolean fitsStatusLine(char c) {
-    return position >= VERSION.length() || c == VERSION.charAt(position);
+    if (position >= STATUS_LINE.length()) {
+      return position > STATUS_LINE.length() || c == ' ' || c == '\r' || c == '\n';
+    }
+    char expected = STATUS_LINE.charAt(position);
+    return expected == '0' ? c >= '0' && c <= '9' : c == expected;
   }
 
   /**
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/InvalidStatusTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/InvalidStatusTest.java
@@ -32,7 +32,25 @@
           "",
           "HTTP/0.9 200 OK",
           "HTTP/2.0 200 OK",
-          "HTTP/3.1 200 OK");
+          "HTTP/3.1 200 OK",
+          "HTTP/1.1 0200 OK",
+          "HTTP/1.1 00200 OK",
+          "HTTP/1.1 +200 OK",
+          "HTTP/1.1  0200 OK",
+          "HTTP/1.1  200 OK",
+          "HTTP/1.1\t200 OK",
+          "HTTP/1.1 200.0 OK",
+          "HTTP/1.1 200OK",
+          "HTTP/1.1 200,500 OK",
+          "HTTP/1.1 2 00 OK",
+          " HTTP/1.1 200 OK",
+          "http/1.1 200 OK",
+          "HTTP/1.10 200 OK",
+          "HTTP/1. 200 OK",
+          "HTTP/01.1 200 OK");
+
+  private static final List<String> VALID_STATUS_LINES =
+      List.of("HTTP/1.1 200 OK", "HTTP/1.1 200 ", "HTTP/1.1 200", "HTTP/1.0 200 No error: fine");
 
   private static final int BAD_GATEWAY = 502;
 
@@ -60,12 +78,18 @@
 
   private void answer(EntrySite.Request request, Socket connection) throws IOException {
     runs.incrementAndGet();
-    String line = STATUS_LINES.get(Integer.parseInt(request.getName()));
+    String line = getStatusLine(Integer.parseInt(request.getName()));
     String head = request.newHead("200 OK").replaceFirst("[^\r]*", line);
     String response = head + "Content-Length: 5\r\n\r\nwrong";
     connection.getOutputStream().write(response.getBytes(StandardCharsets.US_ASCII));
   }
 
+  /** Returns an invalid status line, or a valid one behind the last of those. */
+  private static String getStatusLine(int index) {
+    int valid = index - STATUS_LINES.size();
+    return valid < 0 ? STATUS_LINES.get(index) : VALID_STATUS_LINES.get(valid);
+  }
+
   /** Provides the kinds of routes, directly and relayed, with each status line. */
   @DataProvider
   public Object[][] responses() {
@@ -93,4 +117,16 @@
       assertEquals(runs.get(), 1, "a request that may have run was repeated");
     }
   }
+
+  @Test
+  public void responseWithAValidStatusLineIsPassedOn() {
+    for (int i = 0; i < VALID_STATUS_LINES.size(); i++) {
+      try (HttpConnection connection = new HttpConnection(site.getAddress(false))) {
+        String path = EntrySite.LOOKUP_PATH + (STATUS_LINES.size() + i);
+        connection.send(EntrySite.newRequest("GET", path, "id-" + ++lastId));
+        HttpConnection.Response response = connection.read(true).orElseThrow();
+        assertEquals(response.status(), 200, VALID_STATUS_LINES.get(i));
+      }
+    }
+  }
 }
