Refuse responses whose body can't be delimited for certain

A caller could get a body that isn't that of the target as a whole one.

Cause: the decoder takes a body with the transfer coding `gzip, chunked`, `chunked, chunked` or `xchunked` for one in chunks, or of the stated length, and drops the header, so that encoded bytes are passed on as the body; it reads `4 2` and ` 4` as a chunk size of 4.

Change: ResponseGuard refuses transfer codings other than `chunked`, and chunk sizes of anything but hexadecimal digits before white space or an extension, with an unknown outcome. What the decoder refuses itself (lengths, line ends, control characters) stays with it.

A space before the colon of a header is taken: RFC 9112 has proxies remove it.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/ChunkScanner.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/ChunkScanner.java
@@ -2,11 +2,15 @@
 
 import io.netty.buffer.ByteBuf;
 
-/** Finds the end of one chunked body among the bytes of a connection. Not thread safe. */
+/**
+ * Finds the end of one chunked body among the bytes of a connection, and chunk sizes that a lenient
+ * decoder accepts. Not thread safe.
+ */
 final class ChunkScanner {
 
   private enum Part {
     SIZE,
+    SIZE_PADDING,
     EXTENSION,
     DATA,
     DATA_END,
@@ -21,10 +25,12 @@
 
   private Part part = Part.SIZE;
   private long chunkBytes;
+  private boolean hasDigit;
   private boolean isLineEmpty = true;
+  private boolean isMalformed;
 
   /**
-   * Reads bytes up to the end of the body.
+   * Reads bytes up to the end of the body or to a malformed chunk size.
    *
    * @param bytes the bytes, whose indexes are not changed, not null
    * @param start the index of the first byte
@@ -33,7 +39,7 @@
    */
   int scan(ByteBuf bytes, int start, int end) {
     int index = start;
-    while (index < end && part != Part.END) {
+    while (index < end && part != Part.END && !isMalformed) {
       if (part == Part.DATA) {
         int length = (int) Math.min(end - index, chunkBytes);
         index += length;
@@ -48,7 +54,7 @@
 
   private void add(char c) {
     switch (part) {
-      case SIZE, EXTENSION -> addToSizeLine(c);
+      case SIZE, SIZE_PADDING, EXTENSION -> addToSizeLine(c);
       case DATA_END -> part = c == '\n' ? Part.SIZE : Part.DATA_END;
       default -> {
         if (c == '\n') {
@@ -63,12 +69,22 @@
 
   private void addToSizeLine(char c) {
     int digit = Character.digit(c, HEX_BASE);
-    if (c == '\n') {
-      part = chunkBytes == 0 ? Part.TRAILER : Part.DATA;
-    } else if (part == Part.SIZE && digit >= 0) {
+    if (part == Part.SIZE && digit >= 0) {
+      hasDigit = true;
       chunkBytes = Math.min(MAX_CHUNK_BYTES, chunkBytes * HEX_BASE + digit);
-    } else {
-      part = Part.EXTENSION;
+    } else if (!hasDigit) {
+      isMalformed = true;
+    } else if (c == '\n') {
+      hasDigit = false;
+      part = chunkBytes == 0 ? Part.TRAILER : Part.DATA;
+    } else if (part != Part.EXTENSION && c != '\r') {
+      isMalformed = c != ' ' && c != '\t' && c != ';';
+      part = c == ';' ? Part.EXTENSION : Part.SIZE_PADDING;
     }
   }
+
+  /** Returns whether a chunk size is malformed. */
+  boolean isMalformed() {
+    return isMalformed;
+  }
 }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/ResponseGuard.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/ResponseGuard.java
@@ -2,11 +2,15 @@
 
 import io.fireflyshed.transport.log.EventLog;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -15,6 +19,7 @@
 import io.netty.util.AttributeKey;
 import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Objects;
 import reactor.netty.NettyPipeline;
 
@@ -37,7 +42,7 @@
     STATUS_LINE,
     /** A head with the status line of another response in it. */
     SECOND_STATUS_LINE,
-    /** A response that the decoder and the guard delimit differently. */
+    /** A body whose end can't be told for certain. */
     FRAMING
   }
 
@@ -65,6 +70,7 @@
   private long bodyBytesLeft;
   private boolean isEnded;
   private boolean isRefused;
+  private ChannelHandlerContext guardContext;
   private int requests;
   private String requestId = "";
 
@@ -109,6 +115,11 @@
     channel.attr(GUARD).get().requestId = id;
   }
 
+  @Override
+  public void handlerAdded(ChannelHandlerContext context) {
+    guardContext = context;
+  }
+
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
     if (!(message instanceof ByteBuf bytes)) {
@@ -140,7 +151,7 @@
       refuse(context, toReason(head.getDefect().get()), bytes);
       return;
     }
-    if (length == 0) {
+    if (length == 0 || phase == Phase.CHUNKED_BODY && chunks.isMalformed()) {
       refuse(context, phase == Phase.NO_REQUEST ? Reason.SURPLUS_BYTES : Reason.FRAMING, bytes);
       return;
     }
@@ -218,6 +229,11 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
       if (message instanceof HttpResponse response) {
+        if (!isTransferCodingKnown(response.headers())) {
+          ReferenceCountUtil.release(message);
+          refuse(guardContext, Reason.FRAMING, Unpooled.EMPTY_BUFFER);
+          return;
+        }
         isInterim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         expectBody(response);
       }
@@ -241,6 +257,14 @@
       }
     }
 
+    /** Tests whether a body isn't encoded otherwise than in chunks. */
+    private static boolean isTransferCodingKnown(HttpHeaders headers) {
+      List<String> codings = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING);
+      return codings.isEmpty()
+          || codings.size() == 1
+              && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.get(0));
+    }
+
     private void expectBody(HttpResponse response) {
       bodyBytesLeft = HttpUtil.getContentLength(response, -1L);
       if (response.decoderResult().isFailure()) {
