Refuse merged heads that entries of earlier versions relay

While entries are replaced one after the other, a caller of a new entry could get a wrong success that an entry of an earlier version had read.

Cause: the guard stands where bytes are read. An earlier version relays the merged head as it decoded it.

Change: a relayed head whose header values contain a status line ends the relay with an unknown outcome.

Result: RelayFrameUtilsTest.mergedHeadOfAnEarlierVersionIsRefused failed before and passes now. A status line merged in the reason can't be told, since heads are relayed without it.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/StatusLineUtils.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/StatusLineUtils.java
@@ -1,5 +1,7 @@
 package io.fireflyshed.transport.http;
 
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.regex.Pattern;
 import reactor.netty.http.client.HttpClientResponse;
 
 /** Tests whether responses have a status that HTTP defines. */
@@ -8,6 +10,9 @@
   private static final int MIN_FINAL_STATUS = 200;
   private static final int MAX_STATUS = 599;
 
+  private static final Pattern STATUS_LINE =
+      Pattern.compile("HTTP/1\\.\\d \\d{3}", Pattern.CASE_INSENSITIVE);
+
   private StatusLineUtils() {}
 
   /**
@@ -40,4 +45,15 @@
   public static String describe(HttpClientResponse response) {
     return "the response has the status " + response.status().code();
   }
+
+  /**
+   * Tests whether the value of a header contains a status line. It then is that of a response that
+   * was cut off, to which another response was appended.
+   *
+   * @param headers the headers of a response, not null
+   * @return whether a value contains a status line
+   */
+  public static boolean containsStatusLine(HttpHeaders headers) {
+    return headers.entries().stream().anyMatch(h -> STATUS_LINE.matcher(h.getValue()).find());
+  }
 }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayFrameUtils.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/RelayFrameUtils.java
@@ -248,15 +248,22 @@
     return newFrame(id).setRelayHead(body).build();
   }
 
-  /** Converts a head; entries of earlier versions pass on any status of a target. */
+  /**
+   * Converts a head. Entries of earlier versions pass on any status of a target, and heads that
+   * begin with that of another response.
+   */
   static TargetAnswer fromHead(PeerProto.RelayHead body) {
     if (!StatusLineUtils.isFinalStatus(body.getStatus())) {
       throw new IllegalArgumentException("the response has the status " + body.getStatus());
     }
+    HttpHeaders headers = fromHeaders(body.getHeadersList());
+    if (StatusLineUtils.containsStatusLine(headers)) {
+      throw new IllegalArgumentException("a header of the response contains a status line");
+    }
     PeerProto.RelayLoad load = body.getLoad();
     return new TargetAnswer(
         body.getStatus(),
-        fromHeaders(body.getHeadersList()),
+        headers,
         body.hasRequestId() ? Optional.of(body.getRequestId()) : Optional.empty(),
         body.getIsSigned(),
         body.getIsNotRun(),
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/peer/RelayFrameUtilsTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/peer/RelayFrameUtilsTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertThrows;
 import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.expectThrows;
 
@@ -123,6 +124,26 @@
       assertEquals(received.requestLimit(), sent.requestLimit());
     }
 
+    @Test
+    public void mergedHeadOfAnEarlierVersionIsRefused() {
+      for (String value :
+          List.of("HTTP/1.1 500 Failed", "a HTTP/1.0 500", "text/plhttp/1.1 500 x")) {
+        PeerProto.RelayHead.Builder head =
+            RelayFrameUtils.toHead(7, 0, RelayFixtures.newAnswer("r1")).getRelayHead().toBuilder();
+        head.addHeaders(PeerProto.RelayHeader.newBuilder().setName("date").setValue(value));
+        assertThrows(IllegalArgumentException.class, () -> RelayFrameUtils.fromHead(head.build()));
+      }
+    }
+
+    @Test
+    public void headOfASoundProxyIsTaken() {
+      PeerProto.RelayHead.Builder head =
+          RelayFrameUtils.toHead(7, 0, RelayFixtures.newAnswer("r1")).getRelayHead().toBuilder();
+      head.addHeaders(
+          PeerProto.RelayHeader.newBuilder().setName("via").setValue("HTTP/1.1 10.0.0.1"));
+      assertTrue(RelayFrameUtils.fromHead(head.build()).headers().contains("via"));
+    }
+
     @Test
     public void bodiesAreSplitIntoFramesBelowTheLimit() {
       byte[] bytes = RelayFixtures.newBytes(3 * RelayFrameUtils.MAX_PART_BYTES + 1, 2);
