Refuse a second status line in the head of a connection's first response

What callers see: a target begins a response (HTTP/1.1 200 OK, Date:), gives it up and writes another one to the same request (500). The caller gets 200 with the body, the id and the signature of the failure, also for orders and streams, which have connections of their own.

Cause: the guard looked for another status line only on connections that had served a request before. The beginning of a response may precede another one to the same request, too.

Change: at the first request, a version that is followed by a status is a defect as well. A version alone, as in Via, still isn't.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/ResponseHeadScanner.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/ResponseHeadScanner.java
@@ -33,7 +33,7 @@
    * Creates a scanner of one head.
    *
    * @param mayFollowResponse whether the peer sent a response on the connection before, a part of
-   *     whose repetition may precede the head
+   *     whose repetition may precede the head; the version of a second status line is a defect then
    */
   ResponseHeadScanner(boolean mayFollowResponse) {
     this.mayFollowResponse = mayFollowResponse;
@@ -58,7 +58,7 @@
   private void add(char c) {
     if (!fitsStatusLine(c)) {
       defect = Optional.of(Defect.STATUS_LINE);
-    } else if (position > 0 && mayFollowResponse && completesVersion(c)) {
+    } else if (position > 0 && completesStatusLine(c)) {
       defect = Optional.of(Defect.SECOND_STATUS_LINE);
     }
     position++;
@@ -74,25 +74,28 @@
     if (position >= STATUS_LINE.length()) {
       return position > STATUS_LINE.length() || c == ' ' || c == '\r' || c == '\n';
     }
-    char expected = STATUS_LINE.charAt(position);
-    return expected == '0' ? c >= '0' && c <= '9' : c == expected;
+    return fits(c, STATUS_LINE.charAt(position));
   }
 
-  /**
-   * Tests whether the latest characters are the version of a status line, in upper or lower case.
-   */
-  private boolean completesVersion(char c) {
+  /** Tests whether the latest characters begin another status line, in upper or lower case. */
+  private boolean completesStatusLine(char c) {
     char upper = c >= 'a' && c <= 'z' ? (char) (c - 'a' + 'A') : c;
-    if (upper == VERSION.charAt(matchedLength)) {
+    if (fits(upper, STATUS_LINE.charAt(matchedLength))) {
       matchedLength++;
     } else {
-      matchedLength = upper == VERSION.charAt(0) ? 1 : 0;
+      matchedLength = upper == STATUS_LINE.charAt(0) ? 1 : 0;
     }
-    boolean isComplete = matchedLength == VERSION.length();
+    // A header of a sound peer may contain a version, but hardly a whole status line.
+    int length = mayFollowResponse ? VERSION.length() : STATUS_LINE.length();
+    boolean isComplete = matchedLength == length;
     matchedLength = isComplete ? 0 : matchedLength;
     return isComplete;
   }
 
+  private static boolean fits(char c, char expected) {
+    return expected == '0' ? c >= '0' && c <= '9' : c == expected;
+  }
+
   /** Returns whether the empty line behind the head was read. */
   boolean isEnded() {
     return isEnded;
