Fail a request whose interim response has a malformed head

What callers see: a target sends an interim response with a control character in a header or with too many bytes. The request hangs until its timeout, as if the target were silent.

Cause: the decoder passes on such a head without an end and drops all bytes that follow. The guard dropped the head, as that of an interim response.

Change: a head that the decoder rejects is passed on whatever its status is, so that the request fails at once, with an unknown outcome.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/ResponseGuard.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/ResponseGuard.java
@@ -234,7 +234,9 @@
           refuse(guardContext, Reason.FRAMING, Unpooled.EMPTY_BUFFER);
           return;
         }
-        isInterim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+        isInterim =
+            response.status().codeClass() == HttpStatusClass.INFORMATIONAL
+                && response.decoderResult().isSuccess();
         expectBody(response);
       }
       if (message instanceof HttpContent content) {
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/http/ResponseGuardTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/http/ResponseGuardTest.java
@@ -182,6 +182,27 @@
     assertTrue(connection.isOpen());
   }
 
+  /** Provides interim responses whose heads the decoder rejects. */
+  @DataProvider
+  public Object[][] malformedInterims() {
+    return new Object[][] {
+      {"HTTP/1.1 103 Early Hints\r\nA: \u0000b\r\n\r\n"},
+      {"HTTP/1.1 103 Early Hints\r\nA b: c\r\n\r\n"},
+      {"HTTP/1.1 103 Early Hints\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n"},
+      {"HTTP/1.1 103 Early Hints\r\nA: " + "b".repeat(9000) + "\r\n\r\n"}
+    };
+  }
+
+  @Test(dataProvider = "malformedInterims")
+  public void malformedInterimResponseFailsTheRequest(String interim) {
+    Connection connection = new Connection();
+    connection.request(HttpMethod.GET);
+    connection.receive(interim);
+    connection.receive(SIZED.formatted("200 OK", "one"));
+    String received = connection.take();
+    assertTrue(received.matches("(?s)200 one one two!\n\\||invalid .*"), "'" + received + "'");
+  }
+
   @Test
   public void peerOfSurplusBytesGetsAConnectionForEachRequestForAWhile() {
     ManualClock clock = new ManualClock();
