Refuse a switch of protocols that no request asked for

What callers see: a target answers 101 and then with its response. If both arrive in one read the request fails, otherwise it hangs until its timeout.

Cause: the guard dropped the 101 as an interim response, but the decoder stops decoding after it. What follows reaches the client as raw bytes, which nobody asks more of.

Change: 101 is refused as a response whose end can't be told. What the decoder returns after a refusal is dropped.

Measured: switchOfProtocolsThatWasNotAskedForFailsTheRequest failed before (the connection stayed open) and passes now. Through TargetCaller, bytes written one by one hung for the 2 s of the trial's timeout in 4 of 4 requests before and failed at once in 4 of 4 afterwards. 363 tests of the transport pass.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/ResponseGuard.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/ResponseGuard.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -228,8 +229,13 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
+      if (isRefused) {
+        ReferenceCountUtil.release(message);
+        return;
+      }
       if (message instanceof HttpResponse response) {
-        if (!isTransferCodingKnown(response.headers())) {
+        if (!isTransferCodingKnown(response.headers())
+            || response.status().code() == HttpResponseStatus.SWITCHING_PROTOCOLS.code()) {
           ReferenceCountUtil.release(message);
           refuse(guardContext, Reason.FRAMING, Unpooled.EMPTY_BUFFER);
           return;
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/http/ResponseGuardTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/http/ResponseGuardTest.java
@@ -203,6 +203,15 @@
     assertTrue(received.matches("(?s)200 one one two!\n\\||invalid .*"), "'" + received + "'");
   }
 
+  @Test
+  public void switchOfProtocolsThatWasNotAskedForFailsTheRequest() {
+    Connection connection = new Connection();
+    connection.request(HttpMethod.GET);
+    connection.receive("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n");
+    assertEquals(connection.take(), "");
+    assertFalse(connection.isOpen());
+  }
+
   @Test
   public void peerOfSurplusBytesGetsAConnectionForEachRequestForAWhile() {
     ManualClock clock = new ManualClock();
