Send streams, orders and lookups of serve on connections of their own

A caller of `serve` could get the stream, or the result of an order or lookup, of another caller.

Cause: the responses of its engines and plain services carry no id, and their connections were used again. A whole copy of an earlier response that arrives after the next request was sent is taken for its response.

Change: such requests get a connection each; nothing is left on it. Health checks, load polls and the store keep their connections.

HttpModelEngineTest wrote the copy on every connection, also on one that had no earlier request; it now writes it on the connection of the first request only, and asks for the second stream as well.

The cost of a connection for each of these requests was not measured.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/desk/HttpPlainService.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/desk/HttpPlainService.java
@@ -54,7 +54,9 @@
   }
 
   private CompletableFuture<DeskReply> send(HttpCall call) {
-    return caller.send(call).handle((reply, error) -> toDeskReply(call, reply, error));
+    return caller
+        .sendOnNewConnection(call)
+        .handle((reply, error) -> toDeskReply(call, reply, error));
   }
 
   private static DeskReply toDeskReply(HttpCall call, HttpReply reply, Throwable error) {
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/engine/HttpModelEngine.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/engine/HttpModelEngine.java
@@ -115,7 +115,7 @@
             JsonUtils.toText(node),
             controlTimeout);
     return caller
-        .send(call)
+        .sendOnNewConnection(call)
         .handle(
             (reply, error) -> {
               if (error != null) {
@@ -149,7 +149,7 @@
 
   private HttpClient newClient(EngineRequest request) {
     return caller
-        .getClient()
+        .getUnpooledClient()
         .headers(
             headers -> {
               headers.set("content-type", "application/json");
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/HttpCaller.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/HttpCaller.java
@@ -112,12 +112,12 @@
   }
 
   /**
-   * Returns the underlying client, for streamed responses.
+   * Returns the underlying client with a connection for each request, for streamed responses.
    *
    * @return the client, never null
    */
-  public HttpClient getClient() {
-    return client;
+  public HttpClient getUnpooledClient() {
+    return unpooledClient;
   }
 
   /**
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/engine/HttpModelEngineTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/engine/HttpModelEngineTest.java
@@ -1,6 +1,7 @@
 package io.fireflyshed.transport.engine;
 
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
 
 import io.fireflyshed.protocol.completion.CompletionKind;
 import io.fireflyshed.protocol.engine.EngineRequest;
@@ -19,7 +20,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 import org.testng.annotations.Test;
 
 /** Tests {@link HttpModelEngine} against engines that repeat their responses. */
@@ -39,12 +40,14 @@
 
   @Test
   public void repeatedStreamReachesNoOtherCaller() throws Exception {
-    AtomicInteger requests = new AtomicInteger();
+    AtomicReference<Socket> used = new AtomicReference<>();
     try (RawServer server =
             new RawServer(
                 (String head, Socket connection) -> {
-                  boolean isFirst = requests.getAndIncrement() == 0;
-                  RawServer.write(connection, newResponse("of-the-first"));
+                  boolean isFirst = used.compareAndSet(null, connection);
+                  if (isFirst || used.get() == connection) {
+                    RawServer.write(connection, newResponse("of-the-first"));
+                  }
                   if (!isFirst) {
                     Thread.sleep(PAUSE_MILLIS);
                     RawServer.write(connection, newResponse("of-the-second"));
@@ -56,6 +59,7 @@
       Thread.sleep(PAUSE_MILLIS);
       String second = receive(engine, server);
       assertFalse(second.contains("of-the-first"), second);
+      assertTrue(second.contains("of-the-second"), second);
     }
   }
 
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/http/HttpCallerTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/http/HttpCallerTest.java
@@ -214,7 +214,7 @@
       assertTrue(handOver.isGivenUp());
       CompletableFuture<?> response =
           other
-              .getClient()
+              .getUnpooledClient()
               .doOnRequest((request, connection) -> handOver.begin())
               .get()
               .uri("http://127.0.0.1:" + server.getLocalPort() + "/")
