Find merged heads whose second status line is malformed or of another version

A caller could get a success for a failure of a target that both writes beginnings of responses and spoils its status lines.

Cause: on the first request of a connection only `HTTP/1.1 500` was taken for a second status line, not `HTTP/1.1 +500`, two spaces or `HTTP/2.0 500`; on a used one not `HTTP/2.0`.

Change: the scanner looks at whole lines. On a first request the status may have a sign, any number of digits and any white space before it; `HTTP/1.1 10.0.0.1`, which a proxy may write, still passes, also from another entry. On used connections any version from 1 on counts. `malformed response` shows the beginning of the head rather than of the latest read.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/ResponseGuard.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/ResponseGuard.java
@@ -190,6 +190,7 @@
 
   private void log(Reason reason, Channel channel, ByteBuf bytes) {
     int length = Math.min(bytes.readableBytes(), MAX_LOGGED_BYTES);
+    String unread = bytes.toString(bytes.readerIndex(), length, StandardCharsets.ISO_8859_1);
     LOG.warn(
         reason == Reason.SURPLUS_BYTES ? "surplus bytes" : "malformed response",
         "request",
@@ -205,7 +206,7 @@
         "bytes",
         bytes.readableBytes(),
         "beginning",
-        bytes.toString(bytes.readerIndex(), length, StandardCharsets.ISO_8859_1));
+        reason == Reason.SURPLUS_BYTES ? unread : head.getBeginning());
   }
 
   /** Is told which requests were written and what the decoder returned. */
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/ResponseHeadScanner.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/ResponseHeadScanner.java
@@ -17,15 +17,19 @@
     SECOND_STATUS_LINE
   }
 
-  private static final String VERSION = "HTTP/1.";
-
   /** The start of a status line, in which a zero stands for any digit. */
-  private static final String STATUS_LINE = VERSION + "0 000";
+  private static final String STATUS_LINE = "HTTP/1.0 000";
+
+  /** The decoder refuses longer lines. */
+  private static final int MAX_LINE_LENGTH = 16 << 10;
+
+  /** Limits the characters of a head that a log line shows. */
+  private static final int MAX_BEGINNING_LENGTH = 64;
 
   private final boolean mayFollowResponse;
-  private int position;
-  private int matchedLength;
-  private boolean isLineEmpty;
+  private final StringBuilder beginning = new StringBuilder(MAX_BEGINNING_LENGTH);
+  private final StringBuilder line = new StringBuilder();
+  private boolean isFirstLine = true;
   private boolean isEnded;
   private Optional<Defect> defect = Optional.empty();
 
@@ -56,44 +60,39 @@
   }
 
   private void add(char c) {
-    if (!fitsStatusLine(c)) {
-      defect = Optional.of(Defect.STATUS_LINE);
-    } else if (position > 0 && completesStatusLine(c)) {
-      defect = Optional.of(Defect.SECOND_STATUS_LINE);
+    if (beginning.length() < MAX_BEGINNING_LENGTH) {
+      beginning.append(c);
     }
-    position++;
-    if (c == '\n') {
-      isEnded = isLineEmpty;
-      isLineEmpty = true;
-    } else if (c != '\r') {
-      isLineEmpty = false;
+    if (isFirstLine && !fitsStatusLine(line.length(), c)) {
+      defect = Optional.of(Defect.STATUS_LINE);
+    } else if (c == '\n') {
+      endLine();
+    } else if (line.length() < MAX_LINE_LENGTH) {
+      line.append(c);
     }
   }
 
-  private boolean fitsStatusLine(char c) {
+  private static boolean fitsStatusLine(int position, char c) {
     if (position >= STATUS_LINE.length()) {
       return position > STATUS_LINE.length() || c == ' ' || c == '\r' || c == '\n';
     }
-    return fits(c, STATUS_LINE.charAt(position));
+    char expected = STATUS_LINE.charAt(position);
+    return expected == '0' ? c >= '0' && c <= '9' : c == expected;
   }
 
-  /** Tests whether the latest characters begin another status line, in upper or lower case. */
-  private boolean completesStatusLine(char c) {
-    char upper = c >= 'a' && c <= 'z' ? (char) (c - 'a' + 'A') : c;
-    if (fits(upper, STATUS_LINE.charAt(matchedLength))) {
-      matchedLength++;
-    } else {
-      matchedLength = upper == STATUS_LINE.charAt(0) ? 1 : 0;
-    }
+  private void endLine() {
+    String text = line.substring(isFirstLine ? 1 : 0);
     // A header of a sound peer may contain a version, but hardly a whole status line.
-    int length = mayFollowResponse ? VERSION.length() : STATUS_LINE.length();
-    boolean isComplete = matchedLength == length;
-    matchedLength = isComplete ? 0 : matchedLength;
-    return isComplete;
-  }
-
-  private static boolean fits(char c, char expected) {
-    return expected == '0' ? c >= '0' && c <= '9' : c == expected;
+    boolean isSecond =
+        mayFollowResponse
+            ? StatusLineUtils.containsVersion(text)
+            : StatusLineUtils.containsStatusLine(text);
+    if (isSecond) {
+      defect = Optional.of(Defect.SECOND_STATUS_LINE);
+    }
+    isEnded = text.isBlank() && !isFirstLine;
+    isFirstLine = false;
+    line.setLength(0);
   }
 
   /** Returns whether the empty line behind the head was read. */
@@ -105,4 +104,9 @@
   Optional<Defect> getDefect() {
     return defect;
   }
+
+  /** Returns the first characters of the head, never null. */
+  String getBeginning() {
+    return beginning.toString();
+  }
 }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/StatusLineUtils.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/StatusLineUtils.java
@@ -10,8 +10,11 @@
   private static final int MIN_FINAL_STATUS = 200;
   private static final int MAX_STATUS = 599;
 
+  private static final Pattern VERSION = Pattern.compile("HTTP/[1-9]\\.", Pattern.CASE_INSENSITIVE);
+
+  /** A status line whose status may be malformed, but is not a part of a longer word. */
   private static final Pattern STATUS_LINE =
-      Pattern.compile("HTTP/1\\.\\d \\d{3}", Pattern.CASE_INSENSITIVE);
+      Pattern.compile(VERSION + "\\d[ \t]+[+-]?\\d+(\\s|$)", Pattern.CASE_INSENSITIVE);
 
   private StatusLineUtils() {}
 
@@ -54,6 +57,16 @@
    * @return whether a value contains a status line
    */
   public static boolean containsStatusLine(HttpHeaders headers) {
-    return headers.entries().stream().anyMatch(h -> STATUS_LINE.matcher(h.getValue()).find());
+    return headers.entries().stream().anyMatch(h -> containsStatusLine(h.getValue()));
+  }
+
+  /** Tests whether a text contains a status line, with a status that may be malformed. */
+  static boolean containsStatusLine(String text) {
+    return STATUS_LINE.matcher(text).find();
+  }
+
+  /** Tests whether a text contains the version with which a status line begins. */
+  static boolean containsVersion(String text) {
+    return VERSION.matcher(text).find();
   }
 }
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/http/ResponseGuardTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/http/ResponseGuardTest.java
@@ -161,6 +161,38 @@
     assertTrue(connection.isOpen());
   }
 
+  /** Provides responses whose status line may be malformed, too, behind a beginning. */
+  @DataProvider
+  public Object[][] malformedNextResponses() {
+    return new Object[][] {
+      {"HTTP/1.1 500 x", true},
+      {"HTTP/1.1 +500 x", true},
+      {"HTTP/1.1  500 x", true},
+      {"HTTP/1.1 0500 x", true},
+      {"HTTP/1.1 50", true},
+      {"HTTP/2.0 500 x", true},
+      {"http/1.0\t500", true},
+      {"HTTP/1.1 10.0.0.1:80", false},
+      {"HTTP/1.1 gateway", false},
+      {"SimpleHTTP/0.6 500 x", false}
+    };
+  }
+
+  @Test(dataProvider = "malformedNextResponses")
+  public void statusLineWithinTheFirstHeadIsADefect(String text, boolean isDefect) {
+    for (int used = 0; used < 2; used++) {
+      Connection connection = new Connection();
+      connection.request(HttpMethod.GET);
+      if (used == 1) {
+        connection.receive(EMPTY.formatted("200 OK", "one"));
+        connection.request(HttpMethod.GET);
+      }
+      connection.receive("HTTP/1.1 200 OK\r\nDate: " + text + "\r\nContent-Length: 0\r\n\r\n");
+      boolean isUsedAndVersioned = used == 1 && !text.contains("/0.6");
+      assertEquals(connection.isOpen(), !isDefect && !isUsedAndVersioned, "used: " + used);
+    }
+  }
+
   @Test
   public void bodyWithoutLengthIsPassedOnUntilTheConnectionCloses() {
     Connection connection = new Connection();
