Refuse responses whose length is no number also if they have no body

A request whose response has `Content-Length: abc` and no body (HEAD, 204, 304) failed with an exception of the guard; its connection stayed open and no log line said why.

Cause: the decoder doesn't read the length of such responses, the guard did.

Change: the guard refuses lengths of anything but digits as FRAMING.

Result: lengthThatIsNoNumberIsRefusedWithoutABodyToo failed before and passes.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/ResponseGuard.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/ResponseGuard.java
@@ -22,6 +22,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Objects;
+import java.util.regex.Pattern;
 import reactor.netty.NettyPipeline;
 
 /**
@@ -58,6 +59,9 @@
   /** Limits the bytes that a log line shows. */
   private static final int MAX_LOGGED_BYTES = 64;
 
+  /** The length of a body in bytes, which fits into a {@code long}. */
+  private static final Pattern LENGTH = Pattern.compile("\\d{1,18}");
+
   private static final AttributeKey<ResponseGuard> GUARD =
       AttributeKey.valueOf(ResponseGuard.class, "guard");
 
@@ -235,7 +239,7 @@
         return;
       }
       if (message instanceof HttpResponse response) {
-        if (!isTransferCodingKnown(response.headers())
+        if (!isBodyDelimited(response.headers())
             || response.status().code() == HttpResponseStatus.SWITCHING_PROTOCOLS.code()) {
           ReferenceCountUtil.release(message);
           refuse(guardContext, Reason.FRAMING, Unpooled.EMPTY_BUFFER);
@@ -266,12 +270,16 @@
       }
     }
 
-    /** Tests whether a body isn't encoded otherwise than in chunks. */
-    private static boolean isTransferCodingKnown(HttpHeaders headers) {
+    /** Tests whether a body isn't encoded otherwise than in chunks, and its length is a number. */
+    private static boolean isBodyDelimited(HttpHeaders headers) {
       List<String> codings = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING);
-      return codings.isEmpty()
-          || codings.size() == 1
-              && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.get(0));
+      boolean isCodingKnown =
+          codings.isEmpty()
+              || codings.size() == 1
+                  && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.get(0));
+      return isCodingKnown
+          && headers.getAll(HttpHeaderNames.CONTENT_LENGTH).stream()
+              .allMatch(length -> LENGTH.matcher(length).matches());
     }
 
     private void expectBody(HttpResponse response) {
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/http/ResponseGuardTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/http/ResponseGuardTest.java
@@ -193,6 +193,15 @@
     }
   }
 
+  @Test
+  public void lengthThatIsNoNumberIsRefusedWithoutABodyToo() {
+    Connection connection = new Connection();
+    connection.request(HttpMethod.HEAD);
+    connection.receive("HTTP/1.1 200 OK\r\nContent-Length: abc\r\n\r\n");
+    assertEquals(connection.take(), "");
+    assertFalse(connection.isOpen());
+  }
+
   @Test
   public void bodyWithoutLengthIsPassedOnUntilTheConnectionCloses() {
     Connection connection = new Connection();
