Run entries in front of targets that write surplus beginnings

No trial with real processes showed what a target that writes more than its response does to callers, and soaks had only targets that write whole responses.

StutteringTargetTrialTest starts entries, callers and targets that write the beginning of a second response behind a whole one, just before the next one or on an idle connection, whole second ones, or malformed status lines. It compares what callers received with what targets recorded. Entries may run the program of an earlier version, all or every second one. EntryGroup, EntryLogs and the reading of settings are taken from SilenceTrial and its report, which use them too; RawTarget is public.

--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/RawTarget.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/platform/RawTarget.java
@@ -18,7 +18,7 @@
  * Accepts connections on a loopback port and answers requests byte by byte as a script says, so
  * that tests can send responses that no HTTP library sends. Thread safe.
  */
-final class RawTarget implements AutoCloseable {
+public final class RawTarget implements AutoCloseable {
 
   /**
    * A request as it was received.
@@ -27,13 +27,15 @@
    * @param line the request line, not null
    * @param headers the header lines, not null
    */
-  record Request(int connection, String line, List<String> headers) {
+  public record Request(int connection, String line, List<String> headers) {
 
-    String getPath() {
+    /** Returns the path with the query. */
+    public String getPath() {
       return line.split(" ")[1];
     }
 
-    Optional<String> getHeader(String name) {
+    /** Returns the first value of a header, whose name may have any case. */
+    public Optional<String> getHeader(String name) {
       String prefix = name.toLowerCase(Locale.ROOT) + ":";
       return headers.stream()
           .filter(h -> h.toLowerCase(Locale.ROOT).startsWith(prefix))
@@ -41,13 +43,14 @@
           .findFirst();
     }
 
-    int getContentLength() {
+    /** Returns the stated length of the body, 0 if there is none. */
+    public int getContentLength() {
       return getHeader("content-length").map(Integer::parseInt).orElse(0);
     }
   }
 
   /** Answers one request. */
-  interface Script {
+  public interface Script {
 
     /**
      * Answers a request. The script reads the body.
@@ -65,7 +68,12 @@
   private final List<Socket> connections = Collections.synchronizedList(new ArrayList<>());
   private volatile boolean isClosed;
 
-  RawTarget(Script script) throws IOException {
+  /**
+   * Starts a target.
+   *
+   * @param script answers the requests, not null
+   */
+  public RawTarget(Script script) throws IOException {
     this.script = script;
     serverSocket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
     startThread("raw target", this::acceptConnections);
@@ -77,7 +85,8 @@
     thread.start();
   }
 
-  int getPort() {
+  /** Returns the port, which was free. */
+  public int getPort() {
     return serverSocket.getLocalPort();
   }
 
@@ -142,7 +151,7 @@
   }
 
   /** Writes text to a connection at once. */
-  static void write(Socket connection, String text) throws IOException {
+  public static void write(Socket connection, String text) throws IOException {
     OutputStream out = connection.getOutputStream();
     out.write(text.getBytes(StandardCharsets.ISO_8859_1));
     out.flush();
--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/soak/SilenceReport.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/soak/SilenceReport.java
@@ -5,16 +5,11 @@
 import io.fireflyshed.daemon.soak.BudgetChecks.Window;
 import io.fireflyshed.daemon.soak.CallerRequest.Kind;
 import io.fireflyshed.daemon.soak.SilenceTrial.SilentTime;
-import io.fireflyshed.protocol.json.JsonUtils;
 import io.fireflyshed.standins.fleet.TargetArrival;
 import io.fireflyshed.standins.fleet.TargetStandIn;
 import java.io.IOException;
-import java.nio.file.Files;
 import java.time.Duration;
-import java.time.Instant;
-import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
@@ -39,28 +34,12 @@
 
   private final SilenceTrial trial;
   private final BudgetChecks checks;
-  private final Map<String, List<JsonNode>> linesByRequest = new HashMap<>();
-  private final Map<String, Long> events = new TreeMap<>();
+  private final EntryLogs logs;
 
   SilenceReport(SilenceTrial trial, BudgetChecks checks) throws IOException {
     this.trial = trial;
     this.checks = checks;
-    for (EntryLife life : trial.getLives()) {
-      for (String line : Files.readAllLines(life.getLog())) {
-        if (line.startsWith("{") && line.endsWith("}")) {
-          add(JsonUtils.parse(line));
-        }
-      }
-    }
-  }
-
-  private void add(JsonNode line) {
-    String event = line.path("event").asText();
-    if (COUNTED_EVENTS.contains(event)) {
-      events.merge(event, 1L, Long::sum);
-    }
-    String request = line.path("request").asText();
-    linesByRequest.computeIfAbsent(request, r -> new ArrayList<>()).add(line);
+    logs = new EntryLogs(trial.getLives());
   }
 
   /** Returns the figures of the trial in a few lines. */
@@ -85,7 +64,7 @@
         summarize(all.stream().filter(a -> a.request().kind() == Kind.ORDER).toList()),
         trial.getTargets().stream().mapToInt(TargetStandIn::getHealthCheckCount).sum(),
         trial.getTargets().stream().mapToInt(t -> t.getArrivals().size()).sum(),
-        events,
+        logs.countEvents(COUNTED_EVENTS),
         checks.getLateEnds().stream()
             .collect(Collectors.groupingBy(this::classify, TreeMap::new, Collectors.counting())));
   }
@@ -184,9 +163,8 @@
   }
 
   private List<JsonNode> getLines(CallerAttempt attempt, String event) {
-    return linesByRequest.getOrDefault(attempt.id(), List.of()).stream()
+    return logs.getLines(attempt.id()).stream()
         .filter(line -> event.isEmpty() || line.path("event").asText().equals(event))
-        .sorted(Comparator.comparingLong(SilenceReport::toWallNanos))
         .toList();
   }
 
@@ -243,10 +221,6 @@
   }
 
   private long toNanos(JsonNode line) {
-    return toWallNanos(line) - wallNanos;
-  }
-
-  private static long toWallNanos(JsonNode line) {
-    return Duration.between(Instant.EPOCH, Instant.parse(line.path("time").asText())).toNanos();
+    return EntryLogs.toWallNanos(line) - wallNanos;
   }
 }
--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/soak/SilenceTrial.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/soak/SilenceTrial.java
@@ -7,19 +7,13 @@
 import io.fireflyshed.standins.fleet.TargetStandIn;
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
-import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 
@@ -36,7 +30,6 @@
   private static final Duration CALLER_TIME = Duration.ofMillis(1008);
   private static final Duration WORK = Duration.ofMillis(20);
   private static final Duration MAX_IDLE = Duration.ofMillis(1500);
-  private static final Duration FIRST_START_TIME = Duration.ofSeconds(90);
 
   /** Longer than a silence and the work that was left for after it. */
   private static final Duration SETTLE_TIME = Duration.ofSeconds(2);
@@ -49,22 +42,16 @@
   private static final int KINDS = 10;
   private static final int ERRORS = 7;
 
-  private final long seed;
   private final boolean isSuspendingEntries;
   private final UniformRandomProvider random;
   private final FleetStandIn fleet;
-  private final List<EntryNode> nodes = new ArrayList<>();
-  private final List<CallerAttempt> attempts = new CopyOnWriteArrayList<>();
+  private final EntryGroup entries;
   private final List<SilentTime> silentTimes = new CopyOnWriteArrayList<>();
-  private final AtomicBoolean isStopped = new AtomicBoolean();
-  private final ExecutorService threads = Executors.newCachedThreadPool();
   private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
-  private final StandInBalancer balancer;
 
   SilenceTrial(TrialSettings settings, Path directory) throws IOException {
-    this.seed = settings.seed();
     this.isSuspendingEntries = settings.isSuspendingEntries();
-    random = RandomSource.SPLIT_MIX_64.create(seed);
+    random = RandomSource.SPLIT_MIX_64.create(settings.seed());
     fleet = new FleetStandIn(0, settings.targets(), CAPACITY);
     for (TargetStandIn target : fleet.getDesks()) {
       target.setErrorTrigger(
@@ -73,24 +60,13 @@
                   && Math.floorMod((request.uri() + target.getId()).hashCode(), ERRORS) == 0);
     }
     accept(0);
-    Files.createDirectories(directory);
-    for (EntryOptions options :
-        EntryOptions.ofFreePorts(settings.entries(), RETRY_RATIO, RETRY_SLACK)) {
-      EntryNode node =
-          new EntryNode(
-              nodes.size(),
-              fleet.getStore().getAddress(),
-              directory,
-              options,
-              settings.getClassPath(nodes.size()));
-      nodes.add(node);
-      node.start();
-    }
-    balancer = new StandInBalancer(nodes);
+    entries =
+        new EntryGroup(
+            settings, RETRY_RATIO, RETRY_SLACK, fleet.getStore().getAddress(), directory);
   }
 
   List<EntryLife> getLives() {
-    return nodes.stream().map(EntryNode::getLife).toList();
+    return entries.getLives();
   }
 
   List<TargetStandIn> getTargets() {
@@ -98,7 +74,7 @@
   }
 
   List<CallerAttempt> getAttempts() {
-    return attempts;
+    return entries.getAttempts();
   }
 
   List<SilentTime> getSilentTimes() {
@@ -107,21 +83,10 @@
 
   /** Runs callers while plans are carried out. */
   void run(SilencePlan.Pattern pattern, int rounds) throws Exception {
-    ServingProbe probe = new ServingProbe(seed, List.of(Kind.ORDER, Kind.LOOKUP));
-    for (EntryNode node : nodes) {
-      long untilNanos = node.getLife().getStartNanos() + FIRST_START_TIME.toNanos();
-      Optional<Kind> unserved = probe.awaitServing(node, untilNanos);
-      if (unserved.isPresent()) {
-        throw new IllegalStateException(node.getLife() + " serves no " + unserved.get());
-      }
-    }
+    entries.awaitServing(List.of(Kind.ORDER, Kind.LOOKUP));
     CallerHabits habits =
         new CallerHabits(List.of(Caller.Style.KEEP), MAX_IDLE, SilenceTrial::newRequest);
-    List<Future<Integer>> callers = new ArrayList<>();
-    for (int i = 0; i < CALLERS; i++) {
-      Caller caller = new Caller(seed, i, habits, balancer, attempts::add, isStopped::get);
-      callers.add(threads.submit(caller));
-    }
+    entries.startCallers(habits, CALLERS);
     for (int round = 1; round <= rounds; round++) {
       SilencePlan plan = SilencePlan.draw(random, pattern, fleet.getDesks().size());
       Thread.sleep(plan.delayMillis());
@@ -132,10 +97,7 @@
       }
     }
     Thread.sleep(SETTLE_TIME.toMillis());
-    isStopped.set(true);
-    for (Future<Integer> caller : callers) {
-      caller.get();
-    }
+    entries.stopCallers();
     Thread.sleep(SETTLE_TIME.toMillis());
   }
 
@@ -164,7 +126,7 @@
 
   /** Suspends the process of an entry for a time. */
   private void suspendEntry() {
-    EntryLife life = nodes.get(random.nextInt(nodes.size())).getLife();
+    EntryLife life = getLives().get(random.nextInt(getLives().size()));
     int delay = random.nextInt(MAX_ENTRY_DELAY_MILLIS);
     int pause =
         MIN_ENTRY_PAUSE_MILLIS + random.nextInt(MAX_ENTRY_PAUSE_MILLIS - MIN_ENTRY_PAUSE_MILLIS);
@@ -184,11 +146,8 @@
 
   @Override
   public void close() {
-    isStopped.set(true);
-    threads.shutdownNow();
     timer.shutdownNow();
-    balancer.close();
-    getLives().forEach(EntryLife::close);
+    entries.close();
     fleet.close();
   }
 }
--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/soak/SilentTargetTrialTest.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/soak/SilentTargetTrialTest.java
@@ -9,8 +9,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
-import java.util.Optional;
-import java.util.stream.LongStream;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -21,20 +19,15 @@
  * <p>By hand: {@code mvn -pl fireflyshed-daemon -am test -Dtest=SilentTargetTrialTest
  * -Dsurefire.failIfNoSpecifiedTests=false -Dtrial.seeds=1-3 -Dtrial.entries=9 -Dtrial.targets=8
  * -Dtrial.rounds=12}. The seed selects the pattern of the silence unless {@code trial.pattern}
- * states it. Every second entry runs the program of an earlier version if {@code
- * trial.earlier.build} is the root of its compiled checkout, and entries are suspended, too, if
- * {@code trial.suspend.entries} is true. The output of all processes and the reports are kept in a
- * directory for each run in {@code target/silence}.
+ * states it. Every second entry, or each if {@code trial.earlier.entries} is {@code all}, runs the
+ * program of an earlier version if {@code trial.earlier.build} is the root of its compiled
+ * checkout, and entries are suspended, too, if {@code trial.suspend.entries} is true. The output of
+ * all processes and the reports are kept in a directory for each run in {@code target/silence}.
  */
 public class SilentTargetTrialTest {
 
-  private static final String SEEDS_PROPERTY = "trial.seeds";
-  private static final String ENTRIES_PROPERTY = "trial.entries";
-  private static final String TARGETS_PROPERTY = "trial.targets";
   private static final String ROUNDS_PROPERTY = "trial.rounds";
   private static final String PATTERN_PROPERTY = "trial.pattern";
-  private static final String EARLIER_BUILD_PROPERTY = "trial.earlier.build";
-  private static final String SUSPEND_ENTRIES_PROPERTY = "trial.suspend.entries";
   private static final String DEFAULT_SEEDS = "1";
   private static final int DEFAULT_ENTRIES = 4;
   private static final int DEFAULT_TARGETS = 8;
@@ -47,24 +40,12 @@
   /** Provides the seeds, a number or a range. */
   @DataProvider
   public Object[][] seeds() {
-    String[] range = System.getProperty(SEEDS_PROPERTY, DEFAULT_SEEDS).split("-");
-    return LongStream.rangeClosed(Long.parseLong(range[0]), Long.parseLong(range[range.length - 1]))
-        .mapToObj(seed -> new Object[] {seed})
-        .toArray(Object[][]::new);
-  }
-
-  private static TrialSettings newSettings(long seed) {
-    return new TrialSettings(
-        seed,
-        Integer.getInteger(ENTRIES_PROPERTY, DEFAULT_ENTRIES),
-        Integer.getInteger(TARGETS_PROPERTY, DEFAULT_TARGETS),
-        Optional.ofNullable(System.getProperty(EARLIER_BUILD_PROPERTY)).map(Path::of),
-        Boolean.getBoolean(SUSPEND_ENTRIES_PROPERTY));
+    return TrialSettings.provideSeeds(DEFAULT_SEEDS);
   }
 
   @Test(dataProvider = "seeds", timeOut = 300_000)
   public void silentTargetsGetNoMoreTimeThanIsLeft(long seed) throws Exception {
-    TrialSettings settings = newSettings(seed);
+    TrialSettings settings = TrialSettings.read(seed, DEFAULT_ENTRIES, DEFAULT_TARGETS);
     int rounds = Integer.getInteger(ROUNDS_PROPERTY, DEFAULT_ROUNDS);
     Pattern drawn = Pattern.values()[(int) Math.floorMod(seed, (long) Pattern.values().length)];
     Pattern pattern = Pattern.valueOf(System.getProperty(PATTERN_PROPERTY, drawn.name()));
--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/soak/TrialSettings.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/soak/TrialSettings.java
@@ -6,6 +6,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.stream.Collectors;
+import java.util.stream.LongStream;
 
 /**
  * The deployment of a trial with real processes.
@@ -13,13 +14,25 @@
  * @param seed selects the faults
  * @param entries the number of entries
  * @param targets the number of targets of the plain service
- * @param earlierBuild the root of a compiled checkout of an earlier version, whose program every
- *     second entry runs, empty for none, not null
+ * @param earlierBuild the root of a compiled checkout of an earlier version, whose program some
+ *     entries run, empty for none, not null
+ * @param isEveryEntryEarlier whether all entries run it, not only every second one
  * @param isSuspendingEntries whether entries are suspended, too
  */
 record TrialSettings(
-    long seed, int entries, int targets, Optional<Path> earlierBuild, boolean isSuspendingEntries) {
+    long seed,
+    int entries,
+    int targets,
+    Optional<Path> earlierBuild,
+    boolean isEveryEntryEarlier,
+    boolean isSuspendingEntries) {
 
+  private static final String SEEDS_PROPERTY = "trial.seeds";
+  private static final String ENTRIES_PROPERTY = "trial.entries";
+  private static final String TARGETS_PROPERTY = "trial.targets";
+  private static final String EARLIER_BUILD_PROPERTY = "trial.earlier.build";
+  private static final String EARLIER_ENTRIES_PROPERTY = "trial.earlier.entries";
+  private static final String SUSPEND_ENTRIES_PROPERTY = "trial.suspend.entries";
   private static final String CLASS_PATH = System.getProperty("java.class.path");
 
   /** The root of the project; tests run in the directory of their module. */
@@ -29,9 +42,33 @@
     Objects.requireNonNull(earlierBuild, "earlierBuild");
   }
 
+  /** Provides the seeds that are set, a number or a range. */
+  static Object[][] provideSeeds(String defaultSeeds) {
+    String[] range = System.getProperty(SEEDS_PROPERTY, defaultSeeds).split("-");
+    return LongStream.rangeClosed(Long.parseLong(range[0]), Long.parseLong(range[range.length - 1]))
+        .mapToObj(seed -> new Object[] {seed})
+        .toArray(Object[][]::new);
+  }
+
+  /** Reads the settings from system properties. */
+  static TrialSettings read(long seed, int defaultEntries, int defaultTargets) {
+    return new TrialSettings(
+        seed,
+        Integer.getInteger(ENTRIES_PROPERTY, defaultEntries),
+        Integer.getInteger(TARGETS_PROPERTY, defaultTargets),
+        Optional.ofNullable(System.getProperty(EARLIER_BUILD_PROPERTY)).map(Path::of),
+        System.getProperty(EARLIER_ENTRIES_PROPERTY, "half").equals("all"),
+        Boolean.getBoolean(SUSPEND_ENTRIES_PROPERTY));
+  }
+
+  /** Tests whether an entry runs the program of an earlier version. */
+  boolean isEarlier(int entry) {
+    return earlierBuild.isPresent() && (isEveryEntryEarlier || entry % 2 != 0);
+  }
+
   /** Returns the class path of the program that an entry runs. */
   String getClassPath(int entry) {
-    return earlierBuild.isEmpty() || entry % 2 == 0
+    return !isEarlier(entry)
         ? CLASS_PATH
         : Arrays.stream(CLASS_PATH.split(File.pathSeparator))
             .map(this::toEarlier)
