Send resumable streams to targets that write surplus beginnings

Resumable streams share connections with lookups, but the trials had none.

Change: the targets of the trial are registered for the model as well, answer with whole events, and one of ten requests is a stream.

--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/soak/CallerRequest.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/soak/CallerRequest.java
@@ -29,6 +29,10 @@
       this.isRepeatable = isRepeatable;
     }
 
+    String getPrefix() {
+      return prefix;
+    }
+
     boolean isRepeatable() {
       return isRepeatable;
     }
--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/soak/StutterReport.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/soak/StutterReport.java
@@ -69,13 +69,20 @@
     CallerAnswer answer = attempt.answer();
     return written.isSuccess()
         && answer.headers().getOrDefault("x-attempt-id", "").equals(written.id())
-        && (!answer.isComplete() || answer.body().equals(written.body()));
+        && (!answer.isComplete() || answer.body().equals(getExpectedBody(attempt, written)));
+  }
+
+  /** Returns the whole body, whose events may come from several targets. */
+  private static String getExpectedBody(CallerAttempt attempt, Answer written) {
+    return written.kind() == Kind.STREAM
+        ? attempt.request().getExpectedBody(attempt.id())
+        : written.body();
   }
 
   /** Finds orders that ran more than once. */
   List<String> findRepeatedOrders() {
     return answersById.entrySet().stream()
-        .filter(e -> e.getValue().size() > 1 && !e.getValue().get(0).isLookup())
+        .filter(e -> e.getValue().size() > 1 && e.getValue().get(0).kind() == Kind.ORDER)
         .map(Map.Entry::getKey)
         .toList();
   }
@@ -93,13 +100,14 @@
   String summarize() {
     List<CallerAttempt> lookups = filter(a -> a.request().kind() == Kind.LOOKUP);
     List<CallerAttempt> orders = filter(a -> a.request().kind() == Kind.ORDER);
+    List<CallerAttempt> streams = filter(a -> a.request().kind() == Kind.STREAM);
     List<CallerAttempt> servable =
         lookups.stream()
             .filter(a -> answersById.containsKey(a.id()))
             .filter(a -> answersById.get(a.id()).stream().allMatch(Answer::isSuccess))
             .toList();
     return String.format(
-        "lookups %d %s, orders %d %s%n"
+        "lookups %d %s, orders %d %s, streams %d %s%n"
             + "  wrong successes %d %s, orders run twice %s, refused and run %s%n"
             + "  connections for a lookup at stuttering targets %s, at sound ones %s%n"
             + "  served of the lookups that no target failed %.2f %% of %d%n  events %s%n",
@@ -107,6 +115,8 @@
         countResults(lookups),
         orders.size(),
         countResults(orders),
+        streams.size(),
+        countResults(streams),
         findWrongSuccesses().size(),
         count(findWrongSuccesses(), this::describeOrigin),
         findRepeatedOrders(),
@@ -122,7 +132,7 @@
   private String describeOrigin(CallerAttempt attempt) {
     String target = getSignature(attempt).replaceFirst("^s[.]", "");
     List<JsonNode> sent =
-        getLines(attempt, "sent").filter(l -> l.path("target").asText().equals(target)).toList();
+        getLines(attempt, "sent").filter(l -> l.path("target").asText().endsWith(target)).toList();
     String reader =
         sent.isEmpty()
             ? "unknown"
@@ -180,7 +190,8 @@
     long lookups = 0;
     for (StutteringTarget target : targetsBySignature.values()) {
       if (condition.test(target)) {
-        List<Answer> answers = target.getAnswers().stream().filter(Answer::isLookup).toList();
+        List<Answer> answers =
+            target.getAnswers().stream().filter(a -> a.kind() == Kind.LOOKUP).toList();
         lookups += answers.size();
         connections += answers.stream().mapToInt(Answer::connection).distinct().count();
       }
--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/soak/StutterTrial.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/soak/StutterTrial.java
@@ -25,6 +25,7 @@
   private static final Duration MAX_IDLE_PAUSE = Duration.ofMillis(500);
   private static final int MAX_IDLE_CALLERS = 24;
   private static final int KINDS = 10;
+  private static final int EVENTS = 3;
 
   private final TrialSettings settings;
   private final Pattern pattern;
@@ -68,7 +69,7 @@
 
   /** Runs callers for a time. */
   void run(int callers, Duration time) throws Exception {
-    entries.awaitServing(List.of(Kind.ORDER, Kind.LOOKUP));
+    entries.awaitServing(List.of(Kind.values()));
     boolean isIdle = pattern == Pattern.IDLE;
     CallerHabits habits =
         new CallerHabits(
@@ -81,8 +82,13 @@
   }
 
   private static CallerRequest newRequest(String id, UniformRandomProvider random) {
-    Kind kind = random.nextInt(KINDS) == 0 ? Kind.ORDER : Kind.LOOKUP;
-    return new CallerRequest(kind, id, Duration.ZERO, CALLER_TIME, 0);
+    Kind kind =
+        switch (random.nextInt(KINDS)) {
+          case 0 -> Kind.ORDER;
+          case 1 -> Kind.STREAM;
+          default -> Kind.LOOKUP;
+        };
+    return new CallerRequest(kind, id, Duration.ZERO, CALLER_TIME, EVENTS);
   }
 
   @Override
--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/soak/StutteringTarget.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/soak/StutteringTarget.java
@@ -1,15 +1,18 @@
 package io.fireflyshed.daemon.soak;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.fireflyshed.daemon.platform.RawTarget;
 import io.fireflyshed.daemon.platform.RawTarget.Request;
+import io.fireflyshed.daemon.soak.CallerRequest.Kind;
 import io.fireflyshed.protocol.json.JsonUtils;
+import io.fireflyshed.standins.fleet.FleetStandIn;
 import io.fireflyshed.standins.fleet.StoreStandIn;
 import io.fireflyshed.standins.fleet.TargetStandIn;
 import java.io.IOException;
 import java.io.InterruptedIOException;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
@@ -18,10 +21,16 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 
-/** A target of a plain service that writes more than the response to a request. Thread safe. */
+/**
+ * A target of a plain service and of the model that writes more than the response to a request.
+ * Thread safe.
+ */
 final class StutteringTarget implements AutoCloseable {
 
   /** Lists what is written beside whole responses. */
@@ -41,7 +50,7 @@
   }
 
   /** A response as the target recorded it; the status of a malformed one is that of an error. */
-  record Answer(String id, int connection, boolean isLookup, int status, String body) {
+  record Answer(String id, int connection, Kind kind, int status, String body) {
 
     boolean isSuccess() {
       return status == OK;
@@ -95,16 +104,26 @@
     this.seed = seed;
     this.pattern = pattern;
     server = new RawTarget(this::answer);
-    ObjectNode registryRecord = JsonUtils.getMapper().createObjectNode();
-    registryRecord
-        .put("service", "desk")
+    store.put("servers", id, JsonUtils.toText(newRecord("desk")));
+    ObjectNode head = newRecord("models");
+    head.putObject("group")
+        .put("name", FleetStandIn.MODEL + "." + id)
+        .put("epoch", 1)
+        .put("rank", 0)
+        .put("state", "open");
+    store.put("servers", "head-" + id, JsonUtils.toText(head));
+  }
+
+  private ObjectNode newRecord(String service) {
+    return JsonUtils.getMapper()
+        .createObjectNode()
+        .put("service", service)
         .put("address", "127.0.0.1:" + server.getPort())
         .put("zone", "a")
         .put("version", "v1")
         .put("slots", SLOTS)
         .put("state", "ready")
         .put("born", System.currentTimeMillis());
-    store.put("servers", id, JsonUtils.toText(registryRecord));
   }
 
   String getSignature() {
@@ -125,6 +144,10 @@
       write(connection, "HTTP/1.1 200 OK\r\nX-Replica-Id: " + id + "\r\nContent-Length: 0\r\n\r\n");
       return;
     }
+    if (request.getPath().equals("/api/report")) {
+      write(connection, "HTTP/1.1 503 Text\r\nContent-Length: 0\r\n\r\n");
+      return;
+    }
     String requestId = request.getHeader("X-Attempt-Id").orElse("");
     UniformRandomProvider random =
         RandomSource.SPLIT_MIX_64.create(seed * 1000 + (requestId + id).hashCode());
@@ -140,22 +163,31 @@
       status = ERROR;
       statusText = draw(MALFORMED_STATUSES, random) + " Text";
     }
+    Kind kind =
+        Stream.of(Kind.values())
+            .filter(k -> request.getPath().startsWith(k.getPrefix()))
+            .findFirst()
+            .orElseThrow();
     String text =
-        status
-            + "|"
-            + id
-            + "|"
-            + request.getPath()
-            + "|"
-            + new String(body, StandardCharsets.UTF_8);
-    boolean isLookup = request.getPath().startsWith("/lookups/");
-    answers.add(new Answer(requestId, request.connection(), isLookup, status, text));
+        kind == Kind.STREAM
+            ? newEvents(request, requestId)
+            : String.join("|", "" + status, id, request.getPath(), new String(body, UTF_8));
+    answers.add(new Answer(requestId, request.connection(), kind, status, text));
     write(connection, newResponse(statusText, requestId, text));
     if (random.nextDouble() < STUTTER_PART) {
       stutter(connection, requestId, status, text, random);
     }
   }
 
+  /** Returns the events of a stream after the last one that its caller has. */
+  private static String newEvents(Request request, String requestId) {
+    int count = Integer.parseInt(request.getPath().replaceFirst(".*events=(\\d+).*", "$1"));
+    int last = request.getHeader("Last-Event-Id").map(Integer::parseInt).orElse(0);
+    return IntStream.rangeClosed(last + 1, count)
+        .mapToObj(i -> "id: " + i + "\ndata: token " + i + " of " + requestId + "\n\n")
+        .collect(Collectors.joining());
+  }
+
   private void stutter(
       Socket connection, String requestId, int status, String text, UniformRandomProvider random) {
     int delayMillis = 1 + random.nextInt(MAX_DELAY_MILLIS);
