Share each pass of an event loop among the connections of callers

Callers beside a crowd that sends refused requests ahead got no answers: 300 connections (an unknown route, answers unread) kept out an ordinary caller for 31 s; the entry lost the store meanwhile, once its coordination too.

Trace: one thread does all I/O of an entry. With 300 connections it was busy for 32.6 s of 39.8 s, and 172 of 179 thread dumps were below RequestGuard.pass, from one read each. No connection was closed or made again. Of the same dumps 15 were in a flush, 4 in a stack trace, 3 in the log: a refusal isn't expensive, but its number isn't bounded.

Cause: a pass of the event loop reads each connection once (FairReads), up to 64 KiB, and RequestGuard let everything of that read through that is answered at once, about a thousand requests; the limit of 32 unanswered ones never applies to them. The next connection, the answers of targets, timers and accepts wait for it, in each pass anew. Heads of thousands of lines and short orders are the same, with fewer requests that cost more.

Change: FairTurns shares each pass by deficit round robin. A connection works for a quantum of cost (lines, bytes, requests) and then waits in a round; a pass ends after its limit. Nothing waits in calm. A connection whose answers wait to be sent gets no more requests. What was read and waits now counts for a shutdown and keeps a connection from being closed as idle; so a request behind a refused one isn't overlooked either. The new gauge fireflyshed.connections.waiting shows such connections.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/CallerConnections.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/CallerConnections.java
@@ -2,6 +2,7 @@
 
 import io.fireflyshed.transport.http.ReadBarrier;
 import io.fireflyshed.transport.http.ReadDelayUtils;
+import io.fireflyshed.transport.http.RequestGuards;
 import io.fireflyshed.transport.log.EventLog;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelDuplexHandler;
@@ -53,16 +54,18 @@
 
   /**
    * Returns the number of requests that were read from open connections and not yet answered,
-   * including those that wait behind others on the same connection.
+   * including those that wait behind others on the same connection. What was read from a connection
+   * and not yet decoded counts as one.
    */
   int countUnanswered() {
-    return unansweredRequests.get();
+    long waiting = channels.stream().filter(RequestGuards::hasWaitingBytes).count();
+    return unansweredRequests.get() + (int) waiting;
   }
 
   /** Tests whether further requests were read from a connection while one is being answered. */
   boolean hasPipelinedRequests(Channel channel) {
     Tracker tracker = channel.attr(TRACKER).get();
-    return tracker != null && tracker.unanswered > 1;
+    return tracker != null && (tracker.unanswered > 1 || RequestGuards.hasWaitingBytes(channel));
   }
 
   /**
@@ -121,7 +124,8 @@
   }
 
   private void closeIfIdle(Channel channel, Tracker tracker) {
-    if (isClosingIdle && tracker.hasAnswered && tracker.unanswered == 0) {
+    boolean isIdle = tracker.unanswered == 0 && !RequestGuards.hasWaitingBytes(channel);
+    if (isClosingIdle && tracker.hasAnswered && isIdle) {
       channel.close();
     }
   }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/RequestGuard.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/RequestGuard.java
@@ -30,10 +30,11 @@
  *
  * <p>The bytes go to the decoder piece by piece, each at most up to the end of a head. Lines and
  * bytes of heads are reserved before that and given back once the request is answered. While many
- * requests of the connection are unanswered, the bytes that were read wait, and no more are read.
- * All but the methods for other threads are called on the event loop.
+ * requests of the connection are unanswered, its answers are not read or other connections are due,
+ * the bytes that were read wait, and no more are read. All but the methods for other threads are
+ * called on the event loop.
  */
-final class RequestGuard extends ChannelDuplexHandler {
+final class RequestGuard extends ChannelDuplexHandler implements FairTurns.Member {
 
   /** What a header takes as objects, in the request and in those that are made of it. */
   private static final int LINE_BYTES = 512;
@@ -49,6 +50,12 @@
   /** Limits the bytes of a chunked body that are decoded at once. */
   private static final int MAX_CHUNKED_BYTES = 256;
 
+  /** The cost of a request besides that of its lines, each of which costs 1. */
+  private static final int REQUEST_COST = 32;
+
+  /** The bytes that cost as much as a line. */
+  private static final int LINE_COST_BYTES = 256;
+
   /** The time for a peer to read a refusal, in which what it sends is dropped. */
   private static final Duration REFUSAL_TIME = Duration.ofSeconds(1);
 
@@ -66,9 +73,12 @@
   private final RequestGuards guards;
   private final Channel channel;
   private final Events events = new Events();
+  private final FairTurns turns;
+  private final FairTurns.Slot slot = new FairTurns.Slot(this);
   private final Queue<Long> unansweredBytes = new ArrayDeque<>();
   private volatile long progressNanos;
   private volatile int unanswered;
+  private volatile boolean isWaiting;
   private ChannelHandlerContext context;
   private ByteBuf held = Unpooled.EMPTY_BUFFER;
   private ByteBudget.Reservation reservation;
@@ -77,6 +87,7 @@
   private long bodyBytesLeft;
   private boolean isPassing;
   private boolean isReadDue;
+  private boolean isReading;
   private Reason refusal;
   private boolean isRefused;
   private boolean hasEvents;
@@ -90,21 +101,31 @@
   private int lineBytes;
   private boolean hasLine;
 
+  /** The lines of the head that were passed on so far. */
+  private int headLines;
+
   RequestGuard(RequestGuards guards, Channel channel) {
     this.guards = guards;
     this.channel = channel;
+    turns = guards.getTurns(channel.eventLoop());
     progressNanos = guards.nanoTime();
   }
 
   void addTo(ChannelPipeline pipeline) {
+    channel.attr(RequestGuards.GUARD).set(this);
     String codec = NettyPipeline.HttpCodec;
     pipeline.addBefore(codec, "requestGuard", this);
     pipeline.addAfter(codec, "requestGuardEvents", events);
   }
 
-  /** Tests whether no request of the connection is unanswered. Thread safe. */
+  /** Tests whether no request of the connection is unanswered or waits. Thread safe. */
   boolean isIdle() {
-    return unanswered == 0;
+    return unanswered == 0 && !isWaiting;
+  }
+
+  /** Tests whether bytes of the connection were read and not yet decoded. Thread safe. */
+  boolean isWaiting() {
+    return isWaiting;
   }
 
   /** Returns the time of the last request or answer, or of the start. Thread safe. */
@@ -148,11 +169,17 @@
       held.release();
       held = bytes;
     }
-    pass();
+    isReading = true;
+    if (phase == Phase.SIZED_BODY && !isPassing) {
+      pass(0);
+    }
+    resume();
+    updateHeld();
   }
 
   @Override
   public void channelReadComplete(ChannelHandlerContext readContext) {
+    isReading = false;
     if (isRefused) {
       readContext.read();
     }
@@ -168,28 +195,52 @@
     }
   }
 
-  /** Passes on what was read, as far as it may be decoded now. */
-  private void pass() {
-    if (isPassing) {
-      return;
+  @Override
+  public boolean hasWork() {
+    return refusal == null && channel.isActive() && held.isReadable() && mayPass();
+  }
+
+  /** Tests whether the connection may have another request. */
+  private boolean mayPass() {
+    return phase != Phase.HEAD || unanswered < MAX_UNANSWERED && channel.isWritable();
+  }
+
+  @Override
+  public int work(int limit) {
+    if (!hasWork()) {
+      return 0;
+    }
+    int cost = pass(limit);
+    updateHeld();
+    if (!isReading) {
+      context.fireChannelReadComplete();
+      readIfDue();
     }
+    return cost;
+  }
+
+  /** Passes on what was read up to a cost, the bytes of a body with a length at no cost. */
+  private int pass(int limit) {
+    int cost = 0;
     isPassing = true;
     try {
-      while (refusal == null
-          && channel.isActive()
-          && held.isReadable()
-          && (phase != Phase.HEAD || unanswered < MAX_UNANSWERED)) {
-        passPiece();
+      while (hasWork() && (cost < limit || phase == Phase.SIZED_BODY)) {
+        cost += passPiece(limit - cost);
       }
     } finally {
       isPassing = false;
     }
+    return cost;
+  }
+
+  private void updateHeld() {
     if (!held.isReadable() || !channel.isActive()) {
       held.release();
       held = Unpooled.EMPTY_BUFFER;
     }
     countHeld();
-    boolean isHeadDue = phase == Phase.HEAD && pendingBytes > emptyBytes;
+    isWaiting = held.isReadable();
+    boolean isHeadDue = phase == Phase.HEAD && pendingBytes > emptyBytes && !isWaiting;
     setHeadTimer(isHeadDue && refusal == null && channel.isActive());
   }
 
@@ -210,41 +261,59 @@
     heldBytes = bytes;
   }
 
-  private void passPiece() {
-    int oldLines = 0;
-    int length;
+  /** Passes on a piece of at most some lines and returns its cost. */
+  private int passPiece(int maxLines) {
     if (phase == Phase.SIZED_BODY) {
-      length = (int) Math.min(held.readableBytes(), bodyBytesLeft);
-    } else {
-      int start = held.readerIndex();
-      int limit = phase == Phase.HEAD ? held.readableBytes() : MAX_CHUNKED_BYTES;
-      int end = Math.min(held.writerIndex(), start + limit);
-      int index = start;
-      boolean isEnd = false;
-      while (index < end && !isEnd && pendingBytes + index - start <= getMaxBytes()) {
-        byte b = held.getByte(index++);
-        if (b == '\n') {
-          oldLines++;
-          isEnd = lineBytes == 0 && hasLine && phase == Phase.HEAD;
-          emptyBytes += hasLine || lineBytes > 0 ? 0 : 2;
-          hasLine |= lineBytes > 0;
-          lineBytes = 0;
-        } else if (b != '\r') {
-          lineBytes++;
-        }
-      }
-      length = index - start;
-      if (phase == Phase.HEAD && !canHold(length, oldLines)) {
-        return;
+      fire((int) Math.min(held.readableBytes(), bodyBytesLeft));
+      return 0;
+    }
+    int lines = 0;
+    int start = held.readerIndex();
+    int limit = phase == Phase.HEAD ? held.readableBytes() : MAX_CHUNKED_BYTES;
+    int end = Math.min(held.writerIndex(), start + limit);
+    int index = start;
+    boolean isEnd = false;
+    while (index < end
+        && !isEnd
+        && lines < maxLines
+        && pendingBytes + index - start <= getMaxBytes()) {
+      byte b = held.getByte(index++);
+      if (b == '\n') {
+        lines++;
+        isEnd = lineBytes == 0 && hasLine && phase == Phase.HEAD;
+        emptyBytes += hasLine || lineBytes > 0 ? 0 : 2;
+        hasLine |= lineBytes > 0;
+        lineBytes = 0;
+      } else if (b != '\r') {
+        lineBytes++;
       }
     }
-    hasEvents = false;
-    pendingBytes += length;
+    int length = index - start;
+    int cost = 1 + lines + length / LINE_COST_BYTES;
+    if (phase == Phase.HEAD && !canHold(length, lines)) {
+      return cost;
+    }
     boolean isChunked = phase == Phase.CHUNKED_BODY;
-    context.fireChannelRead(held.readRetainedSlice(length));
+    headLines = isChunked ? 0 : headLines + lines;
+    if (isEnd) {
+      // The lines cost again when the request is handled.
+      cost += REQUEST_COST + headLines;
+      headLines = 0;
+    }
+    fire(length);
     if (isChunked && !hasEvents) {
-      canHold(0, oldLines);
+      canHold(0, lines);
     }
+    return cost;
+  }
+
+  /** Hands bytes to the decoder. */
+  private void fire(int length) {
+    hasEvents = false;
+    pendingBytes += length;
+    ByteBuf piece = held.readRetainedSlice(length);
+    isWaiting = held.isReadable();
+    context.fireChannelRead(piece);
   }
 
   private int getMaxBytes() {
@@ -294,6 +363,7 @@
     guards.recordClose(reason, channel.remoteAddress());
     held.release();
     held = Unpooled.EMPTY_BUFFER;
+    isWaiting = false;
     setHeadTimer(false);
     if (phase != Phase.HEAD) {
       channel.close();
@@ -365,13 +435,20 @@
     }
   }
 
+  /** Goes on to pass what waits once it is due. */
   private void resume() {
-    if (!held.isReadable() || refusal != null) {
-      return;
+    if (hasWork()) {
+      turns.add(slot);
     }
-    pass();
-    context.fireChannelReadComplete();
-    readIfDue();
+  }
+
+  @Override
+  public void channelWritabilityChanged(ChannelHandlerContext writableContext) {
+    if (held.isReadable() && !isPassing) {
+      // Not within the write of an answer.
+      channel.eventLoop().execute(this::resume);
+    }
+    writableContext.fireChannelWritabilityChanged();
   }
 
   private void giveBack() {
@@ -390,6 +467,7 @@
     giveBack();
     held.release();
     held = Unpooled.EMPTY_BUFFER;
+    isWaiting = false;
     inactiveContext.fireChannelInactive();
   }
 
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/RequestGuards.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/RequestGuards.java
@@ -9,7 +9,10 @@
 import io.fireflyshed.transport.log.EventLog;
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Tags;
 import io.netty.channel.Channel;
+import io.netty.channel.EventLoop;
+import io.netty.util.AttributeKey;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.time.Duration;
@@ -20,6 +23,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import reactor.netty.http.server.HttpServer;
 
@@ -65,6 +69,15 @@
 
   private static final int OPERATOR_CONNECTIONS = 128;
 
+  /** The cost of the requests of a connection before the next one is due. */
+  private static final int TURN_QUANTUM = 64;
+
+  /** The cost of the requests of all connections in a turn of an event loop. */
+  private static final int TURN_LIMIT = 512;
+
+  static final AttributeKey<RequestGuard> GUARD =
+      AttributeKey.valueOf(RequestGuards.class, "guard");
+
   /** Counts the closed connections of a reason. Guarded by itself. */
   private static final class Tally {
     private final Counter counter;
@@ -82,6 +95,7 @@
   private final int maxConnections;
   private final Map<Reason, Tally> tallies = new EnumMap<>(Reason.class);
   private final Set<RequestGuard> guards = ConcurrentHashMap.newKeySet();
+  private final Map<EventLoop, FairTurns> turns = new ConcurrentHashMap<>();
   private final EventLog log = new EventLog("http");
 
   /**
@@ -100,6 +114,16 @@
       MonotonicClock clock,
       int maxConnections,
       MeterRegistry metrics) {
+    this(limits, budget, clock, maxConnections, metrics, "callers");
+  }
+
+  private RequestGuards(
+      Supplier<Optional<ClientLimits>> limits,
+      ByteBudget budget,
+      MonotonicClock clock,
+      int maxConnections,
+      MeterRegistry metrics,
+      String peers) {
     this.limits = Objects.requireNonNull(limits, "limits");
     this.budget = Objects.requireNonNull(budget, "budget");
     this.clock = Objects.requireNonNull(clock, "clock");
@@ -109,6 +133,11 @@
           reason,
           new Tally(metrics.counter("fireflyshed.callers.closed", "reason", reason.name())));
     }
+    metrics.gauge(
+        "fireflyshed.connections.waiting",
+        Tags.of("peers", peers),
+        guards,
+        all -> all.stream().filter(RequestGuard::isWaiting).count());
   }
 
   /**
@@ -121,7 +150,8 @@
    */
   public static RequestGuards ofOperators(MonotonicClock clock, MeterRegistry metrics) {
     ByteBudget own = new ByteBudget(OPERATOR_BYTES, clock, ByteBudget.Listener.none());
-    return new RequestGuards(Optional::empty, own, clock, OPERATOR_CONNECTIONS, metrics);
+    return new RequestGuards(
+        Optional::empty, own, clock, OPERATOR_CONNECTIONS, metrics, "operators");
   }
 
   /**
@@ -138,6 +168,28 @@
                 spec.maxHeaderSize(DECODER_HEADER_BYTES).maxInitialLineLength(DECODER_LINE_BYTES));
   }
 
+  /**
+   * Tests whether bytes of a connection were read and not yet decoded. Thread safe.
+   *
+   * @param channel the connection, not null
+   * @return true if so; false if the connection has no guard
+   */
+  public static boolean hasWaitingBytes(Channel channel) {
+    RequestGuard guard = channel.attr(GUARD).get();
+    return guard != null && guard.isWaiting();
+  }
+
+  /**
+   * Creates turns of an event loop. A task that the loop schedules while it runs tasks is due in
+   * its next pass.
+   */
+  private static FairTurns newTurns(EventLoop loop) {
+    return new FairTurns(
+        TURN_QUANTUM,
+        TURN_LIMIT,
+        task -> loop.execute(() -> loop.schedule(task, 0, TimeUnit.NANOSECONDS)));
+  }
+
   /** Guards a connection whose pipeline already contains the HTTP codec. */
   private void add(Channel channel) {
     RequestGuard guard = new RequestGuard(this, channel);
@@ -154,6 +206,11 @@
     }
   }
 
+  /** Returns what shares an event loop among the guarded connections. */
+  FairTurns getTurns(EventLoop loop) {
+    return turns.computeIfAbsent(loop, RequestGuards::newTurns);
+  }
+
   /** Returns the largest head of a request in bytes, with its request line. */
   int getMaxHeadBytes() {
     return limits.get().map(ClientLimits::maxHeaderBytes).orElse(DEFAULT_HEADER_BYTES);
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/http/RequestGuardTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/http/RequestGuardTest.java
@@ -6,6 +6,7 @@
 import io.fireflyshed.coordination.budget.ByteBudget;
 import io.fireflyshed.state.clock.MonotonicClock;
 import io.fireflyshed.state.traffic.ClientLimits;
+import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.io.IOException;
 import java.net.Socket;
@@ -196,6 +197,17 @@
     }
   }
 
+  @Test
+  public void connectionsWithRequestsThatWaitAreCounted() throws Exception {
+    Gauge waiting = metrics.get("fireflyshed.connections.waiting").tag("peers", "callers").gauge();
+    try (Socket socket = connect()) {
+      send(socket, newRequest("/slow", "c0-0", "") + newRequest("/", "c0-1", "").repeat(100));
+      await(() -> waiting.value() == 1);
+      release.tryEmitEmpty();
+      await(() -> waiting.value() == 0);
+    }
+  }
+
   @Test
   public void connectionsWithoutARequestGiveWay() throws Exception {
     List<Socket> sockets = new ArrayList<>();
