Bound connections between entries that say no hello

The port between entries kept each accepted connection without a hello for 60 s, up to all 1,024. Whoever reaches that port with as many silent connections keeps other entries out, and they take the descriptors that callers leave (a quarter).

A connection without a hello is closed after 10 s, and at most 128 accepted ones wait for it; the oldest gives way. Frames before the hello were limited already, and a second hello ends a connection.

UnidentifiedPeerTest fails before: the connection stays open after 30 s; 402 channels with 400 silent connections. PeerNodeTest, EntryRelayTest and SilentEntryTest pass.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/PeerChannelHandler.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/PeerChannelHandler.java
@@ -7,7 +7,10 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.util.AttributeKey;
+import io.netty.util.concurrent.ScheduledFuture;
 import java.io.IOException;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -29,6 +32,9 @@
   /** The oldest protocol version that has questions about tables and loads. */
   static final int QUESTION_VERSION = 4;
 
+  /** Bounds the time of a connection without a hello frame. */
+  static final Duration HELLO_TIMEOUT = Duration.ofSeconds(10);
+
   private static final AttributeKey<Integer> VERSION = AttributeKey.valueOf("peer-version");
 
   private static final Logger LOG = LoggerFactory.getLogger(PeerChannelHandler.class);
@@ -76,6 +82,19 @@
             .setMaxVersion(MAX_VERSION)
             .setSender(self.value());
     context.writeAndFlush(PeerProto.Frame.newBuilder().setHello(hello).build());
+    ScheduledFuture<?> timer =
+        context
+            .executor()
+            .schedule(
+                () -> closeWithoutHello(context), HELLO_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+    context.channel().closeFuture().addListener(closed -> timer.cancel(false));
+  }
+
+  private void closeWithoutHello(ChannelHandlerContext context) {
+    if (peer == null) {
+      LOG.debug("peers: {} has not said hello", context.channel().remoteAddress());
+      context.close();
+    }
   }
 
   @Override
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/PeerConnections.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/peer/PeerConnections.java
@@ -24,7 +24,9 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.slf4j.Logger;
@@ -41,6 +43,10 @@
 
   private static final Logger LOG = LoggerFactory.getLogger(PeerConnections.class);
   private static final int MAX_CONNECTIONS = 1_024;
+
+  /** Bounds the accepted connections whose peers have not said hello yet. */
+  private static final int MAX_UNIDENTIFIED = 128;
+
   private static final int MAX_QUEUED_FRAMES_PER_PEER = 64;
   private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
   private static final int IDLE_TIMEOUT_SECONDS = 60;
@@ -57,6 +63,10 @@
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final EventExecutor executor = eventLoop.next();
   private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+
+  /** The accepted connections without a hello, the oldest first; only used on the event loop. */
+  private final Set<Channel> unidentified = new LinkedHashSet<>();
+
   private final Map<PeerId, Channel> readyChannels = new HashMap<>();
   private final Map<PeerId, Deque<PeerProto.Frame>> queuedFrames = new HashMap<>();
   private final AtomicLong droppedFrames = new AtomicLong();
@@ -151,6 +161,7 @@
 
   @Override
   public void onReady(PeerId peer, Channel channel) {
+    unidentified.remove(channel);
     Deque<PeerProto.Frame> frames;
     synchronized (this) {
       readyChannels.put(peer, channel);
@@ -233,10 +244,25 @@
     }
   }
 
+  /** Adds an accepted connection, for which the oldest without a hello gives way. */
+  private void addUnidentified(Channel channel) {
+    if (unidentified.size() >= MAX_UNIDENTIFIED) {
+      Channel oldest = unidentified.iterator().next();
+      LOG.debug("peers: {} has not said hello and gives way", oldest.remoteAddress());
+      unidentified.remove(oldest);
+      oldest.close();
+    }
+    unidentified.add(channel);
+    channel.closeFuture().addListener(closed -> unidentified.remove(channel));
+  }
+
   private ChannelInitializer<SocketChannel> newInitializer() {
     return new ChannelInitializer<>() {
       @Override
       protected void initChannel(SocketChannel channel) {
+        if (channel.parent() != null) {
+          addUnidentified(channel);
+        }
         if (channels.size() >= MAX_CONNECTIONS) {
           channel.close();
           return;
