Close connections whose answers are unread before new ones

At the limit of connections the one that idles longest gives way, and the new one if none is idle. A connection with requests that wait is never idle, so a crowd that sends ahead and reads nothing kept its places, and every new caller was closed.

If none is idle, the connection gives way that did something least recently and has had whole answers that nobody reads for 5 s. No legal caller meets this unless it reads nothing for that time while the process has as many connections as it may have.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/RequestGuard.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/RequestGuard.java
@@ -62,6 +62,9 @@
   /** The time to read what has arrived if this process was suspended. */
   private static final Duration LATE_READ_TIME = Duration.ofMillis(500);
 
+  /** The time in which a peer may read nothing of a whole answer before it may lose its place. */
+  private static final Duration UNREAD_TIME = Duration.ofSeconds(5);
+
   private static final double MILLIS_PER_SECOND = 1000;
 
   private enum Phase {
@@ -79,6 +82,8 @@
   private volatile long progressNanos;
   private volatile int unanswered;
   private volatile boolean isWaiting;
+  private volatile int unsentAnswers;
+  private volatile long unsentNanos;
   private ChannelHandlerContext context;
   private ByteBuf held = Unpooled.EMPTY_BUFFER;
   private ByteBudget.Reservation reservation;
@@ -128,6 +133,11 @@
     return isWaiting;
   }
 
+  /** Tests whether whole answers have not been read for some time. Thread safe. */
+  boolean isUnread() {
+    return unsentAnswers > 0 && guards.nanoTime() - unsentNanos > UNREAD_TIME.toNanos();
+  }
+
   /** Returns the time of the last request or answer, or of the start. Thread safe. */
   long getProgressNanos() {
     return progressNanos;
@@ -416,7 +426,9 @@
       return;
     }
     unanswered--;
+    unsentAnswers--;
     progressNanos = guards.nanoTime();
+    unsentNanos = progressNanos;
     Long bytes = unansweredBytes.poll();
     if (bytes != null && reservation != null) {
       reservation.shrink(bytes);
@@ -531,6 +543,8 @@
               && response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
       if (message instanceof LastHttpContent && !isInformational) {
         ChannelPromise answered = promise.unvoid();
+        unsentNanos = unsentAnswers == 0 ? guards.nanoTime() : unsentNanos;
+        unsentAnswers++;
         answered.addListener(written -> onAnswered());
         writeContext.write(message, answered);
       } else {
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/RequestGuards.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/RequestGuards.java
@@ -24,6 +24,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import reactor.netty.http.server.HttpServer;
 
@@ -198,14 +199,19 @@
     channel.closeFuture().addListener(closed -> guards.remove(guard));
     if (guards.size() > maxConnections) {
       // The new connection has not sent anything yet, and others idle for longer.
-      guards.stream()
-          .filter(RequestGuard::isIdle)
-          .min(Comparator.comparingLong(RequestGuard::getProgressNanos))
+      findOldest(other -> other != guard && other.isIdle())
+          .or(() -> findOldest(RequestGuard::isUnread))
           .orElse(guard)
           .closeFor(Reason.CONNECTIONS);
     }
   }
 
+  private Optional<RequestGuard> findOldest(Predicate<RequestGuard> condition) {
+    return guards.stream()
+        .filter(condition)
+        .min(Comparator.comparingLong(RequestGuard::getProgressNanos));
+  }
+
   /** Returns what shares an event loop among the guarded connections. */
   FairTurns getTurns(EventLoop loop) {
     return turns.computeIfAbsent(loop, RequestGuards::newTurns);
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/http/RequestGuardTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/http/RequestGuardTest.java
@@ -6,7 +6,7 @@
 import io.fireflyshed.coordination.budget.ByteBudget;
 import io.fireflyshed.state.clock.MonotonicClock;
 import io.fireflyshed.state.traffic.ClientLimits;
-import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.io.IOException;
 import java.net.Socket;
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -42,6 +43,7 @@
   private static final Pattern ANSWER = Pattern.compile("id=(c\\d+-\\d+);(\\d+)");
   private static final int FUZZ_SEEDS = 150;
 
+  private final AtomicLong clockNanos = new AtomicLong();
   private ByteBudget budget;
   private SimpleMeterRegistry metrics;
   private Sinks.Empty<Void> release;
@@ -90,6 +92,20 @@
         .flatMap(length -> response.sendString(Mono.just("id=" + id + ";" + length)).then());
   }
 
+  private Mono<Void> answerAtLength(HttpServerRequest request, HttpServerResponse response) {
+    byte[] body = new byte[request.uri().equals("/long") ? 1 << 20 : 1];
+    return response.sendByteArray(Mono.just(body)).then();
+  }
+
+  private static boolean isAnswered(int port) {
+    try (Socket socket = new Socket("127.0.0.1", port)) {
+      send(socket, newRequest("/", "c0-0", "Connection: close\r\n"));
+      return readAll(socket).startsWith("HTTP/1.1 200 ");
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
   private static void await(BooleanSupplier condition) throws InterruptedException {
     long end = System.nanoTime() + WAIT.toNanos();
     while (!condition.getAsBoolean() && System.nanoTime() - end < 0) {
@@ -199,12 +215,11 @@
 
   @Test
   public void connectionsWithRequestsThatWaitAreCounted() throws Exception {
-    Gauge waiting = metrics.get("fireflyshed.connections.waiting").tag("peers", "callers").gauge();
     try (Socket socket = connect()) {
       send(socket, newRequest("/slow", "c0-0", "") + newRequest("/", "c0-1", "").repeat(100));
-      await(() -> waiting.value() == 1);
+      await(() -> countWaiting(metrics) == 1);
       release.tryEmitEmpty();
-      await(() -> waiting.value() == 0);
+      await(() -> countWaiting(metrics) == 0);
     }
   }
 
@@ -224,6 +239,40 @@
     }
   }
 
+  private static double countWaiting(MeterRegistry registry) {
+    return registry.get("fireflyshed.connections.waiting").tag("peers", "callers").gauge().value();
+  }
+
+  @Test
+  public void connectionsWhoseAnswersAreUnreadGiveWay() throws Exception {
+    MeterRegistry registry = new SimpleMeterRegistry();
+    RequestGuards guards =
+        new RequestGuards(Optional::empty, budget, clockNanos::get, MAX_CONNECTIONS, registry);
+    DisposableServer other =
+        guards
+            .guard(HttpServer.create().host("127.0.0.1").port(0))
+            .handle(this::answerAtLength)
+            .bindNow();
+    List<Socket> sockets = new ArrayList<>();
+    try {
+      for (int i = 0; i < MAX_CONNECTIONS; i++) {
+        sockets.add(new Socket("127.0.0.1", other.port()));
+        send(sockets.get(i), newRequest("/long", "c0-0", "").repeat(50));
+      }
+      await(() -> countWaiting(registry) == MAX_CONNECTIONS);
+      await(
+          () -> {
+            clockNanos.addAndGet(Duration.ofSeconds(1).toNanos());
+            return isAnswered(other.port()) && countWaiting(registry) < MAX_CONNECTIONS;
+          });
+    } finally {
+      for (Socket socket : sockets) {
+        socket.close();
+      }
+      other.disposeNow();
+    }
+  }
+
   /** Changes a part of a text at random. */
   private static String mutate(String text, UniformRandomProvider random) {
     int at = random.nextInt(text.length());
