--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/soak/CrowdTest.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/soak/CrowdTest.java
@@ -38,12 +38,12 @@
   @Test(timeOut = 300_000)
   public void headsOverTheLimitOfLongLines() throws Exception {
     String line = "X-Long: " + "y".repeat(4000) + "\r\n";
-    checkCrowd(getNode().getCallerAddress(), 300, newHead("/lookups/a"), line, 60_000);
+    checkCrowd(getNode().getCallerAddress(), 1500, newHead("/lookups/a"), line, 60_000);
   }
 
   @Test(timeOut = 300_000)
   public void requestLinesWithoutEnd() throws Exception {
-    checkCrowd(getNode().getCallerAddress(), 300, "GET /", "a".repeat(4096), 1 << 20);
+    checkCrowd(getNode().getCallerAddress(), 3000, "GET /", "a".repeat(4096), 1 << 20);
   }
 
   @Test(timeOut = 300_000)
@@ -75,7 +75,7 @@
   @Test(timeOut = 300_000)
   public void requestsSentAheadUnread() throws Exception {
     String request = newHead("/lookups/a") + "\r\n";
-    checkCrowd(getNode().getCallerAddress(), 40, "", request.repeat(20), 4 << 20);
+    checkCrowd(getNode().getCallerAddress(), 400, "", request.repeat(20), 4 << 20);
   }
 
   /**
@@ -99,12 +99,12 @@
   @Test(timeOut = 300_000)
   public void headsWithoutEndForReadiness() throws Exception {
     String start = "GET /ready HTTP/1.1\r\nHost: x\r\n";
-    checkCrowd(getNode().getReadinessAddress(), 300, start, "a: b\r\n", 1 << 20);
+    checkCrowd(getNode().getReadinessAddress(), 1500, start, "a: b\r\n", 1 << 20);
   }
 
   @Test(timeOut = 300_000)
   public void unreadMetrics() throws Exception {
     String request = "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n";
-    checkCrowd(getMetricsAddress(), 40, "", request.repeat(40), 4 << 20);
+    checkCrowd(getMetricsAddress(), 400, "", request.repeat(40), 4 << 20);
   }
 }
