Let chunked bodies go on when there is no room to wait for a turn

What waits for its turn is counted.

Such bytes are decoded at once now, as before; what follows the body is refused as any head for which there is no room.

RequestGuardTurnsTest.chunkedBodyGoesOnWhenThereIsNoRoomToWait fails before: no request is answered.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/RequestGuard.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/RequestGuard.java
@@ -244,31 +244,42 @@
   }
 
   private void updateHeld() {
-    if (!held.isReadable() || !channel.isActive()) {
-      held.release();
-      held = Unpooled.EMPTY_BUFFER;
+    releaseIfPassed();
+    if (!canWait() && phase != Phase.HEAD) {
+      // What is short of memory must not end a request under way.
+      pass(Integer.MAX_VALUE);
+      releaseIfPassed();
+    }
+    if (!canWait()) {
+      refuse(Reason.NO_ROOM);
     }
-    countHeld();
     isWaiting = held.isReadable();
     boolean isHeadDue = phase == Phase.HEAD && pendingBytes > emptyBytes && !isWaiting;
     setHeadTimer(isHeadDue && refusal == null && channel.isActive());
   }
 
-  /** Reserves what the bytes take that wait, or gives it back. */
-  private void countHeld() {
+  private void releaseIfPassed() {
+    if (!held.isReadable() || !channel.isActive()) {
+      held.release();
+      held = Unpooled.EMPTY_BUFFER;
+    }
+  }
+
+  /** Reserves what the bytes take that wait, or gives it back; tests whether there is room. */
+  private boolean canWait() {
     long bytes = held.isReadable() ? held.capacity() : 0;
     if (bytes > heldBytes) {
       if (reservation == null) {
         reservation = guards.newReservation(channel);
       }
       if (!reservation.tryGrow(bytes - heldBytes)) {
-        refuse(Reason.NO_ROOM);
-        return;
+        return false;
       }
     } else if (reservation != null) {
       reservation.shrink(heldBytes - bytes);
     }
     heldBytes = bytes;
+    return true;
   }
 
   /** Passes on a piece of at most some lines and returns its cost. */
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/http/RequestGuardTurnsTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/http/RequestGuardTurnsTest.java
@@ -47,7 +47,11 @@
   public void setUp() {
     answered = 0;
     waiting.clear();
-    budget = new ByteBudget(4 << 20, MonotonicClock.system(), ByteBudget.Listener.none());
+    open(4 << 20);
+  }
+
+  private void open(long budgetBytes) {
+    budget = new ByteBudget(budgetBytes, MonotonicClock.system(), ByteBudget.Listener.none());
     RequestGuards guards =
         new RequestGuards(
             Optional::empty, budget, MonotonicClock.system(), 10, new SimpleMeterRegistry());
@@ -123,6 +127,16 @@
     assertEquals(waiting, List.of(true, true, false));
   }
 
+  @Test
+  public void chunkedBodyGoesOnWhenThereIsNoRoomToWait() {
+    channel.finishAndReleaseAll();
+    open(16 << 10);
+    String head = "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+    channel.pipeline().fireChannelRead(newBytes(head + "1\r\nx\r\n".repeat(10_000) + "0\r\n\r\n"));
+    assertEquals(answered, 1);
+    assertTrue(channel.isOpen());
+  }
+
   @Test
   public void largeHeadIsDecodedInSeveralTurns() {
     String lines = "a:\r\n".repeat(3000);
