Run no request whose body is malformed

Targets ran a request with a part of its body, or none, while its caller got 400 for it. Behind another request on its connection, its caller got nothing until the connection ended.

Cause: at a malformed chunk the decoder returns a failed last part. Reactor Netty answers it with 400, but ends the body with it, so that the request is passed on as if it were whole.

Change: RequestValidator, behind the decoder, passes on no failed part. It answers with 400 once all requests before are answered, and closes the connection; the body never ends, so nothing is passed on.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/RequestGuards.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/RequestGuards.java
@@ -142,6 +142,7 @@
   private void add(Channel channel) {
     RequestGuard guard = new RequestGuard(this, channel);
     guard.addTo(channel.pipeline());
+    new RequestValidator().addTo(channel.pipeline());
     guards.add(guard);
     channel.closeFuture().addListener(closed -> guards.remove(guard));
     if (guards.size() > maxConnections) {
--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/RequestValidator.java
@@ -0,0 +1,84 @@
+package io.fireflyshed.transport.http;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPipeline;
+import io.netty.channel.ChannelPromise;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.nio.charset.StandardCharsets;
+import reactor.netty.NettyPipeline;
+
+/**
+ * Refuses requests that a lenient decoder accepts and a target may understand otherwise. Nothing
+ * behind such a request is read, since its end isn't certain. Not thread safe; each connection has
+ * its own validator.
+ */
+final class RequestValidator extends ChannelDuplexHandler {
+
+  private static final String REFUSAL =
+      "HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+
+  private int unanswered;
+  private boolean isRefused;
+  private boolean isBodyMalformed;
+
+  void addTo(ChannelPipeline pipeline) {
+    pipeline.addAfter(NettyPipeline.HttpCodec, "requestValidator", this);
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext context, Object message) {
+    if (isRefused) {
+      ReferenceCountUtil.release(message);
+      return;
+    }
+    if (message instanceof HttpRequest) {
+      unanswered++;
+    } else if (message instanceof HttpContent content && content.decoderResult().isFailure()) {
+      ReferenceCountUtil.release(message);
+      onMalformedBody(context);
+      return;
+    }
+    context.fireChannelRead(message);
+  }
+
+  private void onMalformedBody(ChannelHandlerContext context) {
+    isRefused = true;
+    isBodyMalformed = true;
+    refuseBody(context);
+  }
+
+  /** Refuses the request whose head was passed on without the end of its body. */
+  private void refuseBody(ChannelHandlerContext context) {
+    if (unanswered == 1) {
+      context
+          .pipeline()
+          .context(NettyPipeline.HttpCodec)
+          .writeAndFlush(Unpooled.copiedBuffer(REFUSAL, StandardCharsets.ISO_8859_1))
+          .addListener(ChannelFutureListener.CLOSE);
+    } else if (unanswered == 0) {
+      context.close();
+    }
+  }
+
+  @Override
+  public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+    boolean isInterim =
+        message instanceof HttpResponse response
+            && response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+    context.write(message, promise);
+    if (message instanceof LastHttpContent && !isInterim) {
+      unanswered--;
+      if (isBodyMalformed) {
+        refuseBody(context);
+      }
+    }
+  }
+}
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/HttpConnection.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/HttpConnection.java
@@ -46,7 +46,7 @@
   /** Sends bytes; a connection that the server closed before is no error. */
   void send(String text) {
     try {
-      socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+      socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
     } catch (SocketException e) {
       // The next read shows that the connection has ended.
       return;
@@ -106,7 +106,7 @@
     }
     int status = Integer.parseInt(lines[0].split(" ")[1]);
     ByteArrayOutputStream body = new ByteArrayOutputStream();
-    boolean isComplete = !hasBody || readBody(headers, body);
+    boolean isComplete = !hasBody || status < 200 || readBody(headers, body);
     return new Response(status, headers, body.toString(StandardCharsets.US_ASCII), isComplete);
   }
 
