Refuse chunk sizes that are no number

A body in chunks whose size line is ` 4` or `4 2` was run with a body that its caller may not have meant.

Cause: the decoder reads the digits that it finds.

Change: RequestGuard reads the chunks of a body with ChunkScanner, as ResponseGuard does, before the decoder gets them. A malformed one is refused like one that the decoder finds.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/RequestGuard.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/RequestGuard.java
@@ -74,6 +74,7 @@
   private ByteBudget.Reservation reservation;
   private Future<?> headTimer;
   private Phase phase = Phase.HEAD;
+  private ChunkScanner chunks = new ChunkScanner();
   private long bodyBytesLeft;
   private boolean isPassing;
   private boolean isReadDue;
@@ -238,6 +239,15 @@
         return;
       }
     }
+    if (phase == Phase.CHUNKED_BODY) {
+      int start = held.readerIndex();
+      length = chunks.scan(held, start, start + length) - start;
+      if (chunks.isMalformed() || length == 0) {
+        context.fireUserEventTriggered(RequestValidator.MALFORMED_BODY);
+        held.skipBytes(held.readableBytes());
+        return;
+      }
+    }
     hasEvents = false;
     pendingBytes += length;
     boolean isChunked = phase == Phase.CHUNKED_BODY;
@@ -425,6 +435,7 @@
       boolean isValid = request.decoderResult().isSuccess();
       bodyBytesLeft = isValid ? HttpUtil.getContentLength(request, 0L) : 0;
       boolean isChunked = HttpUtil.isTransferEncodingChunked(request);
+      chunks = new ChunkScanner();
       phase = isChunked || bodyBytesLeft <= 0 ? Phase.CHUNKED_BODY : Phase.SIZED_BODY;
     }
 
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/RequestValidator.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/RequestValidator.java
@@ -22,6 +22,9 @@
  */
 final class RequestValidator extends ChannelDuplexHandler {
 
+  /** Is fired before the decoder at a chunk that it would accept. */
+  static final Object MALFORMED_BODY = new Object();
+
   private static final String REFUSAL =
       "HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 
@@ -49,6 +52,15 @@
     context.fireChannelRead(message);
   }
 
+  @Override
+  public void userEventTriggered(ChannelHandlerContext context, Object event) {
+    if (event != MALFORMED_BODY) {
+      context.fireUserEventTriggered(event);
+    } else if (!isRefused) {
+      onMalformedBody(context);
+    }
+  }
+
   private void onMalformedBody(ChannelHandlerContext context) {
     isRefused = true;
     isBodyMalformed = true;
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/LenientRequestTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/LenientRequestTest.java
@@ -80,6 +80,8 @@
           List.of(CHUNKED + "+4\r\ngood\r\n0\r\n\r\n", REFUSED),
           List.of(CHUNKED + "-4\r\ngood\r\n0\r\n\r\n", REFUSED),
           List.of(CHUNKED + "0x4\r\ngood\r\n0\r\n\r\n", REFUSED),
+          List.of(CHUNKED + "4 2\r\ngood\r\n0\r\n\r\n", REFUSED),
+          List.of(CHUNKED + " 4\r\ngood\r\n0\r\n\r\n", REFUSED),
           List.of(CHUNKED + "\r\n4\r\ngood\r\n0\r\n\r\n", REFUSED),
           List.of(CHUNKED + ";a\r\ngood\r\n0\r\n\r\n", REFUSED),
           List.of(CHUNKED + "100000004\r\ngood\r\n0\r\n\r\n", REFUSED),
