Refuse requests with other transfer codings than chunked

A target ran a request without its body, and what followed was read as further requests: the body of a request could hold another one that no caller had sent.

Cause: the decoder ignores a transfer coding that it doesn't know, such as `xchunked` or `chunked;a=b`, and takes the request for one without a body, or with one of the stated length. It reads `gzip, chunked` and `chunked, chunked` as chunks and passes on encoded bytes without the header.

Change: RequestValidator refuses any transfer coding but a single `chunked` with 400 in its turn, and drops what follows, since the end of the request isn't certain.

--- /dev/null
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/RequestSyntaxUtils.java
@@ -0,0 +1,34 @@
+package io.fireflyshed.transport.http;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import java.util.List;
+import java.util.Optional;
+
+/** Finds what a lenient decoder accepts in the heads of requests. */
+final class RequestSyntaxUtils {
+
+  private RequestSyntaxUtils() {}
+
+  /**
+   * Finds a reason for which a request can't be passed on unaltered.
+   *
+   * @param request the request, whose head was decoded, not null
+   * @return the reason, empty if there is none, never null
+   */
+  static Optional<String> findDefect(HttpRequest request) {
+    if (!isTransferCodingKnown(request.headers())) {
+      return Optional.of("unsupported transfer coding");
+    }
+    return Optional.empty();
+  }
+
+  /** Tests whether a body isn't encoded otherwise than in chunks. */
+  private static boolean isTransferCodingKnown(HttpHeaders headers) {
+    List<String> codings = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING);
+    return codings.isEmpty()
+        || codings.size() == 1 && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.get(0));
+  }
+}
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/RequestValidator.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/RequestValidator.java
@@ -6,13 +6,18 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.ChannelPromise;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 import reactor.netty.NettyPipeline;
 
 /**
@@ -42,8 +47,15 @@
       ReferenceCountUtil.release(message);
       return;
     }
-    if (message instanceof HttpRequest) {
+    if (message instanceof HttpRequest request) {
       unanswered++;
+      Optional<String> defect = RequestSyntaxUtils.findDefect(request);
+      if (request.decoderResult().isSuccess() && defect.isPresent()) {
+        isRefused = true;
+        ReferenceCountUtil.release(message);
+        context.fireChannelRead(newInvalidRequest(defect.get()));
+        return;
+      }
     } else if (message instanceof HttpContent content && content.decoderResult().isFailure()) {
       ReferenceCountUtil.release(message);
       onMalformedBody(context);
@@ -67,6 +79,15 @@
     refuseBody(context);
   }
 
+  /** Creates a request that the server refuses once all before it are answered. */
+  private static HttpRequest newInvalidRequest(String defect) {
+    HttpRequest request =
+        new DefaultFullHttpRequest(
+            HttpVersion.HTTP_1_1, HttpMethod.GET, "/bad-request", Unpooled.EMPTY_BUFFER);
+    request.setDecoderResult(DecoderResult.failure(new IllegalArgumentException(defect)));
+    return request;
+  }
+
   /** Refuses the request whose head was passed on without the end of its body. */
   private void refuseBody(ChannelHandlerContext context) {
     if (unanswered == 1) {
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/LenientRequestTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/LenientRequestTest.java
@@ -67,6 +67,35 @@
           List.of(POST + "Content-Length : 4\r\n\r\ngood", REFUSED),
           List.of(POST + "Content-Length\r\n\r\ngood", REFUSED));
 
+  /** Transfer codings. The statuses that are answered, and what targets run. */
+  private static final List<List<String>> CODINGS =
+      List.of(
+          List.of(
+              POST + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n" + CHUNKS, REFUSED),
+          List.of(
+              POST + "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n" + CHUNKS, REFUSED),
+          List.of(CODING + "xchunked\r\nContent-Length: 4\r\n\r\ngood", REFUSED),
+          List.of(CODING + "xchunked\r\n\r\n" + CHUNKS, REFUSED),
+          List.of(CODING + "chunked, chunked\r\n\r\n" + CHUNKS, REFUSED),
+          List.of(
+              POST + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n" + CHUNKS,
+              REFUSED),
+          List.of(CODING + "gzip, chunked\r\n\r\n" + CHUNKS, REFUSED),
+          List.of(CODING + "chunked, gzip\r\n\r\n" + CHUNKS, REFUSED),
+          List.of(CODING + "gzip\r\n\r\n", REFUSED),
+          List.of(CODING + "gzip\r\nContent-Length: 4\r\n\r\ngood", REFUSED),
+          List.of(CODING + "identity\r\nContent-Length: 4\r\n\r\ngood", REFUSED),
+          List.of(CODING + "identity, chunked\r\n\r\n" + CHUNKS, REFUSED),
+          List.of(CODING + "\"chunked\"\r\nContent-Length: 4\r\n\r\ngood", REFUSED),
+          List.of(CODING + "chunked;a=b\r\n\r\n" + CHUNKS, REFUSED),
+          List.of(POST + "Transfer-Encoding:\r\nContent-Length: 4\r\n\r\ngood", REFUSED),
+          List.of(CODING + "\u000bchunked\r\nContent-Length: 4\r\n\r\ngood", REFUSED),
+          List.of(POST + "Transfer-Encoding : chunked\r\n\r\n" + CHUNKS, REFUSED),
+          List.of(POST + "Transfer-Encoding : chunked\r\nContent-Length: 4\r\n\r\ngood", REFUSED),
+          List.of(CODING + "CHUNKED\r\n\r\n" + CHUNKS, TAKEN_BODY),
+          List.of(OLD_POST + "Transfer-Encoding: chunked\r\n\r\n" + CHUNKS, REFUSED),
+          List.of(OLD_POST + "Transfer-Encoding: gzip\r\n\r\n", REFUSED));
+
   /**
    * Chunks, their sizes and extensions, and trailers. The statuses that are answered, and what
    * targets run.
@@ -212,7 +241,8 @@
   /** Provides requests and what is done with each. */
   @DataProvider
   public Object[][] requests() {
-    return toCases(Stream.of(LENGTHS, CHUNKED_BODIES, HEADERS, OTHERS).flatMap(List::stream));
+    return toCases(
+        Stream.of(LENGTHS, CODINGS, CHUNKED_BODIES, HEADERS, OTHERS).flatMap(List::stream));
   }
 
   /** Provides request lines that the decoder refuses. */
