Refuse request targets that can't be passed on unaltered

Targets ran requests with another path than that of their callers.

Cause: the HTTP client drops a fragment and encodes bytes outside of ASCII as UTF-8. It reads the response to CONNECT as one without a body.

Change: RequestValidator refuses CONNECT and request targets of anything but visible characters of ASCII, or with a `#`, with 400 in their turn. Control characters were passed on as they were; RFC 9112 has none in a request target.

Paths like `//`, `..`, `%zz` and `{}` are passed on byte by byte.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/RequestSyntaxUtils.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/RequestSyntaxUtils.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import java.util.List;
 import java.util.Optional;
@@ -19,12 +20,21 @@
    * @return the reason, empty if there is none, never null
    */
   static Optional<String> findDefect(HttpRequest request) {
+    if (!isTargetValid(request)) {
+      return Optional.of("malformed request target");
+    }
     if (!isTransferCodingKnown(request.headers())) {
       return Optional.of("unsupported transfer coding");
     }
     return Optional.empty();
   }
 
+  /** Tests for a target of visible characters of ASCII without a fragment. */
+  private static boolean isTargetValid(HttpRequest request) {
+    return !request.method().equals(HttpMethod.CONNECT)
+        && request.uri().chars().allMatch(c -> c > ' ' && c < 0x7f && c != '#');
+  }
+
   /** Tests whether a body isn't encoded otherwise than in chunks. */
   private static boolean isTransferCodingKnown(HttpHeaders headers) {
     List<String> codings = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING);
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/LenientRequestTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/LenientRequestTest.java
@@ -146,6 +146,53 @@
               "GET /orders/a HTTP/1.1\r\nHost: h\r\nX-Id: \u00e9\r\n\r\n",
               "200 200: GET /orders/a  as \u00e9" + NEXT_RUN));
 
+  /**
+   * Methods, request targets and versions. The statuses that are answered, and what targets run.
+   */
+  private static final List<List<String>> REQUEST_LINES =
+      List.of(
+          List.of("GET  /orders/a" + HEAD_END, TAKEN),
+          List.of("GET\t/orders/a" + HEAD_END, TAKEN),
+          List.of("GET /orders/a " + HEAD_END, TAKEN),
+          List.of("GET /orders/a\t" + HEAD_END, TAKEN),
+          List.of("GET /orders/a\u0000b" + HEAD_END, REFUSED),
+          List.of("GET /orders/a\u0001b" + HEAD_END, REFUSED),
+          List.of("GET /orders/a\u007fb" + HEAD_END, REFUSED),
+          List.of("GET /orders/\u00e9" + HEAD_END, REFUSED),
+          List.of(" GET /orders/a" + HEAD_END, TAKEN),
+          List.of("\r\n\r\nGET /orders/a" + HEAD_END, TAKEN),
+          List.of("get /orders/a" + HEAD_END, "200 200: get /orders/a " + NEXT_RUN),
+          List.of("GET /orders/a HTTP/1.2\r\nHost: h\r\nX-Id: a\r\n\r\n", TAKEN),
+          List.of("GET http://h/orders/a" + HEAD_END, NOT_FOUND),
+          List.of("GET http://other/orders/a" + HEAD_END, NOT_FOUND),
+          List.of("GET h:80" + HEAD_END, NOT_FOUND),
+          List.of("CONNECT h:80" + HEAD_END, REFUSED),
+          List.of("CONNECT /orders/a" + HEAD_END, REFUSED),
+          List.of("OPTIONS *" + HEAD_END, NOT_FOUND),
+          List.of("GET *" + HEAD_END, NOT_FOUND),
+          List.of("GET @127.0.0.1:1/orders/a" + HEAD_END, NOT_FOUND),
+          List.of("GET orders/a" + HEAD_END, NOT_FOUND),
+          List.of("GET ?/orders/a" + HEAD_END, NOT_FOUND),
+          List.of("GET //orders/a" + HEAD_END, NOT_FOUND),
+          List.of("GET /orders//a" + HEAD_END, "200 200: GET /orders//a " + NEXT_RUN),
+          List.of(
+              "GET /orders/../lookups/a" + HEAD_END,
+              "200 200: GET /orders/../lookups/a " + NEXT_RUN),
+          List.of(
+              "GET /orders/%2e%2E/%zz%" + HEAD_END, "200 200: GET /orders/%2e%2E/%zz% " + NEXT_RUN),
+          List.of("GET /orders/a?" + HEAD_END, "200 200: GET /orders/a? " + NEXT_RUN),
+          List.of(
+              "GET /orders/a?b?c=/d//e" + HEAD_END, "200 200: GET /orders/a?b?c=/d//e " + NEXT_RUN),
+          List.of(
+              "GET /orders/a?x=http://h/b@c:d" + HEAD_END,
+              "200 200: GET /orders/a?x=http://h/b@c:d " + NEXT_RUN),
+          List.of(
+              "GET /orders/@h:1/\\\"<>{}|^`[];$!'()*+,=~" + HEAD_END,
+              "200 200: GET /orders/@h:1/\\\"<>{}|^`[];$!'()*+,=~ " + NEXT_RUN),
+          List.of("GET /orders/a#b" + HEAD_END, REFUSED),
+          List.of("GET /orders/a?b#c" + HEAD_END, REFUSED),
+          List.of("GET /orders/a http/1.1\r\nHost: h\r\nX-Id: a\r\n\r\n", TAKEN));
+
   /**
    * Upgrades, expectations, refusals, and bodies shorter or longer than their length. The statuses
    * that are answered, and what targets run.
@@ -242,7 +289,8 @@
   @DataProvider
   public Object[][] requests() {
     return toCases(
-        Stream.of(LENGTHS, CODINGS, CHUNKED_BODIES, HEADERS, OTHERS).flatMap(List::stream));
+        Stream.of(LENGTHS, CODINGS, CHUNKED_BODIES, HEADERS, REQUEST_LINES, OTHERS)
+            .flatMap(List::stream));
   }
 
   /** Provides request lines that the decoder refuses. */
