Answer a request of HTTP/2 in its turn

A caller got 400 for a request that ran, if a request line with the version HTTP/2.0 followed on its connection, such as the preface of HTTP/2.

Cause: Reactor Netty answers such a request at once, ahead of the answer that is due, and closes the connection.

HTTP/0.9 and HTTP/3.0 were served as HTTP/1.1 before.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/RequestSyntaxUtils.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/RequestSyntaxUtils.java
@@ -20,6 +20,9 @@
    * @return the reason, empty if there is none, never null
    */
   static Optional<String> findDefect(HttpRequest request) {
+    if (request.protocolVersion().majorVersion() != 1) {
+      return Optional.of("unsupported version");
+    }
     if (!isTargetValid(request)) {
       return Optional.of("malformed request target");
     }
