Refuse requests with several Host headers

The entry routed a request by its first Host header, and the target got both and might go by the other.

Change: RequestValidator refuses such requests with 400, as RFC 9112 requires.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/RequestSyntaxUtils.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/RequestSyntaxUtils.java
@@ -29,6 +29,9 @@
     if (!isTransferCodingKnown(request.headers())) {
       return Optional.of("unsupported transfer coding");
     }
+    if (request.headers().getAll(HttpHeaderNames.HOST).size() > 1) {
+      return Optional.of("several Host headers");
+    }
     return Optional.empty();
   }
 
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/LenientRequestTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/LenientRequestTest.java
@@ -40,6 +40,7 @@
   private static final String CODING = POST + "Transfer-Encoding: ";
   private static final String CHUNKED = CODING + "chunked\r\n\r\n";
   private static final String CHUNKS = "4\r\ngood\r\n0\r\n\r\n";
+  private static final String ODD_PATH = "/orders/@h:1/\\\"<>{}|^`[];$!'()*+,=~";
 
   private static final String NEXT_RUN = ", GET /orders/next ";
   private static final String TAKEN = "200 200: GET /orders/a " + NEXT_RUN;
@@ -197,6 +198,20 @@
           List.of("GET /orders/a?b#c" + HEAD_END, REFUSED),
           List.of("GET /orders/a http/1.1\r\nHost: h\r\nX-Id: a\r\n\r\n", TAKEN));
 
+  /** Host headers. The statuses that are answered, and what targets run. */
+  private static final List<List<String>> HOSTS =
+      List.of(
+          List.of("GET /orders/a HTTP/1.1\r\n Host: h\r\nHost: h\r\nX-Id: a\r\n\r\n", REFUSED),
+          List.of("GET /orders/a HTTP/1.1\r\nHost:\r\nX-Id: a\r\n\r\n", NOT_FOUND),
+          List.of("GET /orders/a HTTP/1.1\r\nHost: h:80\r\nX-Id: a\r\n\r\n", TAKEN),
+          List.of("GET /orders/a HTTP/1.1\r\nHost: h:x\r\nX-Id: a\r\n\r\n", REFUSED),
+          List.of("GET /orders/a HTTP/1.1\r\nHost: h:other/y\r\nX-Id: a\r\n\r\n", REFUSED),
+          List.of("GET /orders/a HTTP/1.1\r\nHost: other@h\r\nX-Id: a\r\n\r\n", NOT_FOUND),
+          List.of("GET /orders/a HTTP/1.1\r\nHost: h\r\nHost: h\r\nX-Id: a\r\n\r\n", REFUSED),
+          List.of("GET /orders/a HTTP/1.1\r\nHost: h\r\nHost: other\r\nX-Id: a\r\n\r\n", REFUSED),
+          List.of("GET /orders/a HTTP/1.1\r\nHost: other\r\nHost: h\r\nX-Id: a\r\n\r\n", REFUSED),
+          List.of("GET /orders/a HTTP/1.1\r\nHost: h, other\r\nX-Id: a\r\n\r\n", NOT_FOUND));
+
   /**
    * Upgrades, expectations, refusals, and bodies shorter or longer than their length. The statuses
    * that are answered, and what targets run.
@@ -293,7 +308,7 @@
   @DataProvider
   public Object[][] requests() {
     return toCases(
-        Stream.of(LENGTHS, CODINGS, CHUNKED_BODIES, HEADERS, REQUEST_LINES, OTHERS)
+        Stream.of(LENGTHS, CODINGS, CHUNKED_BODIES, HEADERS, REQUEST_LINES, HOSTS, OTHERS)
             .flatMap(List::stream));
   }
 
