--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/RequestGuard.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/RequestGuard.java
@@ -89,6 +89,7 @@
   private ByteBudget.Reservation reservation;
   private Future<?> headTimer;
   private Phase phase = Phase.HEAD;
+  private ChunkScanner chunks = new ChunkScanner();
   private long bodyBytesLeft;
   private boolean isPassing;
   private boolean isReadDue;
@@ -315,6 +316,14 @@
       return cost;
     }
     boolean isChunked = phase == Phase.CHUNKED_BODY;
+    if (isChunked) {
+      length = chunks.scan(held, start, start + length) - start;
+      if (chunks.isMalformed() || length == 0) {
+        context.fireUserEventTriggered(RequestValidator.MALFORMED_BODY);
+        held.skipBytes(held.readableBytes());
+        return cost;
+      }
+    }
     headLines = isChunked ? 0 : headLines + lines;
     if (isEnd) {
       // The lines cost again when the request is handled.
@@ -526,6 +535,7 @@
       boolean isValid = request.decoderResult().isSuccess();
       bodyBytesLeft = isValid ? HttpUtil.getContentLength(request, 0L) : 0;
       boolean isChunked = HttpUtil.isTransferEncodingChunked(request);
+      chunks = new ChunkScanner();
       phase = isChunked || bodyBytesLeft <= 0 ? Phase.CHUNKED_BODY : Phase.SIZED_BODY;
     }
 
