Share the check of transfer codings

Cause: it stood twice, for requests and for responses.

Change: MessageSyntaxUtils has it for both.

Result: LenientRequestTest, LenientResponseTest, ResponseGuardTest and the tests of RequestGuard pass.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/RequestSyntaxUtils.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/MessageSyntaxUtils.java
@@ -8,10 +8,10 @@
 import java.util.List;
 import java.util.Optional;
 
-/** Finds what a lenient decoder accepts in the heads of requests. */
-final class RequestSyntaxUtils {
+/** Finds what a lenient decoder accepts in the heads of requests and responses. */
+final class MessageSyntaxUtils {
 
-  private RequestSyntaxUtils() {}
+  private MessageSyntaxUtils() {}
 
   /**
    * Finds a reason for which a request can't be passed on unaltered.
@@ -41,8 +41,13 @@
         && request.uri().chars().allMatch(c -> c > ' ' && c < 0x7f && c != '#');
   }
 
-  /** Tests whether a body isn't encoded otherwise than in chunks. */
-  private static boolean isTransferCodingKnown(HttpHeaders headers) {
+  /**
+   * Tests whether a body isn't encoded otherwise than in chunks.
+   *
+   * @param headers the headers of a request or response, not null
+   * @return whether the end of the body can be told by them
+   */
+  static boolean isTransferCodingKnown(HttpHeaders headers) {
     List<String> codings = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING);
     return codings.isEmpty()
         || codings.size() == 1 && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.get(0));
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/RequestValidator.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/RequestValidator.java
@@ -49,7 +49,7 @@
     }
     if (message instanceof HttpRequest request) {
       unanswered++;
-      Optional<String> defect = RequestSyntaxUtils.findDefect(request);
+      Optional<String> defect = MessageSyntaxUtils.findDefect(request);
       if (request.decoderResult().isSuccess() && defect.isPresent()) {
         isRefused = true;
         ReferenceCountUtil.release(message);
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/ResponseGuard.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/ResponseGuard.java
@@ -9,7 +9,6 @@
 import io.netty.channel.ChannelPromise;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
@@ -20,7 +19,6 @@
 import io.netty.util.AttributeKey;
 import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
-import java.util.List;
 import java.util.Objects;
 import java.util.regex.Pattern;
 import reactor.netty.NettyPipeline;
@@ -272,12 +270,7 @@
 
     /** Tests whether a body isn't encoded otherwise than in chunks, and its length is a number. */
     private static boolean isBodyDelimited(HttpHeaders headers) {
-      List<String> codings = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING);
-      boolean isCodingKnown =
-          codings.isEmpty()
-              || codings.size() == 1
-                  && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.get(0));
-      return isCodingKnown
+      return MessageSyntaxUtils.isTransferCodingKnown(headers)
           && headers.getAll(HttpHeaderNames.CONTENT_LENGTH).stream()
               .allMatch(length -> LENGTH.matcher(length).matches());
     }
