Let a refusal of the stop soak keep a connection with requests sent ahead

Cause: the soak asked each refusal during a stop to close its connection, and each request that was sent ahead to be answered. Both can't hold for a request behind a refused one.

Change: a refusal must close its connection unless the next request was sent on it before; that one is checked in turn, so the last refusal closes.

--- a/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/soak/CallerAttempt.java
+++ b/fireflyshed-daemon/src/test/java/io/fireflyshed/daemon/soak/CallerAttempt.java
@@ -32,4 +32,11 @@
   long getDueNanos() {
     return turnNanos == 0 ? sentNanos : Math.max(turnNanos, sentNanos);
   }
+
+  /** Tests whether the request was the next one on the connection of another. */
+  boolean isNextOf(CallerAttempt other) {
+    String[] own = connection.split("#");
+    String[] others = other.connection.split("#");
+    return own[0].equals(others[0]) && Integer.parseInt(own[1]) == Integer.parseInt(others[1]) + 1;
+  }
 }
