--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/TargetCaller.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/TargetCaller.java
@@ -35,9 +35,9 @@
 /**
  * Sends requests to targets over HTTP. Thread safe.
  *
- * <p>Cancelling a response closes its connection, which makes the target abort the request. A
- * request that must not be retried gets a new connection: a target may close a pooled connection
- * while a request is in transit, and then it is unknown whether the request ran. So does a request
+ * <p>Cancelling a response closes its connection, which makes the target abort the request. Two
+ * kinds of requests get a new connection: one that must not be retried, since a target may close a
+ * pooled connection while the request is in transit and then it is unknown whether it ran, and one
  * to a target that sent surplus bytes lately.
  */
 public final class TargetCaller implements TargetClient, AutoCloseable {
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/RequestGuard.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/RequestGuard.java
@@ -247,7 +247,7 @@
   private void updateHeld() {
     releaseIfPassed();
     if (!canWait() && phase != Phase.HEAD) {
-      // What is short of memory must not end a request under way.
+      // A lack of memory must not end a request under way.
       pass(Integer.MAX_VALUE);
       releaseIfPassed();
     }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/ResponseHeadScanner.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/http/ResponseHeadScanner.java
@@ -36,8 +36,9 @@
   /**
    * Creates a scanner of one head.
    *
-   * @param mayFollowResponse whether the peer sent a response on the connection before, a part of
-   *     whose repetition may precede the head; the version of a second status line is a defect then
+   * @param mayFollowResponse whether the peer sent a response on the connection before, so that a
+   *     part of a surplus response may precede the head; even the version of a second status line
+   *     is a defect then, otherwise only a whole one
    */
   ResponseHeadScanner(boolean mayFollowResponse) {
     this.mayFollowResponse = mayFollowResponse;
