--- a/review/standin-2/review2/Http.java
+++ b/review/standin-2/review2/Http.java
@@ -107,9 +107,13 @@
   private Http() {}
 
   static void start(Runnable task) {
+    newDaemon(task).start();
+  }
+
+  static Thread newDaemon(Runnable task) {
     Thread thread = new Thread(task);
     thread.setDaemon(true);
-    thread.start();
+    return thread;
   }
 
   static Message read(InputStream in, boolean isResponse) throws IOException {
--- a/review/standin-2/review2/Lab.java
+++ b/review/standin-2/review2/Lab.java
@@ -39,16 +39,25 @@
     final String ip;
     final int front;
     final int ready;
+    final Path config;
     final Process process;
     final Path log;
 
     private Entry(
-        String name, String zone, String ip, int front, int ready, Process process, Path log) {
+        String name,
+        String zone,
+        String ip,
+        int front,
+        int ready,
+        Path config,
+        Process process,
+        Path log) {
       this.name = name;
       this.zone = zone;
       this.ip = ip;
       this.front = front;
       this.ready = ready;
+      this.config = config;
       this.process = process;
       this.log = log;
     }
@@ -199,12 +208,26 @@
                     "blob_mb_s", 80.0));
     Path config = work.resolve(name + ".json");
     Files.writeString(config, Json.write(settings));
+    return launch(name, zone, ip, front, ready, config);
+  }
+
+  /** Starts the entry of a machine again, with its settings but for `bootstrap`. */
+  Entry restartEntry(Entry stopped) throws IOException {
+    String settings = Files.readString(stopped.config);
+    Files.writeString(
+        stopped.config, settings.replace("\"bootstrap\":true", "\"bootstrap\":false"));
+    return launch(
+        stopped.name, stopped.zone, stopped.ip, stopped.front, stopped.ready, stopped.config);
+  }
+
+  private Entry launch(String name, String zone, String ip, int front, int ready, Path config)
+      throws IOException {
     Path log = work.resolve(name + "-" + entries.size() + ".log");
     ProcessBuilder builder = new ProcessBuilder(getCommand());
     builder.environment().put("FIREFLYSHED_CONFIG", config.toString());
     builder.redirectErrorStream(true).redirectOutput(log.toFile());
     Process process = builder.start();
-    Entry entry = new Entry(name, zone, ip, front, ready, process, log);
+    Entry entry = new Entry(name, zone, ip, front, ready, config, process, log);
     entries.add(entry);
     processes.add(process);
     note("entry " + name + " starts in " + zone);
--- a/review/standin-2/review2/Store.java
+++ b/review/standin-2/review2/Store.java
@@ -24,7 +24,7 @@
     BUSY
   }
 
-  private record Row(String table, String key, String value, long version, boolean isRemoved) {}
+  record Row(String table, String key, String value, long version, boolean isRemoved) {}
 
   private static final int MAX_ROWS = 500;
 
@@ -35,6 +35,28 @@
   private final Map<String, Access> accessByMachine = new HashMap<>();
   private final Map<String, Map<String, String>> replacements = new HashMap<>();
   private long version;
+  private long era;
+
+  /** What the store holds at a moment. */
+  record Copy(Map<String, TreeMap<String, Row>> tables, List<Row> history, long version) {}
+
+  /** Copies all rows. */
+  synchronized Copy copy() {
+    Map<String, TreeMap<String, Row>> copied = new HashMap<>();
+    tables.forEach((table, rows) -> copied.put(table, new TreeMap<>(rows)));
+    return new Copy(copied, List.copyOf(history), version);
+  }
+
+  /** Comes back from a copy: what was written since is gone, and versions go back. */
+  synchronized void restore(Copy copy) {
+    tables.clear();
+    tables.putAll(copy.tables());
+    history.clear();
+    history.addAll(copy.history());
+    version = copy.version();
+    era++;
+    notifyAll();
+  }
 
   /** Opens an address for the calls of one machine, so that its calls can be told from others. */
   synchronized String open(String machine, String ip) throws Exception {
@@ -142,7 +164,10 @@
     String status = "200 OK";
     switch (target[0]) {
       case "/api/rows-get" -> body = see(machine, get(query));
-      case "/api/rows-feed" -> body = see(machine, feed(query, machine));
+      case "/api/rows-feed" -> {
+        body = isKnown(query) ? see(machine, feed(query, machine)) : null;
+        status = body == null ? "410 Gone" : status;
+      }
       case "/api/rows-tx" -> {
         body = commit(Json.map(Json.parse(request.text())));
         status = Json.map(body).containsKey("rows") ? "412 Precondition Failed" : status;
@@ -153,11 +178,15 @@
       return true;
     }
     String text = body == null ? "{}" : Json.write(body);
-    Map<String, String> headers = Map.of("Content-Type", "application/json", "Store-Era", "0");
+    Map<String, String> headers = Map.of("Content-Type", "application/json", "Store-Era", getEra());
     Http.write(out, status, headers, text.getBytes(StandardCharsets.UTF_8));
     return true;
   }
 
+  private synchronized String getEra() {
+    return "" + era;
+  }
+
   private static Map<String, String> parseQuery(String query) {
     Map<String, String> values = new HashMap<>();
     for (String pair : query.split("&")) {
@@ -207,6 +236,10 @@
     return answer;
   }
 
+  private synchronized boolean isKnown(Map<String, String> query) {
+    return Long.parseLong(query.get("after")) <= version;
+  }
+
   private synchronized Object feed(Map<String, String> query, String machine) throws Exception {
     long after = Long.parseLong(query.get("after"));
     long end = System.nanoTime() + Long.parseLong(query.get("wait_ms")) * 1_000_000;
