--- a/review/standin-2/review2/Lab.java
+++ b/review/standin-2/review2/Lab.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -25,6 +26,7 @@
   static final int BROKEN = 1;
   static final int HELD = 0;
   static final int NOT_RUN = 2;
+  private static final long LONGEST_RUN_MS = 115_000;
 
   /** The case itself. */
   interface Case {
@@ -79,7 +81,7 @@
   private final long startNanos = System.nanoTime();
   private final PrintWriter record;
   private final List<Entry> entries = new ArrayList<>();
-  private final List<Process> processes = new ArrayList<>();
+  private final List<Process> processes = new CopyOnWriteArrayList<>();
 
   private Lab(Path folder) throws IOException {
     this.folder = folder;
@@ -92,6 +94,8 @@
   static void main(String folder, Case aCase) {
     int status = NOT_RUN;
     try (Lab lab = new Lab(Path.of(folder))) {
+      Runtime.getRuntime().addShutdownHook(new Thread(lab::endProcesses));
+      Http.start(lab::watch);
       try {
         lab.note("trouble " + (lab.isTrouble ? 1 : 0));
         status = aCase.run(lab);
@@ -330,6 +334,22 @@
     }
   }
 
+  /** Ends a run that takes too long. */
+  private void watch() {
+    try {
+      sleep(LONGEST_RUN_MS);
+    } catch (InterruptedException e) {
+      return;
+    }
+    note("the run takes too long, exit " + NOT_RUN);
+    System.exit(NOT_RUN);
+  }
+
+  /** Ends all processes that this run started. */
+  private void endProcesses() {
+    List.copyOf(processes).forEach(Process::destroyForcibly);
+  }
+
   @Override
   public void close() throws IOException {
     for (Process process : processes) {
