--- a/review/standin-2/review2/Engine.java
+++ b/review/standin-2/review2/Engine.java
@@ -38,7 +38,6 @@
     final Lab lab;
     final Store store;
     final ScheduledExecutorService timer = Executors.newScheduledThreadPool(2, Http::newDaemon);
-    int streams;
 
     Fleet(Lab lab, Store store) {
       this.lab = lab;
--- a/review/standin-2/review2/LeavingUnseen.java
+++ b/review/standin-2/review2/LeavingUnseen.java
@@ -100,7 +100,7 @@
         lab.awaitReady(entry);
       }
       for (Lab.Entry entry : entries) {
-        Http.start(() -> callAgainAndAgain(entry));
+        callAgainAndAgain(entry);
       }
       Lab.sleep(5000);
       String turnedAway = entries.get(0).name;
--- a/review/standin-2/review2/Replica.java
+++ b/review/standin-2/review2/Replica.java
@@ -72,10 +72,6 @@
     isLeaving = true;
   }
 
-  boolean isLeaving() {
-    return isLeaving;
-  }
-
   /** Ends the replica with all its connections. */
   void end() throws IOException {
     isGone = true;
--- a/review/standin-2/review2/Store.java
+++ b/review/standin-2/review2/Store.java
@@ -33,7 +33,6 @@
   private final Map<String, TreeMap<String, Row>> tables = new HashMap<>();
   private final List<Row> history = new ArrayList<>();
   private final Map<String, Access> accessByMachine = new HashMap<>();
-  private final Map<String, Map<String, String>> replacements = new HashMap<>();
   private long version;
   private long era;
 
@@ -66,28 +65,6 @@
     return server.address();
   }
 
-  /** Shows a machine other text in values than is stored, as an address of a proxy. */
-  synchronized void replace(String machine, String text, String other) {
-    replacements.computeIfAbsent(machine, m -> new HashMap<>()).put(text, other);
-  }
-
-  private Object see(String machine, Object answer) {
-    Map<String, String> own = replacements.get(machine);
-    if (own != null) {
-      for (Object row : Json.list(Json.map(answer).get("rows"))) {
-        Map<String, Object> values = Json.map(row);
-        if (values.get("value") instanceof String value) {
-          String text = decode(value);
-          for (Map.Entry<String, String> entry : own.entrySet()) {
-            text = text.replace(entry.getKey(), entry.getValue());
-          }
-          values.put("value", encode(text));
-        }
-      }
-    }
-    return answer;
-  }
-
   /** Sets what happens to the calls of a machine from now on, those that wait included. */
   synchronized void setAccess(String machine, Access access) {
     accessByMachine.put(machine, access);
@@ -106,13 +83,6 @@
     return version;
   }
 
-  /** Writes a row as another writer does. */
-  synchronized void putText(String table, String key, String text) {
-    version++;
-    store(new Row(table, key, encode(text), version, false));
-    notifyAll();
-  }
-
   synchronized void remove(String table, String key) {
     version++;
     store(new Row(table, key, "", version, true));
@@ -163,9 +133,9 @@
     Object body = null;
     String status = "200 OK";
     switch (target[0]) {
-      case "/api/rows-get" -> body = see(machine, get(query));
+      case "/api/rows-get" -> body = get(query);
       case "/api/rows-feed" -> {
-        body = isKnown(query) ? see(machine, feed(query, machine)) : null;
+        body = isKnown(query) ? feed(query, machine) : null;
         status = body == null ? "410 Gone" : status;
       }
       case "/api/rows-tx" -> {
