Add the case of crashes in turn as case 7

Three crashes of single replicas at a quiet time, each with new requests waiting, have all requests of the model refused for 15 minutes, also after a restart of all entries (RECOVER).

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,4 +3,4 @@
 folder="$(cd "$(dirname "$0")" && pwd)"
 cd "$folder/../.." || exit 2
 test -f target/fireflyshed-entry.jar && test -d target/review-2 || exit 2
-exec java -Xmx256m -cp target/review-2 review2.LeavingUnseen "$folder"
+exec java -Xmx256m -cp target/review-2 review2.CrashesInTurn "$folder"
--- a/review/standin-2/review2/Engine.java
+++ b/review/standin-2/review2/Engine.java
@@ -35,6 +35,7 @@
     final Map<String, Engine> engines = new LinkedHashMap<>();
     final Map<String, Double> loadSeconds = new LinkedHashMap<>();
     final List<String> broken = new ArrayList<>();
+    volatile long firstEventMillis;
     final Lab lab;
     final Store store;
     final ScheduledExecutorService timer = Executors.newScheduledThreadPool(2, Http::newDaemon);
@@ -70,7 +71,7 @@
   private long fence;
   private long lastEpoch;
   private String lastModel = "";
-  private String staged = "";
+  private String staged;
   private boolean isBusy;
   private boolean isDraining;
   private boolean isGone;
@@ -78,6 +79,13 @@
   private int running;
 
   Engine(Fleet fleet, String id, String service, String zone, String domain) throws IOException {
+    this(fleet, id, service, zone, domain, "");
+  }
+
+  private Engine(
+      Fleet fleet, String id, String service, String zone, String domain, String staged)
+      throws IOException {
+    this.staged = staged;
     this.fleet = fleet;
     this.id = id;
     this.service = service;
@@ -136,6 +144,26 @@
     }
   }
 
+  /** Ends the engine at once; it starts again later, with the same id and what its host keeps. */
+  void crash(long downMillis) throws IOException {
+    synchronized (fleet) {
+      isGone = true;
+      running = 0;
+    }
+    server.close();
+    fleet.timer.schedule(
+        () -> new Engine(fleet, id, service, zone, domain, staged),
+        downMillis,
+        TimeUnit.MILLISECONDS);
+  }
+
+  /** Returns the number of requests that wait for their first event or run. */
+  int countRunning() {
+    synchronized (fleet) {
+      return running;
+    }
+  }
+
   /** Ends the engine and its entry. */
   void end() throws IOException {
     synchronized (fleet) {
@@ -407,6 +435,7 @@
       headers.put("Transfer-Encoding", "chunked");
       headers.forEach((name, value) -> head.append(name + ": " + value + "\r\n"));
       out.write((head + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
+      Thread.sleep(fleet.firstEventMillis);
       for (int i = 1; i <= EVENTS; i++) {
         Thread.sleep(EVENT_MS);
         synchronized (fleet) {
--- a/review/standin-2/review2/LeaseRestored.java
+++ b/review/standin-2/review2/LeaseRestored.java
@@ -32,7 +32,7 @@
     Lab.main(arguments[0], lab -> new LeaseRestored(lab).run());
   }
 
-  private static Object manifest() {
+  static Object manifest() {
     Map<String, Object> engine =
         Json.of(
             "slots", 18L,
