--- a/review/standin-2/review2/CrashesInTurn.java
+++ b/review/standin-2/review2/CrashesInTurn.java
@@ -18,6 +18,7 @@
   private static final String MODEL = "m0";
   private static final int SIZE = 3;
   private static final long DOWN_MS = 4500;
+  private static final long KILLED_MS = 850;
   private static final long RECOVERY_MS = 12_000;
   private static final int REQUESTS = 12;
 
@@ -38,7 +39,7 @@
 
   private int run() throws Exception {
     Store store = new Store();
-    store.put("op", "config", LeaseRestored.manifest());
+    store.put("op", "config", LeaseRestored.manifest(7));
     fleet = new Engine.Fleet(lab, store);
     fleet.loadSeconds.put(MODEL, 2.0);
     for (int i = 1; i <= SIZE; i++) {
@@ -78,10 +79,12 @@
     int sentBefore = sent;
     int servedBefore = served;
     lab.note("served before the final fault in all: " + servedBefore + " of " + sentBefore);
-    lab.note("final fault: all processes are killed");
+    store.put("op", "config", LeaseRestored.manifest(8));
+    lab.note("a manifest is acknowledged; final fault: all processes are killed");
     for (Lab.Entry entry : List.copyOf(entries)) {
       lab.signal(entry, "KILL");
     }
+    Lab.sleep(KILLED_MS);
     for (Lab.Entry entry : List.copyOf(entries)) {
       entry.process.waitFor();
       Lab.Entry started = lab.restartEntry(entry);
--- a/review/standin-2/review2/Lab.java
+++ b/review/standin-2/review2/Lab.java
@@ -348,6 +348,16 @@
   /** Ends all processes that this run started. */
   private void endProcesses() {
     List.copyOf(processes).forEach(Process::destroyForcibly);
+    deleteFolder();
+  }
+
+  private void deleteFolder() {
+    try (var paths = Files.walk(work)) {
+      paths.sorted(java.util.Comparator.reverseOrder()).map(Path::toFile).forEach(File::delete);
+    } catch (IOException e) {
+      // It was deleted before.
+      return;
+    }
   }
 
   @Override
@@ -361,14 +371,6 @@
       }
     }
     record.close();
-    boolean isKept = System.getenv("KEEP") != null;
-    try (var paths = Files.walk(work)) {
-      if (!isKept) {
-        paths.sorted(java.util.Comparator.reverseOrder()).map(Path::toFile).forEach(File::delete);
-      }
-    }
-    if (isKept) {
-      System.out.println("kept " + work);
-    }
+    deleteFolder();
   }
 }
--- a/review/standin-2/review2/LeaseRestored.java
+++ b/review/standin-2/review2/LeaseRestored.java
@@ -32,7 +32,7 @@
     Lab.main(arguments[0], lab -> new LeaseRestored(lab).run());
   }
 
-  static Object manifest() {
+  static Object manifest(long version) {
     Map<String, Object> engine =
         Json.of(
             "slots", 18L,
@@ -61,7 +61,7 @@
             "far_x", 3.0,
             "form_ms", 300.0);
     return Json.of(
-        "version", 7L,
+        "version", version,
         "routes",
             List.of(
                 Json.of(
@@ -98,7 +98,7 @@
 
   private int run() throws Exception {
     store = new Store();
-    store.put("op", "config", manifest());
+    store.put("op", "config", manifest(7));
     fleet = new Engine.Fleet(lab, store);
     fleet.loadSeconds.put(MODEL, LOAD_S);
     addEngines(SIZE);
@@ -134,7 +134,7 @@
       setAccess(Store.Access.SILENT);
       Lab.sleep(500);
       store.restore(copy);
-      store.put("op", "config", manifest());
+      store.put("op", "config", manifest(7));
       fleet.beat();
       setAccess(Store.Access.OK);
       lab.note("the store is back from a copy of " + (lab.millis() - copyMillis) + " ms ago");
