Never use an epoch of a zone's coordinator again after a restore

Cause: the epoch of a takeover is that of the row plus one, and a table service that came back from a copy has an older row. Two coordinators then have the same fencing token and, as generations count from the epoch, the same names of replicas.

Change: the epoch row records the restore count that its writer knew. The count comes with each response and never goes back, so that this needs neither a process that remembers nor a target that can be reached. Epochs that this process read, or that targets of the zone show in the registry and in reports, are skipped as well. A renewal under another restore count is read back, since versions are given out again, and a holder knows its row by its attempt, too. A lease that an old row shows as released is taken over only after its length: its last holder may still be at work.

Rows stay readable both ways: the count is a further field, and is left out until the first restore.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/GenerationCounter.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/GenerationCounter.java
@@ -16,6 +16,16 @@
 
   private long nextGeneration;
 
+  /**
+   * Returns the epoch of the coordinator that assigned a generation.
+   *
+   * @param generation the generation
+   * @return the epoch, 0 or less if no coordinator assigned it
+   */
+  public static long toEpoch(long generation) {
+    return generation / GENERATIONS_PER_EPOCH;
+  }
+
   /** Moves the counter to the start of an epoch, unless it is already within that epoch. */
   void beginEpoch(long epoch) {
     nextGeneration = Math.max(nextGeneration, epoch * GENERATIONS_PER_EPOCH + 1);
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/lease/LeaseAction.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/lease/LeaseAction.java
@@ -1,5 +1,6 @@
 package io.fireflyshed.coordination.lease;
 
+import java.util.List;
 import java.util.Objects;
 
 /** A request of a {@link ZoneLease} to the table service. */
@@ -15,13 +16,23 @@
    * @param attempt the id of this attempt, not null
    * @param epochVersion the required version of the epoch row, 0 if the row must not exist
    * @param renewalVersion the required version of the renewal row, 0 if the row must not exist
+   * @param restoreCount the restore count of the table service under which the rows were read
+   * @param raiseReasons why the epoch is above the next one, empty if it is the next one, copied,
+   *     not null
    */
-  record TakeOver(long epoch, String attempt, long epochVersion, long renewalVersion)
+  record TakeOver(
+      long epoch,
+      String attempt,
+      long epochVersion,
+      long renewalVersion,
+      long restoreCount,
+      List<String> raiseReasons)
       implements LeaseAction {
 
-    /** Validates the components. */
+    /** Validates the components and copies the list. */
     public TakeOver {
       Objects.requireNonNull(attempt, "attempt");
+      raiseReasons = List.copyOf(raiseReasons);
     }
   }
 
@@ -46,6 +57,7 @@
    *
    * @param epoch the epoch, 1 or more
    * @param epochVersion the required version of the epoch row, 1 or more
+   * @param restoreCount the restore count of the table service under which the lease was held
    */
-  record Release(long epoch, long epochVersion) implements LeaseAction {}
+  record Release(long epoch, long epochVersion, long restoreCount) implements LeaseAction {}
 }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/lease/LeaseRows.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/lease/LeaseRows.java
@@ -9,8 +9,9 @@
  *
  * @param epoch the epoch row, empty if it does not exist, not null
  * @param renewal the renewal row, empty if it does not exist, not null
+ * @param restoreCount how often the table service was restored from an older copy when it responded
  */
-public record LeaseRows(Optional<Entry> epoch, Optional<Entry> renewal) {
+public record LeaseRows(Optional<Entry> epoch, Optional<Entry> renewal, long restoreCount) {
 
   /**
    * One row of a lease.
@@ -18,8 +19,10 @@
    * @param version the version of the row, 1 or more
    * @param epoch the epoch, 1 or more
    * @param attempt the id of the attempt that wrote the row, not null
+   * @param restoreCount the restore count that the writer of the row knew, 0 if the row doesn't
+   *     tell, as rows of earlier releases
    */
-  public record Entry(long version, long epoch, String attempt) {
+  public record Entry(long version, long epoch, String attempt, long restoreCount) {
 
     /**
      * Validates the components.
@@ -41,6 +44,16 @@
     Objects.requireNonNull(renewal, "renewal");
   }
 
+  /**
+   * Counts the restores since the epoch row was written. Each of them may have lost the epochs of
+   * later coordinators, and the row may name a holder whose successor is still at work.
+   *
+   * @return the number, 0 if the row is the latest that was ever written
+   */
+  public long countRestoresSinceWritten() {
+    return Math.max(0, restoreCount - epoch.map(Entry::restoreCount).orElse(0L));
+  }
+
   /**
    * Returns the version of the epoch row.
    *
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/lease/ZoneLease.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/lease/ZoneLease.java
@@ -14,6 +14,11 @@
  * are read back and compared with the id of this process's own attempt. At most one request is in
  * flight. Not thread safe; confined to the control thread.
  *
+ * <p>The table service may be restored from an older copy. Its versions are then given out again,
+ * so a renewal under another restore count is read back like a lost response; and a row that was
+ * written before says nothing about later holders, so a lease that it shows as released is taken
+ * over only after the usual delay.
+ *
  * <p>After Gray and Cheriton, "Leases: An Efficient Fault-Tolerant Mechanism for Distributed File
  * Cache Consistency" (1989).
  */
@@ -26,6 +31,8 @@
   private final LeaseTiming timing;
   private final UniformRandomProvider random;
 
+  private final EpochCounter epochs = new EpochCounter();
+
   private LeaseRows lastRows;
   private long rowsChangedNanos;
   private long nextRequestNanos;
@@ -38,6 +45,14 @@
   private long pendingNanos;
   private LeaseGrant grant;
 
+  /** The id of the attempt that took over the lease under the grant. */
+  private String grantAttempt = "";
+
+  /** The restore count of the table service under which the grant was last confirmed. */
+  private long grantRestoreCount;
+
+  private long highestRestoreCount;
+
   /**
    * Creates a lease that this process does not hold.
    *
@@ -90,15 +105,21 @@
     grant = null;
     if (isTakeoverAllowed(nowNanos)) {
       startAttempt(nowNanos);
-      long epoch = lastRows.epoch().map(LeaseRows.Entry::epoch).orElse(0L) + 1;
+      EpochCounter.Choice choice = epochs.choose(lastRows, nowNanos);
       return new LeaseAction.TakeOver(
-          epoch, pendingAttempt, lastRows.getEpochVersion(), lastRows.getRenewalVersion());
+          choice.epoch(),
+          pendingAttempt,
+          lastRows.getEpochVersion(),
+          lastRows.getRenewalVersion(),
+          lastRows.restoreCount(),
+          choice.raiseReasons());
     }
     return new LeaseAction.Read();
   }
 
   private boolean isTakeoverAllowed(long nowNanos) {
-    if (lastRows.epoch().map(row -> row.attempt().equals(RELEASED)).orElse(true)) {
+    boolean isFree = lastRows.epoch().map(row -> row.attempt().equals(RELEASED)).orElse(true);
+    if (isFree && lastRows.countRestoresSinceWritten() == 0) {
       return true;
     }
     return nowNanos - rowsChangedNanos >= timing.getTakeoverDelayNanos();
@@ -109,6 +130,32 @@
     pendingNanos = nowNanos;
   }
 
+  /**
+   * Tests whether the next request is to take over the lease.
+   *
+   * @param nowNanos the current reading of the monotonic clock
+   * @return true if this process may take over the lease now
+   */
+  public boolean isTakeoverDue(long nowNanos) {
+    boolean isIdle = !isRequestInFlight && !isReleased && pendingAttempt.isEmpty();
+    return isIdle
+        && lastRows != null
+        && getGrant(nowNanos).isEmpty()
+        && isTakeoverAllowed(nowNanos);
+  }
+
+  /**
+   * Records the epoch of a coordinator of the zone that something else than the rows shows, such as
+   * a target. The next takeover of this process has a higher one.
+   *
+   * @param epoch the epoch; one that can't have been reached by counting is ignored
+   * @param source what showed the epoch, for the log, not null
+   * @param nowNanos the current reading of the monotonic clock
+   */
+  public void onEpochSeen(long epoch, String source, long nowNanos) {
+    epochs.recordSeen(epoch, source, nowNanos);
+  }
+
   /**
    * Tests whether the rows must be read to learn the result of this process's own attempt, rather
    * than to see whether another process still renews the lease.
@@ -128,9 +175,16 @@
   public void onRead(LeaseRows rows, long nowNanos) {
     Objects.requireNonNull(rows, "rows");
     isRequestInFlight = false;
+    if (rows.restoreCount() < highestRestoreCount) {
+      // The response was overtaken by that of a table service that was restored since.
+      nextRequestNanos = nowNanos + timing.renewInterval().toNanos() / 4;
+      return;
+    }
+    highestRestoreCount = rows.restoreCount();
     if (!rows.equals(lastRows)) {
       lastRows = rows;
       rowsChangedNanos = nowNanos;
+      rows.epoch().ifPresent(row -> epochs.recordSeen(row.epoch(), "the epoch row", nowNanos));
     }
     updateGrant(rows);
     scheduleNextRequest(nowNanos);
@@ -143,25 +197,43 @@
             && rows.renewal().map(row -> row.attempt().equals(pendingAttempt)).orElse(false);
     boolean isOwnEpoch =
         epoch.isPresent()
-            && (isPendingWritten && epoch.get().attempt().equals(pendingAttempt)
-                || grant != null && epoch.get().version() == grant.epochVersion());
+            && (isPendingWritten && isTakeoverWritten(rows, epoch.get()) || isGrantOf(epoch.get()));
     if (!isOwnEpoch) {
       grant = null;
     } else if (isPendingWritten) {
       long expiryNanos = pendingNanos + timing.length().toNanos();
       grant = new LeaseGrant(epoch.get().epoch(), epoch.get().version(), expiryNanos);
+      grantAttempt = epoch.get().attempt();
+      grantRestoreCount = rows.restoreCount();
     }
     pendingAttempt = "";
   }
 
+  /**
+   * Tests whether the pending attempt is a takeover that is shown by the epoch row. One that was
+   * chosen before a restore of the table service doesn't count, since its epoch may not be unique.
+   */
+  private boolean isTakeoverWritten(LeaseRows rows, LeaseRows.Entry epoch) {
+    return epoch.attempt().equals(pendingAttempt) && epoch.restoreCount() == rows.restoreCount();
+  }
+
+  /** Tests whether the epoch row is the one that the takeover under the grant wrote. */
+  private boolean isGrantOf(LeaseRows.Entry epoch) {
+    return grant != null
+        && epoch.version() == grant.epochVersion()
+        && epoch.attempt().equals(grantAttempt);
+  }
+
   /**
    * Handles the commit of a takeover or a renewal.
    *
+   * @param restoreCount the restore count of the table service in its response
    * @param nowNanos the current reading of the monotonic clock
    */
-  public void onCommitted(long nowNanos) {
+  public void onCommitted(long restoreCount, long nowNanos) {
     isRequestInFlight = false;
-    if (lastRequest instanceof LeaseAction.Renew && grant != null) {
+    boolean isSameCount = restoreCount == grantRestoreCount;
+    if (lastRequest instanceof LeaseAction.Renew && grant != null && isSameCount) {
       long expiryNanos = pendingNanos + timing.length().toNanos();
       grant = new LeaseGrant(grant.epoch(), grant.epochVersion(), expiryNanos);
       pendingAttempt = "";
@@ -203,7 +275,10 @@
    */
   public Optional<LeaseAction> release(long nowNanos) {
     Optional<LeaseAction> request =
-        getGrant(nowNanos).map(held -> new LeaseAction.Release(held.epoch(), held.epochVersion()));
+        getGrant(nowNanos)
+            .map(
+                held ->
+                    new LeaseAction.Release(held.epoch(), held.epochVersion(), grantRestoreCount));
     isReleased = true;
     grant = null;
     return request;
--- a/fireflyshed-core/src/main/java/io/fireflyshed/state/table/TableService.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/state/table/TableService.java
@@ -30,6 +30,18 @@
    */
   CompletableFuture<List<Row>> scan(String table, String prefix);
 
+  /**
+   * Reads the rows of a table whose keys start with a prefix, and how often the table service was
+   * restored. The default implementation suits a table service that never loses writes.
+   *
+   * @param table the table, not null
+   * @param prefix the prefix, may be empty, not null
+   * @return a future of the rows with the restore count
+   */
+  default CompletableFuture<ScannedRows> scanWithRestoreCount(String table, String prefix) {
+    return scan(table, prefix).thenApply(rows -> new ScannedRows(rows, 0));
+  }
+
   /**
    * Applies a transaction.
    *
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/control/LeaseStore.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/control/LeaseStore.java
@@ -28,6 +28,8 @@
   /** The table of the leases of all availability zones. */
   public static final String TABLE = "leases";
 
+  private static final String RESTORE_COUNT = "restore_count";
+
   private final TableService table;
   private final Optional<TableFeed> feed;
   private final RowKey epochKey;
@@ -80,7 +82,9 @@
    * @return a future of the rows
    */
   public CompletableFuture<LeaseRows> read() {
-    return table.scan(TABLE, keyPrefix).thenApply(this::toRows);
+    return table
+        .scanWithRestoreCount(TABLE, keyPrefix)
+        .thenApply(scanned -> toRows(scanned.rows(), scanned.restoreCount()));
   }
 
   /**
@@ -90,12 +94,15 @@
    * @return a future of the rows
    */
   public CompletableFuture<LeaseRows> watch() {
-    return feed.map(f -> f.readAll(TABLE).thenApply(changes -> toRows(changes.updated())))
+    return feed.map(
+            f ->
+                f.readAll(TABLE)
+                    .thenApply(changes -> toRows(changes.updated(), changes.restoreCount())))
         .orElseGet(this::read);
   }
 
-  private LeaseRows toRows(List<Row> rows) {
-    return new LeaseRows(findEntry(rows, epochKey), findEntry(rows, renewalKey));
+  private LeaseRows toRows(List<Row> rows, long restoreCount) {
+    return new LeaseRows(findEntry(rows, epochKey), findEntry(rows, renewalKey), restoreCount);
   }
 
   /**
@@ -106,7 +113,7 @@
    */
   public CompletableFuture<CommitResult> commit(LeaseAction action) {
     if (action instanceof LeaseAction.TakeOver takeOver) {
-      String text = toText(takeOver.epoch(), takeOver.attempt());
+      String text = toText(takeOver.epoch(), takeOver.attempt(), takeOver.restoreCount());
       return table.commit(
           new Transaction(
               List.of(
@@ -118,19 +125,26 @@
       return table.commit(
           new Transaction(
               List.of(new Condition(epochKey, renew.epochVersion())),
-              List.of(Write.ofPut(renewalKey, toText(renew.epoch(), renew.attempt())))));
+              List.of(Write.ofPut(renewalKey, toText(renew.epoch(), renew.attempt(), 0)))));
     }
     LeaseAction.Release release = (LeaseAction.Release) action;
     return table.commit(
         new Transaction(
             List.of(new Condition(epochKey, release.epochVersion())),
-            List.of(Write.ofPut(epochKey, toText(release.epoch(), ZoneLease.RELEASED)))));
+            List.of(
+                Write.ofPut(
+                    epochKey,
+                    toText(release.epoch(), ZoneLease.RELEASED, release.restoreCount())))));
   }
 
-  private static String toText(long epoch, String attempt) {
+  /** Encodes a row; earlier releases neither write the restore count nor read it. */
+  private static String toText(long epoch, String attempt, long restoreCount) {
     ObjectNode node = JsonUtils.getMapper().createObjectNode();
     node.put("epoch", epoch);
     node.put("attempt", attempt);
+    if (restoreCount > 0) {
+      node.put(RESTORE_COUNT, restoreCount);
+    }
     return JsonUtils.toText(node);
   }
 
@@ -141,6 +155,9 @@
   private static LeaseRows.Entry toEntry(Row row) {
     JsonNode node = JsonUtils.parse(row.value());
     return new LeaseRows.Entry(
-        row.version(), node.path("epoch").asLong(), node.path("attempt").asText());
+        row.version(),
+        node.path("epoch").asLong(),
+        node.path("attempt").asText(),
+        node.path(RESTORE_COUNT).asLong());
   }
 }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/control/ZoneControl.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/control/ZoneControl.java
@@ -170,7 +170,7 @@
     if (error != null) {
       lease.onFailure(now());
     } else if (result.isCommitted()) {
-      lease.onCommitted(now());
+      lease.onCommitted(result.restoreCount(), now());
     } else {
       lease.onConflict(now());
     }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/formation/FormationController.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/formation/FormationController.java
@@ -16,6 +16,7 @@
 import io.fireflyshed.state.replica.ServiceName;
 import io.fireflyshed.state.target.EngineControl;
 import io.fireflyshed.state.target.EngineReport;
+import io.fireflyshed.state.target.Membership;
 import io.fireflyshed.state.target.OrderReply;
 import io.fireflyshed.state.target.Target;
 import io.fireflyshed.state.traffic.EngineProfile;
@@ -35,6 +36,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
@@ -67,6 +69,7 @@
   private final GenerationCounter generations = new GenerationCounter();
   private final Set<CompletableFuture<OrderReply>> pendingOrders = new HashSet<>();
   private Optional<LeaseGrant> grant = Optional.empty();
+  private final AtomicLong raisedEpochs = new AtomicLong();
   private boolean wasPaused;
 
   /**
@@ -188,9 +191,21 @@
     return released;
   }
 
+  /**
+   * Counts the attempts to take over the lease with an epoch above the next one. Thread safe.
+   *
+   * @return the number since the start of the process
+   */
+  public long countRaisedEpochs() {
+    return raisedEpochs.get();
+  }
+
   private void tick() {
     try {
       long now = clock.nanoTime();
+      if (lease.isTakeoverDue(now)) {
+        targets.get().forEach(this::recordListedEpoch);
+      }
       lease.next(now).ifPresent(this::perform);
       updateGrant(now);
       if (grant.isPresent() && !pauseIfNeeded(now)) {
@@ -201,7 +216,32 @@
     }
   }
 
+  /** Records the epoch that an engine of the zone shows in the registry. */
+  private void recordListedEpoch(Target target) {
+    if (target.zone().equals(zone)) {
+      target
+          .membership()
+          .ifPresent(m -> recordEpoch(m, "the registry entry of target " + target.id()));
+    }
+  }
+
+  private void recordEpoch(Membership membership, String source) {
+    long epoch = GenerationCounter.toEpoch(membership.generation());
+    lease.onEpochSeen(epoch, source, clock.nanoTime());
+  }
+
   private void perform(LeaseAction action) {
+    if (action instanceof LeaseAction.TakeOver takeOver && !takeOver.raiseReasons().isEmpty()) {
+      raisedEpochs.incrementAndGet();
+      log.warn(
+          "epoch raised",
+          "zone",
+          zone,
+          "epoch",
+          takeOver.epoch(),
+          "reasons",
+          String.join("; ", takeOver.raiseReasons()));
+    }
     if (action instanceof LeaseAction.Read) {
       (lease.isAttemptPending() ? store.read() : store.watch())
           .whenCompleteAsync(
@@ -222,7 +262,7 @@
               if (error != null) {
                 lease.onFailure(clock.nanoTime());
               } else if (result.isCommitted()) {
-                lease.onCommitted(clock.nanoTime());
+                lease.onCommitted(result.restoreCount(), clock.nanoTime());
               } else {
                 lease.onConflict(clock.nanoTime());
               }
@@ -325,6 +365,7 @@
   private void handleReport(
       FormationPlanner planner, Target target, EngineReport report, Throwable error) {
     if (error == null) {
+      report.membership().ifPresent(m -> recordEpoch(m, "a report of target " + target.id()));
       planner.recordReport(target.id(), report, clock.nanoTime());
     } else {
       log.info("report request failed", "target", target.id(), "error", error.getMessage());
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/registry/SharedTableService.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/registry/SharedTableService.java
@@ -3,6 +3,8 @@
 import io.fireflyshed.state.table.CommitResult;
 import io.fireflyshed.state.table.Row;
 import io.fireflyshed.state.table.RowKey;
+import io.fireflyshed.state.table.ScannedRows;
+import io.fireflyshed.state.table.TableChanges;
 import io.fireflyshed.state.table.TableFeed;
 import io.fireflyshed.state.table.TableService;
 import io.fireflyshed.state.table.Transaction;
@@ -38,12 +40,18 @@
 
   @Override
   public CompletableFuture<List<Row>> scan(String name, String prefix) {
-    return feed.readAll(name)
-        .thenApply(
-            changes ->
-                changes.updated().stream()
-                    .filter(row -> row.key().key().startsWith(prefix))
-                    .toList());
+    return scanWithRestoreCount(name, prefix).thenApply(ScannedRows::rows);
+  }
+
+  @Override
+  public CompletableFuture<ScannedRows> scanWithRestoreCount(String name, String prefix) {
+    return feed.readAll(name).thenApply(changes -> toScannedRows(changes, prefix));
+  }
+
+  private static ScannedRows toScannedRows(TableChanges changes, String prefix) {
+    List<Row> rows =
+        changes.updated().stream().filter(row -> row.key().key().startsWith(prefix)).toList();
+    return new ScannedRows(rows, changes.restoreCount());
   }
 
   @Override
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/lease/ZoneLeaseTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/lease/ZoneLeaseTest.java
@@ -16,15 +16,15 @@
   private static final long SECOND_NANOS = Duration.ofSeconds(1).toNanos();
   private static final LeaseTiming TIMING =
       new LeaseTiming(Duration.ofSeconds(10), Duration.ofSeconds(3), Duration.ofSeconds(5), 0.01);
-  private static final LeaseRows NO_ROWS = new LeaseRows(Optional.empty(), Optional.empty());
+  private static final LeaseRows NO_ROWS = new LeaseRows(Optional.empty(), Optional.empty(), 0);
 
   private static ZoneLease newLease() {
     return new ZoneLease(new PeerId("p1"), TIMING, RandomSource.XO_RO_SHI_RO_128_PP.create(1));
   }
 
   private static LeaseRows newRows(long version, long epoch, String attempt) {
-    LeaseRows.Entry entry = new LeaseRows.Entry(version, epoch, attempt);
-    return new LeaseRows(Optional.of(entry), Optional.of(entry));
+    LeaseRows.Entry entry = new LeaseRows.Entry(version, epoch, attempt, 0);
+    return new LeaseRows(Optional.of(entry), Optional.of(entry), 0);
   }
 
   /** Reports to a lease that no rows exist and returns the takeover that it requests. */
@@ -37,7 +37,7 @@
   private static ZoneLease newHeldLease() {
     ZoneLease lease = newLease();
     LeaseAction.TakeOver sent = sendTakeover(lease, 0);
-    lease.onCommitted(SECOND_NANOS);
+    lease.onCommitted(0, SECOND_NANOS);
     assertEquals(lease.next(SECOND_NANOS), Optional.of(new LeaseAction.Read()));
     lease.onRead(newRows(7, 1, sent.attempt()), SECOND_NANOS);
     return lease;
@@ -81,7 +81,7 @@
       assertFalse(lease.next(2 * SECOND_NANOS).isPresent());
       LeaseAction.Renew renew = (LeaseAction.Renew) lease.next(3 * SECOND_NANOS).orElseThrow();
       assertEquals(renew.epochVersion(), 7);
-      lease.onCommitted(4 * SECOND_NANOS);
+      lease.onCommitted(0, 4 * SECOND_NANOS);
       assertEquals(
           lease.getGrant(12 * SECOND_NANOS).orElseThrow().expiryNanos(), 13 * SECOND_NANOS);
     }
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/formation/FormationControllerTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/formation/FormationControllerTest.java
@@ -15,11 +15,6 @@
 import io.fireflyshed.state.instance.InstanceId;
 import io.fireflyshed.state.peer.PeerId;
 import io.fireflyshed.state.replica.ServiceName;
-import io.fireflyshed.state.table.CommitResult;
-import io.fireflyshed.state.table.Row;
-import io.fireflyshed.state.table.RowKey;
-import io.fireflyshed.state.table.TableService;
-import io.fireflyshed.state.table.Transaction;
 import io.fireflyshed.state.target.EngineControl;
 import io.fireflyshed.state.target.EngineOrder;
 import io.fireflyshed.state.target.EngineReport;
@@ -36,7 +31,6 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -55,39 +49,6 @@
   private static final int MAX_STEPS = 100;
   private static final Duration LEASE_LENGTH = Duration.ofMillis(2500);
 
-  /** Keeps the rows of the lease. */
-  private static final class Table implements TableService {
-    private final Map<RowKey, Row> rows = new HashMap<>();
-    private long version;
-
-    @Override
-    public CompletableFuture<Optional<Row>> read(RowKey key) {
-      return CompletableFuture.completedFuture(Optional.ofNullable(rows.get(key)));
-    }
-
-    @Override
-    public CompletableFuture<List<Row>> scan(String table, String prefix) {
-      return CompletableFuture.completedFuture(List.copyOf(rows.values()));
-    }
-
-    @Override
-    public CompletableFuture<CommitResult> commit(Transaction transaction) {
-      boolean isHeld =
-          transaction.conditions().stream()
-              .allMatch(
-                  c ->
-                      c.version()
-                          == Optional.ofNullable(rows.get(c.key())).map(Row::version).orElse(0L));
-      if (isHeld) {
-        version++;
-        transaction
-            .writes()
-            .forEach(w -> rows.put(w.key(), new Row(w.key(), version, w.value().orElseThrow())));
-      }
-      return CompletableFuture.completedFuture(new CommitResult(isHeld, List.of()));
-    }
-  }
-
   /** An order that was sent. */
   private record SentOrder(long epoch, CompletableFuture<OrderReply> reply) {}
 
@@ -117,7 +78,7 @@
   private EvacuatedZones evacuated;
   private ManualClock clock;
   private ManualScheduler control;
-  private Table table;
+  private LeaseTable table;
 
   /** The time for which the first process is suspended when it next lists the targets. */
   private Duration suspension;
@@ -134,7 +95,7 @@
     evacuated = new EvacuatedZones();
     clock = new ManualClock();
     control = new ManualScheduler(clock);
-    table = new Table();
+    table = new LeaseTable();
     suspension = Duration.ZERO;
     first = newController("first");
     first.start();
@@ -177,7 +138,7 @@
             Optional.empty()));
   }
 
-  private static TrafficConfiguration newConfiguration() {
+  static TrafficConfiguration newConfiguration() {
     ModelProfile model =
         new ModelProfile("m", 1, 1, 1, Duration.ofSeconds(10), Duration.ofSeconds(1));
     EngineProfile profile =
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
@@ -69,6 +69,7 @@
 import io.fireflyshed.transport.registry.SharedTableFeed;
 import io.fireflyshed.transport.registry.SharedTableService;
 import io.fireflyshed.transport.registry.TargetFollower;
+import io.micrometer.core.instrument.Tags;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.net.InetSocketAddress;
@@ -418,20 +419,29 @@
   private FormationController newFormation(StoreClient store, UniformRandomProvider random) {
     LeaseTiming timing =
         new LeaseTiming(LEASE_LENGTH, LEASE_RENEW_INTERVAL, LEASE_POLL_INTERVAL, MAX_CLOCK_DRIFT);
-    return new FormationController(
-        settings.zone(),
-        new ZoneLease(new PeerId(settings.node()), timing, random),
-        new LeaseStore(store, tables, settings.zone()),
-        new HttpEngineControl(engineCaller),
-        targets::getAll,
-        configuration::get,
-        FormationSettings.of(settings.loadWindow(), settings.zones()),
-        this::areLoadsUnlimited,
-        reachability::isIsolated,
-        evacuated,
-        () -> settings.isUsageFollowed() ? loads.getLatest() : Optional.empty(),
-        control,
-        clock);
+    FormationController controller =
+        new FormationController(
+            settings.zone(),
+            new ZoneLease(new PeerId(settings.node()), timing, random),
+            new LeaseStore(store, tables, settings.zone()),
+            new HttpEngineControl(engineCaller),
+            targets::getAll,
+            configuration::get,
+            FormationSettings.of(settings.loadWindow(), settings.zones()),
+            this::areLoadsUnlimited,
+            reachability::isIsolated,
+            evacuated,
+            () -> settings.isUsageFollowed() ? loads.getLatest() : Optional.empty(),
+            control,
+            clock);
+    metrics
+        .more()
+        .counter(
+            "fireflyshed.lease.raised.epochs",
+            Tags.empty(),
+            controller,
+            FormationController::countRaisedEpochs);
+    return controller;
   }
 
   static RetryAllowance newRetryAllowance(PlatformSettings settings) {
