Tell replicas of the same name apart

The new test of FormationPlannerTest fails before this change: the head of a serving replica is found in small.1000002, which took its members.

Cause: FormationState kept one replica for each name. A replica that was formed under the name of another one replaced it, and when its head left, the members of both counted as released.

Change: replicas of the same name are tracked side by side. An engine belongs to the one that lists it; one that none lists starts another. Since reports name no members, an engine is released only after the heads of all replicas of its name have left.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/FormationState.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/FormationState.java
@@ -7,19 +7,25 @@
 import io.fireflyshed.state.target.Target;
 import io.fireflyshed.state.traffic.EngineProfile;
 import io.fireflyshed.state.traffic.ModelProfile;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 
 /** The planner's view of the engines and replicas of one service in one zone. Not thread safe. */
 final class FormationState {
 
   private final EngineProfile profile;
   private final Map<InstanceId, EngineState> engines = new LinkedHashMap<>();
-  private final Map<ReplicaId, ReplicaState> replicas = new LinkedHashMap<>();
+
+  /** The replicas by name; several have the same one if two coordinators had the same epoch. */
+  private final Map<ReplicaId, List<ReplicaState>> replicas = new LinkedHashMap<>();
+
   private final GenerationCounter generations;
 
   FormationState(EngineProfile profile, GenerationCounter generations) {
@@ -40,12 +46,27 @@
   }
 
   Collection<ReplicaState> getReplicas() {
-    return replicas.values();
+    return streamReplicas().toList();
+  }
+
+  private Stream<ReplicaState> streamReplicas() {
+    return replicas.values().stream().flatMap(List::stream);
+  }
+
+  private List<ReplicaState> getNamesakes(ReplicaId id) {
+    return replicas.getOrDefault(id, List.of());
   }
 
   /** Returns the tracked replica that an engine reports to be a member of. */
   Optional<ReplicaState> findReplica(EngineState engine) {
-    return engine.getMembership().map(m -> replicas.get(m.replica()));
+    InstanceId id = engine.getTarget().id();
+    return engine
+        .getMembership()
+        .flatMap(
+            m ->
+                getNamesakes(m.replica()).stream()
+                    .filter(replica -> replica.getMembers().contains(id))
+                    .findFirst());
   }
 
   /** Tests whether an engine reports to be a member of a live replica. */
@@ -68,7 +89,7 @@
   }
 
   void add(ReplicaState replica) {
-    replicas.put(replica.getId(), replica);
+    replicas.computeIfAbsent(replica.getId(), r -> new ArrayList<>()).add(replica);
   }
 
   void recordMembership(InstanceId id, Membership membership, long nowNanos) {
@@ -76,11 +97,24 @@
     if (model.isEmpty() || ReplicaNameUtils.isSpare(membership.replica())) {
       return;
     }
-    replicas
-        .computeIfAbsent(
-            membership.replica(),
-            r -> ReplicaState.ofReported(membership, model.get().size(), nowNanos))
-        .recordMember(id, membership.rank());
+    boolean isKnown =
+        getNamesakes(membership.replica()).stream()
+            .anyMatch(replica -> replica.getMembers().contains(id));
+    if (isKnown) {
+      return;
+    }
+    ReplicaState replica =
+        getNamesakes(membership.replica()).stream()
+            .filter(r -> r.isMemberMissing(membership))
+            .findFirst()
+            .orElseGet(
+                () -> {
+                  ReplicaState reported =
+                      ReplicaState.ofReported(membership, model.get().size(), nowNanos);
+                  add(reported);
+                  return reported;
+                });
+    replica.recordMember(id, membership.rank());
   }
 
   Optional<EngineState> getEngine(InstanceId id) {
@@ -96,13 +130,14 @@
    * replica.
    */
   void removeFinished() {
-    replicas.values().removeIf(this::isFullyDissolved);
+    replicas.values().forEach(namesakes -> namesakes.removeIf(this::isFullyDissolved));
+    replicas.values().removeIf(List::isEmpty);
     engines.values().removeIf(e -> !e.isListed() && e.isLost() && !isMember(e));
   }
 
   private boolean isMember(EngineState engine) {
     InstanceId id = engine.getTarget().id();
-    return replicas.values().stream().anyMatch(r -> r.getMembers().contains(id));
+    return streamReplicas().anyMatch(r -> r.getMembers().contains(id));
   }
 
   /** Tests whether a dissolving replica has no member left that still reports its membership. */
@@ -124,14 +159,14 @@
   /** Tests whether an engine may be assigned to another replica. */
   boolean isFree(EngineState engine) {
     InstanceId id = engine.getTarget().id();
-    boolean isAssigned =
-        replicas.values().stream().anyMatch(r -> r.isLive() && r.getMembers().contains(id));
+    boolean isAssigned = streamReplicas().anyMatch(r -> r.isLive() && r.getMembers().contains(id));
     return engine.isOrderable() && !engine.isLeaving() && !isAssigned && isReleased(engine);
   }
 
   /**
    * Tests whether no replica holds an engine, so that a join can't take it from a replica that may
-   * still serve.
+   * still serve. Reports name a replica but not its members, so of several replicas with the same
+   * name all heads must have left.
    */
   boolean isReleased(EngineState engine) {
     Optional<Membership> membership =
@@ -139,9 +174,12 @@
     if (membership.isEmpty()) {
       return true;
     }
-    return findReplica(engine)
-        .map(r -> r.getStage() == ReplicaState.Stage.DISSOLVING && hasHeadLeft(r))
-        .orElseGet(() -> getModel(membership.get().getModel()).isEmpty());
+    List<ReplicaState> namesakes = getNamesakes(membership.get().replica());
+    if (namesakes.isEmpty()) {
+      return getModel(membership.get().getModel()).isEmpty();
+    }
+    return namesakes.stream()
+        .allMatch(r -> r.getStage() == ReplicaState.Stage.DISSOLVING && hasHeadLeft(r));
   }
 
   /** Tests whether the head of a replica reported that it left the replica. */
@@ -172,7 +210,7 @@
 
   /** Tests whether a live replica of a model has members in a domain. */
   boolean hasLiveReplica(String model, String domain) {
-    return replicas.values().stream()
+    return streamReplicas()
         .filter(r -> r.isLive() && r.getModel().equals(model))
         .flatMap(r -> r.getMembers().stream())
         .map(this::getEngine)
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/ReplicaState.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/ReplicaState.java
@@ -65,6 +65,13 @@
     return memberStarts.getOrDefault(member, startMillis - 1) == startMillis;
   }
 
+  /** Tests whether the member with the rank of a membership has not reported yet. */
+  boolean isMemberMissing(Membership membership) {
+    int rank = membership.rank();
+    return membership.generation() == generation
+        && (rank < 0 || rank >= members.size() || members.get(rank) == null);
+  }
+
   void recordMember(InstanceId member, int rank) {
     if (rank >= 0 && rank < members.size() && members.get(rank) == null) {
       members.set(rank, member);
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/FormationPlannerTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/formation/FormationPlannerTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertTrue;
 
 import io.fireflyshed.state.target.EngineOrder;
+import io.fireflyshed.state.target.Membership;
 import io.fireflyshed.state.target.MembershipPhase;
 import io.fireflyshed.state.target.OrderReply;
 import io.fireflyshed.state.target.Target;
@@ -266,6 +267,33 @@
   /** Tests coordinators that take over from each other. */
   public static class Succession {
 
+    // Guards against instances that are taken from a replica since another of its name dissolved.
+    @Test
+    public void membersAreNotTakenWhileTheHeadOfAReplicaOfTheSameNameServes() {
+      FormationSimulation simulation =
+          new FormationSimulation(1, 1, 3, 100, List.of(FormationSimulation.SMALL));
+      simulation.run(SETTLE_TIME);
+      simulation.epoch--;
+      simulation.startSuccessor();
+      simulation.run(Duration.ofSeconds(5));
+      for (int i = 0; i < 3; i++) {
+        simulation.add("added-" + i, "d0");
+      }
+      simulation.run(SETTLE_TIME);
+      List<SimulatedEngine> heads =
+          simulation.engines.values().stream().filter(e -> e.membership.isHead()).toList();
+      assertEquals(heads.size(), 2);
+      Membership serving = heads.get(0).membership;
+      assertEquals(heads.get(1).membership, serving, "replicas of the same name");
+      simulation.engines.values().stream()
+          .filter(e -> heads.get(1).members.contains(e.id) && !e.membership.isHead())
+          .findFirst()
+          .ifPresent(e -> e.isLeaving = true);
+      simulation.run(Duration.ofSeconds(20));
+      assertEquals(heads.get(0).membership, serving, "the replica that lost no member");
+      assertEquals(simulation.violations, List.of());
+    }
+
     @Test
     public void successorKeepsServingReplicas() {
       FormationSimulation simulation = newSettled(2);
