--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/poison/CrashFingerprint.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/poison/CrashFingerprint.java
@@ -65,6 +65,17 @@
     return new CrashFingerprint(Kind.PART, service + SEPARATOR + id);
   }
 
+  /**
+   * Returns the service of a part of prompts.
+   *
+   * @return the name of the service; the whole id if it names none, as that of a request; never
+   *     null
+   */
+  String getService() {
+    int separator = id.lastIndexOf(SEPARATOR);
+    return separator < 0 ? id : id.substring(0, separator);
+  }
+
   private static String digest(String head, Consumer<MessageDigest> rest) {
     MessageDigest digest = DigestUtils.getSha256Digest();
     digest.update(head.getBytes(StandardCharsets.UTF_8));
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/poison/CrashLedger.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/poison/CrashLedger.java
@@ -30,7 +30,14 @@
  *
  * <p>A crash interrupts all requests of its target, and their retries may run into the next crash.
  * Therefore the part that was present in most crashes is refused first, and the crashes that it
- * explains no longer count against others. Thread safe.
+ * explains no longer count against others.
+ *
+ * <p>A part that nearly all requests of a service have in common is in each crash, whatever its
+ * cause. Therefore a part is blamed after more crashes if it isn't much more common in them than
+ * among the requests that ran.
+ *
+ * <p>What is refused can't succeed, so a refusal that is wrong would last until it expires. A few
+ * times a single request may run as a trial; its success clears what was refused. Thread safe.
  *
  * <pre>{@code
  * CrashLedger ledger = new CrashLedger(CrashSettings.ofDefaults());
@@ -47,6 +54,12 @@
   /** The number of crashes from which successes are reported to the other entries. */
   private static final int SUSPICIOUS_CRASHES = 2;
 
+  /**
+   * How many times more common in crashes than among the requests that ran a part must be to be
+   * blamed as soon as other fingerprints.
+   */
+  private static final double MIN_LIFT = 3;
+
   /** The number of different requests that must have crashed targets before a part is blamed. */
   private static final int MIN_REQUESTS_OF_PART = 2;
 
@@ -126,9 +139,17 @@
 
   private final CrashSettings settings;
   private final Map<CrashFingerprint, Suspicion> suspicions;
-  private final Map<CrashFingerprint, Long> refusals;
+  private final Map<CrashFingerprint, Refusal> refusals;
   private final Map<CrashFingerprint, Long> successes;
 
+  /** The parts that are common among what ran, each with the time when that was last known. */
+  private final Map<CrashFingerprint, Long> commonParts;
+
+  /** The numbers of crashes at which the other entries were told that a part is common. */
+  private final Map<CrashFingerprint, Integer> toldCrashes;
+
+  private final PartFrequencies frequencies;
+
   /** What a success cleared, each with the reading of the clock at that time. */
   private final Map<CrashFingerprint, Long> clearances;
 
@@ -143,6 +164,9 @@
     refusals = new BoundedMap<>(settings.maxFingerprints());
     successes = new BoundedMap<>(settings.maxFingerprints());
     clearances = new BoundedMap<>(settings.maxFingerprints());
+    commonParts = new BoundedMap<>(settings.maxFingerprints());
+    toldCrashes = new BoundedMap<>(settings.maxFingerprints());
+    frequencies = new PartFrequencies(settings.expiry(), settings.maxCountedParts());
   }
 
   /**
@@ -215,7 +239,7 @@
               culprits.contains(fingerprint)
                   || fingerprint.kind() == Kind.REQUEST && isEvidenced(suspicion, explained);
           if (isCulprit && !isRefused(fingerprint, nowNanos)) {
-            refusals.put(fingerprint, nowNanos);
+            refusals.put(fingerprint, Refusal.begin(nowNanos));
             refused.add(fingerprint);
           } else if (!isCulprit && !isUnexplained && refusals.remove(fingerprint) != null) {
             released.add(fingerprint);
@@ -226,7 +250,117 @@
 
   /** Tests whether targets crashed often enough at different times. */
   private boolean isEvidenced(Suspicion suspicion, Set<CrashId> explained) {
-    return suspicion.countIndependent(explained, settings.outageWindow()) >= settings.maxCrashes();
+    return isEvidenced(suspicion, explained, settings.maxCrashes());
+  }
+
+  private boolean isEvidenced(Suspicion suspicion, Set<CrashId> explained, int required) {
+    return suspicion.countIndependent(explained, settings.outageWindow()) >= required;
+  }
+
+  private int getRequiredCrashes(CrashFingerprint part, long nowNanos) {
+    return isKnownCommon(part, nowNanos) || isCommon(part, nowNanos)
+        ? settings.maxCommonCrashes()
+        : settings.maxCrashes();
+  }
+
+  private boolean isKnownCommon(CrashFingerprint part, long nowNanos) {
+    return isRecent(commonParts.get(part), settings.expiry(), nowNanos);
+  }
+
+  /** Tests whether this process saw that a part is not much more common in crashes. */
+  private boolean isCommon(CrashFingerprint part, long nowNanos) {
+    double share = frequencies.getShare(part, nowNanos);
+    return share > 0 && share * MIN_LIFT > getCrashShare(part);
+  }
+
+  /**
+   * Gets the share of the crashes of its service in which a part was present, 1 if there is none.
+   */
+  private double getCrashShare(CrashFingerprint part) {
+    Set<CrashId> all = new HashSet<>();
+    suspicions.forEach(
+        (fingerprint, suspicion) -> {
+          boolean isOfService =
+              fingerprint.kind() == Kind.PART && fingerprint.getService().equals(part.getService());
+          if (isOfService) {
+            all.addAll(suspicion.crashes.keySet());
+          }
+        });
+    return all.isEmpty() ? 1 : (double) getCrashes(part).size() / all.size();
+  }
+
+  /**
+   * Tests whether the other entries should be told that a suspicious part is common among what ran
+   * at this entry, as they may not have seen it. Returns true once for each further crash.
+   *
+   * @param fingerprint the fingerprint, not null
+   * @param nowNanos the current reading of the monotonic clock
+   * @return whether it is a part that they should be told of
+   */
+  public synchronized boolean takeCommonNotice(CrashFingerprint fingerprint, long nowNanos) {
+    int crashes = getCrashes(fingerprint).size();
+    boolean isDue =
+        fingerprint.kind() == Kind.PART
+            && crashes >= SUSPICIOUS_CRASHES
+            && crashes > toldCrashes.getOrDefault(fingerprint, 0)
+            && isCommon(fingerprint, nowNanos);
+    if (isDue) {
+      toldCrashes.put(fingerprint, crashes);
+      commonParts.put(fingerprint, nowNanos);
+    }
+    return isDue;
+  }
+
+  /**
+   * Records that a part is common among what ran, as another entry found, and releases it if it was
+   * refused after too few crashes for that.
+   *
+   * @param part the part, not null
+   * @param nowNanos the current reading of the monotonic clock
+   * @return whether it was released
+   */
+  public synchronized boolean recordCommon(CrashFingerprint part, long nowNanos) {
+    commonParts.put(part, nowNanos);
+    Suspicion suspicion = suspicions.get(part);
+    boolean isEvidenced =
+        suspicion != null && isEvidenced(suspicion, Set.of(), settings.maxCommonCrashes());
+    return !isEvidenced && refusals.remove(part) != null;
+  }
+
+  /**
+   * Tests whether a refusal that another entry decided on should be followed. It should not if that
+   * entry didn't know that the part is common among what ran.
+   *
+   * @param fingerprint the refused fingerprint, not null
+   * @param crashes the number of crashes that the other entry knew of
+   * @param nowNanos the current reading of the monotonic clock
+   * @return whether the refusal holds
+   */
+  public synchronized boolean isRefusalValid(
+      CrashFingerprint fingerprint, int crashes, long nowNanos) {
+    int known = Math.max(crashes, getCrashes(fingerprint).size());
+    return fingerprint.kind() != Kind.PART || known >= getRequiredCrashes(fingerprint, nowNanos);
+  }
+
+  /**
+   * Counts the crashes that are known of a fingerprint.
+   *
+   * @param fingerprint the fingerprint, not null
+   * @return the number
+   */
+  public synchronized int countCrashes(CrashFingerprint fingerprint) {
+    return getCrashes(fingerprint).size();
+  }
+
+  /**
+   * Gets the share of the requests that ran here, of its service, that had a part.
+   *
+   * @param part the part, not null
+   * @param nowNanos the current reading of the monotonic clock
+   * @return the share, 0 if no success of it is remembered
+   */
+  public synchronized double getShareOfSuccesses(CrashFingerprint part, long nowNanos) {
+    return frequencies.getShare(part, nowNanos);
   }
 
   private Set<CrashId> getCrashes(CrashFingerprint fingerprint) {
@@ -248,7 +382,8 @@
           || suspicion.crashes.size() < mostCrashes
           || suspicion.requests.size() < MIN_REQUESTS_OF_PART
           || known.contains(entry.getKey())
-          || !isEvidenced(suspicion, explained) && !isRefused(entry.getKey(), nowNanos)) {
+          || !isRefused(entry.getKey(), nowNanos)
+              && !isEvidenced(suspicion, explained, getRequiredCrashes(entry.getKey(), nowNanos))) {
         continue;
       }
       int crashes = suspicion.countUnexplained(explained);
@@ -278,6 +413,17 @@
   /**
    * Records that an attempt got the first part of its response.
    *
+   * @param request the fingerprints of the request, not null
+   * @param nowNanos the current reading of the monotonic clock
+   */
+  public synchronized void recordSuccess(RequestFingerprints request, long nowNanos) {
+    request.stream().forEach(fingerprint -> recordSuccess(fingerprint, nowNanos));
+    frequencies.recordSuccess(request.parts(), nowNanos);
+  }
+
+  /**
+   * Records a success of one fingerprint.
+   *
    * @param fingerprint a fingerprint of the request, not null
    * @param nowNanos the current reading of the monotonic clock
    */
@@ -319,36 +465,83 @@
    */
   public synchronized boolean clear(CrashFingerprint fingerprint) {
     suspicions.remove(fingerprint);
+    toldCrashes.remove(fingerprint);
     return refusals.remove(fingerprint) != null;
   }
 
   /**
-   * Records that another entry refuses a fingerprint.
+   * Records that another entry refuses a fingerprint, or knows of another trial of it.
+   *
+   * @param fingerprint the fingerprint, not null
+   * @param refusal what the other entry knows of the refusal, not null
+   */
+  public synchronized void refuse(CrashFingerprint fingerprint, Refusal refusal) {
+    refusals.merge(fingerprint, refusal, Refusal::join);
+  }
+
+  /**
+   * Returns what is known of a refusal.
+   *
+   * @param fingerprint the fingerprint, not null
+   * @return the refusal, which may have expired, empty if the fingerprint isn't refused, never null
+   */
+  public synchronized Optional<Refusal> findRefusal(CrashFingerprint fingerprint) {
+    return Optional.ofNullable(refusals.get(fingerprint));
+  }
+
+  /**
+   * Lists the refused fingerprints of a request.
+   *
+   * @param request the fingerprints of the request, not null
+   * @param nowNanos the current reading of the monotonic clock
+   * @return the refused ones, never null
+   */
+  public synchronized Set<CrashFingerprint> findRefused(
+      RequestFingerprints request, long nowNanos) {
+    return request.stream().filter(f -> isRefused(f, nowNanos)).collect(Collectors.toSet());
+  }
+
+  /**
+   * Tests whether a request that is refused for some fingerprints may run as a trial.
+   *
+   * @param fingerprints the fingerprints, not null
+   * @param nowNanos the current reading of the monotonic clock
+   * @return true if all of them are refused and a trial of each is due
+   */
+  public synchronized boolean areTrialsDue(Set<CrashFingerprint> fingerprints, long nowNanos) {
+    return fingerprints.stream()
+        .allMatch(
+            f -> isRefused(f, nowNanos) && refusals.get(f).isTrialDue(settings.trials(), nowNanos));
+  }
+
+  /**
+   * Records that a trial of a refused fingerprint is made, so that the next one isn't due yet.
    *
    * @param fingerprint the fingerprint, not null
    * @param nowNanos the current reading of the monotonic clock
    */
-  public synchronized void refuse(CrashFingerprint fingerprint, long nowNanos) {
-    refusals.putIfAbsent(fingerprint, nowNanos);
+  public synchronized void recordTrial(CrashFingerprint fingerprint, long nowNanos) {
+    refusals.computeIfPresent(fingerprint, (f, refusal) -> refusal.addTrial(nowNanos));
   }
 
   /**
-   * Gets the time for which requests with a fingerprint are still refused.
+   * Gets the time after which requests with a refused fingerprint may be served: that of the next
+   * trial, or of the end of the refusal.
    *
    * @param fingerprint the fingerprint, not null
    * @param nowNanos the current reading of the monotonic clock
    * @return the time, empty if such requests may be sent to targets, never null
    */
   public synchronized Optional<Duration> getRefusal(CrashFingerprint fingerprint, long nowNanos) {
-    Long sinceNanos = refusals.get(fingerprint);
-    if (sinceNanos == null) {
+    Refusal refusal = refusals.get(fingerprint);
+    if (refusal == null) {
       return Optional.empty();
     }
-    if (!isRecent(sinceNanos, settings.expiry(), nowNanos)) {
+    if (!isRefused(fingerprint, nowNanos)) {
       clear(fingerprint);
       return Optional.empty();
     }
-    return Optional.of(settings.expiry().minusNanos(nowNanos - sinceNanos));
+    return Optional.of(refusal.getRetryAfter(settings.trials(), settings.expiry(), nowNanos));
   }
 
   /**
@@ -364,7 +557,8 @@
   }
 
   private boolean isRefused(CrashFingerprint fingerprint, long nowNanos) {
-    return isRecent(refusals.get(fingerprint), settings.expiry(), nowNanos);
+    Refusal refusal = refusals.get(fingerprint);
+    return refusal != null && isRecent(refusal.sinceNanos(), settings.expiry(), nowNanos);
   }
 
   /**
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/poison/CrashSettings.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/poison/CrashSettings.java
@@ -8,6 +8,8 @@
  *
  * @param maxCrashes the number of crashes, at different times, after which a request, or a part of
  *     prompts, is refused, at least 2
+ * @param maxCommonCrashes the number of crashes after which a part is refused that is about as
+ *     common among the requests that ran as in the crashes, at least {@code maxCrashes}
  * @param maxAmbiguousCrashes the number of crashes after which parts are refused even if others
  *     were present in the same crashes, at least {@code maxCrashes}
  * @param outageWindow the time from a crash in which others may have the same cause, not null
@@ -20,16 +22,21 @@
  *     arrive on crashes that happened before, not null
  * @param maxFingerprints the maximum number of suspected fingerprints and of remembered successes,
  *     positive
+ * @param maxCountedParts the maximum number of parts whose successes are counted, positive
+ * @param trials when a request may run although it is refused, not null
  */
 public record CrashSettings(
     int maxCrashes,
+    int maxCommonCrashes,
     int maxAmbiguousCrashes,
     Duration outageWindow,
     Duration settleTime,
     Duration expiry,
     Duration successMemory,
     Duration clearanceTime,
-    int maxFingerprints) {
+    int maxFingerprints,
+    int maxCountedParts,
+    TrialSettings trials) {
 
   /** Validates the components. */
   public CrashSettings {
@@ -38,15 +45,21 @@
     Objects.requireNonNull(expiry, "expiry");
     Objects.requireNonNull(successMemory, "successMemory");
     Objects.requireNonNull(clearanceTime, "clearanceTime");
-    if (maxCrashes < 2 || maxAmbiguousCrashes < maxCrashes || maxFingerprints < 1) {
+    Objects.requireNonNull(trials, "trials");
+    boolean isOrdered = maxCrashes <= maxCommonCrashes && maxCrashes <= maxAmbiguousCrashes;
+    if (maxCrashes < 2 || !isOrdered || maxFingerprints < 1 || maxCountedParts < 1) {
       throw new IllegalArgumentException(
-          "maxCrashes must be at least 2, maxAmbiguousCrashes not below it and maxFingerprints"
-              + " positive; maxCrashes: "
+          "maxCrashes must be at least 2, maxCommonCrashes and maxAmbiguousCrashes not below it,"
+              + " and maxFingerprints and maxCountedParts positive; maxCrashes: "
               + maxCrashes
+              + ", maxCommonCrashes: "
+              + maxCommonCrashes
               + ", maxAmbiguousCrashes: "
               + maxAmbiguousCrashes
               + ", maxFingerprints: "
-              + maxFingerprints);
+              + maxFingerprints
+              + ", maxCountedParts: "
+              + maxCountedParts);
     }
   }
 
@@ -58,12 +71,15 @@
   public static CrashSettings ofDefaults() {
     return new CrashSettings(
         3,
+        6,
         5,
         Duration.ofMillis(300),
         Duration.ofMillis(600),
         Duration.ofMinutes(15),
         Duration.ofSeconds(10),
         Duration.ofSeconds(1),
-        10_000);
+        10_000,
+        2_000,
+        TrialSettings.ofDefaults());
   }
 }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/protocol/poison/CrashReport.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/protocol/poison/CrashReport.java
@@ -10,12 +10,18 @@
  *
  * @param crashes the crashes, copied, not null
  * @param cleared the suspicious fingerprints of requests that succeeded, copied, not null
+ * @param common the suspicious parts that are as common among what ran as in crashes, copied, not
+ *     null
  */
-public record CrashReport(Map<CrashId, ReportedCrash> crashes, Set<CrashFingerprint> cleared) {
+public record CrashReport(
+    Map<CrashId, ReportedCrash> crashes,
+    Set<CrashFingerprint> cleared,
+    Set<CrashFingerprint> common) {
 
   /** Copies the collections. */
   public CrashReport {
     crashes = Map.copyOf(crashes);
     cleared = Set.copyOf(cleared);
+    common = Set.copyOf(common);
   }
 }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/protocol/poison/CrashReportCodec.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/protocol/poison/CrashReportCodec.java
@@ -28,6 +28,7 @@
   private static final String REQUEST = "request";
   private static final String PARTS = "parts";
   private static final String CLEARED = "cleared";
+  private static final String COMMON = "common";
 
   private CrashReportCodec() {}
 
@@ -42,6 +43,9 @@
     ArrayNode crashes = node.putArray(CRASHES);
     report.crashes().forEach((id, crash) -> addCrash(crashes, id, crash));
     addAll(node.putArray(CLEARED), report.cleared());
+    if (!report.common().isEmpty()) {
+      addAll(node.putArray(COMMON), report.common());
+    }
     return JsonUtils.toText(node);
   }
 
@@ -84,7 +88,8 @@
           new CrashId(target, crashNode.path(START).asLong()),
           new ReportedCrash(decodeSharedTime(crashNode.path(SHARED_MILLIS)), requests));
     }
-    return new CrashReport(crashes, decodeAll(node.path(CLEARED)));
+    // Reports of earlier releases name no common parts, and these skip the field.
+    return new CrashReport(crashes, decodeAll(node.path(CLEARED)), decodeAll(node.path(COMMON)));
   }
 
   /** Decodes the time of a crash, which reports of earlier releases don't have. */
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptSequence.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/AttemptSequence.java
@@ -150,7 +150,8 @@
    *     ForwardException}
    */
   Flux<ResponsePart> start() {
-    events.add(Flux.just(() -> proceed(placeNext(), false)));
+    Supplier<List<ResponsePart>> first = () -> proceed(placeNext(), false);
+    events.add(placer.requestTrial().thenReturn(first).flux());
     if (isRelayed) {
       events.add(timeout.awaitLastMoment().map(t -> this::endBeforeTimeout));
     }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/CrashGuard.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/CrashGuard.java
@@ -4,6 +4,7 @@
 import io.fireflyshed.state.target.Target;
 import java.time.Duration;
 import java.util.Optional;
+import reactor.core.publisher.Mono;
 
 /**
  * Decides which requests are no longer sent to targets because they, or a part of their prompts,
@@ -19,6 +20,18 @@
    */
   Optional<Duration> getRefusal(RequestFingerprints request);
 
+  /**
+   * Requests the permission to send a refused request as a trial. At most one request of all
+   * entries gets it at a time, and only a few times for each refusal.
+   *
+   * @param request the fingerprints of the request, not null
+   * @return the permission, which may not be usable, after a few calls to the table service at
+   *     most; it emits one element and doesn't fail; never null
+   */
+  default Mono<CrashTrial> requestTrial(RequestFingerprints request) {
+    return Mono.just(CrashTrial.none());
+  }
+
   /**
    * Records that the connection to a target was lost before the first part of a response, as when
    * the target crashes.
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/RequestPlacer.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/RequestPlacer.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
+import reactor.core.publisher.Mono;
 
 /** Selects targets for one request and learns from their responses. Thread safe. */
 final class RequestPlacer {
@@ -28,6 +29,7 @@
   private final RoutedRequest routed;
   private final RequestDescriptor descriptor;
   private final boolean isRelayed;
+  private CrashTrial trial = CrashTrial.none();
 
   /**
    * Creates a placer of a request.
@@ -43,6 +45,24 @@
     this.isRelayed = isRelayed;
   }
 
+  /**
+   * Requests the permission for a trial if the request is refused as one that crashes targets, and
+   * could be sent otherwise.
+   *
+   * @return completes at once unless a trial is due
+   */
+  Mono<Void> requestTrial() {
+    boolean isPossible = !isRelayed && !getCandidates().isEmpty();
+    if (!isPossible || context.crashGuard().getRefusal(routed.getFingerprints()).isEmpty()) {
+      return Mono.empty();
+    }
+    return context
+        .crashGuard()
+        .requestTrial(routed.getFingerprints())
+        .doOnNext(granted -> trial = granted)
+        .then();
+  }
+
   /**
    * Places the next attempt.
    *
@@ -51,12 +71,25 @@
    * @param isRelayAllowed whether another entry may be asked
    */
   Placement place(Set<InstanceId> excluded, boolean isContactLost, boolean isRelayAllowed) {
-    return getRefusal(isContactLost, isRelayAllowed)
-        .orElseGet(
-            () ->
-                context
-                    .placer()
-                    .place(descriptor, getCandidates(), excluded, context.clock().nanoTime()));
+    Placement placement =
+        getRefusal(isContactLost, isRelayAllowed)
+            .orElseGet(
+                () ->
+                    context
+                        .placer()
+                        .place(descriptor, getCandidates(), excluded, context.clock().nanoTime()));
+    if (trial.isUsable()) {
+      endTrial(placement);
+    }
+    return placement;
+  }
+
+  private void endTrial(Placement placement) {
+    if (placement instanceof Placement.Send) {
+      trial.use();
+    } else {
+      trial.giveBack();
+    }
   }
 
   /** Places an attempt that may take over from a silent one. */
@@ -81,7 +114,7 @@
   /** Returns the refusal of a request that this entry should send to no target, empty if none. */
   private Optional<Placement> getRefusal(boolean isContactLost, boolean isRelayAllowed) {
     Optional<Duration> refusal = context.crashGuard().getRefusal(routed.getFingerprints());
-    if (refusal.isPresent()) {
+    if (refusal.isPresent() && !trial.isUsable()) {
       return Optional.of(
           new Placement.Refuse(
               Placement.Cause.NOT_PERMITTED,
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/poison/CrashReportExchange.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/poison/CrashReportExchange.java
@@ -3,9 +3,12 @@
 import io.fireflyshed.coordination.poison.CrashFingerprint;
 import io.fireflyshed.coordination.poison.CrashId;
 import io.fireflyshed.coordination.poison.CrashLedger;
+import io.fireflyshed.coordination.poison.Refusal;
 import io.fireflyshed.coordination.poison.RequestFingerprints;
 import io.fireflyshed.protocol.poison.CrashReport;
 import io.fireflyshed.protocol.poison.CrashReportCodec;
+import io.fireflyshed.protocol.poison.RefusalRow;
+import io.fireflyshed.protocol.poison.RefusalRowCodec;
 import io.fireflyshed.protocol.poison.ReportedCrash;
 import io.fireflyshed.state.clock.MonotonicClock;
 import io.fireflyshed.state.clock.SharedClock;
@@ -20,6 +23,7 @@
 import io.fireflyshed.state.table.Write;
 import io.fireflyshed.state.target.Target;
 import io.fireflyshed.transport.forward.CrashGuard;
+import io.fireflyshed.transport.forward.CrashTrial;
 import io.fireflyshed.transport.log.EventLog;
 import java.time.Duration;
 import java.util.Comparator;
@@ -34,6 +38,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.apache.commons.rng.UniformRandomProvider;
+import reactor.core.publisher.Mono;
 
 /**
  * Tells all entries which requests, and which parts of prompts, crash targets, through a table of
@@ -54,7 +59,6 @@
   public static final String TABLE = "crashes";
 
   private static final String REPORT_PREFIX = "report/";
-  private static final String REFUSAL_PREFIX = "refusal/";
 
   /** The number of rows for the reports of one entry. */
   private static final int REPORT_SLOTS = 64;
@@ -108,6 +112,7 @@
   private Map<CrashId, ReportedCrash> pendingCrashes = new LinkedHashMap<>();
   private int pendingCount;
   private Set<CrashFingerprint> pendingCleared = new HashSet<>();
+  private Set<CrashFingerprint> pendingCommon = new HashSet<>();
   private int slot;
   private boolean isWriting;
   private boolean isJudgementScheduled;
@@ -115,9 +120,8 @@
   private long lastWriteNanos;
   private OptionalLong writeDueNanos = OptionalLong.empty();
 
-  /** The refused fingerprints that have a row, as far as known. */
-  private final Set<CrashFingerprint> listedRefusals = new HashSet<>();
-
+  private final RefusalRows refusalRows;
+  private final RefusalTrials trials;
   private long version;
   private long reportVersion;
   private long restoreCount;
@@ -160,6 +164,8 @@
     this.sharedClock = sharedClock;
     this.random = random;
     this.lastWriteNanos = clock.nanoTime() - MIN_WRITE_INTERVAL.toNanos();
+    this.refusalRows = new RefusalRows(table, ledger, reportPrefix, clock, sharedClock);
+    this.trials = new RefusalTrials(ledger, refusalRows::claimTrial, control, clock, log);
   }
 
   /** Starts to follow the reports of the other entries. */
@@ -185,8 +191,24 @@
         .max(Comparator.naturalOrder());
   }
 
+  @Override
+  public Mono<CrashTrial> requestTrial(RequestFingerprints request) {
+    return trials.request(request);
+  }
+
+  /**
+   * Counts the trials of refused requests at this entry.
+   *
+   * @param outcome the outcome of the trials, not null
+   * @return the number since the start of the process
+   */
+  public long countTrials(TrialOutcome outcome) {
+    return trials.count(outcome);
+  }
+
   @Override
   public void onInterrupted(RequestFingerprints request, Target target) {
+    trials.onInterrupted(request);
     CrashId id = new CrashId(target.id(), target.startMillis());
     long now = clock.nanoTime();
     ReportedCrash crash = new ReportedCrash(sharedClock.toSharedTime(now), List.of(request));
@@ -197,7 +219,8 @@
   @Override
   public void onSuccess(RequestFingerprints request) {
     long now = clock.nanoTime();
-    request.stream().forEach(fingerprint -> ledger.recordSuccess(fingerprint, now));
+    trials.onSuccess(request);
+    ledger.recordSuccess(request, now);
     request.stream().forEach(this::shareSuccess);
   }
 
@@ -209,6 +232,7 @@
     for (RequestFingerprints request : crash.requests()) {
       isJudgementDue |= ledger.recordCrash(request, id, crashNanos, now);
       request.stream().forEach(this::shareSuccess);
+      request.parts().forEach(this::shareCommon);
     }
     if (isJudgementDue) {
       judge();
@@ -244,7 +268,9 @@
           "fingerprint",
           fingerprint,
           "crashes",
-          ledger.describeCrashes(fingerprint, now));
+          ledger.describeCrashes(fingerprint, now),
+          "share_of_successes",
+          ledger.getShareOfSuccesses(fingerprint, now));
       control.execute(() -> scheduleRefusal(fingerprint));
     }
     for (CrashFingerprint fingerprint : judgement.released()) {
@@ -261,11 +287,37 @@
     }
   }
 
+  /** Tells the other entries that a suspicious part is common among what ran. */
+  private void shareCommon(CrashFingerprint part) {
+    long now = clock.nanoTime();
+    if (ledger.takeCommonNotice(part, now)) {
+      log.info(
+          "suspicious part is common",
+          "fingerprint",
+          part,
+          "crashes",
+          ledger.countCrashes(part),
+          "share_of_successes",
+          ledger.getShareOfSuccesses(part, now));
+      control.execute(() -> addPendingCommon(part));
+    }
+  }
+
+  private void addPendingCommon(CrashFingerprint part) {
+    if (pendingCommon.size() < MAX_PENDING && pendingCommon.add(part)) {
+      scheduleClearance();
+    }
+  }
+
+  private void scheduleClearance() {
+    Duration spread = Duration.ofNanos(random.nextLong(CLEARANCE_SPREAD.toNanos()));
+    scheduleWrite(BATCH_DELAY.plus(spread), MIN_CLEARANCE_INTERVAL);
+  }
+
   private void addPendingClearance(CrashFingerprint fingerprint) {
     deleteRefusal(fingerprint);
     if (pendingCleared.size() < MAX_PENDING && pendingCleared.add(fingerprint)) {
-      Duration spread = Duration.ofNanos(random.nextLong(CLEARANCE_SPREAD.toNanos()));
-      scheduleWrite(BATCH_DELAY.plus(spread), MIN_CLEARANCE_INTERVAL);
+      scheduleClearance();
     }
   }
 
@@ -304,13 +356,14 @@
   }
 
   private void writeReport() {
-    if (isWriting || pendingCount == 0 && pendingCleared.isEmpty()) {
+    if (isWriting || !isReportPending()) {
       return;
     }
-    CrashReport report = new CrashReport(pendingCrashes, pendingCleared);
+    CrashReport report = new CrashReport(pendingCrashes, pendingCleared, pendingCommon);
     pendingCrashes = new LinkedHashMap<>();
     pendingCount = 0;
     pendingCleared = new HashSet<>();
+    pendingCommon = new HashSet<>();
     isWriting = true;
     lastWriteNanos = clock.nanoTime();
     writer
@@ -319,6 +372,10 @@
         .whenCompleteAsync((result, error) -> onReportWritten(report, error), control);
   }
 
+  private boolean isReportPending() {
+    return pendingCount > 0 || !pendingCleared.isEmpty() || !pendingCommon.isEmpty();
+  }
+
   private CompletableFuture<Void> commitReport(CrashReport report) {
     RowKey key = new RowKey(TABLE, reportPrefix + slot);
     slot = (slot + 1) % REPORT_SLOTS;
@@ -339,6 +396,8 @@
           report.crashes().forEach(this::addPendingCrash);
           report.cleared().forEach(ledger::clear);
           report.cleared().forEach(this::addPendingClearance);
+          report.common().forEach(this::applyCommon);
+          report.common().forEach(this::addPendingCommon);
         });
   }
 
@@ -347,9 +406,10 @@
     if (error != null) {
       log.warn("crash report not written", "error", error.getMessage());
       pendingCleared.addAll(report.cleared());
+      pendingCommon.addAll(report.common());
       report.crashes().forEach(this::addPendingCrash);
     }
-    if (pendingCount > 0 || !pendingCleared.isEmpty()) {
+    if (isReportPending()) {
       scheduleWrite(RETRY_DELAY, MIN_WRITE_INTERVAL);
     }
   }
@@ -360,10 +420,6 @@
         .thenApply(result -> result.isCommitted());
   }
 
-  private static RowKey newRefusalKey(CrashFingerprint fingerprint) {
-    return new RowKey(TABLE, REFUSAL_PREFIX + fingerprint);
-  }
-
   private void scheduleRefusal(CrashFingerprint fingerprint) {
     Duration spread = Duration.ofNanos(random.nextLong(REFUSAL_SPREAD.toNanos()));
     Duration delay = MIN_REFUSAL_DELAY.plus(spread);
@@ -373,11 +429,13 @@
 
   private void writeRefusal(CrashFingerprint fingerprint) {
     boolean isRefused = ledger.getRefusal(fingerprint, clock.nanoTime()).isPresent();
-    if (!isRefused || listedRefusals.contains(fingerprint)) {
+    Optional<Refusal> refusal = ledger.findRefusal(fingerprint);
+    if (!isRefused || refusal.isEmpty() || refusalRows.isListed(fingerprint)) {
       return;
     }
-    RowKey key = newRefusalKey(fingerprint);
-    commit(List.of(Condition.ofAbsent(key)), Write.ofPut(key, reportPrefix))
+    RowKey key = RefusalRows.toKey(fingerprint);
+    String value = refusalRows.encode(fingerprint, refusal.get());
+    commit(List.of(Condition.ofAbsent(key)), Write.ofPut(key, value))
         .whenCompleteAsync(
             (isCommitted, error) -> {
               if (error != null) {
@@ -385,7 +443,7 @@
                     "refusal not written", "fingerprint", fingerprint, "error", error.getMessage());
                 schedule(() -> writeRefusal(fingerprint), RETRY_DELAY);
               } else {
-                listedRefusals.add(fingerprint);
+                refusalRows.onWritten(fingerprint);
               }
             },
             control);
@@ -393,7 +451,7 @@
 
   /** Deletes the row of a refusal, or leaves it to the entry that writes for this one. */
   private void deleteRefusal(CrashFingerprint fingerprint) {
-    if (!listedRefusals.contains(fingerprint)) {
+    if (!refusalRows.isListed(fingerprint)) {
       return;
     }
     if (writer.isDelegated()) {
@@ -405,10 +463,10 @@
 
   private void deleteListedRefusal(CrashFingerprint fingerprint) {
     boolean isRefused = ledger.getRefusal(fingerprint, clock.nanoTime()).isPresent();
-    if (isRefused || !listedRefusals.contains(fingerprint)) {
+    if (isRefused || !refusalRows.isListed(fingerprint)) {
       return;
     }
-    commit(List.of(), Write.ofDelete(newRefusalKey(fingerprint)))
+    commit(List.of(), Write.ofDelete(RefusalRows.toKey(fingerprint)))
         .whenCompleteAsync(
             (isCommitted, error) -> {
               if (error != null) {
@@ -416,7 +474,7 @@
                     "refusal not removed", "fingerprint", fingerprint, "error", error.getMessage());
                 schedule(() -> deleteRefusal(fingerprint), RETRY_DELAY);
               } else {
-                listedRefusals.remove(fingerprint);
+                refusalRows.onRemoved(fingerprint);
               }
             },
             control);
@@ -502,53 +560,46 @@
       // Older reports may be incomplete: what cleared a request may have been overwritten.
       reportVersion = changes.version();
     }
-    Set<CrashFingerprint> missingRefusals = new HashSet<>(listedRefusals);
-    changes.updated().forEach(row -> getRefused(row.key()).ifPresent(missingRefusals::remove));
-    listedRefusals.removeAll(missingRefusals);
+    Set<CrashFingerprint> missingRefusals = new HashSet<>(refusalRows.getListed());
+    changes
+        .updated()
+        .forEach(row -> refusalRows.findFingerprint(row.key()).ifPresent(missingRefusals::remove));
+    missingRefusals.forEach(refusalRows::onRemoved);
     missingRefusals.forEach(isRestored ? this::writeRefusal : this::onRefusalRemoved);
     applyRows(changes.updated());
     version = changes.version();
     restoreCount = changes.restoreCount();
     isRead = true;
-    Set.copyOf(listedRefusals).stream()
+    refusalRows.getListed().stream()
         .filter(f -> ledger.getRefusal(f, clock.nanoTime()).isEmpty())
         .forEach(this::deleteRefusal);
   }
 
   private void applyChanges(TableChanges changes) {
     applyRows(changes.updated());
-    changes.removed().forEach(key -> getRefused(key).ifPresent(this::onRefusalRemoved));
+    changes
+        .removed()
+        .forEach(key -> refusalRows.findFingerprint(key).ifPresent(this::onRefusalRemoved));
     version = changes.version();
   }
 
   private void onRefusalRemoved(CrashFingerprint fingerprint) {
-    listedRefusals.remove(fingerprint);
+    refusalRows.onRemoved(fingerprint);
     if (ledger.clear(fingerprint)) {
       log.info("fingerprint cleared by another entry", "fingerprint", fingerprint);
     }
   }
 
-  /** Gets the refused fingerprint that a row describes, empty for a report. */
-  private Optional<CrashFingerprint> getRefused(RowKey key) {
-    if (!key.key().startsWith(REFUSAL_PREFIX)) {
-      return Optional.empty();
-    }
-    try {
-      return Optional.of(CrashFingerprint.parse(key.key().substring(REFUSAL_PREFIX.length())));
-    } catch (IllegalArgumentException e) {
-      log.warn("malformed refusal", "key", key.key(), "error", e.getMessage());
-      return Optional.empty();
-    }
-  }
-
   private void applyRows(List<Row> rows) {
     rows.stream().sorted(Comparator.comparingLong(Row::version)).forEach(this::applyRow);
   }
 
   private void applyRow(Row row) {
     String key = row.key().key();
-    if (key.startsWith(REFUSAL_PREFIX)) {
-      getRefused(row.key()).ifPresent(fingerprint -> applyRefusal(fingerprint, row.value()));
+    if (key.startsWith(RefusalRows.PREFIX)) {
+      refusalRows
+          .findFingerprint(row.key())
+          .ifPresent(fingerprint -> applyRefusal(fingerprint, row));
     } else if (key.startsWith(REPORT_PREFIX) && row.version() > reportVersion) {
       reportVersion = row.version();
       if (!key.startsWith(reportPrefix)) {
@@ -557,21 +608,54 @@
     }
   }
 
-  private void applyRefusal(CrashFingerprint fingerprint, String source) {
+  private void applyRefusal(CrashFingerprint fingerprint, Row row) {
     long now = clock.nanoTime();
-    if (listedRefusals.add(fingerprint) && ledger.getRefusal(fingerprint, now).isEmpty()) {
-      log.warn("fingerprint refused", "fingerprint", fingerprint, "reported_by", source);
-      ledger.refuse(fingerprint, now);
+    RefusalRow described = RefusalRowCodec.decode(row.value());
+    refusalRows.onRead(fingerprint, row.version());
+    boolean isKnown = ledger.getRefusal(fingerprint, now).isPresent();
+    if (!isKnown && !ledger.isRefusalValid(fingerprint, described.crashes(), now)) {
+      log.info(
+          "refusal of a common part not followed",
+          "fingerprint",
+          fingerprint,
+          "reported_by",
+          described.source());
+      addPendingCommon(fingerprint);
+      deleteRefusal(fingerprint);
+      return;
+    }
+    if (!isKnown) {
+      log.warn(
+          "fingerprint refused",
+          "fingerprint",
+          fingerprint,
+          "reported_by",
+          described.source(),
+          "crashes",
+          described.crashes(),
+          "trials",
+          described.trials());
     }
+    ledger.refuse(fingerprint, refusalRows.toRefusal(described, now));
     shareSuccess(fingerprint);
   }
 
+  /** Follows another entry that saw that a part is common among what ran. */
+  private void applyCommon(CrashFingerprint part) {
+    if (ledger.recordCommon(part, clock.nanoTime())) {
+      log.info("fingerprint released", "fingerprint", part, "reason", "common among what ran");
+      deleteRefusal(part);
+    }
+  }
+
   private void applyReport(Row row) {
     try {
       CrashReport report = CrashReportCodec.decode(row.value());
       report.crashes().forEach(this::recordCrash);
       report.cleared().forEach(ledger::clear);
+      report.common().forEach(this::applyCommon);
       pendingCleared.removeAll(report.cleared());
+      pendingCommon.removeAll(report.common());
     } catch (IllegalArgumentException e) {
       log.warn("malformed crash report", "key", row.key().key(), "error", e.getMessage());
     }
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/poison/CrashLedgerTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/poison/CrashLedgerTest.java
@@ -164,7 +164,18 @@
     Duration expiry = SETTINGS.expiry();
     ledger =
         new CrashLedger(
-            new CrashSettings(2, 2, Duration.ZERO, Duration.ZERO, expiry, expiry, expiry, 2));
+            new CrashSettings(
+                2,
+                2,
+                2,
+                Duration.ZERO,
+                Duration.ZERO,
+                expiry,
+                expiry,
+                expiry,
+                2,
+                2,
+                TrialSettings.ofDefaults()));
     for (int i = 0; i < 4; i++) {
       recordPrompt("f" + i, 1, 0);
       recordPrompt("f" + i, 2, 0);
@@ -246,6 +257,163 @@
     assertEquals(ledger.judge(SECOND_NANOS).refused(), List.of(newPart("bad"), newPart("worse")));
   }
 
+  /** Tests parts that are in each crash since nearly all requests have them. */
+  public static class CommonParts {
+
+    private static final CrashFingerprint COMMON = newPart("cards-common");
+
+    private CrashLedger ledger;
+    private int prompts;
+
+    /** Creates an empty ledger. */
+    @BeforeMethod
+    public void setUp() {
+      ledger = new CrashLedger(SETTINGS);
+    }
+
+    private RequestFingerprints newPrompt(CrashFingerprint... parts) {
+      return new RequestFingerprints(newRequest("f" + prompts++), Set.of(parts));
+    }
+
+    private void serve(int count, long atSeconds, CrashFingerprint... parts) {
+      for (int i = 0; i < count; i++) {
+        ledger.recordSuccess(newPrompt(parts), atSeconds * SECOND_NANOS);
+      }
+    }
+
+    /** Has targets crash one after the other, each while two prompts wait, and judges then. */
+    private Set<CrashFingerprint> crash(int count, long fromSeconds, CrashFingerprint... parts) {
+      long now = 0;
+      for (int i = 0; i < count; i++) {
+        now = (fromSeconds + 18L * i) * SECOND_NANOS;
+        CrashId crash = newCrash("t", prompts);
+        ledger.recordCrash(newPrompt(parts), crash, now, now);
+        ledger.recordCrash(newPrompt(parts), crash, now, now);
+      }
+      return Set.copyOf(ledger.judge(now + SETTINGS.settleTime().toNanos()).refused());
+    }
+
+    // Guards against the refusal of a whole model after three crashes in turn at a quiet time.
+    @Test
+    public void partOfAllRequestsThatRanIsNotBlamedForThreeCrashes() {
+      serve(24, 0, COMMON);
+      assertEquals(crash(3, 20, COMMON), Set.of());
+    }
+
+    // Guards against a part that is never refused since it was sound once.
+    @Test
+    public void partOfAllRequestsThatRanIsBlamedForTwiceAsManyCrashes() {
+      serve(24, 0, COMMON);
+      assertEquals(crash(SETTINGS.maxCommonCrashes(), 20, COMMON), Set.of(COMMON));
+    }
+
+    // Guards against a part that crashes targets and has never run, but isn't refused.
+    @Test
+    public void partThatNeverRanIsBlamedForThreeCrashes() {
+      serve(24, 0, newPart("cards-other"));
+      assertEquals(crash(3, 20, COMMON), Set.of(COMMON));
+    }
+
+    // Guards against a refusal that covers the prompts beside those that crash targets.
+    @Test
+    public void partWithinACommonOneIsBlamedAlone() {
+      CrashFingerprint bad = newPart("cards-bad");
+      serve(24, 0, COMMON);
+      assertEquals(crash(3, 20, COMMON, bad), Set.of(bad));
+    }
+
+    // Guards against a hot service whose rare parts can never be blamed.
+    @Test
+    public void partThatIsMuchRarerAmongWhatRanIsBlamed() {
+      serve(1, 0, COMMON);
+      serve(9, 0, newPart("cards-other"));
+      assertEquals(crash(3, 20, COMMON), Set.of(COMMON));
+    }
+
+    @Test
+    public void successesOfAnotherServiceDoNotMakeAPartRare() {
+      serve(1, 0, COMMON);
+      serve(9, 0, newPart("desk-other"));
+      assertEquals(crash(3, 20, COMMON), Set.of());
+    }
+
+    @Test
+    public void successesAreForgottenLikeCrashes() {
+      serve(24, 0, COMMON);
+      long expirySeconds = SETTINGS.expiry().toSeconds();
+      assertEquals(crash(3, expirySeconds, COMMON), Set.of(COMMON));
+    }
+
+    @Test
+    public void commonPartIsReleasedAtAnEntryThatDidNotSeeItRun() {
+      assertEquals(crash(3, 0, COMMON), Set.of(COMMON));
+      long now = 40 * SECOND_NANOS;
+      assertTrue(ledger.recordCommon(COMMON, now));
+      assertTrue(ledger.getRefusal(COMMON, now).isEmpty());
+      assertEquals(ledger.judge(now).refused(), List.of());
+    }
+  }
+
+  /** Tests when a refused request may run as a trial. */
+  public static class Trials {
+
+    private static final TrialSettings TRIALS = SETTINGS.trials();
+    private static final long START = 7 * SECOND_NANOS;
+
+    private CrashLedger ledger;
+
+    /** Creates a ledger that refuses a request. */
+    @BeforeMethod
+    public void setUp() {
+      ledger = new CrashLedger(SETTINGS);
+      ledger.refuse(REQUEST, new Refusal(START, 0, START));
+    }
+
+    private boolean isDue(Duration sinceRefusal) {
+      return ledger.areTrialsDue(Set.of(REQUEST), START + sinceRefusal.toNanos());
+    }
+
+    private Duration getRetryAfter(Duration sinceRefusal) {
+      return ledger.getRefusal(REQUEST, START + sinceRefusal.toNanos()).orElseThrow();
+    }
+
+    @Test
+    public void callersAreToldWhenTheFirstTrialMayCome() {
+      assertEquals(getRetryAfter(Duration.ZERO), TRIALS.firstDelay());
+      assertFalse(isDue(TRIALS.firstDelay().minusMillis(1)));
+      assertTrue(isDue(TRIALS.firstDelay()));
+      assertEquals(getRetryAfter(TRIALS.firstDelay()), TRIALS.resultTime());
+    }
+
+    @Test
+    public void callersAreToldToWaitForTheResultAndThenForTheNextTrial() {
+      Duration first = TRIALS.firstDelay();
+      ledger.recordTrial(REQUEST, START + first.toNanos());
+      assertFalse(isDue(first));
+      assertEquals(getRetryAfter(first), TRIALS.resultTime());
+      Duration later = first.plus(TRIALS.resultTime());
+      assertEquals(getRetryAfter(later), TRIALS.interval().minus(TRIALS.resultTime()));
+      assertTrue(isDue(first.plus(TRIALS.interval())));
+    }
+
+    // Guards against a retry delay that no trial follows.
+    @Test
+    public void callersAreToldTheEndOfTheRefusalAfterTheLastTrial() {
+      for (int i = 0; i < TRIALS.maxTrials(); i++) {
+        ledger.recordTrial(REQUEST, START + i);
+      }
+      Duration later = Duration.ofMinutes(2);
+      assertEquals(getRetryAfter(later), SETTINGS.expiry().minus(later));
+      assertFalse(isDue(later));
+    }
+
+    @Test
+    public void trialsOfOtherEntriesCount() {
+      ledger.refuse(REQUEST, new Refusal(START, TRIALS.maxTrials(), START + 1));
+      assertFalse(isDue(Duration.ofMinutes(2)));
+    }
+  }
+
   /** Tests crashes of several targets that may have a common cause. */
   public static class Outages {
 
--- a/fireflyshed-core/src/test/java/io/fireflyshed/protocol/poison/CrashReportCodecTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/protocol/poison/CrashReportCodecTest.java
@@ -30,7 +30,8 @@
                 new ReportedCrash(Optional.of(Duration.ofMillis(7)), List.of(plain, generation)),
                 new CrashId(new InstanceId("t2"), 0),
                 new ReportedCrash(Optional.empty(), List.of(plain))),
-            Set.of(newRequest("f3"), newPart("p1")));
+            Set.of(newRequest("f3"), newPart("p1")),
+            Set.of(newPart("p2")));
     assertEquals(CrashReportCodec.decode(CrashReportCodec.encode(report)), report);
   }
 
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwardFixtures.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwardFixtures.java
@@ -28,6 +28,7 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.function.BooleanSupplier;
+import reactor.core.publisher.Mono;
 
 /** Creates the targets, routes, requests and responses of the tests of {@link Forwarder}. */
 final class ForwardFixtures {
@@ -74,11 +75,22 @@
     private final int maxInterruptions;
     private int interruptions;
     private int successes;
+    private CrashTrial trial = CrashTrial.none();
 
     FakeCrashGuard(int maxInterruptions) {
       this.maxInterruptions = maxInterruptions;
     }
 
+    /** Grants a trial to the next refused request. */
+    void grantTrial(CrashTrial granted) {
+      trial = granted;
+    }
+
+    @Override
+    public Mono<CrashTrial> requestTrial(RequestFingerprints request) {
+      return Mono.fromSupplier(() -> trial);
+    }
+
     int getInterruptions() {
       return interruptions;
     }
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwarderTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ForwarderTest.java
@@ -32,6 +32,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.apache.commons.rng.simple.RandomSource;
 import org.testng.annotations.BeforeMethod;
@@ -308,6 +309,18 @@
     assertEquals(error.getRetryAfter(), Duration.ofMinutes(1));
   }
 
+  // Guards against a trial of a refused request that crashes more than one target.
+  @Test
+  public void trialOfARefusedRequestIsSentOnce() {
+    refuseAfter(0);
+    AtomicInteger sent = new AtomicInteger();
+    crashGuard.grantTrial(new CrashTrial(sent::incrementAndGet, () -> {}));
+    failWith(new ConnectionLostException("forward", "peer", "closed", null), "one", "two", "three");
+    forwardLookup();
+    assertEquals(triedTargets.size(), 1);
+    assertEquals(sent.get(), 1);
+  }
+
   @Test
   public void requestThatIsRefusedAfterItsAttemptIsNotRetried() {
     refuseAfter(1);
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/poison/CrashReportExchangeTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/poison/CrashReportExchangeTest.java
@@ -18,6 +18,7 @@
 import io.fireflyshed.state.table.Row;
 import io.fireflyshed.state.table.RowKey;
 import io.fireflyshed.state.target.Target;
+import io.fireflyshed.transport.forward.CrashTrial;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -26,7 +27,9 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.IntConsumer;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
@@ -56,6 +59,9 @@
   /** The time after which an entry in reach of the table must refuse the request. */
   private static final int RECOGNITION_STEPS = 3 * STEPS_PER_SECOND;
 
+  /** The steps in which an entry has claimed a trial or found that it can't. */
+  private static final int CLAIM_STEPS = 3;
+
   /** The time from an attempt to the crash of its target. */
   private static final Duration RUN_TIME = Duration.ofMillis(150);
 
@@ -485,4 +491,125 @@
     assertEquals(
         entries.stream().filter(e -> e.isRefusing(newRequest("request-0entry-0"))).count(), 0);
   }
+
+  /** Has two requests wait for a target that crashes, at one entry after the other. */
+  private void crashInTurn(int count, int firstPrompt) {
+    for (int i = 0; i < count; i++) {
+      Target target = newTarget("head", firstPrompt + i);
+      for (int j = 0; j < 2; j++) {
+        Entry entry = entries.get((2 * i + j) % entries.size());
+        entry.exchange.onInterrupted(newPrompt(firstPrompt + 2 * i + j), target);
+      }
+      advance(4 * STEPS_PER_SECOND);
+    }
+  }
+
+  private boolean areAllRefusing(boolean isRefusing) {
+    return entries.stream().allMatch(e -> e.isRefusing(newPrompt(1000)) == isRefusing);
+  }
+
+  /** Requests a trial at an entry and returns it if it may be used. */
+  private Optional<CrashTrial> takeTrial(Entry entry, RequestFingerprints request) {
+    CompletableFuture<CrashTrial> granted = entry.exchange.requestTrial(request).toFuture();
+    advance(CLAIM_STEPS);
+    try {
+      return Optional.of(granted.get(5, TimeUnit.SECONDS)).filter(CrashTrial::isUsable);
+    } catch (InterruptedException | ExecutionException | TimeoutException e) {
+      throw new AssertionError("no answer to a request for a trial", e);
+    }
+  }
+
+  // Guards against the refusal of a model whose prompts share a part, after crashes in turn.
+  @Test(dataProvider = "entryCounts")
+  public void partOfAllPromptsThatRanIsNotRefusedWhenTargetsCrashInTurnAtAQuietTime(
+      int entryCount) {
+    addEntries(entryCount);
+    advance(STEPS_PER_SECOND);
+    for (int i = 0; i < 24; i++) {
+      entries.get(i % 2).exchange.onSuccess(newPrompt(i));
+    }
+    advance(11 * STEPS_PER_SECOND);
+    crashInTurn(1, 100);
+    for (int i = 1; i < entryCount; i += 2) {
+      entries.get(i).restart();
+    }
+    crashInTurn(2, 200);
+    assertTrue(areAllRefusing(false));
+    entries.forEach(Entry::restart);
+    advance(STEPS_PER_SECOND);
+    assertTrue(areAllRefusing(false));
+  }
+
+  // Guards against a wrong refusal that can only end after 15 minutes.
+  @Test(dataProvider = "entryCounts")
+  public void successOfATrialEndsARefusalAtAllEntries(int entryCount) {
+    addEntries(entryCount);
+    advance(STEPS_PER_SECOND);
+    crashInTurn(3, 0);
+    assertTrue(areAllRefusing(true));
+    entries.forEach(Entry::restart);
+    advance(2 * STEPS_PER_SECOND);
+    assertTrue(areAllRefusing(true));
+    List<CrashTrial> trials = new ArrayList<>();
+    RequestFingerprints prompt = newPrompt(500);
+    for (Entry entry : entries) {
+      takeTrial(entry, prompt).ifPresent(trials::add);
+    }
+    assertEquals(trials.size(), 1);
+    trials.get(0).use();
+    entries.get(0).exchange.onSuccess(prompt);
+    advance(STEPS_PER_SECOND);
+    assertTrue(areAllRefusing(false));
+    entries.forEach(Entry::restart);
+    advance(STEPS_PER_SECOND);
+    assertTrue(areAllRefusing(false));
+  }
+
+  // Guards against trials that crash more targets than a refusal is to prevent.
+  @Test
+  public void trialsOfAllEntriesTogetherAreFewWhileAPartCrashesItsTargets() {
+    addEntries(9);
+    advance(STEPS_PER_SECOND);
+    crashInTurn(3, 0);
+    int trials = 0;
+    for (int second = 0; second < SETTINGS.expiry().toSeconds() - 30; second++) {
+      for (Entry entry : entries) {
+        RequestFingerprints prompt = newPrompt(10_000 + trials);
+        Optional<CrashTrial> trial = takeTrial(entry, prompt);
+        if (trial.isPresent()) {
+          trials++;
+          trial.get().use();
+          entry.exchange.onInterrupted(prompt, newTarget("head", 1000 + trials));
+        }
+      }
+      if (second % 20 == 19) {
+        entries.get(second / 20 % entries.size()).restart();
+      }
+      advance(STEPS_PER_SECOND - CLAIM_STEPS * entries.size());
+    }
+    assertEquals(trials, SETTINGS.trials().maxTrials());
+  }
+
+  @Test
+  public void trialThatARequestCannotUseGoesToTheNextOne() {
+    addEntries(3);
+    advance(STEPS_PER_SECOND);
+    crashInTurn(3, 0);
+    advance(3 * STEPS_PER_SECOND);
+    Entry entry = entries.get(0);
+    CrashTrial trial = takeTrial(entry, newPrompt(500)).orElseThrow();
+    assertTrue(takeTrial(entry, newPrompt(501)).isEmpty());
+    trial.giveBack();
+    assertTrue(takeTrial(entry, newPrompt(502)).isPresent());
+  }
+
+  @Test
+  public void entryThatCannotReachTheTableMakesNoTrial() {
+    addEntries(3);
+    advance(STEPS_PER_SECOND);
+    crashInTurn(3, 0);
+    entries.get(0).setCut(true);
+    advance(3 * STEPS_PER_SECOND);
+    assertTrue(takeTrial(entries.get(0), newPrompt(500)).isEmpty());
+  }
 }
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
@@ -62,6 +62,7 @@
 import io.fireflyshed.transport.poison.CrashReportExchange;
 import io.fireflyshed.transport.poison.RemoteReportWriter;
 import io.fireflyshed.transport.poison.ReportWriter;
+import io.fireflyshed.transport.poison.TrialOutcome;
 import io.fireflyshed.transport.registry.ColdTargetRegistry;
 import io.fireflyshed.transport.registry.ConfigurationWatcher;
 import io.fireflyshed.transport.registry.EntryRegistrar;
@@ -75,6 +76,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -404,16 +406,24 @@
   private CrashReportExchange newCrashReports(StoreClient store, UniformRandomProvider random) {
     CrashLedger ledger = new CrashLedger(CrashSettings.ofDefaults());
     metrics.gauge("fireflyshed.refused.fingerprints", ledger, CrashLedger::countRefusals);
-    return new CrashReportExchange(
-        store,
-        tables,
-        newReportWriter(),
-        settings.node(),
-        ledger,
-        control,
-        clock,
-        sharedClock,
-        random);
+    CrashReportExchange exchange =
+        new CrashReportExchange(
+            store,
+            tables,
+            newReportWriter(),
+            settings.node(),
+            ledger,
+            control,
+            clock,
+            sharedClock,
+            random);
+    for (TrialOutcome outcome : TrialOutcome.values()) {
+      Tags tags = Tags.of("outcome", outcome.name().toLowerCase(Locale.ROOT));
+      metrics
+          .more()
+          .counter("fireflyshed.refusal.trials", tags, exchange, e -> e.countTrials(outcome));
+    }
+    return exchange;
   }
 
   private FormationController newFormation(StoreClient store, UniformRandomProvider random) {
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/RelayRehearsal.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/RelayRehearsal.java
@@ -104,7 +104,7 @@
   private static boolean isAnswered(EntryRelay sending, EntryPeer peer) {
     TableChanges changes = sending.ask(peer, new TableQuestion(TABLE, 0, false), TIMEOUT).join();
     FleetLoad load = sending.ask(peer, LOAD, false, TIMEOUT).join();
-    sending.write(peer, new CrashReport(Map.of(), Set.of()), TIMEOUT).join();
+    sending.write(peer, new CrashReport(Map.of(), Set.of(), Set.of()), TIMEOUT).join();
     return changes.equals(CHANGES) && load.equals(LOAD);
   }
 
