End an isolation through any target if none takes requests

isolationEndsThroughATargetThatTakesNoRequestsIfNoneDoes fails without this change: nothing is probed any more, and the entry stays isolated.

The log of the coordinator: "isolated from all targets", targets 1; "coordination pauses", cut off; nothing after that. Callers get "this entry reaches no target" or 503.

Cause: an entry that lost its only head takes itself for cut off, which ends by a connection to a target that takes requests. Once the row of the head is gone there is none, and as the coordinator pauses meanwhile, none comes. Reports of engines would show that they are reached, but aren't asked for in a pause.

Change: if no target takes requests, the entry probes those that are there, such as the other members of the replica. Beside targets that take requests they are not probed: an entry may reach an idle instance and none of its heads.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/ReachabilityWatch.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/ReachabilityWatch.java
@@ -31,6 +31,7 @@
 
   private final ReachabilityMonitor monitor;
   private final Supplier<List<Target>> listedTargets;
+  private final Supplier<List<Target>> knownTargets;
   private final TargetPlacer placer;
   private final TargetProbe probe;
   private final UniformRandomProvider random;
@@ -46,6 +47,8 @@
    * @param monitor decides whether the entry is isolated, not null
    * @param listedTargets lists the targets of all services that take requests; called on any
    *     thread, not null
+   * @param knownTargets lists the targets that are there, including those that take no requests,
+   *     such as members of replicas; called on any thread, not null
    * @param placer leaves out targets that failed, not null
    * @param probe tests whether a target can be reached, not null
    * @param random selects the target of a connection attempt, not null
@@ -55,6 +58,7 @@
   public ReachabilityWatch(
       ReachabilityMonitor monitor,
       Supplier<List<Target>> listedTargets,
+      Supplier<List<Target>> knownTargets,
       TargetPlacer placer,
       TargetProbe probe,
       UniformRandomProvider random,
@@ -62,6 +66,7 @@
       MeterRegistry registry) {
     this.monitor = Objects.requireNonNull(monitor, "monitor");
     this.listedTargets = Objects.requireNonNull(listedTargets, "listedTargets");
+    this.knownTargets = Objects.requireNonNull(knownTargets, "knownTargets");
     this.placer = Objects.requireNonNull(placer, "placer");
     this.probe = Objects.requireNonNull(probe, "probe");
     this.random = Objects.requireNonNull(random, "random");
@@ -91,7 +96,7 @@
     return Mono.defer(
             () ->
                 Mono.justOrEmpty(
-                    monitor.selectProbeTarget(listedTargets.get(), random, clock.nanoTime())))
+                    monitor.selectProbeTarget(listProbeTargets(), random, clock.nanoTime())))
         .flatMap(this::connect)
         .onErrorResume(
             e -> {
@@ -100,6 +105,16 @@
             });
   }
 
+  /**
+   * Lists the targets that show whether the entry reaches any. If none takes requests, as after the
+   * last head crashed, the others do: the coordinator pauses while the entry is isolated, so that
+   * no target would take requests again.
+   */
+  private List<Target> listProbeTargets() {
+    List<Target> listed = listedTargets.get();
+    return listed.isEmpty() ? knownTargets.get() : listed;
+  }
+
   private Mono<Void> connect(Target target) {
     probes.increment();
     return probe
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/registry/TargetFollower.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/registry/TargetFollower.java
@@ -42,6 +42,7 @@
   private record View(
       Map<ServiceName, List<Target>> targets,
       Map<ServiceName, Map<String, List<Target>>> heads,
+      List<Target> present,
       List<Target> serving) {}
 
   private final TargetRegistry registry;
@@ -52,7 +53,7 @@
   private final Runnable failureListener;
   private final TargetDirectory directory = new TargetDirectory(OUTAGE_LENGTH, OUTAGE_GRACE);
   private final EventLog log = new EventLog("targets");
-  private volatile View view = new View(Map.of(), Map.of(), List.of());
+  private volatile View view = new View(Map.of(), Map.of(), List.of(), List.of());
   private volatile boolean isRead;
   private boolean isRegistryLost;
   private boolean isFullReadNeeded = true;
@@ -162,7 +163,8 @@
             .add(target);
       }
     }
-    view = new View(Map.copyOf(targets), Map.copyOf(heads), listServing());
+    List<Target> present = directory.getTargets().stream().filter(t -> !t.isLeaving()).toList();
+    view = new View(Map.copyOf(targets), Map.copyOf(heads), present, listServing(present));
     log.info(
         "targets changed",
         "version",
@@ -174,8 +176,7 @@
     listener.accept(changed);
   }
 
-  private List<Target> listServing() {
-    List<Target> present = directory.getTargets().stream().filter(t -> !t.isLeaving()).toList();
+  private static List<Target> listServing(List<Target> present) {
     Set<ServiceName> modelServices =
         present.stream()
             .filter(t -> t.membership().isPresent())
@@ -209,6 +210,16 @@
     return view.serving();
   }
 
+  /**
+   * Lists the known targets of all services, whether or not they take requests, except leaving
+   * ones.
+   *
+   * @return the targets as they were published last, never null
+   */
+  public List<Target> getPresent() {
+    return view.present();
+  }
+
   /**
    * Lists all known targets, including leaving ones. Must be called on the control thread.
    *
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/PartitionSchedule.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/PartitionSchedule.java
@@ -232,6 +232,7 @@
         new ReachabilityWatch(
             new ReachabilityMonitor(ReachabilitySettings.ofDefaults(), nanoTime()),
             () -> targets,
+            () -> targets,
             placer,
             target -> probe(entry, target),
             random,
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ReachabilityWatchTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/ReachabilityWatchTest.java
@@ -44,6 +44,9 @@
           ForwardFixtures.newTarget("two"),
           ForwardFixtures.newTarget("three"));
 
+  /** The targets that take requests. */
+  private List<Target> listed;
+
   private final List<Target> probed = new ArrayList<>();
   private VirtualTimeScheduler scheduler;
   private SimpleMeterRegistry registry;
@@ -56,6 +59,7 @@
   public void setUp() {
     scheduler = VirtualTimeScheduler.getOrSet();
     probed.clear();
+    listed = targets;
     isCut = false;
     UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(1);
     registry = new SimpleMeterRegistry();
@@ -68,6 +72,7 @@
     watch =
         new ReachabilityWatch(
             new ReachabilityMonitor(ReachabilitySettings.ofDefaults(), nanoTime()),
+            () -> listed,
             () -> targets,
             placer,
             this::connect,
@@ -127,6 +132,26 @@
     assertEquals(registry.get("fireflyshed.reachability.isolated").gauge().value(), 1.0);
   }
 
+  // Guards against an isolation that lasts for good since the last head is gone.
+  @Test
+  public void isolationEndsThroughATargetThatTakesNoRequestsIfNoneDoes() {
+    listed = targets.subList(0, 1);
+    watch.onFailure(targets.get(0).id());
+    assertTrue(watch.isIsolated());
+    listed = List.of();
+    scheduler.advanceTimeBy(RETURN_TIME);
+    assertFalse(watch.isIsolated());
+  }
+
+  @Test
+  public void targetsThatTakeNoRequestsAreNotProbedBesideOthers() {
+    listed = targets.subList(0, 1);
+    isCut = true;
+    watch.onFailure(targets.get(0).id());
+    scheduler.advanceTimeBy(Duration.ofSeconds(10));
+    assertEquals(Set.copyOf(probed), Set.copyOf(listed));
+  }
+
   @Test
   public void targetsAreUsedAgainSoonAfterThePathIsBack() {
     cut();
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/SilenceSchedule.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/SilenceSchedule.java
@@ -171,6 +171,7 @@
           new ReachabilityWatch(
               new ReachabilityMonitor(ReachabilitySettings.ofDefaults(), nanoTime()),
               () -> targets,
+              () -> targets,
               placer,
               target -> connect(index, target),
               random,
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/SilentTargetsTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/forward/SilentTargetsTest.java
@@ -147,6 +147,7 @@
         new ReachabilityWatch(
             new ReachabilityMonitor(ReachabilitySettings.ofDefaults(), nanoTime()),
             () -> targets,
+            () -> targets,
             placer,
             target -> Mono.delay(Duration.ofMillis(2)).then(),
             random,
--- a/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
+++ b/fireflyshed-daemon/src/main/java/io/fireflyshed/daemon/platform/PlatformEntry.java
@@ -396,6 +396,7 @@
     return new ReachabilityWatch(
         new ReachabilityMonitor(ReachabilitySettings.ofDefaults(), trafficClock.nanoTime()),
         targets::getServing,
+        targets::getPresent,
         placer,
         targetProbe,
         random,
