Write the row of an entry again that the table service lost

rowThatTheTableServiceLostIsWrittenAgainSoon fails before this change: the other entries list no peer 21 s after the loss.

Cause: an entry writes its row each 30 s and does not look for it. If the table service comes back from a copy from before the first write, others neither count the entry nor can they relay requests to it until then. Its share of the retry budget is not spent twice meanwhile: an entry that doesn't find its own row has only the fraction.

Change: an entry that does not find its row in a read that was sent after the write was acknowledged writes it at once.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/registry/EntryRegistrar.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/registry/EntryRegistrar.java
@@ -89,6 +89,10 @@
   private final String value;
   private final EntryRows rows;
   private long writeNanos;
+
+  /** When the last write of the own row was acknowledged. */
+  private long writtenNanos;
+
   private boolean isWritten;
   private boolean isTableLost;
   private long timeNanos;
@@ -243,6 +247,7 @@
             result -> {
               isWritten = true;
               writeNanos = now;
+              writtenNanos = clock.nanoTime();
               allowance.onRegistered(clock.nanoTime());
             },
             control);
@@ -282,6 +287,10 @@
   private void onRead(String prefix, List<Row> read, long sentNanos) {
     long now = clock.nanoTime();
     readCount++;
+    if (isWritten && sentNanos - writtenNanos >= 0 && read.stream().noneMatch(this::isOwn)) {
+      log.warn("own row is missing, writing it again", "entry", key.key());
+      isWritten = false;
+    }
     rows.apply(prefix, read, now);
     directory.apply(
         read.stream().filter(row -> row.key().key().startsWith(keyPrefix)).toList(), now);
@@ -297,6 +306,10 @@
     deleteAbandoned(now);
   }
 
+  private boolean isOwn(Row row) {
+    return row.key().equals(key);
+  }
+
   private void deleteAbandoned(long now) {
     for (Map.Entry<RowKey, Long> row : directory.getAbandoned(now).entrySet()) {
       Transaction transaction =
@@ -316,8 +329,14 @@
     }
   }
 
-  /** Returns the delay of the next read; the third keeps its distance from the first. */
+  /**
+   * Returns the delay of the next read, before which a missing row is written; the third keeps its
+   * distance from the first.
+   */
   private Duration getReadDelay() {
+    if (!isWritten) {
+      return RETRY_DELAY;
+    }
     return switch (readCount) {
       case 1 -> SECOND_READ_DELAY;
       case 2 -> READ_INTERVAL.minus(SECOND_READ_DELAY);
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/registry/EntryRegistrarTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/registry/EntryRegistrarTest.java
@@ -190,6 +190,18 @@
     assertTrue(first.getAllowance() > 0);
   }
 
+  // Guards against an entry that others don't count or find for long after a restore of the table.
+  @Test
+  public void rowThatTheTableServiceLostIsWrittenAgainSoon() {
+    Process first = new Process("1", ZONE, newAddress(1));
+    Process second = new Process("2", ZONE, newAddress(2));
+    advance(32, first, second);
+    table.rows.clear();
+    advance(21, first, second);
+    assertEquals(first.getPeers(), List.of("a/2 10.0.0.2:7340"));
+    assertEquals(second.getAllowance(), 0.75 * TOTAL / 2);
+  }
+
   private static Optional<InetSocketAddress> newAddress(int host) {
     return Optional.of(InetSocketAddress.createUnresolved("10.0.0." + host, 7340));
   }
