Accept rows of the lease in any order of restores

A lower restore count than one seen before was ignored for good, which nothing but a restart would end. It needs no rule: a takeover on such rows is not recognized when it is read back, since its count differs.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/lease/ZoneLease.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/lease/ZoneLease.java
@@ -51,8 +51,6 @@
   /** The restore count of the table service under which the grant was last confirmed. */
   private long grantRestoreCount;
 
-  private long highestRestoreCount;
-
   /**
    * Creates a lease that this process does not hold.
    *
@@ -175,12 +173,6 @@
   public void onRead(LeaseRows rows, long nowNanos) {
     Objects.requireNonNull(rows, "rows");
     isRequestInFlight = false;
-    if (rows.restoreCount() < highestRestoreCount) {
-      // The response was overtaken by that of a table service that was restored since.
-      nextRequestNanos = nowNanos + timing.renewInterval().toNanos() / 4;
-      return;
-    }
-    highestRestoreCount = rows.restoreCount();
     if (!rows.equals(lastRows)) {
       lastRows = rows;
       rowsChangedNanos = nowNanos;
