--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/poison/CrashReportExchangeTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/poison/CrashReportExchangeTest.java
@@ -36,6 +36,7 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
+import reactor.core.publisher.Mono;
 
 /** Tests {@link CrashReportExchange} with many entries in virtual time. */
 public class CrashReportExchangeTest {
@@ -510,10 +511,10 @@
 
   /** Requests a trial at an entry and returns it if it may be used. */
   private Optional<CrashTrial> takeTrial(Entry entry, RequestFingerprints request) {
-    CompletableFuture<CrashTrial> granted = entry.exchange.requestTrial(request).toFuture();
+    Mono<CrashTrial> granted = entry.exchange.requestTrial(request);
     advance(CLAIM_STEPS);
     try {
-      return Optional.of(granted.get(5, TimeUnit.SECONDS)).filter(CrashTrial::isUsable);
+      return Optional.of(granted.toFuture().get(5, TimeUnit.SECONDS)).filter(CrashTrial::isUsable);
     } catch (InterruptedException | ExecutionException | TimeoutException e) {
       throw new AssertionError("no answer to a request for a trial", e);
     }
