Count how common a part is among the requests of its model

successesOfAnotherModelDoNotMakeAPartRare fails before this change: the part of all requests of a model is refused after three crashes in turn.

Cause: the share of what ran was that of the service. Callers of the model would get 503 until a trial succeeds. Found in the read-through.

Change: successes are counted by service and model, and the largest share of a part counts. The names of two methods and the text on the skipped epochs were made plainer.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/FormationState.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/formation/FormationState.java
@@ -53,7 +53,7 @@
     return replicas.values().stream().flatMap(List::stream);
   }
 
-  private List<ReplicaState> getNamesakes(ReplicaId id) {
+  private List<ReplicaState> getReplicasNamed(ReplicaId id) {
     return replicas.getOrDefault(id, List.of());
   }
 
@@ -64,7 +64,7 @@
         .getMembership()
         .flatMap(
             m ->
-                getNamesakes(m.replica()).stream()
+                getReplicasNamed(m.replica()).stream()
                     .filter(replica -> replica.getMembers().contains(id))
                     .findFirst());
   }
@@ -98,13 +98,13 @@
       return;
     }
     boolean isKnown =
-        getNamesakes(membership.replica()).stream()
+        getReplicasNamed(membership.replica()).stream()
             .anyMatch(replica -> replica.getMembers().contains(id));
     if (isKnown) {
       return;
     }
     ReplicaState replica =
-        getNamesakes(membership.replica()).stream()
+        getReplicasNamed(membership.replica()).stream()
             .filter(r -> r.isMemberMissing(membership))
             .findFirst()
             .orElseGet(
@@ -130,7 +130,7 @@
    * replica.
    */
   void removeFinished() {
-    replicas.values().forEach(namesakes -> namesakes.removeIf(this::isFullyDissolved));
+    replicas.values().forEach(sameName -> sameName.removeIf(this::isFullyDissolved));
     replicas.values().removeIf(List::isEmpty);
     engines.values().removeIf(e -> !e.isListed() && e.isLost() && !isMember(e));
   }
@@ -174,11 +174,11 @@
     if (membership.isEmpty()) {
       return true;
     }
-    List<ReplicaState> namesakes = getNamesakes(membership.get().replica());
-    if (namesakes.isEmpty()) {
+    List<ReplicaState> sameName = getReplicasNamed(membership.get().replica());
+    if (sameName.isEmpty()) {
       return getModel(membership.get().getModel()).isEmpty();
     }
-    return namesakes.stream()
+    return sameName.stream()
         .allMatch(r -> r.getStage() == ReplicaState.Stage.DISSOLVING && hasHeadLeft(r));
   }
 
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/lease/EpochCounter.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/lease/EpochCounter.java
@@ -10,11 +10,10 @@
  * the table service lost the rows of some of them.
  *
  * <p>Usually epochs count up by one from the epoch row. A table service that was restored from an
- * older copy since the row was written may have lost later epochs, at most {@link
- * #EPOCHS_PER_RESTORE} for each restore, since a takeover takes longer than the age of a copy
- * divided by that number. They are skipped, so that the epoch is unique whether or not a process
- * that knows them still runs or can be reached. Epochs that this process saw itself are skipped as
- * well. Not thread safe.
+ * older copy since the row was written may have lost later epochs. For each restore more epochs are
+ * skipped than can be taken over in the time that a copy lacks, so the epoch is unique although
+ * nothing that knows the lost ones may be running or reachable. Epochs that this process saw itself
+ * are skipped as well. Not thread safe.
  */
 final class EpochCounter {
 
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/poison/CrashLedger.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/poison/CrashLedger.java
@@ -32,7 +32,7 @@
  * Therefore the part that was present in most crashes is refused first, and the crashes that it
  * explains no longer count against others.
  *
- * <p>A part that nearly all requests of a service have in common is in each crash, whatever its
+ * <p>A part that nearly all requests of a model have in common is in each crash, whatever its
  * cause. Therefore a part is blamed after more crashes if it isn't much more common in them than
  * among the requests that ran.
  *
@@ -145,8 +145,8 @@
   /** The parts that are common among what ran, each with the time when that was last known. */
   private final Map<CrashFingerprint, Long> commonParts;
 
-  /** The numbers of crashes at which the other entries were told that a part is common. */
-  private final Map<CrashFingerprint, Integer> toldCrashes;
+  /** The numbers of crashes at which it was last announced that a part is common. */
+  private final Map<CrashFingerprint, Integer> announcedCrashes;
 
   private final PartFrequencies frequencies;
 
@@ -165,7 +165,7 @@
     successes = new BoundedMap<>(settings.maxFingerprints());
     clearances = new BoundedMap<>(settings.maxFingerprints());
     commonParts = new BoundedMap<>(settings.maxFingerprints());
-    toldCrashes = new BoundedMap<>(settings.maxFingerprints());
+    announcedCrashes = new BoundedMap<>(settings.maxFingerprints());
     frequencies = new PartFrequencies(settings.expiry(), settings.maxCountedParts());
   }
 
@@ -291,21 +291,21 @@
 
   /**
    * Tests whether the other entries should be told that a suspicious part is common among what ran
-   * at this entry, as they may not have seen it. Returns true once for each further crash.
+   * at this entry, and records that they are. True once for each further crash.
    *
    * @param fingerprint the fingerprint, not null
    * @param nowNanos the current reading of the monotonic clock
-   * @return whether it is a part that they should be told of
+   * @return whether the caller should tell them
    */
-  public synchronized boolean takeCommonNotice(CrashFingerprint fingerprint, long nowNanos) {
+  public synchronized boolean tryAnnounceCommon(CrashFingerprint fingerprint, long nowNanos) {
     int crashes = getCrashes(fingerprint).size();
     boolean isDue =
         fingerprint.kind() == Kind.PART
             && crashes >= SUSPICIOUS_CRASHES
-            && crashes > toldCrashes.getOrDefault(fingerprint, 0)
+            && crashes > announcedCrashes.getOrDefault(fingerprint, 0)
             && isCommon(fingerprint, nowNanos);
     if (isDue) {
-      toldCrashes.put(fingerprint, crashes);
+      announcedCrashes.put(fingerprint, crashes);
       commonParts.put(fingerprint, nowNanos);
     }
     return isDue;
@@ -353,7 +353,7 @@
   }
 
   /**
-   * Gets the share of the requests that ran here, of its service, that had a part.
+   * Gets the largest share that a part had of the requests of a model that ran here.
    *
    * @param part the part, not null
    * @param nowNanos the current reading of the monotonic clock
@@ -418,7 +418,7 @@
    */
   public synchronized void recordSuccess(RequestFingerprints request, long nowNanos) {
     request.stream().forEach(fingerprint -> recordSuccess(fingerprint, nowNanos));
-    frequencies.recordSuccess(request.parts(), nowNanos);
+    frequencies.recordSuccess(request, nowNanos);
   }
 
   /**
@@ -465,7 +465,7 @@
    */
   public synchronized boolean clear(CrashFingerprint fingerprint) {
     suspicions.remove(fingerprint);
-    toldCrashes.remove(fingerprint);
+    announcedCrashes.remove(fingerprint);
     return refusals.remove(fingerprint) != null;
   }
 
--- a/fireflyshed-core/src/main/java/io/fireflyshed/coordination/poison/PartFrequencies.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/coordination/poison/PartFrequencies.java
@@ -5,15 +5,15 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Objects;
-import java.util.Set;
 
 /**
  * Counts how common the parts of prompts are among the requests that targets ran.
  *
- * <p>A part that nearly all requests have in common was present in each crash, whatever its cause.
- * Counts are kept by the service and forgotten once the part, or the service, had no success for a
- * while. The parts that succeeded least recently are dropped first, so a common one stays. Not
- * thread safe.
+ * <p>A part that nearly all requests of a model have in common was present in each crash of its
+ * targets, whatever the cause. Counts are kept by service and model, as a model may have a small
+ * part of the requests of its service. They are forgotten once there was no success for a while.
+ * The parts that succeeded least recently are dropped first, so a common one stays. Not thread
+ * safe.
  */
 final class PartFrequencies {
 
@@ -35,8 +35,11 @@
     }
   }
 
+  /** Identifies the requests that the same targets run. */
+  private record Pool(String service, String model) {}
+
   /** A map that drops the entry whose last access is the longest ago beyond its capacity. */
-  private static final class RecentParts extends LinkedHashMap<CrashFingerprint, Count> {
+  private static final class RecentParts extends LinkedHashMap<CrashFingerprint, Map<Pool, Count>> {
     private static final long serialVersionUID = 1L;
     private final int capacity;
 
@@ -46,14 +49,14 @@
     }
 
     @Override
-    protected boolean removeEldestEntry(Map.Entry<CrashFingerprint, Count> eldest) {
+    protected boolean removeEldestEntry(Map.Entry<CrashFingerprint, Map<Pool, Count>> eldest) {
       return size() > capacity;
     }
   }
 
   private final Duration memory;
-  private final Map<CrashFingerprint, Count> parts;
-  private final Map<String, Count> services = new HashMap<>();
+  private final Map<CrashFingerprint, Map<Pool, Count>> parts;
+  private final Map<Pool, Count> totals = new HashMap<>();
 
   /**
    * Creates empty counts.
@@ -69,29 +72,45 @@
   /**
    * Records that a request succeeded.
    *
-   * @param present the parts of its prompt, not null
+   * @param request the fingerprints of the request, not null
    * @param nowNanos the current reading of the monotonic clock
    */
-  void recordSuccess(Set<CrashFingerprint> present, long nowNanos) {
-    present.stream()
-        .map(CrashFingerprint::getService)
+  void recordSuccess(RequestFingerprints request, long nowNanos) {
+    request.parts().stream()
+        .map(part -> getPool(part, request))
         .distinct()
-        .forEach(s -> services.computeIfAbsent(s, n -> new Count()).add(nowNanos, memory));
-    present.forEach(p -> parts.computeIfAbsent(p, n -> new Count()).add(nowNanos, memory));
+        .forEach(pool -> add(totals, pool, nowNanos));
+    request
+        .parts()
+        .forEach(
+            part ->
+                add(
+                    parts.computeIfAbsent(part, p -> new HashMap<>()),
+                    getPool(part, request),
+                    nowNanos));
+  }
+
+  private static Pool getPool(CrashFingerprint part, RequestFingerprints request) {
+    return new Pool(part.getService(), request.pool());
+  }
+
+  private void add(Map<Pool, Count> counts, Pool pool, long nowNanos) {
+    counts.computeIfAbsent(pool, p -> new Count()).add(nowNanos, memory);
   }
 
   /**
-   * Gets the share of the successful requests of its service that had a part.
+   * Gets the largest share that a part had of the successful requests of a model.
    *
    * @param part the part, not null
    * @param nowNanos the current reading of the monotonic clock
    * @return the share, 0 to 1, 0 if no success of it is remembered
    */
   double getShare(CrashFingerprint part, long nowNanos) {
-    Count count = parts.get(part);
-    if (count == null || !count.isRecent(nowNanos, memory)) {
-      return 0;
-    }
-    return (double) count.successes / services.get(part.getService()).successes;
+    return parts.getOrDefault(part, Map.of()).entrySet().stream()
+        .filter(entry -> entry.getValue().isRecent(nowNanos, memory))
+        .mapToDouble(
+            entry -> (double) entry.getValue().successes / totals.get(entry.getKey()).successes)
+        .max()
+        .orElse(0);
   }
 }
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/RoutedRequest.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/forward/RoutedRequest.java
@@ -96,7 +96,8 @@
         CrashFingerprint.ofRequest(service, account, request.host() + request.uri(), body::addTo),
         partIds.stream()
             .map(id -> CrashFingerprint.ofPart(service, id))
-            .collect(Collectors.toSet()));
+            .collect(Collectors.toSet()),
+        getPool());
   }
 
   /**
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/poison/CrashReportExchange.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/poison/CrashReportExchange.java
@@ -290,7 +290,7 @@
   /** Tells the other entries that a suspicious part is common among what ran. */
   private void shareCommon(CrashFingerprint part) {
     long now = clock.nanoTime();
-    if (ledger.takeCommonNotice(part, now)) {
+    if (ledger.tryAnnounceCommon(part, now)) {
       log.info(
           "suspicious part is common",
           "fingerprint",
--- a/fireflyshed-core/src/test/java/io/fireflyshed/coordination/poison/CrashLedgerTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/coordination/poison/CrashLedgerTest.java
@@ -272,7 +272,7 @@
     }
 
     private RequestFingerprints newPrompt(CrashFingerprint... parts) {
-      return new RequestFingerprints(newRequest("f" + prompts++), Set.of(parts));
+      return new RequestFingerprints(newRequest("f" + prompts++), Set.of(parts), "large");
     }
 
     private void serve(int count, long atSeconds, CrashFingerprint... parts) {
@@ -330,6 +330,17 @@
       assertEquals(crash(3, 20, COMMON), Set.of(COMMON));
     }
 
+    // Guards against the refusal of a model that has a small part of the requests of its service.
+    @Test
+    public void successesOfAnotherModelDoNotMakeAPartRare() {
+      serve(4, 0, COMMON);
+      for (int i = 0; i < 100; i++) {
+        Set<CrashFingerprint> parts = Set.of(newPart("cards-other"));
+        ledger.recordSuccess(new RequestFingerprints(newRequest("s" + i), parts, "small"), 0);
+      }
+      assertEquals(crash(3, 20, COMMON), Set.of());
+    }
+
     @Test
     public void successesOfAnotherServiceDoNotMakeAPartRare() {
       serve(1, 0, COMMON);
