Write trials again that a restore of the table lost

trialsThatTheTableLostAreNotMadeAgainByProcessesThatStartLater fails before this change: two more trials after all processes restarted.

Cause: the row of a refusal counts its trials. If the table comes back from an older copy, running entries know better, but leave the row as it is, and processes that start later make the trials again. Each of them would crash a target whose requests lose their responses. Found in the read-through.

Change: an entry that knows of more trials than a row writes them, under the condition that the row has not changed.

--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/poison/CrashReportExchange.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/poison/CrashReportExchange.java
@@ -637,9 +637,34 @@
           described.trials());
     }
     ledger.refuse(fingerprint, refusalRows.toRefusal(described, now));
+    if (refusalRows.isBehind(fingerprint, described)) {
+      scheduleRewrite(fingerprint, row.version());
+    }
     shareSuccess(fingerprint);
   }
 
+  /** Writes trials that a row lacks; one of the entries that know of them suffices. */
+  private void scheduleRewrite(CrashFingerprint fingerprint, long rowVersion) {
+    schedule(
+        () -> {
+          if (refusalRows.isCurrent(fingerprint, rowVersion)) {
+            refusalRows
+                .rewrite(fingerprint, rowVersion)
+                .exceptionally(
+                    error -> {
+                      log.warn(
+                          "trials not written",
+                          "fingerprint",
+                          fingerprint,
+                          "error",
+                          error.getMessage());
+                      return null;
+                    });
+          }
+        },
+        Duration.ofNanos(random.nextLong(REFUSAL_SPREAD.toNanos())));
+  }
+
   /** Follows another entry that saw that a part is common among what ran. */
   private void applyCommon(CrashFingerprint part) {
     if (ledger.recordCommon(part, clock.nanoTime())) {
--- a/fireflyshed-core/src/main/java/io/fireflyshed/transport/poison/RefusalRows.java
+++ b/fireflyshed-core/src/main/java/io/fireflyshed/transport/poison/RefusalRows.java
@@ -89,6 +89,11 @@
     return versions.containsKey(fingerprint);
   }
 
+  /** Tests whether a row has not changed since a version was read, as far as known. */
+  boolean isCurrent(CrashFingerprint fingerprint, long version) {
+    return versions.getOrDefault(fingerprint, UNREAD) == version;
+  }
+
   /** Returns a copy of the fingerprints that have a row. */
   Set<CrashFingerprint> getListed() {
     return Set.copyOf(versions.keySet());
@@ -132,6 +137,26 @@
     return nanos - nowNanos > 0 ? nowNanos : nanos;
   }
 
+  /**
+   * Tests whether this process knows of trials that a row lacks, as after a restore of the table.
+   */
+  boolean isBehind(CrashFingerprint fingerprint, RefusalRow row) {
+    return ledger.findRefusal(fingerprint).filter(r -> r.trials() > row.trials()).isPresent();
+  }
+
+  /** Writes what this process knows of a refusal, provided that its row has not changed. */
+  CompletableFuture<CommitResult> rewrite(CrashFingerprint fingerprint, long version) {
+    Optional<Refusal> refusal = ledger.findRefusal(fingerprint);
+    if (refusal.isEmpty()) {
+      return CompletableFuture.completedFuture(new CommitResult(false, List.of()));
+    }
+    RowKey key = toKey(fingerprint);
+    return table.commit(
+        new Transaction(
+            List.of(new Condition(key, version)),
+            List.of(Write.ofPut(key, encode(fingerprint, refusal.get())))));
+  }
+
   /**
    * Writes that a trial of refused fingerprints begins, provided that no other entry changed their
    * rows.
--- a/fireflyshed-core/src/test/java/io/fireflyshed/transport/poison/CrashReportExchangeTest.java
+++ b/fireflyshed-core/src/test/java/io/fireflyshed/transport/poison/CrashReportExchangeTest.java
@@ -573,22 +573,46 @@
     advance(STEPS_PER_SECOND);
     crashInTurn(3, 0);
     int trials = 0;
-    for (int second = 0; second < SETTINGS.expiry().toSeconds() - 30; second++) {
+    for (int round = 0; round < SETTINGS.expiry().toSeconds() / 20 - 2; round++) {
+      trials += countTrials(20);
+      entries.get(round % entries.size()).restart();
+    }
+    assertEquals(trials, SETTINGS.trials().maxTrials());
+  }
+
+  // Guards against trials that are made once more since a restore of the table lost them.
+  @Test
+  public void trialsThatTheTableLostAreNotMadeAgainByProcessesThatStartLater() {
+    addEntries(9);
+    advance(STEPS_PER_SECOND);
+    crashInTurn(3, 0);
+    advance(3 * STEPS_PER_SECOND);
+    Map<RowKey, Row> copy = table.copyRows();
+    long copyVersion = table.getVersion();
+    assertEquals(countTrials(40), SETTINGS.trials().maxTrials());
+    table.restore(copy, copyVersion);
+    advance(15 * STEPS_PER_SECOND);
+    entries.forEach(Entry::restart);
+    advance(STEPS_PER_SECOND);
+    assertEquals(countTrials(60), 0);
+  }
+
+  /** Counts the trials of all entries, each of which crashes its target. */
+  private int countTrials(int seconds) {
+    int trials = 0;
+    for (int second = 0; second < seconds; second++) {
       for (Entry entry : entries) {
-        RequestFingerprints prompt = newPrompt(10_000 + trials);
+        RequestFingerprints prompt = newPrompt(20_000 + step);
         Optional<CrashTrial> trial = takeTrial(entry, prompt);
         if (trial.isPresent()) {
           trials++;
           trial.get().use();
-          entry.exchange.onInterrupted(prompt, newTarget("head", 1000 + trials));
+          entry.exchange.onInterrupted(prompt, newTarget("head", 1000L + step));
         }
       }
-      if (second % 20 == 19) {
-        entries.get(second / 20 % entries.size()).restart();
-      }
       advance(STEPS_PER_SECOND - CLAIM_STEPS * entries.size());
     }
-    assertEquals(trials, SETTINGS.trials().maxTrials());
+    return trials;
   }
 
   @Test
